--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent of oleanderweir."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/__init__.py
@@ -0,0 +1,3 @@
+"""The balancer of oleanderweir."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/__init__.py
@@ -0,0 +1,3 @@
+"""The bench of oleanderweir."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/__init__.py
@@ -0,0 +1,3 @@
+"""Shared parts of the oleanderweir load balancer."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/configuration/configuration_view.py
@@ -0,0 +1,33 @@
+"""What the data path reads of the tickets in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.configuration.backend_server import BackendServer
+    from oleanderweir.configuration.service import Service
+
+
+class ConfigurationView(Protocol):
+    """A reader's view of the services and backend servers in force."""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process has merged enough to serve."""
+
+    def services(self) -> Sequence[Service]:
+        """Return every service, ordered by name."""
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+
+    def backend_servers(self, service: str) -> Sequence[BackendServer]:
+        """Return the backend servers of a service, ordered by name."""
+
+    async def wait_changed(self) -> None:
+        """Return when the next change is in force."""
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
@@ -0,0 +1,3 @@
+"""Tickets: what operators decide, and how decisions merge."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""Developer commands of the workspace."""
+
+from __future__ import annotations
