--- a/packages/oleanderweir/src/oleanderweir/configuration/backend_server.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration/backend_server.py
@@ -18,7 +18,7 @@
 
     ``agent_address`` takes the packets of callers (UDP), ``peer_address`` takes
     the calls of other agents (TCP). ``slots`` is the number of requests that the
-    backend server runs at once. A draining backend server takes no new work;
+    backend server runs at once, ``connections`` the number of feeds it holds. A draining backend server takes no new work;
     its sessions may go on for ``drain_period_s``.
     """
 
@@ -28,5 +28,6 @@
     agent_address: SocketAddress
     peer_address: SocketAddress
     slots: int
+    connections: int = 2000
     is_draining: bool = False
     drain_period_s: float = 600.0
