--- a/packages/oleanderweir/src/oleanderweir/configuration/backend_server.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration/backend_server.py
@@ -18,8 +18,9 @@
 
     ``agent_address`` takes the packets of callers (UDP), ``peer_address`` takes
     the calls of other agents (TCP). ``slots`` is the number of requests that the
-    backend server runs at once, ``connections`` the number of feeds it holds. A draining backend server takes no new work;
-    its sessions may go on for ``drain_period_s``.
+    backend server runs at once, ``connections`` the number of feeds it holds. A
+    draining backend server takes no new work; its sessions may go on for
+    ``drain_period_s``.
     """
 
     name: str
