Route packets by connection ID in a balancer without flow state

The caller carries the binding: the connection ID holds the agent's address, incarnation and service tag, encrypted and authenticated. First packets go to an agent of the service, and to a second one when the first is silent.

--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/flow_opener.py
@@ -0,0 +1,107 @@
+"""Offers new flows to agents, and to a second agent when the first is silent."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_balancer.pending_flow import PendingFlow
+from oleanderweir_balancer.pending_flow import PendingFlowKey
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir.net import SocketAddress
+    from oleanderweir_balancer.agent_selector import AgentSelector
+    from oleanderweir_balancer.metrics import BalancerMetrics
+
+
+HEDGE_DELAY_S = 0.1
+MAX_PENDING_FLOWS = 4096
+
+
+class FlowOpener:
+    """
+    Keeps new flows for a short time, so that a silent agent costs little.
+
+    Two agents may answer one flow. The caller takes one Retry and the first server
+    that completes its handshake, so the flow has one owner all the same.
+    """
+
+    def __init__(
+        self,
+        *,
+        selector: AgentSelector,
+        send: Callable[[bytes, SocketAddress], None],
+        metrics: BalancerMetrics,
+    ) -> None:
+        self.selector = selector
+        self.send = send
+        self.metrics = metrics
+        self.pending: OrderedDict[PendingFlowKey, PendingFlow] = OrderedDict()
+        self.added = trio.Event()
+
+    def offer(
+        self,
+        *,
+        key: PendingFlowKey,
+        service: str,
+        agent: SocketAddress,
+        encoded_envelope: bytes,
+    ) -> None:
+        """Send a first packet to an agent, and remember it for a hedge."""
+        self.metrics.new_flows.inc()
+        self.send(encoded_envelope, agent)
+        if key in self.pending:
+            return
+        if len(self.pending) >= MAX_PENDING_FLOWS:
+            self.metrics.unhedged.labels("too_many_pending").inc()
+            return
+        self.pending[key] = PendingFlow(
+            key=key,
+            service=service,
+            agent=agent,
+            encoded_envelope=encoded_envelope,
+            hedge_at=trio.current_time() + HEDGE_DELAY_S,
+        )
+        self.added.set()
+
+    def note_answer(self, key: PendingFlowKey) -> None:
+        """Forget a flow that an agent answered."""
+        flow = self.pending.pop(key, None)
+        if flow is not None:
+            self.selector.note_answer(flow.agent)
+
+    async def run(self) -> None:
+        """Send hedges when they are due."""
+        while True:
+            if not self.pending:
+                self.added = trio.Event()
+                await self.added.wait()
+                continue
+            first = next(iter(self.pending.values()))
+            await trio.sleep_until(first.hedge_at)
+            self._hedge_due()
+
+    def _hedge_due(self) -> None:
+        """Offer every flow that is due to another agent."""
+        now = trio.current_time()
+        while self.pending:
+            key, flow = next(iter(self.pending.items()))
+            if flow.hedge_at > now:
+                return
+            del self.pending[key]
+            self._hedge(flow)
+
+    def _hedge(self, flow: PendingFlow) -> None:
+        """Offer one flow to another agent."""
+        self.selector.note_silence(flow.agent)
+        agent = self.selector.select(flow.service, excluding=flow.agent)
+        if agent is None:
+            self.metrics.unhedged.labels("no_other_agent").inc()
+            return
+        self.metrics.hedges.inc()
+        self.send(flow.encoded_envelope, agent)
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/metrics/__init__.py
@@ -0,0 +1,8 @@
+"""Counters of the balancer."""
+
+from __future__ import annotations
+
+from oleanderweir_balancer.metrics.balancer_metrics import BalancerMetrics
+
+
+__all__ = ["BalancerMetrics"]
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/pending_flow.py
@@ -0,0 +1,34 @@
+"""A new flow whose first agent has not answered yet."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net import SocketAddress
+
+
+@attrs.frozen(kw_only=True)
+class PendingFlowKey:
+    """What an agent's answer to a new flow has in common with its first packet."""
+
+    caller: bytes
+    source_connection_id: bytes
+
+
+@attrs.define(kw_only=True)
+class PendingFlow:
+    """
+    The first packet of a new flow, kept until an agent answers or a hedge is due.
+
+    ``hedge_at`` is in trio's time.
+    """
+
+    key: PendingFlowKey
+    service: str
+    agent: SocketAddress
+    encoded_envelope: bytes
+    hedge_at: float
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/connection_id/connection_id.py
@@ -0,0 +1,26 @@
+"""The route that a connection ID carries."""
+
+from __future__ import annotations
+
+import attrs
+
+
+CONNECTION_ID_LENGTH_BYTES = 20
+MAX_INCARNATION = 2**32 - 1
+MAX_NONCE = 2**24 - 1
+
+
+@attrs.frozen(kw_only=True)
+class ConnectionId:
+    """
+    The agent and the service that a connection belongs to.
+
+    ``agent`` is a packed address. ``incarnation`` tells one run of an agent from the
+    next at the same address. ``service_tag`` has three bytes. ``nonce`` makes the
+    connection IDs of one incarnation distinct.
+    """
+
+    agent: bytes
+    incarnation: int
+    service_tag: bytes
+    nonce: int
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/connection_id/exceptions.py
@@ -0,0 +1,13 @@
+"""Errors of connection IDs."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from oleanderweir.exceptions import OleanderweirError
+
+
+class InvalidConnectionIdError(OleanderweirError):
+    """A connection ID was not issued under a key of this installation."""
+
+    code: ClassVar[str] = "invalid_connection_id"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/envelope/__init__.py
@@ -0,0 +1,10 @@
+"""The envelope in which packets travel between balancers and agents."""
+
+from __future__ import annotations
+
+from oleanderweir.envelope.envelope import Envelope
+from oleanderweir.envelope.envelope_codec import EnvelopeCodec
+from oleanderweir.envelope.exceptions import InvalidEnvelopeError
+
+
+__all__ = ["Envelope", "EnvelopeCodec", "InvalidEnvelopeError"]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/keys/__init__.py
@@ -0,0 +1,11 @@
+"""Keys that all instances of one installation share."""
+
+from __future__ import annotations
+
+from oleanderweir.keys.exceptions import InvalidKeyRingError
+from oleanderweir.keys.key import Key
+from oleanderweir.keys.key_purpose import KeyPurpose
+from oleanderweir.keys.key_ring import KeyRing
+
+
+__all__ = ["InvalidKeyRingError", "Key", "KeyPurpose", "KeyRing"]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/keys/key_purpose.py
@@ -0,0 +1,18 @@
+"""What a derived key is for."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class KeyPurpose(Enum):
+    """A label that separates the keys derived from one secret."""
+
+    CONNECTION_ID_BLOCK = b"oleanderweir connection id block"
+    CONNECTION_ID_TAG = b"oleanderweir connection id tag"
+    SERVICE_TAG = b"oleanderweir service tag"
+    ENVELOPE_TO_AGENT = b"oleanderweir envelope to agent"
+    ENVELOPE_TO_BALANCER = b"oleanderweir envelope to balancer"
+    RETRY_TOKEN = b"oleanderweir retry token"
+    STATELESS_RESET = b"oleanderweir stateless reset"
+    LOAD_REPORT = b"oleanderweir load report"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/keys/key_ring.py
@@ -0,0 +1,65 @@
+"""The shared secrets that are valid at one time."""
+
+from __future__ import annotations
+
+import attrs
+
+from oleanderweir.keys.exceptions import InvalidKeyRingError
+from oleanderweir.keys.key import Key
+
+
+MAX_KEY_ID = 255
+SECRET_LENGTH_BYTES = 32
+REMEDY = "write ID:HEX with 64 hexadecimal digits, several separated by commas"
+
+
+@attrs.frozen(kw_only=True)
+class KeyRing:
+    """
+    Keys in order of preference: the first one issues, every one is accepted.
+
+    A rotation adds the new key behind the old one everywhere, then moves it to the
+    front everywhere, then drops the old one.
+    """
+
+    keys: tuple[Key, ...]
+
+    @classmethod
+    def parse(cls, text: str) -> KeyRing:
+        """Read ``ID:HEX[,ID:HEX]``; raise ``InvalidKeyRingError`` when unusable."""
+        keys = tuple(_parse_key(part.strip()) for part in text.split(","))
+        if len({key.key_id for key in keys}) != len(keys):
+            raise InvalidKeyRingError("two keys have one ID; give each key its own")
+        return cls(keys=keys)
+
+    @property
+    def issuing(self) -> Key:
+        """The key that protects what this process sends."""
+        return self.keys[0]
+
+    def key(self, key_id: int) -> Key | None:
+        """Return the key with that number."""
+        for key in self.keys:
+            if key.key_id == key_id:
+                return key
+        return None
+
+
+def _parse_key(text: str) -> Key:
+    """Read one ``ID:HEX``."""
+    number, separator, digits = text.partition(":")
+    if not separator or not number.isascii() or not number.isdigit():
+        raise InvalidKeyRingError(f"a key has no number; {REMEDY}")
+    if not 1 <= int(number) <= MAX_KEY_ID:
+        raise InvalidKeyRingError(f"key ID {number} is outside 1 to {MAX_KEY_ID}")
+    try:
+        secret = bytes.fromhex(digits)
+    except ValueError as error:
+        raise InvalidKeyRingError(f"key {number} is not hexadecimal; {REMEDY}") from (
+            error
+        )
+    if len(secret) != SECRET_LENGTH_BYTES:
+        raise InvalidKeyRingError(
+            f"key {number} has {len(secret)} bytes, not {SECRET_LENGTH_BYTES}; {REMEDY}"
+        )
+    return Key(key_id=int(number), secret=secret)
--- a/packages/oleanderweir/src/oleanderweir/net/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/net/__init__.py
@@ -2,8 +2,21 @@
 
 from __future__ import annotations
 
+from oleanderweir.net.exceptions import AddressInUseError
 from oleanderweir.net.exceptions import InvalidAddressError
 from oleanderweir.net.socket_address import SocketAddress
+from oleanderweir.net.udp_socket import Datagram
+from oleanderweir.net.udp_socket import UdpSocket
+from oleanderweir.net.udp_socket import pack_pair
+from oleanderweir.net.udp_socket import unpack_pair
 
 
-__all__ = ["InvalidAddressError", "SocketAddress"]
+__all__ = [
+    "AddressInUseError",
+    "Datagram",
+    "InvalidAddressError",
+    "SocketAddress",
+    "UdpSocket",
+    "pack_pair",
+    "unpack_pair",
+]
--- a/packages/oleanderweir/src/oleanderweir/net/exceptions.py
+++ b/packages/oleanderweir/src/oleanderweir/net/exceptions.py
@@ -11,3 +11,9 @@
     """A text or byte string does not name an IPv4 address and a port."""
 
     code: ClassVar[str] = "invalid_address"
+
+
+class AddressInUseError(OleanderweirError):
+    """A local address can't be bound."""
+
+    code: ClassVar[str] = "address_in_use"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
@@ -0,0 +1,100 @@
+"""A UDP socket that reads everything that a wake-up finds."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.net.exceptions import AddressInUseError
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net.socket_address import SocketAddress
+
+
+MAX_DATAGRAM_BYTES = 65535
+BATCH_LIMIT = 64
+BUFFER_BYTES = 4 * 1024 * 1024
+PORT = struct.Struct("!H")
+
+
+@attrs.define(kw_only=True)
+class Datagram:
+    """A datagram with the address that it came from, in the socket module's form."""
+
+    data: bytes
+    source: tuple[str, int]
+
+
+class UdpSocket:
+    """
+    A bound, non-blocking UDP socket.
+
+    A send that would block drops the datagram, as a network may; callers of
+    ``send_to`` learn of it by the return value and count it.
+    """
+
+    def __init__(self, *, bind_address: SocketAddress) -> None:
+        self.bind_address = bind_address
+        self.raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.raw.setblocking(False)
+        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+        try:
+            self.raw.bind(bind_address.pair)
+        except OSError as error:
+            self.raw.close()
+            raise AddressInUseError(
+                f"UDP {bind_address} can't be bound ({error.strerror}); "
+                "stop what holds it or choose another address"
+            ) from error
+
+    async def receive_batch(self) -> list[Datagram]:
+        """Wait for datagrams; return up to ``BATCH_LIMIT`` of them, in order."""
+        while True:
+            await trio.lowlevel.wait_readable(self.raw)
+            batch = self._read_ready()
+            if batch:
+                return batch
+
+    def _read_ready(self) -> list[Datagram]:
+        """Return what can be read without waiting."""
+        batch: list[Datagram] = []
+        receive = self.raw.recvfrom
+        for _ in range(BATCH_LIMIT):
+            try:
+                data, source = receive(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                break
+            except ConnectionError:
+                # An earlier send met a closed port; that datagram is lost.
+                continue
+            batch.append(Datagram(data=data, source=source))
+        return batch
+
+    def send_to(self, data: bytes, address: tuple[str, int]) -> bool:
+        """Send one datagram; return whether the system took it."""
+        try:
+            self.raw.sendto(data, address)
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket, and wake whoever waits for it."""
+        trio.lowlevel.notify_closing(self.raw)
+        self.raw.close()
+
+
+def pack_pair(pair: tuple[str, int]) -> bytes:
+    """Return the packed form of an address from the socket module."""
+    return socket.inet_aton(pair[0]) + PORT.pack(pair[1])
+
+
+def unpack_pair(data: bytes) -> tuple[str, int]:
+    """Return a packed address in the form that the socket module takes."""
+    return (socket.inet_ntoa(data[:4]), PORT.unpack_from(data, 4)[0])
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/packets/exceptions.py
@@ -0,0 +1,13 @@
+"""Errors of packets."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from oleanderweir.exceptions import OleanderweirError
+
+
+class InvalidPacketError(OleanderweirError):
+    """A datagram does not start with a QUIC header."""
+
+    code: ClassVar[str] = "invalid_packet"
