Serve callers over QUIC and HTTP/3 in an agent beside the backend server

A first packet is answered with a Retry whose connection ID names the agent; only the second, with a token that any agent can read, makes state. One task drives each connection. Answers go back through the balancer that last carried the flow; a probe timeout switches to another.

--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/__init__.py
@@ -0,0 +1,10 @@
+"""Exchanges with the backend server."""
+
+from __future__ import annotations
+
+from oleanderweir_agent.backend.backend_client import BackendClient
+from oleanderweir_agent.backend.exceptions import BackendBrokenError
+from oleanderweir_agent.backend.exceptions import BackendUnreachableError
+
+
+__all__ = ["BackendBrokenError", "BackendClient", "BackendUnreachableError"]
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/backend_exchange.py
@@ -0,0 +1,143 @@
+"""One request and its answer, on one HTTP/1.1 connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+from oleanderweir_agent.backend.exceptions import BackendBrokenError
+from oleanderweir_agent.requests import Header
+from oleanderweir_agent.requests import ResponseHead
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from oleanderweir_agent.requests import Request
+
+
+READ_CHUNK_BYTES = 64 * 1024
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        b"connection",
+        b"content-length",
+        b"host",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+HOP_BY_HOP_RESPONSE_HEADERS = HOP_BY_HOP_HEADERS - {b"content-length"}
+
+
+class BackendExchange:
+    """
+    Sends a request and reads its answer.
+
+    ``is_sent`` turns true before the first byte is written: until then the request
+    did not run.
+    """
+
+    def __init__(self, *, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+        self.is_sent = False
+
+    async def __aenter__(self) -> BackendExchange:
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        """Close the connection, which also cancels a request that still runs."""
+        await trio.aclose_forcefully(self.stream)
+
+    async def send(self, request: Request) -> None:
+        """Send a request; raise ``BackendBrokenError`` when the connection breaks."""
+        head = h11.Request(
+            method=request.method, target=request.path, headers=_request_fields(request)
+        )
+        parts: list[h11.Event] = [head]
+        if request.body:
+            parts.append(h11.Data(data=request.body))
+        parts.append(h11.EndOfMessage())
+        data = b"".join(self.http.send(part) or b"" for part in parts)
+        self.is_sent = True
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise _broken() from error
+
+    async def read_head(self) -> ResponseHead:
+        """Return the start of the answer; raise ``BackendBrokenError`` without one."""
+        event = await self._next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._next_event()
+        if not isinstance(event, h11.Response):
+            raise _broken()
+        return ResponseHead(
+            status=event.status_code,
+            headers=tuple(
+                Header(name=name, value=value)
+                for name, value in event.headers
+                if name not in HOP_BY_HOP_RESPONSE_HEADERS
+            ),
+        )
+
+    async def read_body(self) -> AsyncGenerator[bytes, None]:
+        """Yield the body; raise ``BackendBrokenError`` when it is cut short."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise _broken()
+            yield bytes(event.data)
+
+    async def _next_event(self) -> object:
+        """Return the next part of the answer."""
+        while True:
+            try:
+                event = self.http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                data = await self.stream.receive_some(READ_CHUNK_BYTES)
+                self.http.receive_data(bytes(data))
+            except (
+                h11.RemoteProtocolError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as error:
+                raise _broken() from error
+
+
+def _broken() -> BackendBrokenError:
+    return BackendBrokenError(
+        "the backend server broke off; look for the request ID in its ledger"
+    )
+
+
+def _request_fields(request: Request) -> list[tuple[bytes, bytes]]:
+    """Return the header fields that travel to the backend server."""
+    authority = b"localhost"
+    fields = []
+    for header in request.headers:
+        if header.name == b":authority":
+            authority = header.value
+        elif _is_end_to_end(header.name):
+            fields.append((header.name, header.value))
+    fields.insert(0, (b"host", authority))
+    fields.append((b"request-id", request.request_id.encode("latin-1")))
+    if request.body or request.method in {"POST", "PUT", "PATCH"}:
+        fields.append((b"content-length", str(len(request.body)).encode()))
+    return fields
+
+
+def _is_end_to_end(name: bytes) -> bool:
+    """Whether a field of the caller travels on; the request ID is set anew."""
+    if name.startswith(b":") or name == b"request-id":
+        return False
+    return name not in HOP_BY_HOP_HEADERS
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/exceptions.py
@@ -0,0 +1,19 @@
+"""Errors of exchanges with the backend server."""
+
+from __future__ import annotations
+
+from typing import ClassVar
+
+from oleanderweir.exceptions import OleanderweirError
+
+
+class BackendUnreachableError(OleanderweirError):
+    """No byte of the request reached the backend server, so it did not run."""
+
+    code: ClassVar[str] = "backend_unreachable"
+
+
+class BackendBrokenError(OleanderweirError):
+    """The exchange broke after its first byte, so the request may have run."""
+
+    code: ClassVar[str] = "backend_broken"
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
@@ -0,0 +1,43 @@
+"""The Prometheus counters of an agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import Counter
+from prometheus_client import Gauge
+
+from oleanderweir_agent.drop_reason import DropReason
+
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+
+class AgentMetrics:
+    """Counters of packets and sessions, with their labels bound once."""
+
+    def __init__(self, *, registry: CollectorRegistry) -> None:
+        dropped = Counter(
+            "oleanderweir_agent_packets_dropped",
+            "Packets dropped, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self.dropped = {reason: dropped.labels(reason.value) for reason in DropReason}
+        self.retries_sent = Counter(
+            "oleanderweir_agent_quic_retries_sent",
+            "Retry packets that name the agent of a new flow.",
+            registry=registry,
+        )
+        self.sessions = Gauge(
+            "oleanderweir_agent_sessions",
+            "Connections of callers that are open.",
+            registry=registry,
+        )
+        self.requests = Counter(
+            "oleanderweir_agent_requests",
+            "Requests, by the verdict that the caller was given.",
+            ["verdict"],
+            registry=registry,
+        )
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
@@ -0,0 +1,287 @@
+"""One caller's connection, with one task that drives it."""
+
+from __future__ import annotations
+
+import logging
+import math
+import uuid
+from collections import deque
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import attrs
+import trio
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.events import ConnectionIdIssued
+from aioquic.quic.events import ConnectionIdRetired
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import ProtocolNegotiated
+from aioquic.quic.events import QuicEvent
+from aioquic.quic.events import StopSendingReceived
+from aioquic.quic.events import StreamReset
+
+from oleanderweir_agent.quic.host_connection import HostH3Connection
+from oleanderweir_agent.quic.incoming_request import IncomingRequest
+from oleanderweir_agent.quic.stream_responder import StreamResponder
+from oleanderweir_agent.requests import Header
+from oleanderweir_agent.requests import Request
+from oleanderweir_agent.requests import ResponseHead
+
+
+if TYPE_CHECKING:
+    from aioquic.h3.events import H3Event
+
+    from oleanderweir.configuration import Service
+    from oleanderweir_agent.quic.host_connection import HostConnection
+    from oleanderweir_agent.quic.return_path import ReturnPath
+    from oleanderweir_agent.requests import RequestHandler
+
+
+logger = logging.getLogger(__name__)
+
+MAX_INBOUND_DATAGRAMS = 512
+TIMEOUT_HEADER = b"request-timeout-ms"
+REQUEST_ID_HEADER = b"request-id"
+MS_PER_S = 1000
+
+
+@attrs.define(kw_only=True)
+class InboundDatagram:
+    """A datagram with the caller's address, in the socket module's form."""
+
+    data: bytes
+    caller: tuple[str, int]
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the endpoint that holds it."""
+
+    def add_connection_id(self, connection_id: bytes, owner: CallerConnection) -> None:
+        """Deliver packets with this connection ID to the connection."""
+
+    def remove_connection_id(self, connection_id: bytes) -> None:
+        """Stop delivering packets with this connection ID."""
+
+    def send(
+        self,
+        *,
+        data: bytes,
+        caller: tuple[str, int],
+        service: bytes,
+        balancer: tuple[str, int],
+    ) -> None:
+        """Send a packet to a caller through a balancer."""
+
+
+class CallerConnection:
+    """
+    The server's side of one caller's session.
+
+    ``run`` is the connection's task. It alone reads and writes the QUIC state's
+    packets; tasks of requests write to streams and wake it.
+    """
+
+    def __init__(
+        self,
+        *,
+        quic: HostConnection,
+        service: Service,
+        return_path: ReturnPath,
+        owner: ConnectionOwner,
+        handler: RequestHandler,
+    ) -> None:
+        self.quic = quic
+        self.service = service
+        self.service_address = quic.service
+        self.return_path = return_path
+        self.owner = owner
+        self.handler = handler
+        self.h3: HostH3Connection | None = None
+        self.inbound: deque[InboundDatagram] = deque(maxlen=MAX_INBOUND_DATAGRAMS)
+        self.connection_ids: set[bytes] = set()
+        self.requests: dict[int, IncomingRequest] = {}
+        self.is_terminated = False
+        self.probe_count = 0
+        self.wakeup = trio.Event()
+        self.progress = trio.Event()
+
+    def deliver(self, data: bytes, caller: tuple[str, int]) -> None:
+        """Take a packet of the caller; the oldest are lost when too many wait."""
+        self.inbound.append(InboundDatagram(data=data, caller=caller))
+        self.wakeup.set()
+
+    def wake(self) -> None:
+        """Have the connection's task send what is waiting."""
+        self.wakeup.set()
+
+    async def wait_writable(self, stream_id: int, limit_bytes: int) -> None:
+        """Wait until a stream holds fewer bytes than the limit."""
+        while self.quic.unsent_bytes(stream_id) >= limit_bytes:
+            await self.progress.wait()
+
+    def send_goaway(self) -> None:
+        """Ask the caller to open its next requests on another connection."""
+        if self.h3 is not None:
+            self.h3.send_goaway()
+            self.wake()
+
+    def close(self, *, reason: str) -> None:
+        """Close the connection in order."""
+        self.quic.close(error_code=0x100, reason_phrase=reason)
+        self.wake()
+
+    async def run(self) -> None:
+        """Drive the connection until it ends."""
+        async with trio.open_nursery() as nursery:
+            while not self.is_terminated:
+                self._receive()
+                self._handle_events(nursery)
+                self._transmit()
+                await self._wait()
+            nursery.cancel_scope.cancel()
+
+    async def _wait(self) -> None:
+        """Wait for a packet, for a request's output, or for the timer."""
+        timer = self.quic.get_timer()
+        with trio.move_on_at(math.inf if timer is None else timer):
+            await self.wakeup.wait()
+        self.wakeup = trio.Event()
+
+    def _receive(self) -> None:
+        """Feed packets and the timer to QUIC."""
+        now = trio.current_time()
+        while self.inbound:
+            datagram = self.inbound.popleft()
+            self.quic.receive_datagram(datagram.data, datagram.caller, now)
+        timer = self.quic.get_timer()
+        if timer is not None and timer <= now:
+            self.quic.handle_timer(now)
+        self.progress.set()
+        self.progress = trio.Event()
+
+    def _transmit(self) -> None:
+        """Send one burst through the balancer that last carried the flow."""
+        if self.quic.probe_count > self.probe_count:
+            self.return_path.note_probe()
+        self.probe_count = self.quic.probe_count
+        datagrams = self.quic.datagrams_to_send(trio.current_time())
+        for data, caller in datagrams:
+            self.owner.send(
+                data=data,
+                caller=caller,
+                service=self.service_address,
+                balancer=self.return_path.balancer,
+            )
+
+    def _handle_events(self, nursery: trio.Nursery) -> None:
+        """Act on what QUIC reports."""
+        event = self.quic.next_event()
+        while event is not None:
+            self._handle_event(event, nursery)
+            event = self.quic.next_event()
+
+    def _handle_event(self, event: QuicEvent, nursery: trio.Nursery) -> None:
+        if isinstance(event, ConnectionIdIssued):
+            self.owner.add_connection_id(event.connection_id, self)
+        elif isinstance(event, ConnectionIdRetired):
+            self.owner.remove_connection_id(event.connection_id)
+        elif isinstance(event, ConnectionTerminated):
+            self.is_terminated = True
+        elif isinstance(event, StreamReset | StopSendingReceived):
+            self._cancel_request(event.stream_id)
+        elif isinstance(event, ProtocolNegotiated):
+            self.h3 = HostH3Connection(quic=self.quic)
+        elif self.h3 is not None:
+            for h3_event in self.h3.handle_event(event):
+                self._handle_h3_event(h3_event, nursery, self.h3)
+
+    def _handle_h3_event(
+        self, event: H3Event, nursery: trio.Nursery, h3: HostH3Connection
+    ) -> None:
+        """Collect the parts of requests; start each that is whole."""
+        if isinstance(event, HeadersReceived):
+            h3.note_request(event.stream_id)
+            self._begin_request(event)
+        elif isinstance(event, DataReceived):
+            self._extend_request(event)
+        else:
+            return
+        request = self.requests.get(event.stream_id)
+        if request is None or request.is_started:
+            return
+        if event.stream_ended or request.is_too_large:
+            request.is_started = True
+            responder = StreamResponder(
+                connection=self, h3=h3, stream_id=event.stream_id
+            )
+            nursery.start_soon(self._answer, request, responder)
+
+    def _begin_request(self, event: HeadersReceived) -> None:
+        """Take the header of a request; a second one holds its trailers."""
+        if event.stream_id in self.requests:
+            return
+        self.requests[event.stream_id] = IncomingRequest(
+            stream_id=event.stream_id,
+            headers=tuple(
+                Header(name=name, value=value) for name, value in event.headers
+            ),
+        )
+
+    def _extend_request(self, event: DataReceived) -> None:
+        request = self.requests.get(event.stream_id)
+        if request is not None and not request.is_started:
+            request.body += event.data
+
+    def _cancel_request(self, stream_id: int) -> None:
+        """End the task of a request that the caller gave up."""
+        request = self.requests.get(stream_id)
+        if request is not None:
+            request.cancel_scope.cancel()
+
+    async def _answer(
+        self, incoming: IncomingRequest, responder: StreamResponder
+    ) -> None:
+        """Answer one request; whatever happens, its stream is ended."""
+        try:
+            with incoming.cancel_scope:
+                await self._handle_request(incoming, responder)
+        except Exception:
+            logger.exception("a request failed", extra={"code": "internal"})
+        finally:
+            responder.reset()
+            self.requests.pop(incoming.stream_id, None)
+
+    async def _handle_request(
+        self, incoming: IncomingRequest, responder: StreamResponder
+    ) -> None:
+        if incoming.is_too_large:
+            await responder.send_head(ResponseHead(status=413, headers=()))
+            await responder.finish()
+            return
+        await self.handler.handle(self._make_request(incoming), responder)
+
+    def _make_request(self, incoming: IncomingRequest) -> Request:
+        """Return the request that a stream carried."""
+        path = (incoming.first(b":path") or b"/").decode("latin-1")
+        is_feed = path.startswith(self.service.feed_paths)
+        request_id = incoming.first(REQUEST_ID_HEADER)
+        return Request(
+            request_id=(
+                request_id.decode("latin-1") if request_id else uuid.uuid4().hex
+            ),
+            method=(incoming.first(b":method") or b"GET").decode("latin-1"),
+            path=path,
+            headers=incoming.headers,
+            body=bytes(incoming.body),
+            deadline=math.inf if is_feed else self._deadline(incoming),
+            is_feed=is_feed,
+        )
+
+    def _deadline(self, incoming: IncomingRequest) -> float:
+        """Return when a request must be answered, in trio's time."""
+        timeout_s = self.service.request_timeout_s
+        text = incoming.first(TIMEOUT_HEADER)
+        if text is not None and text.isdigit():
+            timeout_s = min(timeout_s, int(text) / MS_PER_S)
+        return trio.current_time() + timeout_s
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/connection_id_issuer.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/connection_id_issuer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import secrets
 from typing import TYPE_CHECKING
 
 from oleanderweir.connection_id import ConnectionId
@@ -18,7 +19,8 @@
     """
     Issues connection IDs for one incarnation of one agent.
 
-    The nonce counts up, so an ID comes back only after 2^24 others.
+    The nonce counts up from a random start, so an ID comes back only after 2^24
+    others, and hardly in a second run that starts within the same second.
     """
 
     def __init__(
@@ -31,7 +33,7 @@
         self.codec = codec
         self.agent = agent_address.packed
         self.incarnation = incarnation
-        self.nonces = itertools.count(1)
+        self.nonces = itertools.count(secrets.randbelow(MAX_NONCE))
 
     def issue(self, service: bytes) -> bytes:
         """Return a new connection ID for a connection to a packed service address."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/host_connection.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/host_connection.py
@@ -65,6 +65,11 @@
         """Whether the handshake is complete."""
         return self._handshake_complete
 
+    @property
+    def probe_count(self) -> int:
+        """How many probe timeouts passed since the caller last acknowledged."""
+        return self._loss._pto_count
+
     def unsent_bytes(self, stream_id: int) -> int:
         """Return how many bytes of a stream wait to be sent or acknowledged."""
         stream = self._streams.get(stream_id)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/incoming_request.py
@@ -0,0 +1,42 @@
+"""A request whose parts are still coming in."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.requests import Header
+
+
+MAX_BODY_BYTES = 1024 * 1024
+
+
+@attrs.define(kw_only=True)
+class IncomingRequest:
+    """
+    The parts of a request on one stream, and the scope of its task.
+
+    ``cancel_scope`` is cancelled when the caller gives the request up.
+    """
+
+    stream_id: int
+    headers: tuple[Header, ...]
+    body: bytearray = attrs.field(factory=bytearray)
+    is_started: bool = False
+    cancel_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether the body is over ``MAX_BODY_BYTES``."""
+        return len(self.body) > MAX_BODY_BYTES
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the value of the first header field of that name."""
+        for header in self.headers:
+            if header.name == name:
+                return header.value
+        return None
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -0,0 +1,320 @@
+"""Takes enclosed packets from balancers and hands them to their connections."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+from aioquic.buffer import Buffer
+from aioquic.quic.packet import encode_quic_retry
+from aioquic.quic.packet import encode_quic_version_negotiation
+from aioquic.quic.packet import pull_quic_header
+
+from oleanderweir.connection_id import CONNECTION_ID_LENGTH_BYTES
+from oleanderweir.connection_id import InvalidConnectionIdError
+from oleanderweir.envelope import Envelope
+from oleanderweir.envelope import InvalidEnvelopeError
+from oleanderweir.net import pack_pair
+from oleanderweir.net import unpack_pair
+from oleanderweir.packets import InvalidPacketError
+from oleanderweir.packets import LongHeader
+from oleanderweir.packets import has_long_header
+from oleanderweir_agent.drop_reason import DropReason
+from oleanderweir_agent.quic.balancer_registry import BalancerRegistry
+from oleanderweir_agent.quic.caller_connection import CallerConnection
+from oleanderweir_agent.quic.exceptions import InvalidRetryTokenError
+from oleanderweir_agent.quic.host_connection import HostConnection
+from oleanderweir_agent.quic.retry_token import RetryToken
+from oleanderweir_agent.quic.return_path import ReturnPath
+
+
+if TYPE_CHECKING:
+    from aioquic.quic.configuration import QuicConfiguration
+
+    from oleanderweir.configuration import ConfigurationView
+    from oleanderweir.configuration import Service
+    from oleanderweir.envelope import EnvelopeCodec
+    from oleanderweir.net import Datagram
+    from oleanderweir.net import UdpSocket
+    from oleanderweir_agent.metrics import AgentMetrics
+    from oleanderweir_agent.quic.agent_choice import AgentChooser
+    from oleanderweir_agent.quic.connection_id_issuer import ConnectionIdIssuer
+    from oleanderweir_agent.quic.retry_token_codec import RetryTokenCodec
+    from oleanderweir_agent.requests import RequestHandler
+
+
+MAX_CONNECTIONS = 20_000
+SHORT_HEADER_ID_START = 1
+SHORT_HEADER_ID_END = SHORT_HEADER_ID_START + CONNECTION_ID_LENGTH_BYTES
+
+
+class PacketEndpoint:
+    """
+    Holds the connections of one agent.
+
+    The first packet of a flow is answered with a Retry whose connection ID names the
+    agent that shall serve the flow; only the second, with a token, makes state.
+    """
+
+    def __init__(
+        self,
+        *,
+        socket: UdpSocket,
+        service_name: str,
+        configuration: ConfigurationView,
+        quic_configuration: QuicConfiguration,
+        from_balancers: EnvelopeCodec,
+        to_balancers: EnvelopeCodec,
+        tokens: RetryTokenCodec,
+        issuer: ConnectionIdIssuer,
+        chooser: AgentChooser,
+        handler: RequestHandler,
+        metrics: AgentMetrics,
+    ) -> None:
+        self.socket = socket
+        self.service_name = service_name
+        self.configuration = configuration
+        self.quic_configuration = quic_configuration
+        self.from_balancers = from_balancers
+        self.to_balancers = to_balancers
+        self.tokens = tokens
+        self.issuer = issuer
+        self.chooser = chooser
+        self.handler = handler
+        self.metrics = metrics
+        self.balancers = BalancerRegistry()
+        self.by_connection_id: dict[bytes, CallerConnection] = {}
+        self.connections: set[CallerConnection] = set()
+
+    async def run(self) -> None:
+        """Take packets until cancelled; connections run in tasks of their own."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                for datagram in await self.socket.receive_batch():
+                    self._take(datagram, nursery)
+
+    def send_goaway(self) -> None:
+        """Ask every caller to move."""
+        for connection in self.connections:
+            connection.send_goaway()
+
+    def add_connection_id(self, connection_id: bytes, owner: CallerConnection) -> None:
+        """Deliver packets with this connection ID to the connection."""
+        self.by_connection_id[connection_id] = owner
+        owner.connection_ids.add(connection_id)
+
+    def remove_connection_id(self, connection_id: bytes) -> None:
+        """Stop delivering packets with this connection ID."""
+        owner = self.by_connection_id.pop(connection_id, None)
+        if owner is not None:
+            owner.connection_ids.discard(connection_id)
+
+    def send(
+        self,
+        *,
+        data: bytes,
+        caller: tuple[str, int],
+        service: bytes,
+        balancer: tuple[str, int],
+    ) -> None:
+        """Send a packet to a caller through a balancer."""
+        envelope = Envelope(service=service, caller=pack_pair(caller), datagram=data)
+        if not self.socket.send_to(self.to_balancers.encode(envelope), balancer):
+            self._drop(DropReason.SEND_FAILED)
+
+    def _take(self, datagram: Datagram, nursery: trio.Nursery) -> None:
+        """Open one envelope and route its packet."""
+        try:
+            envelope = self.from_balancers.decode(datagram.data)
+        except InvalidEnvelopeError:
+            self._drop(DropReason.INVALID_ENVELOPE)
+            return
+        self.balancers.note(datagram.source)
+        packet = envelope.datagram
+        if not has_long_header(packet):
+            connection_id = packet[SHORT_HEADER_ID_START:SHORT_HEADER_ID_END]
+            self._deliver(connection_id, envelope, datagram.source)
+            return
+        try:
+            header = LongHeader.parse(packet)
+        except InvalidPacketError:
+            self._drop(DropReason.INVALID_PACKET)
+            return
+        if header.destination_connection_id in self.by_connection_id:
+            self._deliver(header.destination_connection_id, envelope, datagram.source)
+        elif header.version not in self.quic_configuration.supported_versions:
+            self._negotiate_version(header, envelope, datagram.source)
+        elif header.is_initial:
+            self._open(envelope, datagram.source, nursery)
+        else:
+            self._drop_unknown(header.destination_connection_id)
+
+    def _deliver(
+        self, connection_id: bytes, envelope: Envelope, balancer: tuple[str, int]
+    ) -> None:
+        """Hand a packet to its connection, if it is of the same service."""
+        connection = self.by_connection_id.get(connection_id)
+        if connection is None:
+            self._drop_unknown(connection_id)
+            return
+        if connection.service_address != envelope.service:
+            self._drop(DropReason.WRONG_SERVICE)
+            return
+        connection.return_path.note_received(balancer)
+        connection.deliver(envelope.datagram, unpack_pair(envelope.caller))
+
+    def _open(
+        self, envelope: Envelope, balancer: tuple[str, int], nursery: trio.Nursery
+    ) -> None:
+        """Answer an Initial packet with a Retry, or open its connection."""
+        service = self.configuration.service(self.service_name)
+        if service is None or not self.configuration.is_ready:
+            self._drop(DropReason.NOT_READY)
+            return
+        if service.address.packed != envelope.service:
+            self._drop(DropReason.WRONG_SERVICE)
+            return
+        try:
+            header = pull_quic_header(Buffer(data=envelope.datagram))
+        except ValueError:
+            self._drop(DropReason.INVALID_PACKET)
+            return
+        if not header.token:
+            self._send_retry(
+                envelope, balancer, header.source_cid, header.destination_cid
+            )
+            return
+        try:
+            token = self._check_token(header.token, header.destination_cid, envelope)
+        except InvalidRetryTokenError:
+            self._drop(DropReason.INVALID_RETRY_TOKEN)
+            return
+        if len(self.connections) >= MAX_CONNECTIONS:
+            self._drop(DropReason.TOO_MANY_CONNECTIONS)
+            return
+        self._start_connection(token, service, envelope, balancer, nursery)
+
+    def _send_retry(
+        self,
+        envelope: Envelope,
+        balancer: tuple[str, int],
+        source_cid: bytes,
+        destination_cid: bytes,
+    ) -> None:
+        """Name the agent that shall serve a new flow (RFC 9000, 8.1.2)."""
+        choice = self.chooser.choose()
+        retry_cid = self.issuer.issue_for(
+            choice.address.packed, choice.incarnation, envelope.service
+        )
+        token = RetryToken(
+            caller=envelope.caller,
+            service=envelope.service,
+            original_destination_connection_id=destination_cid,
+            retry_source_connection_id=retry_cid,
+            issued_at_ms=self.tokens.now_ms(),
+        )
+        packet = encode_quic_retry(
+            version=self.quic_configuration.supported_versions[0],
+            source_cid=retry_cid,
+            destination_cid=source_cid,
+            original_destination_cid=destination_cid,
+            retry_token=self.tokens.encode(token),
+        )
+        self.metrics.retries_sent.inc()
+        self._answer(packet, envelope, balancer)
+
+    def _check_token(
+        self, data: bytes, destination_cid: bytes, envelope: Envelope
+    ) -> RetryToken:
+        """Read a token; raise ``InvalidRetryTokenError`` unless it fits the packet."""
+        token = self.tokens.decode(data)
+        if token.caller != envelope.caller or token.service != envelope.service:
+            raise InvalidRetryTokenError("the token was given to another caller")
+        if token.retry_source_connection_id != destination_cid:
+            raise InvalidRetryTokenError("the token belongs to another connection ID")
+        return token
+
+    def _start_connection(
+        self,
+        token: RetryToken,
+        service: Service,
+        envelope: Envelope,
+        balancer: tuple[str, int],
+        nursery: trio.Nursery,
+    ) -> None:
+        """Make the state of a connection, and start its task."""
+        quic = HostConnection(
+            configuration=self.quic_configuration,
+            original_destination_connection_id=token.original_destination_connection_id,
+            retry_source_connection_id=token.retry_source_connection_id,
+            issuer=self.issuer,
+            service=envelope.service,
+        )
+        connection = CallerConnection(
+            quic=quic,
+            service=service,
+            return_path=ReturnPath(registry=self.balancers, balancer=balancer),
+            owner=self,
+            handler=self.handler,
+        )
+        self.add_connection_id(token.retry_source_connection_id, connection)
+        self.add_connection_id(quic.host_cid, connection)
+        connection.deliver(envelope.datagram, unpack_pair(envelope.caller))
+        nursery.start_soon(self._run_connection, connection)
+
+    async def _run_connection(self, connection: CallerConnection) -> None:
+        """Run one connection, and forget its connection IDs afterwards."""
+        self.connections.add(connection)
+        self.metrics.sessions.inc()
+        try:
+            await connection.run()
+        finally:
+            self.connections.discard(connection)
+            self.metrics.sessions.dec()
+            self._forget(connection)
+
+    def _forget(self, connection: CallerConnection) -> None:
+        """Drop every connection ID of a connection."""
+        for connection_id in connection.connection_ids:
+            self.by_connection_id.pop(connection_id, None)
+        connection.connection_ids.clear()
+
+    def _negotiate_version(
+        self, header: LongHeader, envelope: Envelope, balancer: tuple[str, int]
+    ) -> None:
+        """Name the versions served; a version of 0 is itself such an answer."""
+        if header.version == 0:
+            self._drop(DropReason.INVALID_PACKET)
+            return
+        packet = encode_quic_version_negotiation(
+            source_cid=header.destination_connection_id,
+            destination_cid=header.source_connection_id,
+            supported_versions=self.quic_configuration.supported_versions,
+        )
+        self._answer(packet, envelope, balancer)
+
+    def _answer(
+        self, packet: bytes, envelope: Envelope, balancer: tuple[str, int]
+    ) -> None:
+        """Send a packet that belongs to no connection."""
+        self.send(
+            data=packet,
+            caller=unpack_pair(envelope.caller),
+            service=envelope.service,
+            balancer=balancer,
+        )
+
+    def _drop_unknown(self, connection_id: bytes) -> None:
+        """Count a packet of a connection that this incarnation does not hold."""
+        try:
+            route = self.issuer.codec.decode(connection_id)
+        except InvalidConnectionIdError:
+            self._drop(DropReason.UNKNOWN_CONNECTION)
+            return
+        if route.incarnation != self.issuer.incarnation:
+            self._drop(DropReason.STALE_INCARNATION)
+        else:
+            self._drop(DropReason.UNKNOWN_CONNECTION)
+
+    def _drop(self, reason: DropReason) -> None:
+        self.metrics.dropped[reason].inc()
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request.py
@@ -0,0 +1,37 @@
+"""A caller's request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.requests.header import Header
+
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+
+
+@attrs.frozen(kw_only=True)
+class Request:
+    """
+    A whole request, as it goes to a backend server.
+
+    ``deadline`` is in trio's time; ``request_id`` names the request in ledgers and
+    logs.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    deadline: float
+    is_feed: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may run twice (RFC 9110, 9.2.2)."""
+        return self.method in IDEMPOTENT_METHODS
--- /dev/null
+++ b/tests/oleanderweir/helpers.py
@@ -0,0 +1,11 @@
+from __future__ import annotations
+
+from oleanderweir.keys import KeyRing
+
+
+OLD_KEY = "1:" + "11" * 32
+NEW_KEY = "2:" + "22" * 32
+
+
+def make_key_ring(text: str = OLD_KEY) -> KeyRing:
+    return KeyRing.parse(text)
