--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,21 @@
+"""
+Profiles of the property tests.
+
+``ci`` gives the same examples in every run. ``fuzz`` draws many new ones; run it with
+``pytest --hypothesis-profile=fuzz --hypothesis-seed=N FILE``.
+"""
+
+from __future__ import annotations
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+
+
+settings.register_profile("ci", derandomize=True, deadline=None, max_examples=200)
+settings.register_profile(
+    "fuzz",
+    deadline=None,
+    max_examples=100_000,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("ci")
