Keep the tickets in force in a register whose merge cannot revert

Cause: stale reads, replays, partitions and late wakes must never take a key back to a lower ticket, and nothing of the system may write shared state.

The register holds one entry a key; the higher ticket number wins, equal numbers with other content have one winner by digest and an error. Keys hash into 256 buckets with their own floor and digest, so anti-entropy can compare and repair by bucket.

Ruled out: collecting tombstones by age or on a bare floor number. A process that slept through a removal would keep the key for ever, and a stale peer would bring it back.

Ruled out: digests over the fields that this release knows. An older release would strip new fields and win conflicts with the stripped entry; unknown fields travel on unread and count in the digest, and defaults are left out.

The boot rule (both sources settled, one merged) is product code, BootGate.

--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/boot_gate.py
@@ -0,0 +1,62 @@
+"""The rule that decides when a booted process may serve."""
+
+from __future__ import annotations
+
+import logging
+
+import attrs
+import trio
+
+from oleanderweir.tickets.boot_outcome import BootOutcome
+from oleanderweir.tickets.boot_source import BootSource
+from oleanderweir.tickets.metrics import BOOT_OUTCOMES
+
+
+logger = logging.getLogger(__name__)
+
+
+def pending_sources() -> dict[BootSource, BootOutcome]:
+    """Return the outcomes of a process that has just started."""
+    return dict.fromkeys(BootSource, BootOutcome.PENDING)
+
+
+@attrs.define(kw_only=True, eq=False)
+class BootGate:
+    """
+    Holds a process back until it has merged from the service and from peers.
+
+    Either source may be stale, so both are asked. A source that cannot be read is
+    recorded as unavailable, and the other one then suffices; with neither merged the
+    process is not ready. Peers that are not ready themselves do not count as merged.
+    Once ready, a process stays ready.
+    """
+
+    outcomes: dict[BootSource, BootOutcome] = attrs.field(factory=pending_sources)
+    ready: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process has merged enough to serve."""
+        return self.ready.is_set()
+
+    def record(self, source: BootSource, outcome: BootOutcome) -> None:
+        """
+        Record what came of a source, after its state has been merged.
+
+        A source that has been merged stays so when it is unavailable later.
+        """
+        BOOT_OUTCOMES.labels(source=source.value, outcome=outcome.value).inc()
+        if self.outcomes[source] is not BootOutcome.MERGED:
+            self.outcomes[source] = outcome
+        if not self.is_ready and self.may_serve():
+            logger.info("tickets in force are merged; the process is ready")
+            self.ready.set()
+
+    def may_serve(self) -> bool:
+        """Whether no source is pending and at least one has been merged."""
+        outcomes = set(self.outcomes.values())
+        return BootOutcome.PENDING not in outcomes and BootOutcome.MERGED in outcomes
+
+    async def wait_ready(self) -> None:
+        """Return when the process may serve."""
+        await self.ready.wait()
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/boot_outcome.py
@@ -0,0 +1,13 @@
+"""What came of reading a boot source."""
+
+from __future__ import annotations
+
+import enum
+
+
+class BootOutcome(enum.StrEnum):
+    """What came of reading a boot source."""
+
+    PENDING = "pending"
+    MERGED = "merged"
+    UNAVAILABLE = "unavailable"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/entry_kind.py
@@ -0,0 +1,12 @@
+"""The kinds of things that a ticket can describe."""
+
+from __future__ import annotations
+
+import enum
+
+
+class EntryKind(enum.StrEnum):
+    """The kind of thing that an entry describes."""
+
+    SERVICE = "service"
+    BACKEND_SERVER = "backend_server"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/exceptions.py
@@ -0,0 +1,42 @@
+"""Errors of tickets and their entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import ClassVar
+
+from oleanderweir.exceptions import OleanderweirError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.tickets.ticket_problem import TicketProblem
+
+
+class InvalidEntryError(OleanderweirError):
+    """Bytes or a document do not describe an entry."""
+
+    code: ClassVar[str] = "invalid_entry"
+
+
+class InvalidSnapshotError(OleanderweirError):
+    """A snapshot contradicts itself, so none of it may be merged."""
+
+    code: ClassVar[str] = "invalid_snapshot"
+
+
+class InvalidTicketError(OleanderweirError):
+    """A ticket is refused as a whole; ``problems`` holds every reason."""
+
+    code: ClassVar[str] = "invalid_ticket"
+
+    def __init__(self, problems: Sequence[TicketProblem]) -> None:
+        super().__init__("; ".join(str(problem) for problem in problems))
+        self.problems = tuple(problems)
+
+
+class UnreadableTicketFileError(OleanderweirError):
+    """A ticket file cannot be opened."""
+
+    code: ClassVar[str] = "unreadable_ticket_file"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/register_bucket.py
@@ -0,0 +1,111 @@
+"""One bucket of the register: the merge rule for the keys that hash to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.tickets.merge_outcome import MergeOutcome
+
+
+if TYPE_CHECKING:
+    from oleanderweir.tickets.entry import Entry
+    from oleanderweir.tickets.entry_key import EntryKey
+
+
+@attrs.define(kw_only=True)
+class RegisterBucket:
+    """
+    The entries whose keys hash to one bucket.
+
+    Every key whose last ticket is below ``floor`` and that is still live is held. So
+    an entry below the floor with an unknown key belongs to a key that was removed.
+    ``digest`` is the exclusive or of the checksums of the entries held.
+    """
+
+    floor: int = 0
+    entries: dict[EntryKey, Entry] = attrs.field(factory=dict)
+    digest: int = 0
+
+    def offer(self, entry: Entry) -> MergeOutcome:
+        """Keep the entry if it is newer than what is held; tell what was done."""
+        outcome = self.compare(entry)
+        if outcome.is_in_force:
+            self.put(entry)
+        return outcome
+
+    def compare(self, entry: Entry) -> MergeOutcome:
+        """Tell what a merge does with the entry, without doing it."""
+        held = self.entries.get(entry.key)
+        if held is None:
+            is_removed = entry.ticket < self.floor
+            return MergeOutcome.BELOW_FLOOR if is_removed else MergeOutcome.IN_FORCE
+        if entry.ticket != held.ticket:
+            is_newer = entry.ticket > held.ticket
+            return MergeOutcome.IN_FORCE if is_newer else MergeOutcome.OLDER
+        if entry.digest == held.digest:
+            return MergeOutcome.KNOWN
+        # Any total order gives the same winner in every process.
+        has_won = entry.digest > held.digest
+        return MergeOutcome.CONFLICT_WON if has_won else MergeOutcome.CONFLICT_LOST
+
+    def digest_at(self, floor: int) -> int:
+        """Return the digest that the bucket would have under a higher floor."""
+        digest = self.digest
+        for entry in self.tombstones_below(floor):
+            digest ^= entry.checksum
+        return digest
+
+    def tombstones_below(self, floor: int) -> list[Entry]:
+        """Return the tombstones that a floor makes unnecessary."""
+        return [
+            entry
+            for entry in self.entries.values()
+            if entry.value is None and entry.ticket < floor
+        ]
+
+    def raise_floor(self, floor: int) -> list[Entry]:
+        """
+        Collect the tombstones below a floor and return them.
+
+        Call it only when the bucket holds every live entry below the floor.
+        """
+        if floor <= self.floor:
+            return []
+        self.floor = floor
+        collected = self.tombstones_below(floor)
+        for entry in collected:
+            self.remove(entry)
+        return collected
+
+    def superseded_by(self, floor: int, entries: list[Entry]) -> list[Entry]:
+        """
+        Return what is held, live, and removed according to a complete state.
+
+        A complete state at a floor holds every key that is still live, so a key that
+        it lacks was removed by a ticket below the floor.
+        """
+        if floor <= self.floor:
+            return []
+        complete = {entry.key for entry in entries}
+        return [
+            held
+            for held in self.entries.values()
+            if held.ticket < floor
+            and held.key not in complete
+            and held.value is not None
+        ]
+
+    def put(self, entry: Entry) -> None:
+        """Hold the entry in place of what was held under its key."""
+        held = self.entries.get(entry.key)
+        if held is not None:
+            self.digest ^= held.checksum
+        self.entries[entry.key] = entry
+        self.digest ^= entry.checksum
+
+    def remove(self, entry: Entry) -> None:
+        """Forget an entry that is held."""
+        del self.entries[entry.key]
+        self.digest ^= entry.checksum
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/register_view.py
@@ -0,0 +1,118 @@
+"""What the data path reads of a register."""
+
+from __future__ import annotations
+
+import bisect
+from operator import attrgetter
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.configuration import BackendServer
+from oleanderweir.configuration import Service
+from oleanderweir.tickets.entry_kind import EntryKind
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.tickets.boot_gate import BootGate
+    from oleanderweir.tickets.entry import Entry
+    from oleanderweir.tickets.ticket_register import TicketRegister
+
+
+BY_NAME = attrgetter("name")
+
+
+@attrs.define(kw_only=True, eq=False)
+class RegisterView:
+    """
+    The services and backend servers in force, indexed and ordered by name.
+
+    Returned sequences are not changed afterwards; each change makes new ones.
+    """
+
+    register: TicketRegister
+    boot_gate: BootGate
+    services_in_order: tuple[Service, ...] = ()
+    services_by_name: dict[str, Service] = attrs.field(factory=dict)
+    backend_servers_by_name: dict[str, BackendServer] = attrs.field(factory=dict)
+    backend_servers_by_service: dict[str, tuple[BackendServer, ...]] = attrs.field(
+        factory=dict
+    )
+    changed: trio.Event = attrs.field(factory=trio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.register.listeners.append(self.apply)
+        self.apply(self.register.entries())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process has merged enough to serve."""
+        return self.boot_gate.is_ready
+
+    def services(self) -> Sequence[Service]:
+        """Return every service, ordered by name."""
+        return self.services_in_order
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of that name."""
+        return self.services_by_name.get(name)
+
+    def backend_server(self, name: str) -> BackendServer | None:
+        """Return the backend server of that name."""
+        return self.backend_servers_by_name.get(name)
+
+    def backend_servers(self, service: str) -> Sequence[BackendServer]:
+        """Return the backend servers of a service, ordered by name."""
+        return self.backend_servers_by_service.get(service, ())
+
+    async def wait_changed(self) -> None:
+        """Return when the next change is in force."""
+        await self.changed.wait()
+
+    def apply(self, entries: tuple[Entry, ...]) -> None:
+        """Take over the entries that came into force and wake who waits."""
+        for entry in entries:
+            if entry.key.kind is EntryKind.SERVICE:
+                self.apply_service(entry)
+            else:
+                self.apply_backend_server(entry)
+        if any(entry.key.kind is EntryKind.SERVICE for entry in entries):
+            ordered = sorted(self.services_by_name.values(), key=BY_NAME)
+            self.services_in_order = tuple(ordered)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def apply_service(self, entry: Entry) -> None:
+        """Take over one service or its removal."""
+        if isinstance(entry.value, Service):
+            self.services_by_name[entry.key.name] = entry.value
+        else:
+            self.services_by_name.pop(entry.key.name, None)
+
+    def apply_backend_server(self, entry: Entry) -> None:
+        """Take over one backend server or its removal."""
+        previous = self.backend_servers_by_name.pop(entry.key.name, None)
+        if previous is not None:
+            self.drop_from_service(previous)
+        if isinstance(entry.value, BackendServer):
+            self.backend_servers_by_name[entry.key.name] = entry.value
+            self.add_to_service(entry.value)
+
+    def drop_from_service(self, backend_server: BackendServer) -> None:
+        """Take a backend server out of the list of its service."""
+        service = backend_server.service
+        members = self.backend_servers_by_service[service]
+        remaining = tuple(m for m in members if m.name != backend_server.name)
+        if remaining:
+            self.backend_servers_by_service[service] = remaining
+        else:
+            del self.backend_servers_by_service[service]
+
+    def add_to_service(self, backend_server: BackendServer) -> None:
+        """Put a backend server into the list of its service, in its place."""
+        members = list(self.backend_servers_by_service.get(backend_server.service, ()))
+        bisect.insort(members, backend_server, key=BY_NAME)
+        self.backend_servers_by_service[backend_server.service] = tuple(members)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/ticket_register.py
@@ -0,0 +1,196 @@
+"""The state that the tickets in force describe, one entry a key."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import struct
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.tickets.entry import Entry
+from oleanderweir.tickets.entry_key import BUCKET_COUNT
+from oleanderweir.tickets.metrics import ENTRIES_COLLECTED
+from oleanderweir.tickets.metrics import ENTRIES_DROPPED
+from oleanderweir.tickets.metrics import ENTRIES_MERGED
+from oleanderweir.tickets.metrics import TICKET_CONFLICTS
+from oleanderweir.tickets.register_bucket import RegisterBucket
+from oleanderweir.tickets.snapshot import Snapshot
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+    from oleanderweir.tickets.entry_key import EntryKey
+    from oleanderweir.tickets.merge_outcome import MergeOutcome
+
+
+REGISTER_DIGEST_SIZE_BYTES = 16
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class TicketRegister:
+    """
+    For each key the entry of the highest ticket that the process has heard of.
+
+    Merging is commutative, associative and idempotent, so stale reads, replays and
+    any order of arrival lead to the same state. ``listeners`` are called with the
+    entries that came into force; a key that a raised floor removed is reported as a
+    tombstone.
+    """
+
+    bucket_type: type[RegisterBucket] = RegisterBucket
+    highest_ticket: int = 0
+    listeners: list[Callable[[tuple[Entry, ...]], None]] = attrs.field(factory=list)
+    buckets: list[RegisterBucket] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.buckets = [self.bucket_type() for _ in range(BUCKET_COUNT)]
+
+    @property
+    def floor(self) -> int:
+        """The floor that every bucket has reached."""
+        return min(bucket.floor for bucket in self.buckets)
+
+    def merge(self, entries: Iterable[Entry]) -> tuple[Entry, ...]:
+        """Merge entries from any source; return those newly in force."""
+        changed = [entry for entry in entries if self.offer(entry)]
+        return self.announce(changed)
+
+    def merge_bucket(
+        self, number: int, *, floor: int, entries: Iterable[Entry]
+    ) -> tuple[Entry, ...]:
+        """
+        Merge the complete content of a bucket at a floor; return what changed.
+
+        Besides the merge, keys that are held but were removed below the floor are
+        removed here, and the floor of the bucket is raised.
+        """
+        return self.announce(self.complete_bucket(number, floor, list(entries)))
+
+    def merge_snapshot(self, snapshot: Snapshot) -> tuple[Entry, ...]:
+        """Merge a complete state and adopt its floor; return what changed."""
+        groups: list[list[Entry]] = [[] for _ in range(BUCKET_COUNT)]
+        for entry in snapshot.entries:
+            groups[entry.key.bucket].append(entry)
+        changed: list[Entry] = []
+        for number, group in enumerate(groups):
+            changed += self.complete_bucket(number, snapshot.floor, group)
+        self.highest_ticket = max(self.highest_ticket, snapshot.highest_ticket)
+        return self.announce(changed)
+
+    def raise_floor(self, floor: int) -> None:
+        """
+        Collect the tombstones below a floor, and refuse unknown keys below it.
+
+        Call it only on a register that holds a complete state at this floor; to adopt
+        the floor of a snapshot or a peer use ``merge_snapshot``, ``merge_bucket`` or
+        ``adopt_floor``.
+        """
+        for bucket in self.buckets:
+            self.collect(bucket, floor)
+
+    def adopt_floor(self, floor: int, digests: Sequence[int]) -> tuple[int, ...]:
+        """
+        Take over a peer's floor where the content agrees with the peer's.
+
+        ``digests`` are the peer's bucket digests at that floor. Return the numbers of
+        the buckets that differ; read these whole and give them to ``merge_bucket``.
+        """
+        differing: list[int] = []
+        for number, (bucket, digest) in enumerate(
+            zip(self.buckets, digests, strict=True)
+        ):
+            if bucket.digest_at(floor) == digest:
+                self.collect(bucket, floor)
+            else:
+                differing.append(number)
+        return tuple(differing)
+
+    def entry(self, key: EntryKey) -> Entry | None:
+        """Return the entry in force for a key, which may be a tombstone."""
+        return self.buckets[key.bucket].entries.get(key)
+
+    def entries(self) -> tuple[Entry, ...]:
+        """Return every entry in force, tombstones included."""
+        return tuple(
+            entry for bucket in self.buckets for entry in bucket.entries.values()
+        )
+
+    def bucket_entries(self, number: int) -> tuple[Entry, ...]:
+        """Return the entries of one bucket, tombstones included."""
+        return tuple(self.buckets[number].entries.values())
+
+    def snapshot(self) -> Snapshot:
+        """Return the whole state, for a process that boots."""
+        return Snapshot(
+            floor=self.floor,
+            highest_ticket=self.highest_ticket,
+            entries=self.entries(),
+        )
+
+    def bucket_digests(self, floor: int | None = None) -> tuple[int, ...]:
+        """Return a 64-bit digest for each bucket, as if under a higher floor."""
+        if floor is None:
+            return tuple(bucket.digest for bucket in self.buckets)
+        return tuple(bucket.digest_at(floor) for bucket in self.buckets)
+
+    def digest(self) -> bytes:
+        """Return a digest of the whole content; equal content has equal digests."""
+        packed = struct.pack(f"!{BUCKET_COUNT}Q", *self.bucket_digests())
+        return hashlib.blake2b(packed, digest_size=REGISTER_DIGEST_SIZE_BYTES).digest()
+
+    def offer(self, entry: Entry) -> bool:
+        """Merge one entry; return whether it came into force."""
+        outcome = self.buckets[entry.key.bucket].offer(entry)
+        if outcome.is_conflict:
+            self.report_conflict(entry, outcome)
+        if not outcome.is_in_force:
+            ENTRIES_DROPPED.labels(reason=outcome.value).inc()
+            return False
+        self.highest_ticket = max(self.highest_ticket, entry.ticket)
+        ENTRIES_MERGED.inc()
+        return True
+
+    def complete_bucket(
+        self, number: int, floor: int, entries: list[Entry]
+    ) -> list[Entry]:
+        """Merge the complete content of a bucket without telling the listeners."""
+        bucket = self.buckets[number]
+        changed = [entry for entry in entries if self.offer(entry)]
+        for held in bucket.superseded_by(floor, entries):
+            bucket.remove(held)
+            ENTRIES_COLLECTED.labels(reason="superseded").inc()
+            changed.append(Entry(key=held.key, ticket=floor - 1, value=None))
+        self.collect(bucket, floor)
+        return changed
+
+    def collect(self, bucket: RegisterBucket, floor: int) -> None:
+        """Raise the floor of a bucket and count the tombstones that go."""
+        collected = bucket.raise_floor(floor)
+        if collected:
+            ENTRIES_COLLECTED.labels(reason="tombstone").inc(len(collected))
+
+    def announce(self, changed: list[Entry]) -> tuple[Entry, ...]:
+        """Tell the listeners what came into force."""
+        entries = tuple(changed)
+        if entries:
+            for listener in self.listeners:
+                listener(entries)
+        return entries
+
+    def report_conflict(self, entry: Entry, outcome: MergeOutcome) -> None:
+        """Tell the operators that one ticket number has two contents."""
+        TICKET_CONFLICTS.inc()
+        logger.error(
+            "ticket %d holds two contents for %s; publish the right one under a new "
+            "number",
+            entry.ticket,
+            entry.key,
+            extra={"code": "conflicting_ticket", "outcome": outcome.value},
+        )
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/value_codec.py
@@ -0,0 +1,72 @@
+"""
+Services and backend servers as plain documents.
+
+A document holds a value's fields by name. Fields at their default are left out, so
+that a field added later does not change the documents of earlier tickets.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+import cattrs
+
+from oleanderweir.configuration import BackendServer
+from oleanderweir.configuration import Service
+from oleanderweir.net import SocketAddress
+from oleanderweir.tickets.entry_kind import EntryKind
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+VALUE_TYPES: dict[EntryKind, type[Service | BackendServer]] = {
+    EntryKind.SERVICE: Service,
+    EntryKind.BACKEND_SERVER: BackendServer,
+}
+FIELD_NAMES: dict[EntryKind, frozenset[str]] = {
+    kind: frozenset(field.name for field in attrs.fields(value_type))
+    for kind, value_type in VALUE_TYPES.items()
+}
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that writes addresses as ``HOST:PORT``."""
+    for value_type in VALUE_TYPES.values():
+        # Their annotations are texts that name a type which they do not import.
+        attrs.resolve_types(value_type, localns={"SocketAddress": SocketAddress})
+    converter = cattrs.Converter(omit_if_default=True, detailed_validation=False)
+    converter.register_unstructure_hook(SocketAddress, str)
+    converter.register_structure_hook(SocketAddress, lambda text, _: parse(text))
+    return converter
+
+
+def parse(text: object) -> SocketAddress:
+    """Read an address out of a document."""
+    if not isinstance(text, str):
+        raise TypeError("an address is a text, HOST:PORT")
+    return SocketAddress.parse(text)
+
+
+CONVERTER = make_converter()
+
+
+def unstructure_value(value: Service | BackendServer) -> dict[str, Any]:
+    """Return the document of a value, without the fields at their default."""
+    document: dict[str, Any] = CONVERTER.unstructure(value)
+    return document
+
+
+def structure_value(
+    kind: EntryKind, document: Mapping[str, Any]
+) -> Service | BackendServer:
+    """
+    Return the value that a document describes; unknown fields are passed over.
+
+    Raise ``ValueError``, ``TypeError``, ``KeyError`` or an ``OleanderweirError``
+    when the document does not describe one.
+    """
+    return CONVERTER.structure(document, VALUE_TYPES[kind])
