Read tickets strictly and tell every problem with its remedy

Cause: a ticket with a misspelt, missing or contradictory field must be refused as a whole, in the same way by every process and by the operators' check.

parse_ticket reads the text alone. Unknown fields, duplicate names, NaN, deep nesting and texts over 400,000 bytes are refused; each problem names the field and what to write. TicketChecker runs the same reader on a file.

Ruled out: rules that compare a ticket with the state in force. Two processes with different states would give different verdicts on one ticket. Ruled out: tickets of a whole megabyte. Quotes double inside a JSON answer of the configuration service, whose values end at 1 MB.

--- a/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
@@ -20,12 +20,16 @@
 from oleanderweir.tickets.register_view import RegisterView
 from oleanderweir.tickets.snapshot import Snapshot
 from oleanderweir.tickets.ticket import Ticket
+from oleanderweir.tickets.ticket_checker import TicketChecker
+from oleanderweir.tickets.ticket_document import MAX_TICKET_BYTES
+from oleanderweir.tickets.ticket_parser import parse_ticket
 from oleanderweir.tickets.ticket_problem import TicketProblem
 from oleanderweir.tickets.ticket_register import TicketRegister
 
 
 __all__ = [
     "BUCKET_COUNT",
+    "MAX_TICKET_BYTES",
     "BootGate",
     "BootOutcome",
     "BootSource",
@@ -40,9 +44,11 @@
     "RegisterView",
     "Snapshot",
     "Ticket",
+    "TicketChecker",
     "TicketProblem",
     "TicketRegister",
     "UnreadableTicketFileError",
     "decode_entries",
     "encode_entries",
+    "parse_ticket",
 ]
--- a/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
@@ -77,6 +77,8 @@
 def decode_row(row: list[Any]) -> Entry | None:
     """Read one entry; return ``None`` for a kind that this release does not know."""
     kind, name, ticket, document = row[:4]
+    if not isinstance(name, str):
+        raise InvalidEntryError(f"an entry has the name {name!r}; write a text")
     if kind not in set(EntryKind):
         ENTRIES_DROPPED.labels(reason="unknown_kind").inc()
         return None
--- a/packages/oleanderweir/src/oleanderweir/tickets/entry_kind.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/entry_kind.py
@@ -10,3 +10,8 @@
 
     SERVICE = "service"
     BACKEND_SERVER = "backend_server"
+
+    @property
+    def section(self) -> str:
+        """The field of a ticket that holds values of this kind."""
+        return f"{self.value}s"
--- a/packages/oleanderweir/src/oleanderweir/tickets/exceptions.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/exceptions.py
@@ -14,6 +14,9 @@
     from oleanderweir.tickets.ticket_problem import TicketProblem
 
 
+MAX_PROBLEMS_TOLD = 20
+
+
 class InvalidEntryError(OleanderweirError):
     """Bytes or a document do not describe an entry."""
 
@@ -32,7 +35,10 @@
     code: ClassVar[str] = "invalid_ticket"
 
     def __init__(self, problems: Sequence[TicketProblem]) -> None:
-        super().__init__("; ".join(str(problem) for problem in problems))
+        told = [str(problem) for problem in problems[:MAX_PROBLEMS_TOLD]]
+        if len(problems) > MAX_PROBLEMS_TOLD:
+            told.append(f"and {len(problems) - MAX_PROBLEMS_TOLD} more")
+        super().__init__("; ".join(told))
         self.problems = tuple(problems)
 
 
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/rules/boolean_rule.py
@@ -0,0 +1,20 @@
+"""Fields that hold true or false."""
+
+from __future__ import annotations
+
+import attrs
+
+from oleanderweir.tickets.rules.exceptions import InvalidFieldError
+
+
+@attrs.frozen(kw_only=True)
+class BooleanRule:
+    """True or false."""
+
+    remedy: str = "write true or false"
+
+    def read(self, value: object) -> bool:
+        """Return the value; raise ``InvalidFieldError`` if it is not a boolean."""
+        if not isinstance(value, bool):
+            raise InvalidFieldError("is neither true nor false")
+        return value
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/tickets/ticket_document.py
@@ -0,0 +1,74 @@
+"""The JSON text of a ticket, before its fields are read."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+from typing import NoReturn
+
+import attrs
+
+from oleanderweir.tickets.exceptions import InvalidTicketError
+from oleanderweir.tickets.ticket_problem import TicketProblem
+
+
+MAX_TICKET_BYTES = 400_000
+
+
+@attrs.define(kw_only=True)
+class TicketDocument:
+    """Loads JSON strictly: no duplicate names, no NaN, bounded size."""
+
+    duplicates: list[str] = attrs.field(factory=list)
+
+    def load(self, text: str) -> dict[str, Any]:
+        """Return the outermost object; raise ``InvalidTicketError`` for others."""
+        size_bytes = len(text.encode("utf-8", "surrogatepass"))
+        if size_bytes > MAX_TICKET_BYTES:
+            refuse(
+                f"has {size_bytes} bytes",
+                f"split it into tickets of at most {MAX_TICKET_BYTES} bytes",
+            )
+        document = self.parse(text)
+        if self.duplicates:
+            names = ", ".join(sorted(set(self.duplicates)))
+            refuse(f"names {names} twice in one object", "keep one of each")
+        if not isinstance(document, dict):
+            refuse("is no JSON object", 'begin with {"ticket": NUMBER')
+        return document
+
+    def parse(self, text: str) -> Any:
+        """Parse JSON and gather duplicate names."""
+        try:
+            return json.loads(
+                text,
+                object_pairs_hook=self.build_object,
+                parse_constant=refuse_constant,
+            )
+        except json.JSONDecodeError as error:
+            position = f"line {error.lineno} column {error.colno}"
+            refuse(f"is no JSON at {position} ({error.msg})", "correct the text there")
+        except (ValueError, RecursionError):
+            refuse(
+                "nests too deeply or holds a number with too many digits",
+                "write plain values",
+            )
+
+    def build_object(self, pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        """Build one object and gather its duplicate names."""
+        document: dict[str, Any] = {}
+        for name, value in pairs:
+            if name in document:
+                self.duplicates.append(name)
+            document[name] = value
+        return document
+
+
+def refuse_constant(text: str) -> NoReturn:
+    """Refuse ``NaN`` and ``Infinity``, which are not JSON."""
+    refuse(f"holds {text}", "write a number")
+
+
+def refuse(message: str, remedy: str) -> NoReturn:
+    """Refuse the document as a whole."""
+    raise InvalidTicketError([TicketProblem(path="", message=message, remedy=remedy)])
--- a/packages/oleanderweir/src/oleanderweir/tickets/ticket_problem.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/ticket_problem.py
@@ -5,6 +5,14 @@
 import attrs
 
 
+MAX_PATH_LENGTH = 200
+
+
+def make_printable(path: str) -> str:
+    """Return the path in ASCII and cut to a length that fits into a log line."""
+    return path.encode("ascii", "backslashreplace").decode("ascii")[:MAX_PATH_LENGTH]
+
+
 @attrs.frozen(kw_only=True)
 class TicketProblem:
     """
@@ -14,7 +22,7 @@
     ``services.horaflujo.address``. It is empty for the document as a whole.
     """
 
-    path: str
+    path: str = attrs.field(converter=make_printable)
     message: str
     remedy: str
 
