--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/configuration_service.py
@@ -0,0 +1,45 @@
+"""Run a stand-in for the platform's configuration service and instance list."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+import trio
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.net import SocketAddress
+from oleanderweir_bench.platform import ConfigurationServiceStandIn
+from oleanderweir_bench.platform import TicketFolder
+from oleanderweir_bench.platform import serve_application
+
+
+@click.command("configuration-service")
+@click.option("--address", default="127.0.0.1:8500", show_default=True)
+@click.option(
+    "--tickets",
+    "folder",
+    required=True,
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Folder of ticket files; files added later are published too.",
+)
+def configuration_service(address: str, folder: Path) -> None:
+    """Serve the tickets of a folder as the platform's configuration service does."""
+    try:
+        trio.run(serve_folder, SocketAddress.parse(address), folder)
+    except* OleanderweirError as group:
+        raise click.ClickException(str(group.exceptions[0])) from None
+    except* KeyboardInterrupt:
+        raise click.Abort from None
+
+
+async def serve_folder(address: SocketAddress, folder: Path) -> None:
+    """Publish a folder and serve it until cancelled."""
+    stand_in = ConfigurationServiceStandIn()
+    tickets = TicketFolder(path=folder, state=stand_in.state)
+    tickets.publish_all()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(tickets.follow)
+        await serve_application(
+            stand_in.application, host=address.host, port=address.port
+        )
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/floor_declaration.py
@@ -0,0 +1,13 @@
+"""A floor that the operators declared."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class FloorDeclaration:
+    """A floor, and the highest ticket that was published when it was declared."""
+
+    floor: int
+    highest_ticket: int
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/operator_routes.py
@@ -0,0 +1,93 @@
+"""The part of the stand-in through which tests publish and cause faults."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import cattrs
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from oleanderweir.configuration_service.messages import InstanceListPart
+from oleanderweir.configuration_service.messages import PublishedTicket
+from oleanderweir.configuration_service.messages import decode_message
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir_bench.platform.stand_in_conditions import StandInConditions
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from oleanderweir_bench.platform.published_state import PublishedState
+    from oleanderweir_bench.platform.read_meter import ReadMeter
+
+
+@attrs.frozen(kw_only=True)
+class OperatorRoutes:
+    """Publishes tickets, floors and instances, and sets the conditions."""
+
+    state: PublishedState
+    meter: ReadMeter
+    conditions: StandInConditions
+
+    def routes(self) -> list[Route]:
+        """Return the routes below ``/operator``."""
+        return [
+            Route("/operator/tickets", told(self.publish), methods=["POST"]),
+            Route("/operator/floor", told(self.declare_floor), methods=["POST"]),
+            Route("/operator/instances", told(self.list_instances), methods=["PUT"]),
+            Route("/operator/conditions", told(self.set_conditions), methods=["PUT"]),
+            Route("/operator/counts", self.show_counts, methods=["GET"]),
+        ]
+
+    async def publish(self, request: Request) -> None:
+        """Publish the ticket in the body; ``?number=N`` skips all checks."""
+        text = (await request.body()).decode("utf-8", "replace")
+        number = request.query_params.get("number")
+        if number is None:
+            self.state.publish(text)
+        else:
+            self.state.force(PublishedTicket(number=int(number), text=text))
+
+    async def declare_floor(self, request: Request) -> None:
+        """Declare the floor ``?floor=N``."""
+        self.state.declare_floor(int(request.query_params["floor"]))
+
+    async def list_instances(self, request: Request) -> None:
+        """Replace the instance list by the part in the body."""
+        part = decode_message(await request.body(), InstanceListPart)
+        self.state.list_instances(part.instances)
+
+    async def set_conditions(self, request: Request) -> None:
+        """Replace the conditions by those in the body."""
+        document = await request.json()
+        wanted = cattrs.structure(document, StandInConditions)
+        for field in attrs.fields(StandInConditions):
+            setattr(self.conditions, field.name, getattr(wanted, field.name))
+        self.state.notify()
+
+    async def show_counts(self, _: Request) -> Response:
+        """Answer with what the meter has counted."""
+        return JSONResponse(attrs.asdict(self.meter))
+
+
+def told(
+    operation: Callable[[Request], Awaitable[None]],
+) -> Callable[[Request], Awaitable[Response]]:
+    """Return an endpoint that tells why an operation was refused."""
+
+    async def endpoint(request: Request) -> Response:
+        try:
+            await operation(request)
+        except OleanderweirError as error:
+            return JSONResponse(
+                {"code": error.code, "message": error.message}, status_code=409
+            )
+        return JSONResponse({}, status_code=201)
+
+    return endpoint
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/published_state.py
@@ -0,0 +1,146 @@
+"""What the operators have published at the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.configuration_service.messages import InstanceListPart
+from oleanderweir.configuration_service.messages import PublishedTicket
+from oleanderweir.configuration_service.messages import TicketPage
+from oleanderweir.tickets import InvalidTicketError
+from oleanderweir.tickets import TicketRegister
+from oleanderweir.tickets import parse_ticket
+from oleanderweir_bench.platform.exceptions import PublishingError
+from oleanderweir_bench.platform.floor_declaration import FloorDeclaration
+from oleanderweir_bench.platform.partition import split_by_size
+from oleanderweir_bench.platform.snapshot_parts import make_snapshot_parts
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.configuration_service.messages import SnapshotPart
+    from oleanderweir.membership.instance_record import InstanceRecord
+
+
+@attrs.define(kw_only=True, eq=False)
+class PublishedState:
+    """
+    The published tickets, floors and instances.
+
+    ``history`` holds the tickets in the order of publication. A number that was
+    published twice stands in it twice, and readers get the later text.
+    """
+
+    history: list[PublishedTicket] = attrs.field(factory=list)
+    floors: list[FloorDeclaration] = attrs.field(factory=list)
+    instances: list[InstanceRecord] = attrs.field(factory=list)
+    instances_version: int = 0
+    changed: trio.Event = attrs.field(factory=trio.Event)
+    parts_by_ticket: dict[int, list[SnapshotPart]] = attrs.field(factory=dict)
+
+    @property
+    def highest_ticket(self) -> int:
+        """The highest number published."""
+        return max((published.number for published in self.history), default=0)
+
+    def publish(self, text: str) -> int:
+        """
+        Publish a ticket as operators do, and return its number.
+
+        Raise ``InvalidTicketError`` for a text that processes would refuse and
+        ``PublishingError`` for a number that is not above all others.
+        """
+        number = parse_ticket(text).number
+        if number <= self.highest_ticket:
+            raise PublishingError(
+                f"ticket {number} does not follow {self.highest_ticket}; "
+                "publish it under a higher number"
+            )
+        self.force(PublishedTicket(number=number, text=text))
+        return number
+
+    def force(self, published: PublishedTicket) -> None:
+        """Publish any text under any number, as an operator's mistake does."""
+        self.history.append(published)
+        self.parts_by_ticket.clear()
+        self.notify()
+
+    def declare_floor(self, floor: int) -> None:
+        """Collect tombstones below a floor in the snapshots that follow."""
+        if not 0 <= floor <= self.highest_ticket:
+            raise PublishingError(
+                f"floor {floor} exceeds ticket {self.highest_ticket}; lower it"
+            )
+        self.floors.append(
+            FloorDeclaration(floor=floor, highest_ticket=self.highest_ticket)
+        )
+        self.parts_by_ticket.clear()
+
+    def list_instances(self, instances: Sequence[InstanceRecord]) -> None:
+        """Replace the instance list."""
+        self.instances = sorted(instances, key=lambda instance: instance.name)
+        self.instances_version += 1
+
+    def notify(self) -> None:
+        """Wake the watches, so that they look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def register_at(self, ticket: int) -> TicketRegister:
+        """Return the state after every valid ticket up to a number."""
+        register = TicketRegister()
+        for published in self.history:
+            if published.number <= ticket:
+                merge_if_valid(register, published)
+        floors = [f.floor for f in self.floors if f.highest_ticket <= ticket]
+        register.raise_floor(max(floors, default=0))
+        return register
+
+    def snapshot_parts(self, ticket: int) -> list[SnapshotPart]:
+        """Return the parts of the snapshot at a ticket."""
+        parts = self.parts_by_ticket.get(ticket)
+        if parts is None:
+            parts = make_snapshot_parts(self.register_at(ticket), ticket)
+            self.parts_by_ticket[ticket] = parts
+        return parts
+
+    def page(self, after: int, ticket: int) -> TicketPage:
+        """Return the tickets after a number up to another, as many as fit."""
+        latest = {published.number: published for published in self.history}
+        following = [
+            latest[number] for number in sorted(latest) if after < number <= ticket
+        ]
+        first = split_by_size(following)[0]
+        return TicketPage(highest_ticket=ticket, tickets=tuple(first))
+
+    def instance_parts(self, availability_zone: str | None) -> list[InstanceListPart]:
+        """Return the parts of the instance list, or of one availability zone's."""
+        listed = [
+            instance
+            for instance in self.instances
+            if availability_zone in {None, instance.availability_zone}
+        ]
+        groups = split_by_size(listed)
+        return [
+            InstanceListPart(
+                version=self.instances_version,
+                part=number,
+                parts=len(groups),
+                instances=tuple(group),
+            )
+            for number, group in enumerate(groups)
+        ]
+
+
+def merge_if_valid(register: TicketRegister, published: PublishedTicket) -> None:
+    """Merge a published ticket, unless every process refuses it."""
+    try:
+        ticket = parse_ticket(published.text)
+    except InvalidTicketError:
+        return
+    if ticket.number == published.number:
+        register.merge(ticket.entries)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/messages/snapshot_part.py
@@ -0,0 +1,40 @@
+"""One part of a published snapshot."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.configuration_service.messages.published_entry import (
+        PublishedEntry,
+    )
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotPart:
+    """
+    Some of the entries of a snapshot.
+
+    Parts are numbered from 0 to ``parts - 1``. ``floor``, ``highest_ticket``,
+    ``parts`` and ``entry_count`` (of all parts) are the same in every part of one
+    snapshot.
+    """
+
+    floor: int
+    highest_ticket: int
+    part: int
+    parts: int
+    entry_count: int
+    entries: tuple[PublishedEntry, ...]
+
+    def has_same_snapshot_as(self, other: SnapshotPart) -> bool:
+        """Whether both belong to one snapshot."""
+        return self.identity == other.identity
+
+    @property
+    def identity(self) -> tuple[int, int, int, int]:
+        """What all parts of a snapshot have in common."""
+        return (self.floor, self.highest_ticket, self.parts, self.entry_count)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/metrics.py
@@ -0,0 +1,17 @@
+"""Counters of reading what the platform publishes."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter
+
+
+PLATFORM_READS = Counter(
+    "oleanderweir_platform_reads",
+    "Calls to the platform's services, by path and outcome.",
+    ["path", "outcome"],
+)
+PLATFORM_READ_RETRIES = Counter(
+    "oleanderweir_platform_read_retries",
+    "Calls to the platform's services that were repeated, by reason.",
+    ["reason"],
+)
--- a/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
@@ -16,6 +16,7 @@
 from oleanderweir.tickets.exceptions import InvalidTicketError
 from oleanderweir.tickets.exceptions import UnreadableTicketFileError
 from oleanderweir.tickets.merge_outcome import MergeOutcome
+from oleanderweir.tickets.published_entry_reader import read_published_entry
 from oleanderweir.tickets.register_bucket import RegisterBucket
 from oleanderweir.tickets.register_view import RegisterView
 from oleanderweir.tickets.snapshot import Snapshot
@@ -51,4 +52,5 @@
     "decode_entries",
     "encode_entries",
     "parse_ticket",
+    "read_published_entry",
 ]
--- a/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
@@ -94,10 +94,9 @@
     Raise ``InvalidEntryError`` for a number or document of the wrong type, and what
     ``structure_value`` raises for fields of the wrong type.
     """
-    if type(ticket) is not int or not 1 <= ticket <= MAX_TICKET_NUMBER:
-        raise InvalidEntryError(f"{key} has ticket {ticket!r}; write a whole number")
+    number = check_ticket_number(key, ticket)
     if document is None:
-        return Entry(key=key, ticket=ticket, value=None)
+        return Entry(key=key, ticket=number, value=None)
     if not isinstance(document, dict):
         raise InvalidEntryError(f"{key} has no document; write its fields or nothing")
     value = structure_value(key.kind, document)
@@ -105,16 +104,33 @@
         raise InvalidEntryError(f"{key} holds the name '{value.name}'; write one name")
     return Entry(
         key=key,
-        ticket=ticket,
+        ticket=number,
         value=value,
         unknown_fields=pack_unknown_fields(key.kind, document),
     )
 
 
+def check_ticket_number(key: EntryKey, ticket: object) -> int:
+    """Return the number of a ticket; raise ``InvalidEntryError`` if it is none."""
+    if type(ticket) is not int or not 1 <= ticket <= MAX_TICKET_NUMBER:
+        raise InvalidEntryError(f"{key} has ticket {ticket!r}; write a whole number")
+    return ticket
+
+
 def pack_unknown_fields(kind: EntryKind, document: dict[str, Any]) -> bytes:
-    """Return the fields that this release does not know, as msgpack."""
+    """
+    Return the fields that this release does not know, as msgpack.
+
+    Raise ``InvalidEntryError`` for numbers that msgpack cannot hold.
+    """
     names = sorted(document.keys() - FIELD_NAMES[kind])
     if not names:
         return b""
-    packed: bytes = msgpack.packb({name: document[name] for name in names})
+    try:
+        packed: bytes = msgpack.packb({name: document[name] for name in names})
+    except (ValueError, OverflowError) as error:
+        raise InvalidEntryError(
+            f"the fields {', '.join(names)} cannot be kept ({error}); "
+            "write numbers of at most 64 bits"
+        ) from error
     return packed
--- a/packages/oleanderweir/src/oleanderweir/tickets/value_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/value_codec.py
@@ -40,15 +40,22 @@
         attrs.resolve_types(value_type, localns={"SocketAddress": SocketAddress})
     converter = cattrs.Converter(omit_if_default=True, detailed_validation=False)
     converter.register_unstructure_hook(SocketAddress, str)
-    converter.register_structure_hook(SocketAddress, lambda text, _: parse(text))
+    converter.register_structure_hook(SocketAddress, structure_address)
+    for plain_type in (bool, int, str):
+        converter.register_structure_hook(plain_type, structure_exactly)
     return converter
 
 
-def parse(text: object) -> SocketAddress:
-    """Read an address out of a document."""
-    if not isinstance(text, str):
-        raise TypeError("an address is a text, HOST:PORT")
-    return SocketAddress.parse(text)
+def structure_address(value: object, _: type) -> SocketAddress:
+    """Read ``HOST:PORT``."""
+    return SocketAddress.parse(structure_exactly(value, str))
+
+
+def structure_exactly(value: object, expected: type) -> Any:
+    """Return a value whose type is the expected one, without conversion."""
+    if type(value) is not expected:
+        raise TypeError(f"{value!r} is no {expected.__name__}")
+    return value
 
 
 CONVERTER = make_converter()
--- a/tests/oleanderweir/tickets/test_entry_codec.py
+++ b/tests/oleanderweir/tickets/test_entry_codec.py
@@ -62,6 +62,8 @@
         msgpack.packb([["service", "horaflujo", 3, {"name": "horaflujo"}]]),
         msgpack.packb([["service", "boletin", 3, DOCUMENT]]),
         msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"address": 4}]]),
+        msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"feed_paths": [1]}]]),
+        msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"retry_ratio": "a"}]]),
         encode_entries([service_entry(3)])[:-1],
     ],
     ids=[
@@ -76,6 +78,8 @@
         "no-address",
         "other-name",
         "address-is-number",
+        "path-is-number",
+        "ratio-is-text",
         "cut-off",
     ],
 )
