--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/keys/certificate_files.py
@@ -0,0 +1,19 @@
+"""Where the files of a key pair lie."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@attrs.frozen(kw_only=True)
+class CertificateFiles:
+    """The paths of a certificate and its private key, both as PEM."""
+
+    certificate: Path
+    private_key: Path
