Add an HTTP/3 caller on trio over aioquic

Cause: every trial of the data path needs a caller that knows requests, feeds, resets and GOAWAY, hundreds of them in one process. Ruled out: aioquic's own client (asyncio); a task each for socket and timer (the session's one task moves the deadline of its wait instead, so a request that arms a timer wakes nobody). Found: aioquic drops GOAWAY, so the control stream is read beside it. A cancelled request whose body has been sent reaches the server as STOP_SENDING, not as a reset.

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/control_stream_reader.py
@@ -0,0 +1,64 @@
+"""Reads GOAWAY from the far side's HTTP/3 control stream."""
+
+from __future__ import annotations
+
+import attrs
+from aioquic.buffer import Buffer  # type: ignore[attr-defined]
+from aioquic.buffer import BufferReadError  # type: ignore[attr-defined]
+from aioquic.h3.connection import FrameType
+from aioquic.h3.connection import StreamType
+
+
+MAX_BUFFERED_BYTES = 65536
+SERVER_UNIDIRECTIONAL = 3
+
+
+@attrs.define(kw_only=True)
+class ControlStreamReader:
+    """
+    Finds GOAWAY frames, which aioquic drops.
+
+    ``goaway_stream_id`` is the identifier of the last GOAWAY: requests on that stream
+    and later ones are not run.
+    """
+
+    goaway_stream_id: int | None = None
+    control_stream_id: int | None = None
+    buffer: bytes = b""
+    foreign_streams: set[int] = attrs.field(factory=set)
+
+    def receive(self, stream_id: int, data: bytes) -> None:
+        """Take the next bytes of a stream; streams of other kinds are ignored."""
+        if stream_id % 4 != SERVER_UNIDIRECTIONAL or stream_id in self.foreign_streams:
+            return
+        if self.control_stream_id is None and not self.claim(stream_id, data):
+            return
+        if stream_id != self.control_stream_id:
+            return
+        self.buffer = (self.buffer + data)[:MAX_BUFFERED_BYTES]
+        self.consume_frames()
+
+    def claim(self, stream_id: int, data: bytes) -> bool:
+        """Tell whether this stream, which has just begun, is the control stream."""
+        if data[:1] != bytes([StreamType.CONTROL]):
+            self.foreign_streams.add(stream_id)
+            return False
+        self.control_stream_id = stream_id
+        self.buffer = b""
+        return True
+
+    def consume_frames(self) -> None:
+        """Read every whole frame in the buffer; the stream type counts as one byte."""
+        while True:
+            buffer = Buffer(data=self.buffer)
+            try:
+                frame_type = buffer.pull_uint_var()
+                if frame_type == StreamType.CONTROL:
+                    self.buffer = self.buffer[buffer.tell() :]
+                    continue
+                payload = buffer.pull_bytes(buffer.pull_uint_var())
+            except BufferReadError:
+                return
+            self.buffer = self.buffer[buffer.tell() :]
+            if frame_type == FrameType.GOAWAY:
+                self.goaway_stream_id = Buffer(data=payload).pull_uint_var()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/exchange.py
@@ -0,0 +1,99 @@
+"""One request and what has come back so far."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_bench.callers.exceptions import RequestResetError
+from oleanderweir_bench.callers.response import Response
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from oleanderweir_bench.callers.exceptions import CallerError
+
+
+def open_chunks() -> tuple[
+    trio.MemorySendChannel[bytes], trio.MemoryReceiveChannel[bytes]
+]:
+    """Return a channel for body chunks; QUIC's flow control bounds what it holds."""
+    return trio.open_memory_channel[bytes](math.inf)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Exchange:
+    """
+    One request on its stream.
+
+    The session's task fills it in; the task that made the request reads it.
+    """
+
+    stream_id: int
+    started_at: float
+    status: int = 0
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    is_ended: bool = False
+    error: CallerError | None = None
+    headers_received: trio.Event = attrs.field(factory=trio.Event)
+    chunks: tuple[trio.MemorySendChannel[bytes], trio.MemoryReceiveChannel[bytes]] = (
+        attrs.field(factory=open_chunks)
+    )
+
+    def receive_headers(self, headers: list[tuple[bytes, bytes]]) -> None:
+        """Take the answer's header section; trailers are added to it."""
+        fields = {name.decode(): value.decode() for name, value in headers}
+        if not self.headers_received.is_set():
+            self.status = int(fields.pop(":status", "0"))
+        self.headers = {**self.headers, **fields}
+        self.headers_received.set()
+
+    def receive_data(self, data: bytes) -> None:
+        """Take the next bytes of the answer's body."""
+        if data and not self.is_ended:
+            self.chunks[0].send_nowait(data)
+
+    def end(self, error: CallerError | None = None) -> None:
+        """Note that nothing more comes; ``error`` tells why the answer is not whole."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.error = error
+        self.headers_received.set()
+        self.chunks[0].close()
+
+    def reset(self, reset_code: int) -> None:
+        """Note that the far side reset the stream."""
+        self.end(RequestResetError(reset_code=reset_code))
+
+    async def wait_headers(self) -> None:
+        """Wait for the header section; raise ``CallerError`` when none comes."""
+        await self.headers_received.wait()
+        if self.error is not None and not self.status:
+            raise self.error
+
+    async def receive_chunk(self) -> bytes:
+        """Return the next bytes of the body; empty at its end; raise on a reset."""
+        try:
+            return await self.chunks[1].receive()
+        except trio.EndOfChannel:
+            if self.error is not None:
+                raise self.error from None
+            return b""
+
+    async def read_response(self) -> Response:
+        """Return the whole answer; raise ``CallerError`` when it is cut short."""
+        await self.wait_headers()
+        parts = []
+        while chunk := await self.receive_chunk():
+            parts.append(chunk)
+        return Response(
+            status=self.status,
+            headers=self.headers,
+            body=b"".join(parts),
+            elapsed_s=trio.current_time() - self.started_at,
+        )
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
@@ -0,0 +1,262 @@
+"""An HTTP/3 client over one QUIC connection."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import Self
+
+import trio
+from aioquic.h3.connection import H3_ALPN
+from aioquic.h3.connection import ErrorCode
+from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import HeadersReceived
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import HandshakeCompleted
+from aioquic.quic.events import StreamDataReceived
+from aioquic.quic.events import StreamReset
+
+from oleanderweir_bench.callers.control_stream_reader import ControlStreamReader
+from oleanderweir_bench.callers.exceptions import CallerTimeoutError
+from oleanderweir_bench.callers.exceptions import SessionClosedError
+from oleanderweir_bench.callers.exceptions import SessionLeavingError
+from oleanderweir_bench.callers.exchange import Exchange
+from oleanderweir_bench.callers.feed import Feed
+from oleanderweir_bench.callers.quic_session import QuicSession
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from types import TracebackType
+
+    from aioquic.h3.events import H3Event
+    from aioquic.quic.events import QuicEvent
+
+    from oleanderweir.net import SocketAddress
+    from oleanderweir_bench.callers.response import Response
+
+
+class Http3Caller:
+    """
+    A caller with one session.
+
+    ``ca_pem`` holds the certificates it trusts, ``server_name`` the name that the
+    service must prove. Use it as an asynchronous context manager; entering raises
+    ``CallerTimeoutError`` or ``SessionClosedError`` when no session comes about.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: SocketAddress,
+        ca_pem: bytes,
+        server_name: str,
+        now: Callable[[], float] = trio.current_time,
+        connect_timeout_s: float = 5.0,
+        idle_timeout_s: float = 60.0,
+        local_host: str = "",
+    ) -> None:
+        self.address = address
+        self.server_name = server_name
+        self.now = now
+        self.connect_timeout_s = connect_timeout_s
+        self.session = QuicSession(
+            address=address,
+            configuration=QuicConfiguration(
+                alpn_protocols=H3_ALPN,
+                cadata=ca_pem,
+                idle_timeout=idle_timeout_s,
+                server_name=server_name,
+            ),
+            local_host=local_host,
+            now=now,
+        )
+        self.session.handle_event = self.handle_event
+        self.quic = self.session.quic
+        self.http = H3Connection(self.quic)
+        self.control_stream = ControlStreamReader()
+        self.exchanges: dict[int, Exchange] = {}
+        self.handshake_s = math.nan
+        self.goaway_received = trio.Event()
+        self.connected = trio.Event()
+        self.close_error: SessionClosedError | None = None
+
+    async def __aenter__(self) -> Self:
+        self.nursery_manager = trio.open_nursery()
+        self.nursery = await self.nursery_manager.__aenter__()
+        self.nursery.start_soon(self.session.run)
+        try:
+            await self.connect()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.stop()
+
+    async def stop(self) -> None:
+        """Close the connection and end its task."""
+        self.fail_exchanges(SessionClosedError(error_code=0, reason="closed here"))
+        self.nursery.cancel_scope.cancel()
+        try:
+            # The body's error is not handed over, so that it stays outside a group.
+            await self.nursery_manager.__aexit__(None, None, None)
+        finally:
+            self.session.close(ErrorCode.H3_NO_ERROR)
+
+    async def connect(self) -> None:
+        """Run the handshake."""
+        started_at = self.now()
+        self.session.connect()
+        with trio.move_on_after(self.connect_timeout_s):
+            await self.connected.wait()
+        if self.close_error is not None:
+            raise self.close_error
+        if not self.connected.is_set():
+            raise CallerTimeoutError(
+                f"no handshake with {self.address} within {self.connect_timeout_s} s; "
+                "check that a balancer takes packets for this address"
+            )
+        self.handshake_s = self.now() - started_at
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 10.0,
+    ) -> Response:
+        """
+        Make a request and return its whole answer.
+
+        Raise ``CallerError`` when the answer is cut short, refused or late. A request
+        that is given up is cancelled towards the service.
+        """
+        exchange = self.start_exchange(method, path, headers or {}, body)
+        try:
+            with trio.fail_after(timeout_s):
+                return await exchange.read_response()
+        except trio.TooSlowError:
+            raise CallerTimeoutError(
+                f"no whole answer to {method} {path} within {timeout_s} s; it may have "
+                "run"
+            ) from None
+        finally:
+            self.cancel(exchange)
+
+    async def open_feed(
+        self,
+        path: str,
+        *,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 10.0,
+    ) -> Feed:
+        """Open a feed; raise ``CallerError`` when its header section does not come."""
+        exchange = self.start_exchange("GET", path, headers or {}, b"")
+        try:
+            with trio.fail_after(timeout_s):
+                await exchange.wait_headers()
+        except trio.TooSlowError:
+            self.cancel(exchange)
+            raise CallerTimeoutError(
+                f"no header section of {path} within {timeout_s} s; try again"
+            ) from None
+        except BaseException:
+            self.cancel(exchange)
+            raise
+        return Feed(exchange=exchange, cancel=self.cancel)
+
+    def start_exchange(
+        self, method: str, path: str, headers: Mapping[str, str], body: bytes
+    ) -> Exchange:
+        """Send a request on a stream of its own."""
+        if self.close_error is not None:
+            raise self.close_error
+        if self.goaway_received.is_set():
+            raise SessionLeavingError("GOAWAY came; open another session")
+        stream_id = self.quic.get_next_available_stream_id()
+        exchange = Exchange(stream_id=stream_id, started_at=self.now())
+        self.exchanges[stream_id] = exchange
+        fields = [
+            (b":method", method.encode()),
+            (b":scheme", b"https"),
+            (b":authority", self.server_name.encode()),
+            (b":path", path.encode()),
+        ]
+        fields += [
+            (name.lower().encode(), value.encode()) for name, value in headers.items()
+        ]
+        self.http.send_headers(stream_id, fields, end_stream=not body)
+        if body:
+            self.http.send_data(stream_id, body, end_stream=True)
+        self.session.transmit()
+        return exchange
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Give up a request that is still running; do nothing to a finished one."""
+        self.exchanges.pop(exchange.stream_id, None)
+        if exchange.is_ended:
+            return
+        exchange.reset(ErrorCode.H3_REQUEST_CANCELLED)
+        self.quic.reset_stream(exchange.stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+        self.quic.stop_stream(exchange.stream_id, ErrorCode.H3_REQUEST_CANCELLED)
+        self.session.transmit()
+
+    def handle_event(self, event: QuicEvent) -> None:
+        """Hand an event of the connection to the exchange it concerns."""
+        self.handle_quic_event(event)
+        for http_event in self.http.handle_event(event):
+            self.handle_http_event(http_event)
+
+    def handle_quic_event(self, event: QuicEvent) -> None:
+        """Handle an event of the connection or of a stream as such."""
+        if isinstance(event, HandshakeCompleted):
+            self.connected.set()
+        elif isinstance(event, StreamDataReceived):
+            self.control_stream.receive(event.stream_id, event.data)
+            if self.control_stream.goaway_stream_id is not None:
+                self.goaway_received.set()
+        elif isinstance(event, StreamReset):
+            exchange = self.exchanges.get(event.stream_id)
+            if exchange is not None:
+                exchange.reset(event.error_code)
+        elif isinstance(event, ConnectionTerminated):
+            self.fail_exchanges(
+                SessionClosedError(
+                    error_code=event.error_code, reason=event.reason_phrase
+                )
+            )
+
+    def handle_http_event(self, event: H3Event) -> None:
+        """Hand a part of an answer to its exchange."""
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        exchange = self.exchanges.get(event.stream_id)
+        if exchange is None:
+            return
+        if isinstance(event, HeadersReceived):
+            exchange.receive_headers(event.headers)
+        else:
+            exchange.receive_data(event.data)
+        if event.stream_ended:
+            exchange.end()
+
+    def fail_exchanges(self, error: SessionClosedError) -> None:
+        """Note the connection's end and tell everyone who waits for it."""
+        if self.close_error is None:
+            self.close_error = error
+        self.session.is_ended = True
+        self.connected.set()
+        for exchange in self.exchanges.values():
+            exchange.end(error)
