Add the stand-in fabric

Cause: packets of one flow must reach any balancer, and the set of balancers must change while flows run.

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/conditions.py
@@ -0,0 +1,39 @@
+"""What the fabric does to the packets it carries."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+
+PROBABILITY = (validators.ge(0.0), validators.le(1.0))
+PERIOD_S = (validators.ge(0.0), validators.le(60.0))
+
+
+@attrs.frozen(kw_only=True)
+class Conditions:
+    """
+    Faults of the fabric, which hold for both directions.
+
+    ``loss``, ``duplication`` and ``reorder`` are probabilities of a packet. Every
+    packet waits ``delay_s``; a reordered one waits ``reorder_delay_s`` more. Packets of
+    the callers and balancers whose hosts are in ``cut_hosts`` are dropped.
+    """
+
+    loss: float = attrs.field(default=0.0, validator=PROBABILITY)
+    duplication: float = attrs.field(default=0.0, validator=PROBABILITY)
+    reorder: float = attrs.field(default=0.0, validator=PROBABILITY)
+    delay_s: float = attrs.field(default=0.0, validator=PERIOD_S)
+    reorder_delay_s: float = attrs.field(default=0.01, validator=PERIOD_S)
+    cut_hosts: frozenset[str] = frozenset()
+
+    @property
+    def is_clear(self) -> bool:
+        """Whether packets pass untouched."""
+        return not (
+            self.loss
+            or self.duplication
+            or self.reorder
+            or self.delay_s
+            or self.cut_hosts
+        )
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/direction.py
@@ -0,0 +1,12 @@
+"""The direction of a packet."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Direction(Enum):
+    """Which way a packet goes through the fabric."""
+
+    TO_BALANCER = "to_balancer"
+    TO_CALLER = "to_caller"
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/fabric_stand_in.py
@@ -0,0 +1,232 @@
+"""The fabric in front of one service address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.net import SocketAddress
+from oleanderweir_bench.fabric.caller_path import CallerPath
+from oleanderweir_bench.fabric.caller_path import open_udp_socket
+from oleanderweir_bench.fabric.conditions import Conditions
+from oleanderweir_bench.fabric.direction import Direction
+from oleanderweir_bench.fabric.fabric_counters import FabricCounters
+from oleanderweir_bench.fabric.packet_record import PacketRecord
+
+
+if TYPE_CHECKING:
+    import random
+    import socket
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+
+MAX_DATAGRAM_BYTES = 65536
+MAX_BATCH = 256
+REAP_INTERVAL_S = 5.0
+
+
+def receive_ready(udp: socket.socket) -> Iterator[tuple[bytes, tuple[str, int]]]:
+    """Yield what waits in a socket, at most ``MAX_BATCH`` packets."""
+    for _ in range(MAX_BATCH):
+        try:
+            yield udp.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return
+
+
+class FabricStandIn:
+    """
+    Sprays the packets of a service address over balancers.
+
+    Each packet of a caller goes to a balancer drawn from ``random``. Each caller has a
+    socket of its own towards the balancers, closed after ``idle_timeout_s`` without a
+    packet. Any balancer may answer on it. ``record`` is called with every packet.
+    """
+
+    def __init__(
+        self,
+        *,
+        service_address: SocketAddress,
+        balancers: Iterable[SocketAddress] = (),
+        random: random.Random,
+        conditions: Conditions | None = None,
+        idle_timeout_s: float = 120.0,
+        record: Callable[[PacketRecord], None] | None = None,
+        upstream_host: str = "127.0.0.1",
+    ) -> None:
+        self.service_address = service_address
+        self.balancers: list[SocketAddress] = []
+        self.known_balancers: set[tuple[str, int]] = set()
+        self.random = random
+        self.conditions = conditions or Conditions()
+        self.idle_timeout_s = idle_timeout_s
+        self.record = record
+        self.upstream_host = upstream_host
+        self.counters = FabricCounters()
+        self.paths: dict[tuple[str, int], CallerPath] = {}
+        for balancer in balancers:
+            self.add_balancer(balancer)
+
+    def add_balancer(self, balancer: SocketAddress) -> None:
+        """Spray over ``balancer`` too."""
+        self.known_balancers.add(balancer.pair)
+        if balancer not in self.balancers:
+            self.balancers.append(balancer)
+
+    def remove_balancer(self, balancer: SocketAddress) -> None:
+        """Spray over ``balancer`` no more; its answers still reach callers."""
+        if balancer in self.balancers:
+            self.balancers.remove(balancer)
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Carry packets until cancelled; raise ``BindError`` for a taken address."""
+        self.socket = open_udp_socket(*self.service_address.pair)
+        try:
+            async with trio.open_nursery() as self.nursery:
+                self.nursery.start_soon(self.reap)
+                task_status.started()
+                await self.carry_from_callers()
+        finally:
+            self.socket.close()
+
+    async def carry_from_callers(self) -> None:
+        """Carry what callers send."""
+        while True:
+            await trio.lowlevel.wait_readable(self.socket)
+            for data, caller in receive_ready(self.socket):
+                self.carry_to_balancer(data, caller)
+
+    async def carry_from_balancers(self, path: CallerPath) -> None:
+        """Carry what balancers answer to one caller."""
+        with path.scope, path.socket:
+            while True:
+                await trio.lowlevel.wait_readable(path.socket)
+                for data, balancer in receive_ready(path.socket):
+                    self.carry_to_caller(data, balancer, path)
+
+    def carry_to_balancer(self, data: bytes, caller: tuple[str, int]) -> None:
+        """Send one packet of a caller to a balancer."""
+        if not self.balancers:
+            self.counters.dropped_without_balancer += 1
+            return
+        balancer = self.random.choice(self.balancers).pair
+        path = self.paths.get(caller) or self.open_path(caller)
+        path.last_used_at = trio.current_time()
+        self.counters.to_balancer += 1
+        self.note(Direction.TO_BALANCER, caller, balancer, data)
+        self.send(path.socket, data, balancer, hosts=(caller[0], balancer[0]))
+
+    def carry_to_caller(
+        self, data: bytes, balancer: tuple[str, int], path: CallerPath
+    ) -> None:
+        """Send one packet of a balancer to a caller, from the service's address."""
+        if balancer not in self.known_balancers:
+            self.counters.dropped_strange += 1
+            return
+        path.last_used_at = trio.current_time()
+        self.counters.to_caller += 1
+        self.note(Direction.TO_CALLER, path.caller, balancer, data)
+        self.send(self.socket, data, path.caller, hosts=(path.caller[0], balancer[0]))
+
+    def open_path(self, caller: tuple[str, int]) -> CallerPath:
+        """Open the socket of a caller that has not been seen, or not for long."""
+        path = CallerPath(caller=caller, socket=open_udp_socket(self.upstream_host))
+        self.paths[caller] = path
+        self.nursery.start_soon(self.carry_from_balancers, path)
+        return path
+
+    def note(
+        self,
+        direction: Direction,
+        caller: tuple[str, int],
+        balancer: tuple[str, int],
+        data: bytes,
+    ) -> None:
+        """Tell the recorder of a packet."""
+        if self.record is None:
+            return
+        self.record(
+            PacketRecord(
+                time_s=trio.current_time(),
+                direction=direction,
+                caller=SocketAddress(host=caller[0], port=caller[1]),
+                balancer=SocketAddress(host=balancer[0], port=balancer[1]),
+                data=data,
+            )
+        )
+
+    def send(
+        self,
+        source: socket.socket,
+        data: bytes,
+        target: tuple[str, int],
+        *,
+        hosts: tuple[str, str],
+    ) -> None:
+        """Send a packet under the present conditions."""
+        conditions = self.conditions
+        if conditions.is_clear:
+            self.send_now(source, data, target)
+            return
+        if conditions.cut_hosts.intersection(hosts):
+            self.counters.dropped_by_cut += 1
+            return
+        if self.random.random() < conditions.loss:
+            self.counters.dropped_by_loss += 1
+            return
+        if self.random.random() < conditions.duplication:
+            self.counters.duplicated += 1
+            self.send_after(conditions.delay_s, source, data, target)
+        delay_s = conditions.delay_s
+        if self.random.random() < conditions.reorder:
+            self.counters.reordered += 1
+            delay_s += conditions.reorder_delay_s
+        self.send_after(delay_s, source, data, target)
+
+    def send_now(
+        self, source: socket.socket, data: bytes, target: tuple[str, int]
+    ) -> None:
+        """Send a packet; one that finds its socket full is dropped and counted."""
+        try:
+            source.sendto(data, target)
+        except OSError:
+            self.counters.dropped_by_full_socket += 1
+
+    def send_after(
+        self,
+        delay_s: float,
+        source: socket.socket,
+        data: bytes,
+        target: tuple[str, int],
+    ) -> None:
+        """Send a packet ``delay_s`` from now."""
+        if not delay_s:
+            self.send_now(source, data, target)
+            return
+        self.nursery.start_soon(self.sleep_and_send, delay_s, source, data, target)
+
+    async def sleep_and_send(
+        self,
+        delay_s: float,
+        source: socket.socket,
+        data: bytes,
+        target: tuple[str, int],
+    ) -> None:
+        """Hold a packet back, then send it."""
+        await trio.sleep(delay_s)
+        self.send_now(source, data, target)
+
+    async def reap(self) -> None:
+        """Close the sockets of callers that have gone silent."""
+        while True:
+            await trio.sleep(min(REAP_INTERVAL_S, self.idle_timeout_s))
+            oldest = trio.current_time() - self.idle_timeout_s
+            for caller, path in list(self.paths.items()):
+                if path.last_used_at <= oldest:
+                    del self.paths[caller]
+                    path.scope.cancel()
--- /dev/null
+++ b/tests/oleanderweir_bench/fabric/test_fabric_stand_in.py
@@ -0,0 +1,190 @@
+from __future__ import annotations
+
+import random
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+import trio
+
+from oleanderweir.net import SocketAddress
+from oleanderweir_bench.exceptions import BindError
+from oleanderweir_bench.fabric import Conditions
+from oleanderweir_bench.fabric import Direction
+from oleanderweir_bench.fabric import FabricStandIn
+from oleanderweir_bench.fabric import PacketRecord
+from oleanderweir_bench.fabric.caller_path import open_udp_socket
+
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import AsyncIterator
+    from collections.abc import Iterator
+
+    from trio.testing import MockClock
+
+
+SETTLE_S = 2**-5
+
+
+@attrs.define(kw_only=True, eq=False)
+class Bench:
+    fabric: FabricStandIn
+    caller: socket.socket
+    balancers: list[socket.socket]
+    records: list[PacketRecord]
+
+    def send(self, count: int) -> None:
+        for number in range(count):
+            self.caller.sendto(b"%d" % number, self.fabric.service_address.pair)
+
+
+def address_of(udp: socket.socket) -> SocketAddress:
+    host, port = udp.getsockname()
+    return SocketAddress(host=host, port=port)
+
+
+def received(udp: socket.socket) -> Iterator[tuple[bytes, tuple[str, int]]]:
+    while True:
+        try:
+            yield udp.recvfrom(2048)
+        except BlockingIOError:
+            return
+
+
+@pytest.fixture
+async def bench(autojump_clock: MockClock) -> AsyncIterator[Bench]:
+    # Packets need real time to cross the loopback interface.
+    autojump_clock.autojump_threshold = 0.02
+    async with open_bench() as opened:
+        yield opened
+
+
+@asynccontextmanager
+async def open_bench() -> AsyncIterator[Bench]:
+    caller = open_udp_socket("127.0.0.1")
+    balancers = [open_udp_socket("127.0.0.1") for _ in range(3)]
+    with open_udp_socket("127.0.0.1") as reserved:
+        service_address = address_of(reserved)
+    records: list[PacketRecord] = []
+    fabric = FabricStandIn(
+        service_address=service_address,
+        balancers=[address_of(balancer) for balancer in balancers],
+        random=random.Random(7),
+        idle_timeout_s=30.0,
+        record=records.append,
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(fabric.run)
+        yield Bench(fabric=fabric, caller=caller, balancers=balancers, records=records)
+        nursery.cancel_scope.cancel()
+    for udp in [caller, *balancers]:
+        udp.close()
+
+
+async def test_packets_of_one_caller_are_sprayed_over_all_balancers(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    bench.send(60)
+    await trio.sleep(SETTLE_S)
+
+    taken = [list(received(balancer)) for balancer in bench.balancers]
+    assert sorted(int(data) for part in taken for data, _ in part) == list(range(60))
+    assert all(len(part) > 10 for part in taken)
+    assert len({source for part in taken for _, source in part}) == 1
+
+
+async def test_any_balancer_answers_from_the_service_address(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    bench.send(1)
+    await trio.sleep(SETTLE_S)
+    [path] = bench.fabric.paths.values()
+    for balancer in bench.balancers:
+        balancer.sendto(b"answer", path.socket.getsockname())
+    await trio.sleep(SETTLE_S)
+
+    answers = list(received(bench.caller))
+    assert answers == [(b"answer", bench.fabric.service_address.pair)] * 3
+    directions = [record.direction for record in bench.records]
+    assert directions == [Direction.TO_BALANCER] + [Direction.TO_CALLER] * 3
+
+
+async def test_a_stranger_reaches_no_caller(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    bench.send(1)
+    await trio.sleep(SETTLE_S)
+    [path] = bench.fabric.paths.values()
+    with open_udp_socket("127.0.0.1") as stranger:
+        stranger.sendto(b"forged", path.socket.getsockname())
+        await trio.sleep(SETTLE_S)
+
+    assert list(received(bench.caller)) == []
+    assert bench.fabric.counters.dropped_strange == 1
+
+
+async def test_balancers_change_while_packets_flow(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    for balancer in bench.balancers[:2]:
+        bench.fabric.remove_balancer(address_of(balancer))
+    bench.send(5)
+    await trio.sleep(SETTLE_S)
+    bench.fabric.remove_balancer(address_of(bench.balancers[2]))
+    bench.send(2)
+    await trio.sleep(SETTLE_S)
+
+    counts = [len(list(received(balancer))) for balancer in bench.balancers]
+    assert counts == [0, 0, 5]
+    assert bench.fabric.counters.dropped_without_balancer == 2
+
+
+@pytest.mark.parametrize(
+    ("conditions", "counts"),
+    [
+        (Conditions(loss=1.0), (0, 0)),
+        (Conditions(cut_hosts=frozenset({"127.0.0.1"})), (0, 0)),
+        (Conditions(delay_s=5.0), (0, 20)),
+        (Conditions(duplication=1.0), (40, 40)),
+        (Conditions(reorder=1.0, reorder_delay_s=5.0), (0, 20)),
+    ],
+    ids=["loss", "cut", "delay", "duplication", "reorder"],
+)
+async def test_conditions_hold(
+    autojump_clock: MockClock,
+    bench: Bench,
+    conditions: Conditions,
+    counts: tuple[int, int],
+) -> None:
+    bench.fabric.conditions = conditions
+    bench.send(20)
+    await trio.sleep(SETTLE_S)
+    early = sum(len(list(received(balancer))) for balancer in bench.balancers)
+    await trio.sleep(6.0)
+    late = sum(len(list(received(balancer))) for balancer in bench.balancers)
+
+    assert (early, early + late) == counts
+
+
+async def test_the_socket_of_a_silent_caller_is_closed(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    bench.send(1)
+    await trio.sleep(SETTLE_S)
+    [path] = bench.fabric.paths.values()
+    await trio.sleep(40.0)
+
+    assert bench.fabric.paths == {}
+    assert path.socket.fileno() == -1
+
+
+async def test_a_taken_address_is_refused(
+    autojump_clock: MockClock, bench: Bench
+) -> None:
+    second = FabricStandIn(
+        service_address=bench.fabric.service_address, random=random.Random(1)
+    )
+    with pytest.raises(BindError, match="choose a free address"):
+        await second.run()
