Add the stand-in backend server

Cause: slots, queue, shedding with Request-Not-Run, deadlines, cancellation and lying load reports are what the agent must live with, so the stand-in has each as a knob. Ruled out: an own HTTP/1.1 loop over h11 (starlette on hypercorn tells when the caller's connection closes, which is all that cancellation needs).

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/backend/application.py
@@ -0,0 +1,235 @@
+"""The HTTP interface of a stand-in backend server."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING
+
+import cattrs
+import trio
+from starlette.applications import Starlette
+from starlette.responses import JSONResponse
+from starlette.responses import PlainTextResponse
+from starlette.responses import Response
+from starlette.responses import StreamingResponse
+from starlette.routing import Route
+
+from oleanderweir_bench.backend.bulletin import BULLETIN
+from oleanderweir_bench.backend.feed_source import FeedSource
+from oleanderweir_bench.backend.knobs import Knobs
+from oleanderweir_bench.backend.load_snapshot import LoadSnapshot
+from oleanderweir_bench.backend.run_outcome import RunOutcome
+from oleanderweir_bench.backend.run_request import RunRequest
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from starlette.requests import Request
+
+    from oleanderweir_bench.backend.executor import Executor
+
+
+MAX_PROOF_BYTES = 64 * 1024 * 1024
+MIN_FEED_INTERVAL_MS = 1.0
+CLIENT_CLOSED_STATUS = 499
+NOT_RUN_HEADERS = {"Request-Not-Run": "1"}
+
+
+class Application:
+    """
+    The HTTP interface of a stand-in backend server.
+
+    docs/STANDINS.md describes it.
+    """
+
+    def __init__(self, *, executor: Executor, service: str) -> None:
+        self.executor = executor
+        self.service = service
+        self.feeds = FeedSource()
+        self.snapshot: LoadSnapshot | None = None
+        self.asgi = Starlette(
+            routes=[
+                Route("/bulletin", self.get_bulletin, methods=["GET"]),
+                Route("/feed", self.get_feed, methods=["GET"]),
+                Route("/reports", self.post_item, methods=["POST"]),
+                Route("/confirmations", self.post_item, methods=["POST"]),
+                Route("/proof", self.get_proof, methods=["GET"]),
+                Route("/work", self.get_work, methods=["GET"]),
+                Route("/health", self.get_health, methods=["GET"]),
+                Route("/load", self.get_load, methods=["GET"]),
+                Route("/ledger", self.get_ledger, methods=["GET"]),
+                Route("/knobs", self.put_knobs, methods=["PUT"]),
+            ]
+        )
+
+    async def get_bulletin(self, request: Request) -> Response:
+        """Answer with the bulletin of the day."""
+        return await self.run(request, lambda: PlainTextResponse(BULLETIN))
+
+    async def get_work(self, request: Request) -> Response:
+        """Work for ``ms`` milliseconds at speed 1."""
+        return await self.run(request, lambda: PlainTextResponse("done\n"))
+
+    async def get_proof(self, request: Request) -> Response:
+        """Answer with an image of ``bytes`` bytes."""
+        size = read_number(request, "bytes", 1000.0)
+        if size is None or not 0 <= size <= MAX_PROOF_BYTES:
+            return refuse(f"bytes must be a number from 0 to {MAX_PROOF_BYTES}")
+        content = bytes(int(size))
+        media_type = "application/octet-stream"
+        return await self.run(request, lambda: Response(content, media_type=media_type))
+
+    async def post_item(self, request: Request) -> Response:
+        """Take a clock report or a placement confirmation."""
+        try:
+            item_id = str(json.loads(await request.body())["id"])
+        except (ValueError, KeyError, TypeError):
+            return refuse('the body must be a JSON object with an "id"')
+        return await self.run(request, lambda: JSONResponse({"id": item_id}), item_id)
+
+    async def get_feed(self, request: Request) -> Response:
+        """Send a tick each ``interval_ms`` milliseconds until the caller closes."""
+        interval_ms = read_number(request, "interval_ms", 1000.0)
+        if interval_ms is None or interval_ms < MIN_FEED_INTERVAL_MS:
+            return refuse("interval_ms must be a number of at least 1")
+        if self.feeds.open_feeds >= self.executor.knobs.connections:
+            return self.shed()
+        return StreamingResponse(
+            self.feeds.lines(interval_ms),
+            media_type="text/plain",
+            headers={"Backend-Server": self.executor.ledger.backend_server},
+        )
+
+    async def get_health(self, request: Request) -> Response:
+        """Tell whether the backend server is well, or what it was told to tell."""
+        del request
+        is_healthy = self.executor.knobs.reported_healthy is not False
+        return JSONResponse(
+            {"service": self.service, "healthy": is_healthy},
+            status_code=200 if is_healthy else 503,
+        )
+
+    async def get_load(self, request: Request) -> Response:
+        """Tell the load, as late and as wrong as the knobs say."""
+        del request
+        oldest = self.executor.ledger.now() - self.executor.knobs.load_lag_s
+        if self.snapshot is None or self.snapshot.taken_at <= oldest:
+            self.snapshot = self.take_snapshot()
+        return JSONResponse(cattrs.unstructure(self.snapshot))
+
+    async def get_ledger(self, request: Request) -> Response:
+        """List the runs, oldest first."""
+        del request
+        return JSONResponse(cattrs.unstructure(list(self.executor.ledger.records)))
+
+    async def put_knobs(self, request: Request) -> Response:
+        """Behave by other knobs; those that are not given take their default."""
+        converter = cattrs.Converter(forbid_extra_keys=True)
+        try:
+            knobs = converter.structure(await request.json(), Knobs)
+        except (ValueError, AttributeError, cattrs.BaseValidationError) as error:
+            return refuse(repr(error))
+        self.executor.change(knobs)
+        return JSONResponse({})
+
+    def take_snapshot(self) -> LoadSnapshot:
+        """Return the load of now."""
+        knobs = self.executor.knobs
+        busy = (
+            self.executor.busy if knobs.reported_busy is None else knobs.reported_busy
+        )
+        return LoadSnapshot(
+            slots=knobs.slots,
+            busy=busy,
+            queued=queued,
+            connections=knobs.connections,
+            feeds=self.feeds.open_feeds,
+            taken_at=self.executor.ledger.now(),
+        )
+
+    async def run(
+        self, request: Request, respond: Callable[[], Response], item_id: str = ""
+    ) -> Response:
+        """Run a request in a slot while its caller stays; answer by its outcome."""
+        work_ms = read_number(request, "ms", self.executor.knobs.work_ms)
+        if work_ms is None or work_ms < 0:
+            return refuse("ms must be a number of at least 0")
+        timeout_ms = read_timeout_ms(request)
+        if timeout_ms is None:
+            return refuse("Request-Timeout-Ms must be a number of at least 0")
+        run = RunRequest(
+            request_id=request.headers.get("request-id", ""),
+            route=request.url.path,
+            work_ms=work_ms,
+            deadline=trio.current_time() + timeout_ms / 1000,
+            item_id=item_id,
+        )
+        outcome = RunOutcome.CANCELLED
+        await request.body()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(cancel_on_disconnect, request, nursery.cancel_scope)
+            outcome = await self.executor.execute(run)
+            nursery.cancel_scope.cancel()
+        return self.answer(outcome, respond)
+
+    def answer(self, outcome: RunOutcome, respond: Callable[[], Response]) -> Response:
+        """Return the answer to a request that ended with ``outcome``."""
+        if outcome is RunOutcome.RAN:
+            response = respond()
+            name = self.executor.ledger.backend_server
+            response.headers["Backend-Server"] = name
+            return response
+        if outcome is RunOutcome.SHED:
+            return self.shed()
+        if outcome is RunOutcome.EXPIRED:
+            return Response(status_code=504, headers=NOT_RUN_HEADERS)
+        if outcome is RunOutcome.TIMED_OUT:
+            return Response(status_code=504)
+        return Response(status_code=CLIENT_CLOSED_STATUS)
+
+    def shed(self) -> Response:
+        """Return the answer to a request for which there is no room."""
+        retry_after = {"Retry-After": str(self.executor.knobs.retry_after_s)}
+        return PlainTextResponse(
+            "no free slot\n", status_code=503, headers=NOT_RUN_HEADERS | retry_after
+        )
+
+
+async def cancel_on_disconnect(request: Request, scope: trio.CancelScope) -> None:
+    """Cancel ``scope`` when the caller's connection closes."""
+    message = {"type": ""}
+    while message["type"] != "http.disconnect":
+        message = dict(await request.receive())
+    scope.cancel()
+
+
+def refuse(message: str) -> Response:
+    """Return the answer to a request that is wrong as such, and was not run."""
+    return PlainTextResponse(message + "\n", status_code=400, headers=NOT_RUN_HEADERS)
+
+
+def read_number(request: Request, name: str, default: float) -> float | None:
+    """Return a number from the query; None when it is no finite number."""
+    return parse_number(request.query_params.get(name), default)
+
+
+def read_timeout_ms(request: Request) -> float | None:
+    """Return what is left until the deadline; None when it is no number."""
+    text = request.headers.get("request-timeout-ms")
+    if text is None:
+        return math.inf
+    value = parse_number(text, math.inf)
+    return value if value is not None and value >= 0 else None
+
+
+def parse_number(text: str | None, default: float) -> float | None:
+    """Return the finite number that ``text`` holds; None for any other text."""
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) else None
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/backend/knobs.py
@@ -0,0 +1,29 @@
+"""How a stand-in backend server behaves."""
+
+from __future__ import annotations
+
+import attrs
+from attrs import validators
+
+
+@attrs.frozen(kw_only=True)
+class Knobs:
+    """
+    How a stand-in backend server behaves; may be changed while it runs.
+
+    Work takes its nominal time over ``speed``, which rises from a quarter to its
+    full value in the first ``cold_start_s``. ``queue_limit`` requests wait beside the
+    ``slots`` that run. ``load_lag_s`` is how old a load report may be;
+    ``reported_busy`` and ``reported_healthy`` make the reports lie.
+    """
+
+    slots: int = attrs.field(default=4, validator=validators.ge(1))
+    queue_limit: int = attrs.field(default=4, validator=validators.ge(0))
+    connections: int = attrs.field(default=2000, validator=validators.ge(0))
+    speed: float = attrs.field(default=1.0, validator=validators.gt(0.0))
+    cold_start_s: float = attrs.field(default=0.0, validator=validators.ge(0.0))
+    work_ms: float = attrs.field(default=5.0, validator=validators.ge(0.0))
+    retry_after_s: int = attrs.field(default=1, validator=validators.ge(0))
+    load_lag_s: float = attrs.field(default=0.0, validator=validators.ge(0.0))
+    reported_busy: int | None = None
+    reported_healthy: bool | None = None
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/callers/control_stream_reader.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/control_stream_reader.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import attrs
-from aioquic.buffer import Buffer  # type: ignore[attr-defined]
-from aioquic.buffer import BufferReadError  # type: ignore[attr-defined]
+from aioquic.buffer import Buffer
+from aioquic.buffer import BufferReadError
 from aioquic.h3.connection import FrameType
 from aioquic.h3.connection import StreamType
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/fabric.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/fabric.py
@@ -6,12 +6,11 @@
 
 import click
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from oleanderweir.net import SocketAddress
 from oleanderweir_bench.console.address_type import ADDRESS
 from oleanderweir_bench.console.runner import run_command
+from oleanderweir_bench.console.serving import serve_application
 from oleanderweir_bench.fabric import ControlApplication
 from oleanderweir_bench.fabric import FabricStandIn
 
@@ -57,13 +56,8 @@
 
 async def run_fabrics(fabrics: list[FabricStandIn], control: SocketAddress) -> None:
     """Run the fabrics and their control interface until cancelled."""
-    config = Config()
-    config.bind = [str(control)]
-    config.accesslog = None
-    config.errorlog = None
     async with trio.open_nursery() as nursery:
         for item in fabrics:
             await nursery.start(item.run)
         application = ControlApplication(fabrics=fabrics).asgi
-        await nursery.start(serve, application, config)
-        click.echo("ready")
+        nursery.start_soon(serve_application, application, control)
--- a/tests/oleanderweir_bench/callers/echo_server.py
+++ b/tests/oleanderweir_bench/callers/echo_server.py
@@ -6,7 +6,7 @@
 
 import attrs
 import trio
-from aioquic.buffer import Buffer  # type: ignore[attr-defined]
+from aioquic.buffer import Buffer
 from aioquic.h3.connection import H3_ALPN
 from aioquic.h3.connection import ErrorCode
 from aioquic.h3.connection import FrameType
