--- a/packages/oleanderweir-bench/src/oleanderweir_bench/backend/application.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/backend/application.py
@@ -137,9 +137,9 @@
     def take_snapshot(self) -> LoadSnapshot:
         """Return the load of now."""
         knobs = self.executor.knobs
-        busy = (
-            self.executor.busy if knobs.reported_busy is None else knobs.reported_busy
-        )
+        busy, queued = self.executor.busy, self.executor.queued
+        if knobs.reported_busy is not None:
+            busy, queued = knobs.reported_busy, 0
         return LoadSnapshot(
             slots=knobs.slots,
             busy=busy,
