Add supervised processes, a deployment of them and the demonstration

Cause: the data path is to be shown between separate processes, and no process may outlive the command that started it. Ruled out: process groups (the rule is to end processes by identifier); leaving clean-up to the context alone (a killed bench would leave orphans, so each process asks the kernel to be killed with its parent).

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
@@ -25,6 +25,7 @@
 from oleanderweir_bench.callers.exchange import Exchange
 from oleanderweir_bench.callers.feed import Feed
 from oleanderweir_bench.callers.quic_session import QuicSession
+from oleanderweir_bench.callers.request_fields import make_request_fields
 
 
 if TYPE_CHECKING:
@@ -188,15 +189,9 @@
         stream_id = self.quic.get_next_available_stream_id()
         exchange = Exchange(stream_id=stream_id, started_at=self.now())
         self.exchanges[stream_id] = exchange
-        fields = [
-            (b":method", method.encode()),
-            (b":scheme", b"https"),
-            (b":authority", self.server_name.encode()),
-            (b":path", path.encode()),
-        ]
-        fields += [
-            (name.lower().encode(), value.encode()) for name, value in headers.items()
-        ]
+        fields = make_request_fields(
+            method=method, path=path, authority=self.server_name, headers=headers
+        )
         self.http.send_headers(stream_id, fields, end_stream=not body)
         if body:
             self.http.send_data(stream_id, body, end_stream=True)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
@@ -0,0 +1,112 @@
+"""One caller that keeps its feed while a balancer dies."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_bench.demo.demo_check import DemoCheck
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir_bench.callers import Feed
+    from oleanderweir_bench.callers import Http3Caller
+    from oleanderweir_bench.deployment import Deployment
+
+
+REPORT_ID = "station-17-0001"
+BALANCERS = 3
+BACKEND_SERVERS = 3
+TICKS = 10
+KILL_AFTER_TICK = 3
+NOTICE_AFTER_TICK = 5
+TICK_TIMEOUT_S = 10.0
+
+
+class Demo:
+    """
+    Shows a bulletin, a report and a feed over a deployment.
+
+    ``tell`` is called with a line for each step.
+    """
+
+    def __init__(self, *, deployment: Deployment, tell: Callable[[str], None]) -> None:
+        self.deployment = deployment
+        self.tell = tell
+
+    async def run(self) -> list[DemoCheck]:
+        """Start the deployment, go through the steps and return what was checked."""
+        self.tell("Starting configuration service, fabric, balancers and agents ...")
+        await self.deployment.start(
+            balancers=BALANCERS, backend_servers=BACKEND_SERVERS
+        )
+        self.tell(
+            f"{BALANCERS} balancers and {BACKEND_SERVERS} agents are ready; "
+            f"{self.deployment.service.name} is at {self.deployment.service.address}."
+        )
+        async with self.deployment.create_caller() as caller:
+            handshake_ms = caller.handshake_s * 1000
+            self.tell(f"A caller has opened a session in {handshake_ms:.0f} ms.")
+            return [
+                await self.fetch_bulletin(caller),
+                await self.post_report(caller),
+                await self.keep_feed(caller),
+            ]
+
+    async def fetch_bulletin(self, caller: Http3Caller) -> DemoCheck:
+        """Fetch the bulletin."""
+        response = await caller.request("GET", "/bulletin")
+        return DemoCheck(
+            name="The bulletin is fetched",
+            is_passed=response.status == 200 and len(response.body) > 0,
+            seen=f"status {response.status}, {len(response.body)} bytes",
+        )
+
+    async def post_report(self, caller: Http3Caller) -> DemoCheck:
+        """Post a clock report and count its runs."""
+        body = json.dumps({"id": REPORT_ID}).encode()
+        response = await caller.request("POST", "/reports", body=body)
+        runs = await self.deployment.count_runs(REPORT_ID)
+        return DemoCheck(
+            name="A clock report runs once",
+            is_passed=response.status == 200 and runs == 1,
+            seen=f"status {response.status}, {runs} run(s)",
+        )
+
+    async def keep_feed(self, caller: Http3Caller) -> DemoCheck:
+        """Keep a feed open while a balancer is killed."""
+        feed = await caller.open_feed("/feed?interval_ms=1000")
+        async with feed:
+            ticks = await self.read_ticks(feed)
+        expected = [f"tick {number}" for number in range(1, TICKS + 1)]
+        return DemoCheck(
+            name="A feed goes on while a balancer is killed",
+            is_passed=ticks == expected,
+            seen=f"status {feed.status}, {len(ticks)} ticks"
+            + (", none missing or doubled" if ticks == expected else f": {ticks}"),
+        )
+
+    async def read_ticks(self, feed: Feed) -> list[str]:
+        """Read the ticks, killing a balancer on the way."""
+        balancer = self.deployment.balancers["balancer-1"]
+        ticks: list[str] = []
+        for number in range(1, TICKS + 1):
+            tick = ""
+            with trio.move_on_after(TICK_TIMEOUT_S):
+                tick = await anext(feed, "")
+            if not tick:
+                self.tell(f"  no tick within {TICK_TIMEOUT_S} s")
+                break
+            ticks.append(tick)
+            self.tell(f"  {tick}")
+            if number == KILL_AFTER_TICK:
+                balancer.process.kill()
+                self.tell(f"  {balancer.name} is killed; the fabric does not know yet.")
+            if number == NOTICE_AFTER_TICK:
+                await self.deployment.spray_no_more_over(balancer)
+                self.tell("  The fabric sprays over the others now.")
+        return ticks
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployed_balancer.py
@@ -0,0 +1,22 @@
+"""A balancer process of a deployment."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net import SocketAddress
+    from oleanderweir_bench.processes import SupervisedProcess
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class DeployedBalancer:
+    """A balancer process; ``host`` is where it listens for every service."""
+
+    name: str
+    host: str
+    admin_address: SocketAddress
+    process: SupervisedProcess
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -0,0 +1,241 @@
+"""A whole deployment on one machine."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING
+
+import httpx
+
+from oleanderweir.configuration import Service
+from oleanderweir_bench.callers import Http3Caller
+from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
+from oleanderweir_bench.deployment.address_plan import AddressPlan
+from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
+from oleanderweir_bench.deployment.deployed_server import DeployedServer
+from oleanderweir_bench.deployment.ticket_writer import TicketWriter
+from oleanderweir_bench.keys import CertificateAuthority
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from oleanderweir.configuration import BackendServer
+    from oleanderweir_bench.processes import ProcessSupervisor
+    from oleanderweir_bench.processes import SupervisedProcess
+
+
+BENCH = "oleanderweir_bench"
+SECRET_BYTES = 32
+
+
+class Deployment:
+    """
+    The processes of a deployment with one service.
+
+    Callers reach the service at the fabric. Balancers listen at hosts of their own, on
+    the port of the service. Tickets lie in ``folder`` at the start and are published by
+    the configuration service; later ones are handed to its operators' interface.
+    """
+
+    def __init__(
+        self,
+        *,
+        supervisor: ProcessSupervisor,
+        folder: Path,
+        service_name: str = "horaflujo",
+        slots: int = 4,
+    ) -> None:
+        self.supervisor = supervisor
+        self.folder = folder
+        self.slots = slots
+        self.authority = CertificateAuthority()
+        self.keys = f"1:{secrets.token_hex(SECRET_BYTES)}"
+        self.tickets = TicketWriter()
+        self.plan = AddressPlan()
+        self.service = Service(
+            name=service_name,
+            address=self.plan.choose_service_address(),
+            feed_paths=("/feed",),
+        )
+        self.configuration_address = self.plan.choose(FABRIC_HOST)
+        self.control_address = self.plan.choose(FABRIC_HOST)
+        self.balancers: dict[str, DeployedBalancer] = {}
+        self.servers: dict[str, DeployedServer] = {}
+        self.certificate = self.authority.write(folder, service_name)
+        self.tickets_folder = folder / "tickets"
+        self.tickets_folder.mkdir()
+
+    async def start(self, *, balancers: int, backend_servers: int) -> None:
+        """Start everything; return when every process says that it is ready."""
+        await self.start_configuration_service(backend_servers)
+        for number in range(backend_servers):
+            await self.start_server(number + 1)
+        for number in range(balancers):
+            await self.start_balancer(number + 1)
+        await self.start_fabric()
+        for server in self.servers.values():
+            await self.wait_server(server)
+        for balancer in self.balancers.values():
+            await self.wait_balancer(balancer)
+
+    async def start_configuration_service(self, backend_servers: int) -> None:
+        """Start the configuration service with the first ticket in its folder."""
+        entries = [self.make_entry(number + 1) for number in range(backend_servers)]
+        text = self.tickets.write(services=[self.service], backend_servers=entries)
+        (self.tickets_folder / "0001.json").write_text(text, encoding="utf-8")
+        process = await self.supervisor.start_module(
+            "configuration-service",
+            BENCH,
+            "configuration-service",
+            f"--address={self.configuration_address}",
+            f"--tickets={self.tickets_folder}",
+        )
+        await process.wait_port(self.configuration_address)
+
+    async def start_fabric(self) -> None:
+        """Start the fabric in front of the balancers of now."""
+        hosts = [f"--balancer={item.host}" for item in self.balancers.values()]
+        process = await self.supervisor.start_module(
+            "fabric",
+            BENCH,
+            "fabric",
+            f"--service={self.service.address}",
+            f"--control={self.control_address}",
+            *hosts,
+        )
+        await process.wait_port(self.control_address)
+
+    async def start_balancer(self, number: int) -> DeployedBalancer:
+        """Start a balancer; the fabric does not spray over it yet."""
+        name = f"balancer-{number}"
+        host = self.plan.balancer_host(number)
+        admin_address = self.plan.choose(host)
+        process = await self.start_product(
+            name,
+            "oleanderweir-balancer",
+            number,
+            f"--bind-host={host}",
+            f"--back-address={self.plan.choose(host)}",
+            f"--peer-address={self.plan.choose(host)}",
+            f"--admin-address={admin_address}",
+        )
+        balancer = DeployedBalancer(
+            name=name, host=host, admin_address=admin_address, process=process
+        )
+        self.balancers[name] = balancer
+        return balancer
+
+    async def start_server(self, number: int) -> DeployedServer:
+        """Start a backend server and its agent; no ticket names a new one yet."""
+        entry = self.make_entry(number)
+        host = entry.agent_address.host
+        backend_address = self.plan.choose(host)
+        admin_address = self.plan.choose(host)
+        backend_process = await self.supervisor.start_module(
+            entry.name,
+            BENCH,
+            "backend-server",
+            f"--address={backend_address}",
+            f"--service={self.service.name}",
+            f"--name={entry.name}",
+            f"--slots={entry.slots}",
+        )
+        agent_process = await self.start_product(
+            f"agent-{number}",
+            "oleanderweir-agent",
+            number,
+            f"--backend-server={entry.name}",
+            f"--agent-address={entry.agent_address}",
+            f"--peer-address={entry.peer_address}",
+            f"--backend-address={backend_address}",
+            f"--admin-address={admin_address}",
+            f"--tls-certificate={self.certificate.certificate}",
+            f"--tls-private-key={self.certificate.private_key}",
+        )
+        server = DeployedServer(
+            entry=entry,
+            backend_address=backend_address,
+            admin_address=admin_address,
+            backend_process=backend_process,
+            agent_process=agent_process,
+        )
+        self.servers[entry.name] = server
+        return server
+
+    async def start_product(
+        self, name: str, script: str, number: int, *arguments: str
+    ) -> SupervisedProcess:
+        """Start one of the two binaries with the flags that both share."""
+        return await self.supervisor.start_script(
+            name,
+            script,
+            "run",
+            f"--instance-name={name}",
+            f"--availability-zone={self.plan.availability_zone(number)}",
+            f"--configuration-url=http://{self.configuration_address}",
+            *arguments,
+            environment={"OLEANDERWEIR_KEYS": self.keys},
+        )
+
+    async def wait_balancer(self, balancer: DeployedBalancer) -> None:
+        """Wait until a balancer is ready; raise ``ProcessFailedError``."""
+        await balancer.process.wait_http(f"http://{balancer.admin_address}/ready")
+
+    async def wait_server(self, server: DeployedServer) -> None:
+        """Wait until an agent and its backend server are ready."""
+        await server.backend_process.wait_http(
+            f"http://{server.backend_address}/health"
+        )
+        await server.agent_process.wait_http(f"http://{server.admin_address}/ready")
+
+    async def publish(
+        self,
+        *,
+        backend_servers: tuple[BackendServer, ...] = (),
+        removed_backend_servers: tuple[str, ...] = (),
+    ) -> None:
+        """Publish the next ticket; raise ``httpx.HTTPStatusError`` if refused."""
+        text = self.tickets.write(
+            backend_servers=backend_servers,
+            removed_backend_servers=removed_backend_servers,
+        )
+        async with httpx.AsyncClient() as client:
+            url = f"http://{self.configuration_address}/operator/tickets"
+            (await client.post(url, content=text)).raise_for_status()
+
+    async def spray_over(self, balancer: DeployedBalancer) -> None:
+        """Have the fabric spray over a balancer."""
+        await self.control("PUT", balancer)
+
+    async def spray_no_more_over(self, balancer: DeployedBalancer) -> None:
+        """Have the fabric notice that a balancer is gone."""
+        await self.control("DELETE", balancer)
+
+    async def control(self, method: str, balancer: DeployedBalancer) -> None:
+        """Change the fabric's balancers."""
+        async with httpx.AsyncClient() as client:
+            url = f"http://{self.control_address}/balancers/{balancer.host}"
+            (await client.request(method, url)).raise_for_status()
+
+    async def count_runs(self, item_id: str) -> int:
+        """Return how often a report or confirmation was started, in all."""
+        count = 0
+        async with httpx.AsyncClient() as client:
+            for server in self.servers.values():
+                url = f"http://{server.backend_address}/ledger"
+                records = (await client.get(url)).json()
+                count += sum(record["item_id"] == item_id for record in records)
+        return count
+
+    def create_caller(self) -> Http3Caller:
+        """Return a new caller of the service."""
+        return Http3Caller(
+            address=self.service.address,
+            ca_pem=self.authority.certificate_pem,
+            server_name=self.service.name,
+        )
+
+    def make_entry(self, number: int) -> BackendServer:
+        """Return what a ticket says of a backend server; the same on each call."""
+        return self.plan.backend_server(self.service.name, number, self.slots)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ports.py
@@ -0,0 +1,36 @@
+"""Ports that nobody uses."""
+
+from __future__ import annotations
+
+import socket
+
+from oleanderweir_bench.exceptions import BindError
+
+
+ATTEMPTS = 50
+
+
+def find_free_port(*hosts: str) -> int:
+    """
+    Return a port that is free for UDP and TCP on every one of ``hosts``.
+
+    Raise ``BindError`` when none is found. The port is not held.
+    """
+    for _ in range(ATTEMPTS):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            probe.bind((hosts[0], 0))
+            port = int(probe.getsockname()[1])
+        if all(is_free(host, port) for host in hosts):
+            return port
+    raise BindError(f"no port is free on {', '.join(hosts)}; end other processes")
+
+
+def is_free(host: str, port: int) -> bool:
+    """Return whether a port is free for UDP and TCP on a host."""
+    for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                return False
+    return True
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ticket_writer.py
@@ -0,0 +1,57 @@
+"""Writes change tickets for a deployment."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.configuration import BackendServer
+    from oleanderweir.configuration import Service
+
+
+@attrs.define(kw_only=True)
+class TicketWriter:
+    """Writes tickets under rising numbers, in the form of docs/TICKETS.md."""
+
+    number: int = 0
+
+    def write(
+        self,
+        *,
+        services: Sequence[Service] = (),
+        backend_servers: Sequence[BackendServer] = (),
+        removed_backend_servers: Sequence[str] = (),
+    ) -> str:
+        """Return the text of the next ticket."""
+        self.number += 1
+        backends: dict[str, Any] = {
+            item.name: describe(item) for item in backend_servers
+        }
+        backends |= dict.fromkeys(removed_backend_servers)
+        ticket: dict[str, Any] = {"ticket": self.number}
+        if services:
+            ticket["services"] = {item.name: describe(item) for item in services}
+        if backends:
+            ticket["backend_servers"] = backends
+        return json.dumps(ticket, indent=2) + "\n"
+
+
+def describe(value: Service | BackendServer) -> dict[str, Any]:
+    """Return every field of a ticket's value but its name."""
+    fields = attrs.asdict(value, recurse=False)
+    del fields["name"]
+    return {name: plain(field) for name, field in fields.items()}
+
+
+def plain(field: Any) -> Any:
+    """Return a field as JSON can hold it."""
+    if isinstance(field, bool | int | float | tuple):
+        return field
+    return str(field)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/output_line.py
@@ -0,0 +1,30 @@
+"""A line that a process wrote."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+@attrs.frozen(kw_only=True)
+class OutputLine:
+    """A line that a process wrote; ``fields`` is empty unless it is a JSON object."""
+
+    text: str
+    fields: Mapping[str, Any]
+
+    @classmethod
+    def parse(cls, text: str) -> OutputLine:
+        """Read a line."""
+        try:
+            fields = json.loads(text)
+        except ValueError:
+            fields = {}
+        return cls(text=text, fields=fields if isinstance(fields, dict) else {})
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
@@ -0,0 +1,134 @@
+"""Starts processes and sees to it that they all end."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Self
+
+import trio
+
+from oleanderweir_bench.exceptions import ProcessFailedError
+from oleanderweir_bench.processes.output_line import OutputLine
+from oleanderweir_bench.processes.supervised_process import SupervisedProcess
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    from types import TracebackType
+
+
+END_GRACE_S = 5.0
+PR_SET_PDEATHSIG = 1
+READ_BYTES = 65536
+
+
+def end_with_parent() -> None:
+    """Have the kernel kill this new process when the one that started it dies."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+class ProcessSupervisor:
+    """
+    Starts processes and ends them when its context is left.
+
+    Frozen ones are thawed first. Those that do not end within ``end_grace_s`` are
+    killed. Should the bench itself be killed, the kernel ends them.
+    """
+
+    def __init__(self, *, end_grace_s: float = END_GRACE_S) -> None:
+        self.end_grace_s = end_grace_s
+        self.processes: list[SupervisedProcess] = []
+
+    async def __aenter__(self) -> Self:
+        self.nursery_manager = trio.open_nursery()
+        self.nursery = await self.nursery_manager.__aenter__()
+        return self
+
+    async def __aexit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        with trio.CancelScope(shield=True):
+            await self.end_all()
+        self.nursery.cancel_scope.cancel()
+        # The body's error is not handed over, so that it stays outside a group.
+        await self.nursery_manager.__aexit__(None, None, None)
+
+    async def start_module(
+        self, name: str, module: str, *arguments: str
+    ) -> SupervisedProcess:
+        """Start a Python module with the interpreter of the bench."""
+        return await self.start(name, [sys.executable, "-m", module, *arguments])
+
+    async def start_script(
+        self,
+        name: str,
+        script: str,
+        *arguments: str,
+        environment: Mapping[str, str] | None = None,
+    ) -> SupervisedProcess:
+        """
+        Start a command that is installed beside the bench.
+
+        Raise ``ProcessFailedError`` when it is not installed.
+        """
+        path = Path(sys.executable).parent / script
+        if not path.exists():
+            raise ProcessFailedError(f"{path} is missing; install the workspace")
+        return await self.start(name, [str(path), *arguments], environment=environment)
+
+    async def start(
+        self,
+        name: str,
+        command: Sequence[str],
+        *,
+        environment: Mapping[str, str] | None = None,
+    ) -> SupervisedProcess:
+        """Start a process and collect what it writes."""
+        process = await trio.lowlevel.open_process(
+            list(command),
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            env={**os.environ, **(environment or {})},
+            preexec_fn=end_with_parent,
+        )
+        supervised = SupervisedProcess(name=name, process=process)
+        self.processes.append(supervised)
+        self.nursery.start_soon(collect_output, supervised)
+        return supervised
+
+    async def end_all(self) -> None:
+        """End every process that still runs."""
+        for process in self.processes:
+            process.thaw()
+            process.terminate()
+        with trio.move_on_after(self.end_grace_s):
+            for process in self.processes:
+                await process.process.wait()
+        for process in self.processes:
+            process.kill()
+            await process.process.wait()
+
+
+async def collect_output(supervised: SupervisedProcess) -> None:
+    """Collect the lines of a process until it closes its output."""
+    output = supervised.process.stdout
+    if output is None:
+        return
+    rest = b""
+    async with output:
+        while data := await output.receive_some(READ_BYTES):
+            *lines, rest = (rest + data).split(b"\n")
+            for line in lines:
+                text = line.decode(errors="replace")
+                supervised.lines.append(OutputLine.parse(text))
--- /dev/null
+++ b/tests/oleanderweir_bench/processes/test_process_supervisor.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+import os
+import sys
+
+import pytest
+import trio
+
+from oleanderweir_bench.exceptions import ProcessFailedError
+from oleanderweir_bench.processes import ProcessSupervisor
+from oleanderweir_bench.processes import SupervisedProcess
+
+
+TALK = 'import time; print(\'{"event": "ready"}\', flush=True); time.sleep(600)'
+DEAF = "import signal; signal.signal(signal.SIGTERM, signal.SIG_IGN); " + TALK
+FAIL = "import sys; sys.exit('no such flag')"
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+def read_state(pid: int) -> str:
+    with open(f"/proc/{pid}/stat", encoding="utf-8") as stat:
+        return stat.read().rpartition(") ")[2][0]
+
+
+async def test_output_is_collected_as_json() -> None:
+    async with ProcessSupervisor() as supervisor:
+        process = await supervisor.start("talker", [sys.executable, "-c", TALK])
+        await process.wait_line("ready")
+
+    assert process.lines[0].fields == {"event": "ready"}
+
+
+@pytest.mark.parametrize("code", [TALK, DEAF], ids=["polite", "deaf"])
+async def test_every_process_has_ended_when_the_context_is_left(code: str) -> None:
+    started: list[SupervisedProcess] = []
+
+    async def start_and_fail() -> None:
+        async with ProcessSupervisor(end_grace_s=0.1) as supervisor:
+            process = await supervisor.start("talker", [sys.executable, "-c", code])
+            started.append(process)
+            await process.wait_line("ready")
+            process.freeze()
+            raise KeyError
+
+    with pytest.raises(KeyError):
+        await start_and_fail()
+
+    assert not is_alive(started[0].process.pid)
+
+
+async def test_a_frozen_process_goes_on_when_thawed() -> None:
+    async with ProcessSupervisor() as supervisor:
+        process = await supervisor.start("talker", [sys.executable, "-c", TALK])
+        await process.wait_line("ready")
+        process.freeze()
+        while read_state(process.process.pid) != "T":
+            await trio.sleep(0.001)
+        process.thaw()
+        while read_state(process.process.pid) == "T":
+            await trio.sleep(0.001)
+        assert process.is_running
+        process.kill()
+        await process.process.wait()
+        assert not process.is_running
+
+
+async def test_an_early_end_is_told_with_the_last_lines() -> None:
+    async with ProcessSupervisor() as supervisor:
+        process = await supervisor.start("loser", [sys.executable, "-c", FAIL])
+        with pytest.raises(ProcessFailedError, match=r"loser ended with code 1"):
+            await process.wait_line("ready")
+
+
+async def test_a_missing_line_is_a_timeout() -> None:
+    async with ProcessSupervisor() as supervisor:
+        process = await supervisor.start("talker", [sys.executable, "-c", TALK])
+        with pytest.raises(ProcessFailedError, match="gave no line with 'absent'"):
+            await process.wait_line("absent", timeout_s=0.05)
+
+
+async def test_a_missing_script_is_told() -> None:
+    async with ProcessSupervisor() as supervisor:
+        with pytest.raises(ProcessFailedError, match="install the workspace"):
+            await supervisor.start_script("absent", "no-such-script")
