Check the settings that every process has

Cause: both binaries need names, addresses, keys, URLs and TLS files, and a wrong one has to be refused with its flag and a remedy before anything is bound. Ruled out: checks in the command line's options (a second caller would miss them) and one function of checks beside the class (a settings object could exist unchecked). The attrs classes check themselves, so there is no unchecked settings object.

--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/settings/process_settings.py
@@ -0,0 +1,91 @@
+"""Settings that balancers and agents have in common."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.settings.exceptions import InvalidSettingError
+from oleanderweir.settings.log_level import LogLevel
+from oleanderweir.settings.tls_material import TlsMaterial
+from oleanderweir.settings.validators import check_distinct
+from oleanderweir.settings.validators import check_grace
+from oleanderweir.settings.validators import check_name
+from oleanderweir.settings.validators import check_url
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from oleanderweir.keys import KeyRing
+    from oleanderweir.net import SocketAddress
+
+
+DEFAULT_REGION = "default"
+DEFAULT_SHUTDOWN_GRACE_S = 30.0
+
+
+@attrs.frozen(kw_only=True)
+class ProcessSettings:
+    """
+    Checked settings of one process.
+
+    ``peer_address`` takes the calls of other processes (TCP), ``admin_address`` those
+    of operators (HTTP). The instance list is read from ``instance_list_url``, or
+    from the configuration service where it is absent. ``shutdown_grace_s`` bounds a
+    graceful shutdown. The key ring never shows in a representation.
+    """
+
+    instance_name: str = attrs.field(validator=check_name)
+    availability_zone: str = attrs.field(validator=check_name)
+    region: str = attrs.field(default=DEFAULT_REGION, validator=check_name)
+    peer_address: SocketAddress
+    admin_address: SocketAddress
+    key_ring: KeyRing = attrs.field(repr=False)
+    configuration_url: str = attrs.field(validator=check_url)
+    instance_list_url: str | None = attrs.field(default=None, validator=check_url)
+    peer_tls_certificate: Path | None = None
+    peer_tls_private_key: Path | None = None
+    peer_tls_ca: Path | None = None
+    log_level: LogLevel = LogLevel.INFO
+    shutdown_grace_s: float = attrs.field(
+        default=DEFAULT_SHUTDOWN_GRACE_S, validator=check_grace
+    )
+
+    def __attrs_post_init__(self) -> None:
+        check_distinct(self.tcp_addresses)
+        given = {self.peer_tls_certificate, self.peer_tls_private_key, self.peer_tls_ca}
+        if None in given and given != {None}:
+            raise InvalidSettingError(
+                "--peer-tls-certificate, --peer-tls-private-key and --peer-tls-ca "
+                "belong together; give all three or none"
+            )
+
+    @property
+    def tcp_addresses(self) -> Mapping[str, SocketAddress]:
+        """The TCP addresses to bind, by setting."""
+        return {"peer_address": self.peer_address, "admin_address": self.admin_address}
+
+    @property
+    def udp_addresses(self) -> Mapping[str, SocketAddress]:
+        """The UDP addresses to bind, by setting."""
+        return {}
+
+    @property
+    def peer_tls(self) -> TlsMaterial | None:
+        """TLS material towards other processes."""
+        if self.peer_tls_certificate is None or self.peer_tls_private_key is None:
+            return None
+        return TlsMaterial(
+            certificate=self.peer_tls_certificate,
+            private_key=self.peer_tls_private_key,
+            authorities=self.peer_tls_ca,
+        )
+
+    @property
+    def tls_materials(self) -> Sequence[TlsMaterial]:
+        """All TLS material that the process uses."""
+        return () if self.peer_tls is None else (self.peer_tls,)
--- /dev/null
+++ b/tests/oleanderweir/settings/test_tls_material.py
@@ -0,0 +1,59 @@
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from oleanderweir.settings import InvalidTlsMaterialError
+from tests.oleanderweir.settings.tls_files import ISSUED_AT
+from tests.oleanderweir.settings.tls_files import VALIDITY
+from tests.oleanderweir.settings.tls_files import write_tls_files
+
+
+if TYPE_CHECKING:
+    from datetime import datetime
+    from pathlib import Path
+
+
+def test_usable_files_pass(tmp_path: Path) -> None:
+    write_tls_files(tmp_path).check(now=ISSUED_AT + timedelta(days=1))
+
+
+@pytest.mark.parametrize(
+    ("now", "message"),
+    [
+        (ISSUED_AT + VALIDITY + timedelta(seconds=1), "issue a new certificate"),
+        (ISSUED_AT - timedelta(seconds=1), "check the machine's clock"),
+    ],
+    ids=["ended", "not-begun"],
+)
+def test_certificates_out_of_date_are_refused(
+    now: datetime, message: str, tmp_path: Path
+) -> None:
+    with pytest.raises(InvalidTlsMaterialError, match=message):
+        write_tls_files(tmp_path).check(now=now)
+
+
+@pytest.mark.parametrize("field", ["certificate", "private_key", "authorities"])
+@pytest.mark.parametrize("content", [None, b"no PEM"], ids=["missing", "not-pem"])
+def test_unusable_files_are_named(
+    field: str, content: bytes | None, tmp_path: Path
+) -> None:
+    path = tmp_path / "other.pem"
+    if content is not None:
+        path.write_bytes(content)
+    material = attrs.evolve(write_tls_files(tmp_path), **{field: path})
+
+    with pytest.raises(InvalidTlsMaterialError, match=r"other\.pem .*; give"):
+        material.check(now=ISSUED_AT)
+
+
+def test_a_key_of_another_certificate_is_refused(tmp_path: Path) -> None:
+    (tmp_path / "other").mkdir()
+    other = write_tls_files(tmp_path / "other")
+    material = attrs.evolve(write_tls_files(tmp_path), private_key=other.private_key)
+
+    with pytest.raises(InvalidTlsMaterialError, match="MISMATCH"):
+        material.check(now=ISSUED_AT)
