Log in lines of JSON and thin out repeated errors

Cause: a dead peer makes one error for each packet, and the log must stay readable without losing how often it came. Ruled out: a plain rate limit for all records (a rare error would drown with a frequent one) and dropping without a count. Conclusion: five messages of a kind in ten seconds pass; the rest are counted, and the count is logged when the window is over or the process ends. Kinds are bounded at 1024; beyond that, messages pass.

--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/logs/configure_logging.py
@@ -0,0 +1,50 @@
+"""Sets the log of a process up."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+from typing import TextIO
+
+from pythonjsonlogger.json import JsonFormatter
+
+from oleanderweir.logs.repeat_filter import RepeatFilter
+
+
+if TYPE_CHECKING:
+    from oleanderweir.settings import ProcessSettings
+
+
+def configure_logging(*, settings: ProcessSettings, stream: TextIO) -> RepeatFilter:
+    """
+    Write every log record to ``stream`` as one line of JSON.
+
+    Each line has the time (UTC), level, logger, message, code, instance and
+    availability zone. Returns the filter, whose ``report_suppressed`` the process
+    calls from time to time.
+    """
+    repeat_filter = RepeatFilter()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(_create_formatter(settings))
+    handler.addFilter(repeat_filter)
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(settings.log_level.value.upper())
+    # The client of the configuration service logs each call at INFO.
+    for name in ("httpx", "httpcore", "hypercorn"):
+        logging.getLogger(name).setLevel(logging.WARNING)
+    return repeat_filter
+
+
+def _create_formatter(settings: ProcessSettings) -> logging.Formatter:
+    """Return what turns a record into a line."""
+    return JsonFormatter(
+        ["levelname", "name", "message"],
+        rename_fields={"levelname": "level", "name": "logger"},
+        timestamp="time",
+        defaults={"code": None},
+        static_fields={
+            "instance": settings.instance_name,
+            "availability_zone": settings.availability_zone,
+        },
+    )
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/logs/repeat_filter.py
@@ -0,0 +1,91 @@
+"""Thins out warnings and errors that repeat."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+from oleanderweir.logs.repeat_window import RepeatKey
+from oleanderweir.logs.repeat_window import RepeatWindow
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+WINDOW_S = 10.0
+MAX_MESSAGES_A_WINDOW = 5
+MAX_KEYS = 1024
+
+
+class RepeatFilter(logging.Filter):
+    """
+    Passes a few warnings or errors of one kind in each window and counts the rest.
+
+    No count is lost: ``report_suppressed`` logs it once the window is over, and with
+    ``is_final`` at once. ``clock`` returns seconds that never go back.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self.clock = clock
+        self.windows: OrderedDict[RepeatKey, RepeatWindow] = OrderedDict()
+        self.suppressed_total = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether to write a record."""
+        if record.levelno < logging.WARNING or hasattr(record, "suppressed"):
+            return True
+        window = self._window(record)
+        if window is None:
+            return True
+        if window.passed < MAX_MESSAGES_A_WINDOW:
+            window.passed += 1
+            return True
+        window.suppressed += 1
+        self.suppressed_total += 1
+        return False
+
+    def report_suppressed(self, *, is_final: bool = False) -> None:
+        """Log how many messages were left out in each window that is over."""
+        now = self.clock()
+        over = [
+            key
+            for key, window in self.windows.items()
+            if is_final or now - window.started_at >= WINDOW_S
+        ]
+        for key in over:
+            window = self.windows.pop(key)
+            if window.suppressed > 0:
+                self._report(key, window)
+
+    def _window(self, record: logging.LogRecord) -> RepeatWindow | None:
+        """Return the window of a record, or nothing when there are too many kinds."""
+        key = RepeatKey(
+            logger_name=record.name,
+            level=record.levelno,
+            code=getattr(record, "code", None) or "",
+            template=str(record.msg),
+        )
+        if key in self.windows and self._is_over(self.windows[key]):
+            self.report_suppressed()
+        if key not in self.windows and len(self.windows) >= MAX_KEYS:
+            self.report_suppressed()
+            if len(self.windows) >= MAX_KEYS:
+                return None
+        return self.windows.setdefault(key, RepeatWindow(started_at=self.clock()))
+
+    def _is_over(self, window: RepeatWindow) -> bool:
+        return self.clock() - window.started_at >= WINDOW_S
+
+    def _report(self, key: RepeatKey, window: RepeatWindow) -> None:
+        """Log the count of one window."""
+        logging.getLogger(key.logger_name).log(
+            key.level,
+            "%d more times: %s",
+            window.suppressed,
+            key.template,
+            extra={"code": key.code, "suppressed": window.suppressed},
+        )
