--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/admin/readiness_reason.py
@@ -0,0 +1,13 @@
+"""Why a process is not ready."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class ReadinessReason(Enum):
+    """A reason that ``/ready`` and ``/status`` give."""
+
+    STARTING = "starting"
+    NOT_CONFIGURED = "not_configured"
+    SHUTTING_DOWN = "shutting_down"
