Share one command line and one process runner between both binaries

Cause: run, check and status, the signals, the admin interface and the log are the same for balancer and agent. Ruled out: click's own error output (a usage text of several lines in place of one line with a code), and ending at the first signal (a feed would be cut). Conclusion: a Command is a verb with name, description, parameters and a handle that delegates; an Application wires them; ProcessRunner joins the product object with log, admin, signals and a monitor that counts late wake-ups. The first signal drains within the grace, a second one ends at once, cut work is an error with its own exit code. A process without work of its own serves on for the grace, so that the fabric can take it off. Tests run the shutdowns in virtual time.

--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/console/process_monitor.py
@@ -0,0 +1,80 @@
+"""Watches the process from inside."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+
+if TYPE_CHECKING:
+    from oleanderweir.admin import Readiness
+    from oleanderweir.console.process_metrics import ProcessMetrics
+    from oleanderweir.logs import RepeatFilter
+
+
+logger = logging.getLogger(__name__)
+
+INTERVAL_S = 0.25
+LATE_WAKE_UP_S = 0.5
+
+
+class ProcessMonitor:
+    """Logs changes of readiness, counts late wake-ups and reports repeated errors."""
+
+    def __init__(
+        self,
+        *,
+        readiness: Readiness,
+        metrics: ProcessMetrics,
+        repeat_filter: RepeatFilter,
+    ) -> None:
+        self.readiness = readiness
+        self.metrics = metrics
+        self.repeat_filter = repeat_filter
+        self.was_ready = False
+        self.reported_suppressed = 0
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            self._note_readiness()
+            self._note_suppressed()
+            await self._sleep()
+
+    async def _sleep(self) -> None:
+        """Wait for the next round, and note by how much it came late."""
+        due_at = trio.current_time() + INTERVAL_S
+        await trio.sleep_until(due_at)
+        delay_s = trio.current_time() - due_at
+        if delay_s < LATE_WAKE_UP_S:
+            return
+        self.metrics.late_wake_ups.inc()
+        self.metrics.late_wake_up_seconds.inc(delay_s)
+        logger.warning(
+            "woke up %.1f s late; look for a paused or overloaded machine",
+            delay_s,
+            extra={"code": "late_wake_up"},
+        )
+
+    def _note_readiness(self) -> None:
+        """Log and export whether the process is ready."""
+        reasons = self.readiness.reasons()
+        is_ready = not reasons
+        self.metrics.is_ready.set(int(is_ready))
+        if is_ready == self.was_ready:
+            return
+        self.was_ready = is_ready
+        if is_ready:
+            logger.info("ready", extra={"code": "ready"})
+            return
+        names = ", ".join(reason.value for reason in reasons)
+        logger.warning("not ready: %s", names, extra={"code": "not_ready"})
+
+    def _note_suppressed(self) -> None:
+        """Log and export how many messages were left out."""
+        self.repeat_filter.report_suppressed()
+        total = self.repeat_filter.suppressed_total
+        self.metrics.suppressed_log_messages.inc(total - self.reported_suppressed)
+        self.reported_suppressed = total
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/console/status_reader.py
@@ -0,0 +1,44 @@
+"""Asks a running process how it is."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import cattrs
+import httpx
+
+from oleanderweir.admin import ProcessStatus
+from oleanderweir.console.exceptions import NoAnswerError
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net import SocketAddress
+
+
+TIMEOUT_S = 3.0
+
+
+class StatusReader:
+    """Reads ``/status`` of one admin address."""
+
+    def __init__(self, *, address: SocketAddress) -> None:
+        self.address = address
+
+    def read(self) -> ProcessStatus:
+        """Return the status; raise ``NoAnswerError`` if there is none."""
+        try:
+            with httpx.Client(timeout=TIMEOUT_S, trust_env=False) as client:
+                response = client.get(f"http://{self.address}/status")
+            response.raise_for_status()
+        except httpx.HTTPError as error:
+            raise NoAnswerError(
+                f"{self.address} gives no status ({error}); "
+                "check --admin-address and whether the process runs"
+            ) from error
+        try:
+            return cattrs.structure(response.json(), ProcessStatus)
+        except (ValueError, cattrs.BaseValidationError) as error:
+            raise NoAnswerError(
+                f"{self.address} answers, but as no process of oleanderweir does; "
+                "check --admin-address"
+            ) from error
--- a/tests/oleanderweir/admin/test_admin_server.py
+++ b/tests/oleanderweir/admin/test_admin_server.py
@@ -12,18 +12,13 @@
 from oleanderweir.admin import bind_tcp_socket
 from oleanderweir.net import AddressInUseError
 from oleanderweir.net import SocketAddress
+from tests.oleanderweir.helpers_admin import find_free_address
 
 
 class FakeProcess:
     is_ready = False
 
 
-def find_free_address() -> SocketAddress:
-    # The kernel chooses the port; a moment later it is free again.
-    with bind_tcp_socket(SocketAddress(host="127.0.0.1", port=0)) as bound:
-        return SocketAddress(host="127.0.0.1", port=bound.getsockname()[1])
-
-
 def create_server(address: SocketAddress, readiness: Readiness) -> AdminServer:
     registry = CollectorRegistry()
     Counter("oleanderweir_test", "A counter.", registry=registry).inc()
--- /dev/null
+++ b/tests/oleanderweir/console/test_process_runner.py
@@ -0,0 +1,173 @@
+from __future__ import annotations
+
+import json
+import logging
+import signal
+from typing import TYPE_CHECKING
+from typing import Any
+
+import httpx
+import pytest
+import trio
+import trio.testing
+
+from oleanderweir.console import ProcessEndedError
+from oleanderweir.console import ProcessFailedError
+from oleanderweir.console import ProcessRunner
+from oleanderweir.console import ShutdownCutError
+from oleanderweir.net import AddressInUseError
+from tests.oleanderweir.console.fakes import EndingProcess
+from tests.oleanderweir.console.fakes import FakeDrainableProcess
+from tests.oleanderweir.console.fakes import FakeProcess
+from tests.oleanderweir.console.fakes import taken_address
+from tests.oleanderweir.helpers_admin import find_free_address
+from tests.oleanderweir.settings.builders import build_settings
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from oleanderweir.settings import ProcessSettings
+
+
+@pytest.fixture(autouse=True)
+def _keep_logging() -> Iterator[None]:
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    yield
+    root.handlers = handlers
+    root.setLevel(level)
+
+
+def create_runner(
+    process: FakeProcess, **changes: Any
+) -> ProcessRunner[ProcessSettings]:
+    settings = build_settings(admin_address=find_free_address(), **changes)
+    return ProcessRunner(role="balancer", settings=settings, create=process.create)
+
+
+async def serve_and_signal(
+    runner: ProcessRunner[ProcessSettings], *numbers: signal.Signals
+) -> float:
+    """Return the seconds of virtual time from the first signal to the end."""
+    with trio.fail_after(3600):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(runner.serve)
+            while not runner.readiness.is_ready:
+                await trio.sleep(0.01)
+            started_at = trio.current_time()
+            for number in numbers:
+                signal.raise_signal(number)
+                await trio.sleep(0.01)
+    return trio.current_time() - started_at
+
+
+async def test_a_drained_process_ends_when_its_work_is_done(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    process = FakeDrainableProcess(work_s=7.0)
+    runner = create_runner(process, shutdown_grace_s=30.0)
+
+    duration_s = await serve_and_signal(runner, signal.SIGTERM)
+
+    assert process.is_drained
+    assert process.is_closed
+    assert not runner.is_cut
+    assert 7.0 <= duration_s < 9.0
+
+
+async def test_work_longer_than_the_grace_is_cut_and_told(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    process = FakeDrainableProcess(work_s=60.0)
+    runner = create_runner(process, shutdown_grace_s=30.0)
+
+    duration_s = await serve_and_signal(runner, signal.SIGINT)
+
+    assert process.is_closed
+    assert runner.is_cut
+    assert 30.0 <= duration_s < 32.0
+
+
+async def test_a_process_without_work_serves_on_for_the_grace(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    process = FakeProcess()
+    runner = create_runner(process, shutdown_grace_s=5.0)
+
+    duration_s = await serve_and_signal(runner, signal.SIGTERM)
+
+    assert 5.0 <= duration_s < 7.0
+    assert not runner.is_cut
+
+
+async def test_a_second_signal_ends_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    process = FakeDrainableProcess(work_s=60.0)
+    runner = create_runner(process, shutdown_grace_s=30.0)
+
+    duration_s = await serve_and_signal(runner, signal.SIGTERM, signal.SIGTERM)
+
+    assert duration_s < 3.0
+    assert runner.is_cut
+
+
+async def test_the_process_says_that_it_shuts_down_while_work_goes_on() -> None:
+    runner = create_runner(FakeDrainableProcess(work_s=60.0))
+    url = f"http://{runner.settings.admin_address}"
+    with trio.fail_after(10):
+        async with trio.open_nursery() as nursery, httpx.AsyncClient() as client:
+            nursery.start_soon(runner.serve)
+            while not runner.readiness.is_ready:
+                await trio.sleep(0.01)
+            ready = await client.get(f"{url}/ready")
+            signal.raise_signal(signal.SIGTERM)
+            while not runner.readiness.is_shutting_down:
+                await trio.sleep(0.01)
+            leaving = await client.get(f"{url}/ready")
+            metrics = await client.get(f"{url}/metrics")
+            signal.raise_signal(signal.SIGTERM)
+
+    assert ready.status_code == 200
+    assert (leaving.status_code, leaving.json()["reasons"]) == (503, ["shutting_down"])
+    assert "oleanderweir_process_ready" in metrics.text
+
+
+@pytest.mark.parametrize(
+    ("process", "expected"),
+    [
+        (FakeProcess(error=taken_address()), AddressInUseError),
+        (FakeProcess(error=ZeroDivisionError("oops")), ProcessFailedError),
+        (EndingProcess(), ProcessEndedError),
+    ],
+    ids=["known-error", "unforeseen-error", "ended-by-itself"],
+)
+def test_a_failure_while_serving_comes_out_as_one_error(
+    process: FakeProcess, expected: type[Exception]
+) -> None:
+    with pytest.raises(expected):
+        create_runner(process).run()
+
+
+def test_a_cut_shutdown_is_an_error(capsys: pytest.CaptureFixture[str]) -> None:
+    process = FakeDrainableProcess(work_s=60.0)
+    runner = create_runner(process, shutdown_grace_s=0.0)
+    process.run = raising_sigterm(process)  # type: ignore[method-assign]
+
+    with pytest.raises(ShutdownCutError, match="raise --shutdown-grace-s above 0"):
+        runner.run()
+
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert [line["code"] for line in lines][:1] == ["starting"]
+    assert {"signal", "shutting_down"} <= {line["code"] for line in lines}
+
+
+def raising_sigterm(process: FakeProcess) -> Any:
+    async def run(*, task_status: trio.TaskStatus[None]) -> None:
+        task_status.started()
+        await trio.testing.wait_all_tasks_blocked()
+        signal.raise_signal(signal.SIGTERM)
+        await trio.sleep_forever()
+
+    return run
