Give both binaries their commands, settings and factories

Cause: run, check and status exist for both roles with their own flags; every flag also reads OLEANDERWEIR_ and its name. Ruled out: one factory that guesses the role. Each binary's factory builds its own object. Conclusion: wrong flags, missing settings, taken addresses and unusable TLS files give one line with a code and a remedy, and stable exit codes; tests go through click's runner, one through a real process.

--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/console/__init__.py
@@ -0,0 +1,3 @@
+"""The command line of the agent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/console/application.py
@@ -0,0 +1,37 @@
+"""Wires the commands of the agent."""
+
+from __future__ import annotations
+
+from oleanderweir.console import Application
+from oleanderweir.console.commands import CheckCommand
+from oleanderweir.console.commands import RunCommand
+from oleanderweir.console.commands import StatusCommand
+from oleanderweir_agent.console.options import create_agent_options
+from oleanderweir_agent.factory import create_agent
+from oleanderweir_agent.settings import AgentSettings
+
+
+NAME = "oleanderweir-agent"
+
+
+def create_application() -> Application:
+    """Return the command line."""
+    return Application(
+        name=NAME,
+        description="Answer callers beside one backend server.",
+        commands=[
+            RunCommand(
+                role="agent",
+                options=create_agent_options(),
+                create_settings=AgentSettings,
+                create_process=create_agent,
+            ),
+            CheckCommand(options=create_agent_options(), create_settings=AgentSettings),
+            StatusCommand(),
+        ],
+    )
+
+
+def main() -> None:
+    """Run the command line of this interpreter."""
+    create_application().run()
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/factory.py
@@ -0,0 +1,29 @@
+"""Builds an agent from checked settings."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.configuration.pending_configuration import PendingConfiguration
+from oleanderweir_agent.agent import Agent
+from oleanderweir_agent.metrics import AgentMetrics
+
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from oleanderweir_agent.settings import AgentSettings
+
+
+def create_agent(settings: AgentSettings, *, registry: CollectorRegistry) -> Agent:
+    """Return an agent with its socket bound; raise ``AddressInUseError``."""
+    return Agent(
+        backend_server_name=settings.backend_server,
+        agent_address=settings.agent_address,
+        backend_address=settings.backend_address,
+        tls_certificate=settings.tls_certificate,
+        tls_private_key=settings.tls_private_key,
+        key_ring=settings.key_ring,
+        configuration=PendingConfiguration(),
+        metrics=AgentMetrics(registry=registry),
+    )
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/console/application.py
@@ -0,0 +1,39 @@
+"""Wires the commands of the balancer."""
+
+from __future__ import annotations
+
+from oleanderweir.console import Application
+from oleanderweir.console.commands import CheckCommand
+from oleanderweir.console.commands import RunCommand
+from oleanderweir.console.commands import StatusCommand
+from oleanderweir_balancer.console.options import create_balancer_options
+from oleanderweir_balancer.factory import create_balancer
+from oleanderweir_balancer.settings import BalancerSettings
+
+
+NAME = "oleanderweir-balancer"
+
+
+def create_application() -> Application:
+    """Return the command line."""
+    return Application(
+        name=NAME,
+        description="Forward the packets of callers to agents, and back.",
+        commands=[
+            RunCommand(
+                role="balancer",
+                options=create_balancer_options(),
+                create_settings=BalancerSettings,
+                create_process=create_balancer,
+            ),
+            CheckCommand(
+                options=create_balancer_options(), create_settings=BalancerSettings
+            ),
+            StatusCommand(),
+        ],
+    )
+
+
+def main() -> None:
+    """Run the command line of this interpreter."""
+    create_application().run()
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/factory.py
@@ -0,0 +1,30 @@
+"""Builds a balancer from checked settings."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from oleanderweir.configuration.pending_configuration import PendingConfiguration
+from oleanderweir_balancer.balancer import Balancer
+from oleanderweir_balancer.metrics import BalancerMetrics
+
+
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
+    from oleanderweir_balancer.settings import BalancerSettings
+
+
+def create_balancer(
+    settings: BalancerSettings, *, registry: CollectorRegistry
+) -> Balancer:
+    """Return a balancer with its sockets bound; raise ``AddressInUseError``."""
+    return Balancer(
+        back_address=settings.back_address,
+        bind_host=settings.bind_host,
+        key_ring=settings.key_ring,
+        configuration=PendingConfiguration(),
+        metrics=BalancerMetrics(registry=registry),
+        random_source=random.Random(),
+    )
--- a/tests/oleanderweir/settings/tls_files.py
+++ b/tests/oleanderweir/settings/tls_files.py
@@ -20,9 +20,10 @@
 
 ISSUED_AT = datetime(2026, 1, 1, tzinfo=UTC)
 VALIDITY = timedelta(days=30)
+LONG_VALIDITY = timedelta(days=36_500)
 
 
-def write_tls_files(folder: Path) -> TlsMaterial:
+def write_tls_files(folder: Path, *, validity: timedelta = VALIDITY) -> TlsMaterial:
     key = ec.generate_private_key(ec.SECP256R1())
     name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "horaflujo")])
     certificate = (
@@ -32,7 +33,7 @@
         .public_key(key.public_key())
         .serial_number(1)
         .not_valid_before(ISSUED_AT)
-        .not_valid_after(ISSUED_AT + VALIDITY)
+        .not_valid_after(ISSUED_AT + validity)
         .sign(key, hashes.SHA256())
     )
     pem = certificate.public_bytes(serialization.Encoding.PEM)
--- /dev/null
+++ b/tests/oleanderweir_balancer/console/test_application.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from click.testing import CliRunner
+from click.testing import Result
+
+from oleanderweir.console import ExitCode
+from oleanderweir.net import SocketAddress
+from oleanderweir_balancer.console.application import create_application
+from tests.oleanderweir.console.flags import join_flags
+from tests.oleanderweir.console.flags import make_process_flags
+from tests.oleanderweir.console.flags import to_environment
+from tests.oleanderweir.helpers import NEW_KEY
+from tests.oleanderweir.helpers_admin import find_free_address
+
+
+READY_TIMEOUT_S = 30
+
+
+def make_flags() -> dict[str, str]:
+    return {**make_process_flags(), "--back-address": str(find_free_address())}
+
+
+def invoke(*arguments: str, environment: dict[str, str] | None = None) -> Result:
+    runner = CliRunner(env=environment)
+    return runner.invoke(create_application().group, arguments)
+
+
+def assert_refused(result: Result, code: str, words: str, exit_code: ExitCode) -> None:
+    assert result.exit_code == exit_code
+    assert result.stdout == ""
+    (line,) = result.stderr.splitlines()
+    assert line.startswith(f"[{code}] ")
+    assert words in line
+
+
+@pytest.mark.parametrize("verb", ["run", "check"])
+@pytest.mark.parametrize(
+    ("changes", "code", "words"),
+    [
+        ({"--back-address": "7100"}, "invalid_address", "write 192.0.2.1:443"),
+        ({"--back-address": "localhost:1"}, "invalid_address", "--back-address"),
+        ({"--bind-host": "::1"}, "invalid_setting", "--bind-host '::1'"),
+        ({"--keys": "1:zz"}, "invalid_keys", "--keys: key 1 is not hex"),
+        ({"--keys": "1:5e5e"}, "invalid_keys", "has 2 bytes, not 32"),
+        ({"--keys": f"{NEW_KEY},{NEW_KEY}"}, "invalid_keys", "two keys have one ID"),
+        ({"--instance-name": "Node"}, "invalid_setting", "write 1 to 63"),
+        ({"--configuration-url": "a"}, "invalid_setting", "write http://"),
+        ({"--log-level": "loud"}, "invalid_setting", "--log-level"),
+        ({"--shutdown-grace-s": "x"}, "invalid_setting", "--shutdown-grace-s"),
+        ({"--peer-tls-ca": "ca.pem"}, "invalid_setting", "all three or none"),
+        ({"--colour": "blue"}, "unknown_flag", "See --help"),
+    ],
+    ids=[
+        "address-without-host",
+        "address-with-name",
+        "bind-host-no-ipv4",
+        "key-no-hex",
+        "key-too-short",
+        "key-id-twice",
+        "name",
+        "url",
+        "log-level",
+        "grace",
+        "half-of-peer-tls",
+        "unknown-flag",
+    ],
+)
+def test_wrong_flags_give_one_line(
+    verb: str, changes: dict[str, str], code: str, words: str
+) -> None:
+    result = invoke(verb, *join_flags({**make_flags(), **changes}))
+
+    assert_refused(result, code, words, ExitCode.INVALID_SETTINGS)
+
+
+@pytest.mark.parametrize("flag", sorted(make_flags()))
+def test_each_missing_setting_is_named_with_its_variable(flag: str) -> None:
+    flags = make_flags()
+    del flags[flag]
+    (variable,) = to_environment({flag: ""})
+
+    result = invoke("check", *join_flags(flags))
+
+    assert_refused(
+        result,
+        "missing_setting",
+        f"{flag} is missing; give it or set {variable}",
+        ExitCode.INVALID_SETTINGS,
+    )
+
+
+@pytest.mark.parametrize("arguments", [(), ("fly",)], ids=["no-verb", "unknown-verb"])
+def test_a_wrong_verb_gives_one_line(arguments: tuple[str, ...]) -> None:
+    result = invoke(*arguments)
+
+    assert_refused(result, "invalid_usage", "--help", ExitCode.INVALID_SETTINGS)
+
+
+def test_check_takes_every_setting_from_the_environment() -> None:
+    result = invoke("check", environment=to_environment(make_flags()))
+
+    assert (result.exit_code, result.stderr) == (ExitCode.OK, "")
+
+
+def test_check_names_each_taken_address_and_file_on_a_line() -> None:
+    flags = make_flags()
+    back_address = SocketAddress.parse(flags["--back-address"])
+    tls = {
+        f"--peer-tls-{name}": "missing.pem"
+        for name in ("certificate", "private-key", "ca")
+    }
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as holder:
+        holder.bind(back_address.pair)
+        result = invoke("check", *join_flags({**flags, **tls}))
+
+    assert result.exit_code == ExitCode.INVALID_SETTINGS
+    lines = result.stderr.splitlines()
+    assert [line.split()[0] for line in lines] == ["[invalid_tls]", "[address_in_use]"]
+
+
+@pytest.mark.parametrize(
+    ("flag", "kind"),
+    [
+        ("--admin-address", socket.SOCK_STREAM),
+        ("--back-address", socket.SOCK_DGRAM),
+    ],
+    ids=["admin", "back"],
+)
+def test_run_refuses_a_taken_address(flag: str, kind: socket.SocketKind) -> None:
+    flags = make_flags()
+    with socket.socket(socket.AF_INET, kind) as holder:
+        holder.bind(SocketAddress.parse(flags[flag]).pair)
+        if kind == socket.SOCK_STREAM:
+            holder.listen()
+        result = invoke("run", *join_flags(flags))
+
+    assert result.exit_code == ExitCode.ADDRESS_IN_USE
+    (line,) = result.stderr.splitlines()
+    assert line.startswith("[address_in_use] ")
+
+
+def test_status_of_nobody_gives_one_line() -> None:
+    result = invoke("status", "--admin-address", str(find_free_address()))
+
+    assert_refused(result, "no_answer", "check --admin-address", ExitCode.NO_ANSWER)
+
+
+def test_a_real_process_answers_status_and_ends_gracefully() -> None:
+    flags = {**make_flags(), "--shutdown-grace-s": "0.1"}
+    command = [sys.executable, "-m", "oleanderweir_balancer", "run"]
+    with subprocess.Popen(
+        [*command, *join_flags(flags)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout is not None
+        first = process.stdout.readline()
+        status = invoke("status", "--admin-address", flags["--admin-address"])
+        process.send_signal(signal.SIGTERM)
+        output, errors = process.communicate(timeout=READY_TIMEOUT_S)
+
+    assert '"code": "starting"' in first
+    assert '"role": "balancer"' in status.stdout
+    assert process.returncode == ExitCode.OK
+    assert errors == ""
+    assert '"code": "stopped"' in output.splitlines()[-1]
+    assert NEW_KEY.partition(":")[2] not in first + output
