--- a/packages/oleanderweir/src/oleanderweir/admin/admin_application.py
+++ b/packages/oleanderweir/src/oleanderweir/admin/admin_application.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from prometheus_client import CollectorRegistry
     from starlette.requests import Request
@@ -31,9 +32,12 @@
     """Answers ``/metrics``, ``/live``, ``/ready`` and ``/status``."""
 
     def __init__(
-        self, *, registry: CollectorRegistry, read_status: Callable[[], ProcessStatus]
+        self,
+        *,
+        registries: Sequence[CollectorRegistry],
+        read_status: Callable[[], ProcessStatus],
     ) -> None:
-        self.registry = registry
+        self.registries = registries
         self.read_status = read_status
         self.asgi = Starlette(
             routes=[
@@ -46,7 +50,8 @@
 
     async def _metrics(self, request: Request) -> Response:
         """Answer with every counter, in the text format of Prometheus."""
-        return Response(generate_latest(self.registry), media_type=CONTENT_TYPE_LATEST)
+        text = b"".join(generate_latest(registry) for registry in self.registries)
+        return Response(text, media_type=CONTENT_TYPE_LATEST)
 
     async def _live(self, request: Request) -> Response:
         """Answer as long as the process runs its tasks."""
--- a/packages/oleanderweir/src/oleanderweir/admin/admin_server.py
+++ b/packages/oleanderweir/src/oleanderweir/admin/admin_server.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     import trio
     from hypercorn.typing import ASGIFramework
@@ -31,17 +32,23 @@
 
 
 class AdminServer:
-    """An HTTP/1.1 server on ``address``, without TLS; keep it off public networks."""
+    """
+    An HTTP/1.1 server on ``address``, without TLS; keep it off public networks.
+
+    The counters of all ``registries`` stand in one answer, so their names must differ.
+    """
 
     def __init__(
         self,
         *,
         address: SocketAddress,
-        registry: CollectorRegistry,
+        registries: Sequence[CollectorRegistry],
         read_status: Callable[[], ProcessStatus],
     ) -> None:
         self.address = address
-        self.application = AdminApplication(registry=registry, read_status=read_status)
+        self.application = AdminApplication(
+            registries=registries, read_status=read_status
+        )
 
     async def run(self, *, task_status: trio.TaskStatus[list[str]]) -> None:
         """Serve until cancelled; raise ``AddressInUseError`` if that can't start."""
--- a/packages/oleanderweir/src/oleanderweir/console/process_metrics.py
+++ b/packages/oleanderweir/src/oleanderweir/console/process_metrics.py
@@ -6,8 +6,6 @@
 
 from prometheus_client import Counter
 from prometheus_client import Gauge
-from prometheus_client import GCCollector
-from prometheus_client import ProcessCollector
 
 
 if TYPE_CHECKING:
@@ -15,11 +13,9 @@
 
 
 class ProcessMetrics:
-    """Readiness, late wake-ups and log lines left out, beside processor and memory."""
+    """Readiness, late wake-ups and log messages left out."""
 
     def __init__(self, *, registry: CollectorRegistry) -> None:
-        ProcessCollector(registry=registry)
-        GCCollector(registry=registry)
         self.is_ready = Gauge(
             "oleanderweir_process_ready",
             "1 when the process may be given work, otherwise 0.",
--- a/packages/oleanderweir/src/oleanderweir/console/process_runner.py
+++ b/packages/oleanderweir/src/oleanderweir/console/process_runner.py
@@ -11,6 +11,7 @@
 from typing import TypeVar
 
 import trio
+from prometheus_client import REGISTRY
 from prometheus_client import CollectorRegistry
 
 from oleanderweir.admin import AdminServer
@@ -47,7 +48,8 @@
     The first SIGTERM or SIGINT starts a graceful shutdown: the process says that it is
     not ready, finishes what runs and ends. A process without work of its own, such as
     a balancer, serves on for the whole grace, so that the fabric can take it off. A
-    second signal ends the process at once.
+    second signal ends the process at once. Counters stand in a registry of the runner,
+    beside those that modules keep in the library's own one.
     """
 
     def __init__(
@@ -100,7 +102,7 @@
         )
         admin = AdminServer(
             address=self.settings.admin_address,
-            registry=self.registry,
+            registries=[REGISTRY, self.registry],
             read_status=self.read_status,
         )
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/tests/oleanderweir/admin/test_admin_server.py
+++ b/tests/oleanderweir/admin/test_admin_server.py
@@ -35,7 +35,7 @@
             reasons=tuple(readiness.reasons()),
         )
 
-    return AdminServer(address=address, registry=registry, read_status=read_status)
+    return AdminServer(address=address, registries=[registry], read_status=read_status)
 
 
 async def test_answers_follow_readiness_and_cancel_is_clean() -> None:
--- a/tests/oleanderweir/console/test_process_runner.py
+++ b/tests/oleanderweir/console/test_process_runner.py
@@ -131,7 +131,8 @@
 
     assert ready.status_code == 200
     assert (leaving.status_code, leaving.json()["reasons"]) == (503, ["shutting_down"])
-    assert "oleanderweir_process_ready" in metrics.text
+    assert "oleanderweir_process_ready 0.0" in metrics.text
+    assert "process_cpu_seconds_total" in metrics.text
 
 
 @pytest.mark.parametrize(
