Tell apart a process that gives no status from another server

Conclusion: the reader takes a transport, so a test can give it odd answers; each ends as no_answer, and a status is read back as it was written.

--- /dev/null
+++ b/tests/oleanderweir/console/test_status_reader.py
@@ -0,0 +1,59 @@
+from __future__ import annotations
+
+import json
+
+import cattrs
+import httpx
+import pytest
+
+from oleanderweir.admin import ProcessStatus
+from oleanderweir.admin import ReadinessReason
+from oleanderweir.console import NoAnswerError
+from oleanderweir.console.status_reader import StatusReader
+from oleanderweir.net import SocketAddress
+
+
+STATUS = ProcessStatus(
+    role="agent",
+    version="0.1.0",
+    instance_name="node-1",
+    availability_zone="scl-a",
+    region="scl",
+    uptime_s=2.5,
+    is_ready=False,
+    reasons=(ReadinessReason.STARTING,),
+)
+
+
+def create_reader(response: httpx.Response) -> StatusReader:
+    return StatusReader(
+        address=SocketAddress(host="192.0.2.1", port=9100),
+        transport=httpx.MockTransport(lambda request: response),
+    )
+
+
+def test_a_status_is_read_as_it_was_written() -> None:
+    document = cattrs.unstructure(STATUS)
+
+    assert create_reader(httpx.Response(200, json=document)).read() == STATUS
+
+
+@pytest.mark.parametrize(
+    ("response", "words"),
+    [
+        (httpx.Response(404), "gives no status"),
+        (httpx.Response(200, text="hello"), "as no process of oleanderweir does"),
+        (httpx.Response(200, text=json.dumps([1])), "as no process"),
+        (httpx.Response(200, json={"role": "agent"}), "as no process"),
+        (
+            httpx.Response(
+                200, json={**cattrs.unstructure(STATUS), "reasons": ["because"]}
+            ),
+            "as no process",
+        ),
+    ],
+    ids=["not-found", "no-json", "list", "fields-missing", "unknown-reason"],
+)
+def test_other_answers_are_told_apart(response: httpx.Response, words: str) -> None:
+    with pytest.raises(NoAnswerError, match=words):
+        create_reader(response).read()
--- a/tests/oleanderweir_balancer/console/test_application.py
+++ b/tests/oleanderweir_balancer/console/test_application.py
@@ -168,6 +168,8 @@
 
     assert '"code": "starting"' in first
     assert '"role": "balancer"' in status.stdout
+    assert status.exit_code == ExitCode.NOT_READY
+    assert status.stderr.startswith("[not_ready] ")
     assert process.returncode == ExitCode.OK
     assert errors == ""
     assert '"code": "stopped"' in output.splitlines()[-1]
