Type the reasons of missing hedges, and count relays and drains

Cause: a reason as a bare text can be mistyped in one of two places, and a label that has not occurred yet was absent from /metrics, so rate() over it gave nothing. Ruled out: leaving relays and drains to later; the names are what operators' alarms and the work on relays build on. Nothing counts relays and drains yet. Conclusion: enums bound once, each label at 0 from the start; two lines of the flow opener use the enum.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client import Gauge
 
 from oleanderweir_agent.drop_reason import DropReason
+from oleanderweir_agent.metrics.relay_outcome import RelayOutcome
 
 
 if TYPE_CHECKING:
@@ -41,3 +42,17 @@
             ["verdict"],
             registry=registry,
         )
+        relays = Counter(
+            "oleanderweir_agent_relays",
+            "Requests offered to a peer agent, by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self.relays = {
+            outcome: relays.labels(outcome.value) for outcome in RelayOutcome
+        }
+        self.drains = Counter(
+            "oleanderweir_agent_drains",
+            "Drains that began, by ticket or by signal.",
+            registry=registry,
+        )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/flow_opener.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/flow_opener.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from oleanderweir_balancer.metrics import UnhedgedReason
 from oleanderweir_balancer.pending_flow import PendingFlow
 from oleanderweir_balancer.pending_flow import PendingFlowKey
 
@@ -58,7 +59,7 @@
         if key in self.pending:
             return
         if len(self.pending) >= MAX_PENDING_FLOWS:
-            self.metrics.unhedged.labels("too_many_pending").inc()
+            self.metrics.unhedged[UnhedgedReason.TOO_MANY_PENDING].inc()
             return
         self.pending[key] = PendingFlow(
             key=key,
@@ -101,7 +102,7 @@
         self.selector.note_silence(flow.agent)
         agent = self.selector.select(flow.service, excluding=flow.agent)
         if agent is None:
-            self.metrics.unhedged.labels("no_other_agent").inc()
+            self.metrics.unhedged[UnhedgedReason.NO_OTHER_AGENT].inc()
             return
         self.metrics.hedges.inc()
         self.send(flow.encoded_envelope, agent)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/metrics/balancer_metrics.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/metrics/balancer_metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client import Counter
 
 from oleanderweir_balancer.drop_reason import DropReason
+from oleanderweir_balancer.metrics.unhedged_reason import UnhedgedReason
 
 
 if TYPE_CHECKING:
@@ -42,9 +43,12 @@
             "New flows offered to a second agent since the first was silent.",
             registry=registry,
         )
-        self.unhedged = Counter(
+        unhedged = Counter(
             "oleanderweir_balancer_unhedged",
             "New flows that no second agent could be offered, by reason.",
             ["reason"],
             registry=registry,
         )
+        self.unhedged = {
+            reason: unhedged.labels(reason.value) for reason in UnhedgedReason
+        }
