--- a/tests/oleanderweir/console/fakes.py
+++ b/tests/oleanderweir/console/fakes.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from oleanderweir.exceptions import OleanderweirError
 from oleanderweir.net import AddressInUseError
 
 
@@ -59,7 +58,3 @@
 
 def taken_address() -> AddressInUseError:
     return AddressInUseError("UDP 127.0.0.1:1 can't be bound; choose another")
-
-
-class UnknownCodeError(OleanderweirError):
-    code = "unknown_to_the_console"
