Decide about requests at the agent: verdicts, limits, queue, retries, health, load

Cause: the QUIC side and the relay need one place that says who runs, who waits and who is refused, and what each end of a request proves.

Ways weighed: one state machine for a whole request was ruled out, the house style wants tasks written straight down; so admission is a context manager whose permit learns from the outcome. A slot is handed to a waiting request by the task that frees it, and not by waking it to take one itself, since a cancelled or late task would leave a slot idle.

--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/drain/__init__.py
@@ -0,0 +1,8 @@
+"""How a backend server leaves without cutting a request."""
+
+from __future__ import annotations
+
+from oleanderweir_agent.drain.drain_state import DrainState
+
+
+__all__ = ["DrainState"]
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/limits/aimd_limit.py
@@ -0,0 +1,78 @@
+"""A limit that rises by addition and falls by multiplication."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.limits.work_result import WorkResult
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.limits.work_outcome import WorkOutcome
+
+
+DECREASE_FACTOR = 0.5
+WINDOW_RUNS = 10
+MAX_PAUSE_S = 5.0
+FLOOR = 1
+LOSSES = frozenset({WorkResult.SHED, WorkResult.FAILED, WorkResult.TIMED_OUT})
+
+
+@attrs.define(kw_only=True)
+class AimdLimit:
+    """
+    Additive increase, multiplicative decrease, below the slots.
+
+    A shed, failed or late run multiplies the limit by ``decrease_factor``, at most
+    once in the time of one run, so that one burst of losses counts once. A window of
+    ``window_runs`` successes that used the limit in full raises it by one. A
+    ``Retry-After`` of the backend server pauses new starts, for ``max_pause_s`` at
+    most. The scheme follows HAL-1372, "Adaptive per-provider concurrency limiter".
+    """
+
+    ceiling: int
+    floor: int = FLOOR
+    window_runs: int = WINDOW_RUNS
+    decrease_factor: float = DECREASE_FACTOR
+    max_pause_s: float = MAX_PAUSE_S
+    paused_until: float = 0.0
+    successes: int = 0
+    cut_at: float = -math.inf
+    limit: int = attrs.field()
+
+    @limit.default
+    def _start_at_ceiling(self) -> int:
+        return self.ceiling
+
+    def record(self, outcome: WorkOutcome) -> None:
+        """Raise or cut the limit by one run that has ended."""
+        if outcome.result in LOSSES:
+            self.cut(outcome)
+        elif outcome.result is WorkResult.SUCCEEDED:
+            self.count_success(outcome)
+
+    def cut(self, outcome: WorkOutcome) -> None:
+        """Cut the limit, unless the run began before the last cut."""
+        now = trio.current_time()
+        if outcome.retry_after_s is not None:
+            pause_s = min(outcome.retry_after_s, self.max_pause_s)
+            self.paused_until = max(self.paused_until, now + pause_s)
+        self.successes = 0
+        if now - outcome.service_time_s < self.cut_at:
+            return
+        self.cut_at = now
+        self.limit = max(self.floor, math.floor(self.limit * self.decrease_factor))
+
+    def count_success(self, outcome: WorkOutcome) -> None:
+        """Raise the limit by one after a window of successes at the limit."""
+        if outcome.in_flight < self.limit:
+            return
+        self.successes += 1
+        if self.successes < self.window_runs:
+            return
+        self.successes = 0
+        self.limit = min(self.ceiling, self.limit + 1)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/random_chooser.py
@@ -0,0 +1,29 @@
+"""A choice at random."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from oleanderweir_agent.load.load_entry import LoadEntry
+
+
+@attrs.define(kw_only=True)
+class RandomChooser:
+    """A choice at random: a baseline."""
+
+    random: random.Random
+
+    def choose_for_session(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return any."""
+        return self.random.choice(candidates)
+
+    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return any."""
+        return self.random.choice(candidates)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/round_robin_chooser.py
@@ -0,0 +1,29 @@
+"""A choice in turn."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir_agent.load.load_entry import LoadEntry
+
+
+@attrs.define(kw_only=True)
+class RoundRobinChooser:
+    """A choice in turn: a baseline. ``turn`` is where it begins."""
+
+    turn: int = 0
+
+    def choose_for_session(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return the next in turn."""
+        self.turn += 1
+        return candidates[self.turn % len(candidates)]
+
+    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return the next in turn."""
+        return self.choose_for_session(candidates)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/service_group.py
@@ -0,0 +1,47 @@
+"""The agents of one service, as one of them sees the others."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from oleanderweir_agent.load.backend_chooser import BackendChooser
+    from oleanderweir_agent.load.load_table import LoadTable
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceGroup:
+    """
+    Where new sessions and offers of requests go within one service.
+
+    ``own_name`` is the backend server of this agent; its own reports stand in the
+    table as well.
+    """
+
+    own_name: str
+    table: LoadTable
+    chooser: BackendChooser
+
+    def choose_host(self) -> str | None:
+        """Return the backend server of a new session, None if there is none."""
+        candidates = self.table.candidates()
+        if not candidates:
+            return None
+        entry = self.chooser.choose_for_session(candidates)
+        entry.sessions += 1
+        return entry.report.name
+
+    def choose_peer(self, *, exclude: Collection[str] = ()) -> str | None:
+        """Return the peer that a request is offered to, None if there is none."""
+        excluded = {self.own_name, *exclude}
+        candidates = self.table.candidates(exclude=excluded)
+        if not candidates:
+            return None
+        entry = self.chooser.choose_for_offer(candidates)
+        entry.offers += 1
+        return entry.report.name
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/two_choices_chooser.py
@@ -0,0 +1,36 @@
+"""The better of two at random."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from oleanderweir_agent.load.load_entry import LoadEntry
+
+
+@attrs.define(kw_only=True)
+class TwoChoicesChooser:
+    """The better of two that are drawn at random, without regard to speed."""
+
+    random: random.Random
+
+    def choose_for_session(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return the one of two with fewer sessions."""
+        return min(
+            self.draw(candidates),
+            key=lambda entry: entry.report.sessions + entry.sessions,
+        )
+
+    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+        """Return the one of two with more free slots."""
+        return max(self.draw(candidates), key=lambda entry: entry.free_slots)
+
+    def draw(self, candidates: Sequence[LoadEntry]) -> list[LoadEntry]:
+        """Return two of the candidates, or the only one."""
+        return self.random.sample(list(candidates), min(2, len(candidates)))
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/feed_admission.py
@@ -0,0 +1,54 @@
+"""The connections of a backend server that feeds hold."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir_agent.drain import DrainState
+from oleanderweir_agent.verdicts import RejectionReason
+from oleanderweir_agent.verdicts import RequestMetrics
+from oleanderweir_agent.verdicts import RequestRejectedError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@attrs.define(kw_only=True, eq=False)
+class FeedAdmission:
+    """The connections of one backend server; a feed holds one, and no slot."""
+
+    connections: int
+    drain: DrainState = attrs.field(factory=DrainState)
+    metrics: RequestMetrics = attrs.field(factory=RequestMetrics)
+    open_feeds: int = 0
+
+    @contextmanager
+    def admit(self) -> Iterator[None]:
+        """
+        Hold a connection while the block runs.
+
+        Raises ``RequestRejectedError`` while draining and when all are in use.
+        """
+        if self.drain.is_draining:
+            raise self.reject(RejectionReason.DRAINING)
+        if self.open_feeds >= self.connections:
+            raise self.reject(RejectionReason.CONNECTIONS_FULL)
+        self.open_feeds += 1
+        self.drain.begin_work()
+        try:
+            yield
+        finally:
+            self.open_feeds -= 1
+            self.drain.end_work()
+
+    def reject(self, reason: RejectionReason) -> RequestRejectedError:
+        """Count a refusal and return its error."""
+        self.metrics.count_rejection(reason)
+        return RequestRejectedError(
+            reason=reason,
+            message="the backend server takes no further feed; open a new session",
+        )
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/permit.py
@@ -0,0 +1,51 @@
+"""The right to run one request at the backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.limits import WorkOutcome
+from oleanderweir_agent.limits import WorkResult
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.queueing.work_request import WorkRequest
+
+
+@attrs.define(kw_only=True, eq=False)
+class Permit:
+    """
+    A slot that one request holds from its start until ``admit`` is left.
+
+    Report how the run ended by ``outcome`` before leaving; without a report the run
+    counts as abandoned and nothing is learnt from it.
+    """
+
+    request: WorkRequest
+    expected_s: float
+    is_long: bool
+    queued_s: float
+    started_at: float = attrs.field(factory=trio.current_time)
+    result: WorkResult = WorkResult.ABANDONED
+    retry_after_s: float | None = None
+    is_released: bool = False
+
+    def outcome(
+        self, result: WorkResult, *, retry_after_s: float | None = None
+    ) -> None:
+        """Report how the run ended; the last report counts."""
+        self.result = result
+        self.retry_after_s = retry_after_s
+
+    def work_outcome(self, *, in_flight: int) -> WorkOutcome:
+        """Return what limits and health learn from the run."""
+        return WorkOutcome(
+            result=self.result,
+            service_time_s=trio.current_time() - self.started_at,
+            expected_s=self.expected_s,
+            in_flight=in_flight,
+            retry_after_s=self.retry_after_s,
+        )
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -0,0 +1,58 @@
+"""When a request at the end of a queue is expected to start."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.queueing.permit import Permit
+    from oleanderweir_agent.queueing.queue_policy import QueuePolicy
+    from oleanderweir_agent.queueing.queue_snapshot import QueueSnapshot
+    from oleanderweir_agent.queueing.service_time_model import ServiceTimeModel
+    from oleanderweir_agent.queueing.waiting_request import WaitingRequest
+
+
+@attrs.frozen(kw_only=True)
+class QueueForecast:
+    """Expected waits in seconds, from the service times that have been learnt."""
+
+    service_times: ServiceTimeModel
+    policy: QueuePolicy
+
+    def residual_s(self, permit: Permit) -> float:
+        """Return how long a running request is expected to go on."""
+        elapsed_s = trio.current_time() - permit.started_at
+        histogram = self.service_times.histogram(permit.request.route)
+        return histogram.residual_s(elapsed_s)
+
+    def wait_s(self, snapshot: QueueSnapshot) -> float:
+        """Return the wait of one more request behind all that wait."""
+        limit = snapshot.limit
+        excess = len(snapshot.running) - limit
+        if excess + len(snapshot.waiting) < 0:
+            return snapshot.pause_s
+        residuals_s = sorted(self.residual_s(permit) for permit in snapshot.running)
+        free_at = residuals_s[max(0, excess) :]
+        free_at += [0.0] * (limit - len(free_at))
+        free_at = [max(snapshot.pause_s, time_s) for time_s in free_at]
+        heapq.heapify(free_at)
+        for waiting in snapshot.waiting:
+            heapq.heapreplace(free_at, free_at[0] + waiting.expected_s)
+        return free_at[0]
+
+    def cautious_wait_s(
+        self, snapshot: QueueSnapshot, waiting: WaitingRequest
+    ) -> float:
+        """Return the wait of one request, with those that may yet pass it."""
+        ahead = snapshot.ahead_of(waiting)
+        wait_s = self.wait_s(ahead)
+        if waiting.is_long:
+            long_slots = self.policy.long_slots(snapshot.limit)
+            wait_s = max(wait_s, self.wait_s(ahead.long_only(limit=long_slots)))
+        typical_s = self.service_times.typical_s()
+        return wait_s + self.policy.overtaking_s(waiting, typical_s)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/service_time_histogram.py
@@ -0,0 +1,95 @@
+"""Service times seen lately, in buckets of growing width."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+
+LOWEST_S = 0.0005
+BUCKET_GROWTH = 1.25
+BUCKETS = 60
+HALF_LIFE_RUNS = 300
+MAX_WEIGHT = 1e12
+
+
+@attrs.define(kw_only=True)
+class ServiceTimeHistogram:
+    """
+    A histogram of service times in seconds, in which old runs fade.
+
+    Buckets grow by a quarter each, from half a millisecond up to five minutes. A run
+    counts half as much once ``half_life_runs`` later ones have been seen.
+    """
+
+    half_life_runs: int = HALF_LIFE_RUNS
+    weights: list[float] = attrs.field(factory=lambda: [0.0] * BUCKETS)
+    sums: list[float] = attrs.field(factory=lambda: [0.0] * BUCKETS)
+    next_weight: float = 1.0
+    total_weight: float = 0.0
+    total_sum: float = 0.0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no run has been seen."""
+        return self.total_weight == 0.0
+
+    @property
+    def mean_s(self) -> float:
+        """The mean service time; 0 when nothing has been seen."""
+        if self.is_empty:
+            return 0.0
+        return self.total_sum / self.total_weight
+
+    def observe(self, service_time_s: float) -> None:
+        """Take in one run."""
+        index = self.bucket_of(service_time_s)
+        self.weights[index] += self.next_weight
+        self.sums[index] += self.next_weight * service_time_s
+        self.total_weight += self.next_weight
+        self.total_sum += self.next_weight * service_time_s
+        self.next_weight *= 2.0 ** (1.0 / self.half_life_runs)
+        if self.next_weight > MAX_WEIGHT:
+            self.rescale()
+
+    def bucket_of(self, service_time_s: float) -> int:
+        """Return the index of the bucket of a service time."""
+        if service_time_s <= LOWEST_S:
+            return 0
+        index = math.ceil(math.log(service_time_s / LOWEST_S, BUCKET_GROWTH))
+        return min(index, BUCKETS - 1)
+
+    def rescale(self) -> None:
+        """Bring the weights back to the size of 1, and drop what has faded."""
+        factor = 1.0 / self.next_weight
+        self.weights = [weight * factor for weight in self.weights]
+        self.sums = [total * factor for total in self.sums]
+        self.total_weight = sum(self.weights)
+        self.total_sum = sum(self.sums)
+        self.next_weight = 1.0
+
+    def quantile_s(self, share: float) -> float:
+        """Return the service time that this share of runs stays within."""
+        wanted = share * self.total_weight
+        seen = 0.0
+        for weight, total in zip(self.weights, self.sums, strict=True):
+            seen += weight
+            if weight > 0.0 and seen >= wanted:
+                return total / weight
+        return self.mean_s
+
+    def residual_s(self, elapsed_s: float) -> float:
+        """
+        Return the time that a run of this age is expected to go on.
+
+        A run older than all that were seen is expected to go on as long again.
+        """
+        first = self.bucket_of(elapsed_s)
+        weight = sum(self.weights[first:])
+        if weight <= 0.0:
+            return elapsed_s
+        mean_s = sum(self.sums[first:]) / weight
+        if mean_s <= elapsed_s:
+            return elapsed_s if first == BUCKETS - 1 else mean_s * (BUCKET_GROWTH - 1.0)
+        return mean_s - elapsed_s
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/service_time_model.py
@@ -0,0 +1,69 @@
+"""Service times learnt for each route."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir_agent.queueing.service_time_histogram import ServiceTimeHistogram
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.queueing.route import Route
+
+
+MAX_ROUTES = 512
+LONG_RATIO = 8.0
+CAUTIOUS_SHARE = 0.95
+MIN_RUNS = 3.0
+
+
+@attrs.define(kw_only=True)
+class ServiceTimeModel:
+    """
+    Service times of the backend server, by route and over all routes.
+
+    At most ``max_routes`` routes are kept; the one unused for longest makes room. A
+    route seen less than a few times is taken for the average of all.
+    """
+
+    max_routes: int = MAX_ROUTES
+    long_ratio: float = LONG_RATIO
+    overall: ServiceTimeHistogram = attrs.field(factory=ServiceTimeHistogram)
+    by_route: OrderedDict[Route, ServiceTimeHistogram] = attrs.field(
+        factory=OrderedDict
+    )
+
+    def observe(self, route: Route, service_time_s: float) -> None:
+        """Learn from one run that was answered in full."""
+        self.overall.observe(service_time_s)
+        histogram = self.by_route.setdefault(route, ServiceTimeHistogram())
+        histogram.observe(service_time_s)
+        self.by_route.move_to_end(route)
+        if len(self.by_route) > self.max_routes:
+            self.by_route.popitem(last=False)
+
+    def histogram(self, route: Route) -> ServiceTimeHistogram:
+        """Return what is known of a route, or of all routes when that is little."""
+        histogram = self.by_route.get(route)
+        if histogram is None or histogram.total_weight < MIN_RUNS:
+            return self.overall
+        return histogram
+
+    def expected_s(self, route: Route) -> float:
+        """Return the expected service time; 0 when nothing is known at all."""
+        return self.histogram(route).mean_s
+
+    def cautious_s(self, route: Route) -> float:
+        """Return a service time that nearly all runs of the route stay within."""
+        return self.histogram(route).quantile_s(CAUTIOUS_SHARE)
+
+    def typical_s(self) -> float:
+        """Return the median service time over all routes."""
+        return self.overall.quantile_s(0.5)
+
+    def is_long(self, service_time_s: float) -> bool:
+        """Whether a service time is many times the median of all routes."""
+        return service_time_s > self.long_ratio * self.typical_s() > 0.0
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/waiting_request.py
@@ -0,0 +1,34 @@
+"""A request in the queue."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.queueing.permit import Permit
+    from oleanderweir_agent.queueing.work_request import WorkRequest
+    from oleanderweir_agent.verdicts import RequestRejectedError
+
+
+@attrs.define(kw_only=True, eq=False)
+class WaitingRequest:
+    """
+    A request that waits for a slot.
+
+    Times are trio times; ``latest_start`` is the last moment at which a start still
+    makes sense. ``rank`` orders the queue, lowest first.
+    """
+
+    request: WorkRequest
+    expected_s: float
+    is_long: bool
+    arrived_at: float
+    latest_start: float
+    rank: float = 0.0
+    permit: Permit | None = None
+    rejection: RequestRejectedError | None = None
+    decided: trio.Event = attrs.field(factory=trio.Event)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/retries/__init__.py
@@ -0,0 +1,10 @@
+"""Which requests may be sent again, and how often."""
+
+from __future__ import annotations
+
+from oleanderweir_agent.retries.retry_budget import RetryBudget
+from oleanderweir_agent.retries.retry_policy import RetryPolicy
+from oleanderweir_agent.retries.retry_refusal import RetryRefusal
+
+
+__all__ = ["RetryBudget", "RetryPolicy", "RetryRefusal"]
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/retries/retry_policy.py
@@ -0,0 +1,101 @@
+"""The rule on which requests may be sent again."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.retries.retry_refusal import RetryRefusal
+from oleanderweir_agent.verdicts import RequestMetrics
+from oleanderweir_agent.verdicts import Verdict
+
+
+if TYPE_CHECKING:
+    import random
+
+    from oleanderweir_agent.retries.retry_budget import RetryBudget
+
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+MAX_ATTEMPTS = 3
+FIRST_BACKOFF_S = 0.01
+MAX_BACKOFF_S = 0.5
+
+
+@attrs.define(kw_only=True)
+class RetryPolicy:
+    """
+    Whether, and after which time, a request may be sent again.
+
+    A request may be sent again if it is proven not to have run, or if its method is
+    idempotent (RFC 9110, 9.2.2), within its deadline, its number of attempts and the
+    retry budget of the service.
+    """
+
+    budget: RetryBudget
+    random: random.Random
+    metrics: RequestMetrics = attrs.field(factory=RequestMetrics)
+    max_attempts: int = MAX_ATTEMPTS
+
+    def is_repeatable(self, *, method: str, verdict: Verdict) -> bool:
+        """Whether a second run would do no harm."""
+        if verdict is Verdict.NOT_RUN:
+            return True
+        return verdict is Verdict.MAY_HAVE_RUN and method in IDEMPOTENT_METHODS
+
+    def plan(
+        self,
+        *,
+        method: str,
+        verdict: Verdict,
+        attempts: int,
+        deadline: float,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> float | None:
+        """
+        Return the seconds to wait before the next attempt, or None for no retry.
+
+        ``attempts`` counts those that were made, ``deadline`` is a trio time, and
+        ``reason`` labels the counter of retries.
+        """
+        delay_s = self.backoff_s(attempts) if retry_after_s is None else retry_after_s
+        refusal = self.find_refusal(
+            method=method,
+            verdict=verdict,
+            attempts=attempts,
+            starts_at=trio.current_time() + delay_s,
+            deadline=deadline,
+        )
+        if refusal is not None:
+            self.metrics.retry_refusals.labels(reason=refusal.value).inc()
+            return None
+        self.metrics.retries.labels(reason=reason).inc()
+        return delay_s
+
+    def find_refusal(
+        self,
+        *,
+        method: str,
+        verdict: Verdict,
+        attempts: int,
+        starts_at: float,
+        deadline: float,
+    ) -> RetryRefusal | None:
+        """Return why there is no retry; take one out of the budget if there is."""
+        if not self.is_repeatable(method=method, verdict=verdict):
+            return RetryRefusal.MAY_HAVE_RUN
+        if attempts >= self.max_attempts:
+            return RetryRefusal.ATTEMPTS
+        if starts_at >= deadline:
+            return RetryRefusal.DEADLINE
+        if not self.budget.take():
+            return RetryRefusal.BUDGET
+        return None
+
+    def backoff_s(self, attempts: int) -> float:
+        """Return a full-jitter backoff that doubles with each attempt."""
+        highest_s: float = FIRST_BACKOFF_S * 2 ** (attempts - 1)
+        return self.random.uniform(0.0, min(MAX_BACKOFF_S, highest_s))
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/__init__.py
@@ -0,0 +1,26 @@
+"""What is known about the run of a request, and the errors that say it."""
+
+from __future__ import annotations
+
+from oleanderweir_agent.verdicts.exceptions import RequestError
+from oleanderweir_agent.verdicts.exceptions import RequestFailedError
+from oleanderweir_agent.verdicts.exceptions import RequestRejectedError
+from oleanderweir_agent.verdicts.failure_reason import FailureReason
+from oleanderweir_agent.verdicts.rejection_reason import RejectionReason
+from oleanderweir_agent.verdicts.request_metrics import RequestMetrics
+from oleanderweir_agent.verdicts.request_progress import RequestProgress
+from oleanderweir_agent.verdicts.request_stage import RequestStage
+from oleanderweir_agent.verdicts.verdict import Verdict
+
+
+__all__ = [
+    "FailureReason",
+    "RejectionReason",
+    "RequestError",
+    "RequestFailedError",
+    "RequestMetrics",
+    "RequestProgress",
+    "RequestRejectedError",
+    "RequestStage",
+    "Verdict",
+]
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/failure_reason.py
@@ -0,0 +1,16 @@
+"""Why a request stopped after it may have run."""
+
+from __future__ import annotations
+
+import enum
+
+
+class FailureReason(enum.Enum):
+    """Why a request stopped after it may have run; the label of the counter."""
+
+    ANSWER_CUT = "answer_cut"
+    BACKEND_LOST = "backend_lost"
+    BACKEND_SHED_UNPROVEN = "backend_shed_unproven"
+    CALLER_CANCELLED = "caller_cancelled"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    PEER_LOST = "peer_lost"
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
@@ -0,0 +1,23 @@
+"""Why a request was refused without having run."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RejectionReason(enum.Enum):
+    """Why a request was refused without having run; the label of the counter."""
+
+    AGENT_STARTING = "agent_starting"
+    BACKEND_DEAD = "backend_dead"
+    BACKEND_PAUSED = "backend_paused"
+    BACKEND_SHED = "backend_shed"
+    BACKEND_UNREACHABLE = "backend_unreachable"
+    CONNECTIONS_FULL = "connections_full"
+    DEADLINE_PAST = "deadline_past"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    DRAINING = "draining"
+    NO_PEER = "no_peer"
+    PEER_REFUSED = "peer_refused"
+    QUEUE_FULL = "queue_full"
+    RETRIES_EXHAUSTED = "retries_exhausted"
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/request_metrics.py
@@ -0,0 +1,58 @@
+"""Counters of what the agent decides about requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.verdicts.failure_reason import FailureReason
+    from oleanderweir_agent.verdicts.rejection_reason import RejectionReason
+
+
+@attrs.define(kw_only=True)
+class RequestMetrics:
+    """
+    Counters of refusals, failures, retries and ejections, by reason.
+
+    Every counter stands in ``registry``; the default is a registry of its own.
+    """
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    rejections: Counter = attrs.field(init=False)
+    failures: Counter = attrs.field(init=False)
+    retries: Counter = attrs.field(init=False)
+    retry_refusals: Counter = attrs.field(init=False)
+    limit_changes: Counter = attrs.field(init=False)
+    health_changes: Counter = attrs.field(init=False)
+    load_reports: Counter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.rejections = self.create("request_rejections", "Requests refused, not run")
+        self.failures = self.create("request_failures", "Requests that may have run")
+        self.retries = self.create("request_retries", "Attempts after the first")
+        self.retry_refusals = self.create("retry_refusals", "Retries not made")
+        self.limit_changes = self.create("limit_changes", "Changes of the limit")
+        self.health_changes = self.create("health_changes", "Changes of health")
+        self.load_reports = self.create("load_reports", "Load reports taken or dropped")
+
+    def create(self, name: str, documentation: str) -> Counter:
+        """Return a counter by reason under the prefix of the agent."""
+        return Counter(
+            f"oleanderweir_agent_{name}",
+            documentation,
+            ["reason"],
+            registry=self.registry,
+        )
+
+    def count_rejection(self, reason: RejectionReason) -> None:
+        """Count one request that was refused and has not run."""
+        self.rejections.labels(reason=reason.value).inc()
+
+    def count_failure(self, reason: FailureReason) -> None:
+        """Count one request that stopped and may have run."""
+        self.failures.labels(reason=reason.value).inc()
--- /dev/null
+++ b/tests/oleanderweir_agent/health/test_backend_health.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+import trio
+
+from oleanderweir_agent.health import BackendHealth
+from oleanderweir_agent.health import HealthState
+from oleanderweir_agent.health import PanicFilter
+from oleanderweir_agent.limits import ColdStartRamp
+from oleanderweir_agent.limits import WorkOutcome
+from oleanderweir_agent.limits import WorkResult
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    is_healthy: bool
+
+
+def observe(health: BackendHealth, result: WorkResult, *, times: int = 1) -> None:
+    for _ in range(times):
+        health.observe(
+            WorkOutcome(result=result, service_time_s=0.1, expected_s=0.1, in_flight=1)
+        )
+
+
+async def test_observed_outcomes_outweigh_a_lying_endpoint(
+    autojump_clock: MockClock,
+) -> None:
+    health = BackendHealth(ramp=ColdStartRamp())
+    usable = []
+    health.observe_hint(is_healthy=False)
+    usable.append(health.is_usable)
+    observe(health, WorkResult.SUCCEEDED)
+    usable.append(health.is_usable)
+    observe(health, WorkResult.FAILED, times=5)
+    health.observe_hint(is_healthy=True)
+    usable.append(health.is_usable)
+
+    assert usable == [False, True, False]
+
+
+async def test_a_hint_expires(autojump_clock: MockClock) -> None:
+    health = BackendHealth(ramp=ColdStartRamp())
+    health.observe_hint(is_healthy=False)
+
+    await trio.sleep(10.1)
+
+    assert health.state is HealthState.UNKNOWN
+    assert health.is_usable
+
+
+async def test_ejections_grow_and_a_success_ends_them_with_a_ramp(
+    autojump_clock: MockClock,
+) -> None:
+    health = BackendHealth(ramp=ColdStartRamp())
+    lengths = []
+    observe(health, WorkResult.FAILED, times=5)
+    for _ in range(3):
+        lengths.append(health.ejected_until - trio.current_time())
+        await trio.sleep_until(health.ejected_until)
+        assert health.state is HealthState.PROBATION
+        observe(health, WorkResult.TIMED_OUT)
+
+    assert lengths == pytest.approx([1.0, 2.0, 4.0])
+    await trio.sleep_until(health.ejected_until)
+    observe(health, WorkResult.SUCCEEDED)
+    assert health.is_usable
+    assert health.ramp.limit(4) == 1
+
+
+async def test_a_shed_is_no_failure(autojump_clock: MockClock) -> None:
+    health = BackendHealth(ramp=ColdStartRamp())
+
+    observe(health, WorkResult.SHED, times=50)
+
+    assert health.state is HealthState.HEALTHY
+
+
+@pytest.mark.parametrize(
+    ("healthy", "dead", "usable"),
+    [(4, 3, 4), (3, 4, 7), (0, 7, 7), (7, 0, 7)],
+    ids=["few-dead", "most-dead", "all-dead", "none-dead"],
+)
+def test_panic_ignores_health_when_most_look_dead(
+    healthy: int, dead: int, usable: int
+) -> None:
+    members = [Member(is_healthy=True)] * healthy + [Member(is_healthy=False)] * dead
+
+    assert len(PanicFilter().usable(members)) == usable
