Let a request bound its wait, and count the slots that long work may hold

Cause: an offer to a peer must be refused when it would wait there longer than at home, and a free slot that is reserved for short work is not free for a long request.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/backend_chooser.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/backend_chooser.py
@@ -18,5 +18,7 @@
     def choose_for_session(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
         """Return the one that a new session goes to, for a long time."""
 
-    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+    def choose_for_offer(
+        self, candidates: Sequence[LoadEntry], *, is_long: bool = False
+    ) -> LoadEntry:
         """Return the one that a single request is offered to."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/least_wait_chooser.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/least_wait_chooser.py
@@ -47,9 +47,11 @@
             return 1.0
         return work / sessions
 
-    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+    def choose_for_offer(
+        self, candidates: Sequence[LoadEntry], *, is_long: bool = False
+    ) -> LoadEntry:
         """Return one with a free slot, drawn by spare capacity, or the least wait."""
-        free = [entry for entry in candidates if entry.free_slots > 0]
+        free = [entry for entry in candidates if entry.free_slots(is_long=is_long)]
         if not free:
             return min(candidates, key=lambda entry: entry.expected_wait_s)
         weights = [entry.spare_capacity for entry in free]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_entry.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_entry.py
@@ -30,10 +30,10 @@
         """Whether the agent takes its backend server for healthy."""
         return self.report.is_healthy
 
-    @property
-    def free_slots(self) -> int:
-        """The free slots that are left after the offers since the report."""
-        return max(0, self.report.free_slots - self.offers)
+    def free_slots(self, *, is_long: bool = False) -> int:
+        """Return the free slots that are left after the offers since the report."""
+        free = self.report.free_long_slots if is_long else self.report.free_slots
+        return max(0, free - self.offers)
 
     @property
     def expected_wait_s(self) -> float:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_report.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_report.py
@@ -21,6 +21,7 @@
     slots: int
     limit: int
     free_slots: int
+    free_long_slots: int
     waiting: int
     expected_wait_s: float
     busy_share: float
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/random_chooser.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/random_chooser.py
@@ -24,6 +24,8 @@
         """Return any."""
         return self.random.choice(candidates)
 
-    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+    def choose_for_offer(
+        self, candidates: Sequence[LoadEntry], *, is_long: bool = False
+    ) -> LoadEntry:
         """Return any."""
         return self.random.choice(candidates)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/round_robin_chooser.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/round_robin_chooser.py
@@ -24,6 +24,8 @@
         self.turn += 1
         return candidates[self.turn % len(candidates)]
 
-    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+    def choose_for_offer(
+        self, candidates: Sequence[LoadEntry], *, is_long: bool = False
+    ) -> LoadEntry:
         """Return the next in turn."""
         return self.choose_for_session(candidates)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/two_choices_chooser.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/two_choices_chooser.py
@@ -27,9 +27,13 @@
             key=lambda entry: entry.report.sessions + entry.sessions,
         )
 
-    def choose_for_offer(self, candidates: Sequence[LoadEntry]) -> LoadEntry:
+    def choose_for_offer(
+        self, candidates: Sequence[LoadEntry], *, is_long: bool = False
+    ) -> LoadEntry:
         """Return the one of two with more free slots."""
-        return max(self.draw(candidates), key=lambda entry: entry.free_slots)
+        return max(
+            self.draw(candidates), key=lambda entry: entry.free_slots(is_long=is_long)
+        )
 
     def draw(self, candidates: Sequence[LoadEntry]) -> list[LoadEntry]:
         """Return two of the candidates, or the only one."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
@@ -85,8 +85,12 @@
         """How many requests could start now."""
         if self.drain.is_draining or self.pause_s > 0.0 or not self.health.is_usable:
             return 0
-        used = len(self.queue.running) + len(self.queue.waiting)
-        return max(0, self.limit - used)
+        return self.queue.free_slots(limit=self.limit)
+
+    @property
+    def free_long_slots(self) -> int:
+        """How many long requests could start now."""
+        return min(self.free_slots, self.queue.free_long_slots(limit=self.limit))
 
     @property
     def pause_s(self) -> float:
@@ -142,27 +146,32 @@
         """Return the slots and the queue of this moment."""
         return self.queue.snapshot(limit=self.limit, pause_s=self.pause_s)
 
-    def forecast_wait_s(self) -> float:
-        """Return the expected wait of a short request that comes now, in seconds."""
-        return self.forecast.wait_s(self.snapshot())
+    def forecast_wait_s(self, request: WorkRequest) -> float:
+        """Return the expected wait of a request that comes now, in seconds."""
+        return self.forecast.cautious_wait_s(self.snapshot(), self.describe(request))
 
     def enqueue(self, request: WorkRequest) -> WaitingRequest:
         """Put a request into the queue, unless it is refused right away."""
-        now = trio.current_time()
         self.check_state(request)
+        waiting = self.describe(request)
+        if self.pause_s > 0.0 or not self.queue.can_start(waiting, limit=self.limit):
+            self.check_queue(waiting)
+        self.queue.insert(waiting)
+        return waiting
+
+    def describe(self, request: WorkRequest) -> WaitingRequest:
+        """Return what is expected of a request that comes now."""
         expected_s = self.service_times.expected_s(request.route)
-        cautious_s = self.service_times.cautious_s(request.route)
         waiting = WaitingRequest(
             request=request,
             expected_s=expected_s,
             is_long=self.service_times.is_long(expected_s),
-            arrived_at=now,
-            latest_start=request.deadline - cautious_s,
+            arrived_at=trio.current_time(),
+            latest_start=(
+                request.deadline - self.service_times.cautious_s(request.route)
+            ),
         )
         waiting.rank = self.policy.rank(waiting)
-        if self.pause_s > 0.0 or not self.queue.can_start(waiting, limit=self.limit):
-            self.check_queue(waiting)
-        self.queue.insert(waiting)
         return waiting
 
     def check_state(self, request: WorkRequest) -> None:
@@ -179,6 +188,8 @@
         wait_s = self.forecast.cautious_wait_s(self.snapshot(), waiting)
         if len(self.queue.waiting) >= self.max_waiting:
             raise self.reject(RejectionReason.QUEUE_FULL, retry_after_s=wait_s)
+        if wait_s > waiting.request.max_wait_s:
+            raise self.reject(RejectionReason.WAIT_TOO_LONG, retry_after_s=wait_s)
         late_s = waiting.arrived_at + wait_s - waiting.latest_start
         if late_s <= 0.0:
             return
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -34,8 +34,9 @@
         """Return the wait of one more request behind all that wait."""
         limit = snapshot.limit
         excess = len(snapshot.running) - limit
-        if excess + len(snapshot.waiting) < 0:
-            return snapshot.pause_s
+        if excess < 0 and snapshot.pause_s <= 0.0:
+            # Only long requests wait while a slot is free; short ones pass them.
+            return 0.0
         residuals_s = sorted(self.residual_s(permit) for permit in snapshot.running)
         free_at = residuals_s[max(0, excess) :]
         free_at += [0.0] * (limit - len(free_at))
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/slot_queue.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/slot_queue.py
@@ -42,10 +42,16 @@
         """Whether a slot is free for the request, apart from others that wait."""
         if len(self.running) >= limit:
             return False
-        if not waiting.is_long:
-            return True
+        return not waiting.is_long or self.free_long_slots(limit=limit) > 0
+
+    def free_slots(self, *, limit: int) -> int:
+        """Return how many short requests could start."""
+        return max(0, limit - len(self.running))
+
+    def free_long_slots(self, *, limit: int) -> int:
+        """Return how many slots long requests do not hold but may."""
         long_running = sum(permit.is_long for permit in self.running)
-        return long_running < self.policy.long_slots(limit)
+        return max(0, self.policy.long_slots(limit) - long_running)
 
     def start_all(self, *, limit: int) -> int:
         """Start the waiting requests that find a slot; return how many did."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/work_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/work_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 from oleanderweir_agent.queueing.route import Route
@@ -14,7 +16,9 @@
 
     ``deadline`` is a trio time; ``is_relayed`` tells a request that a peer agent has
     offered, which must not be passed on again. ``ignores_health`` is set when most of
-    the service group looks dead, so that the evidence is not believed.
+    the service group looks dead, so that the evidence is not believed. A request
+    that would wait longer than ``max_wait_s`` is refused, so that it can be tried
+    elsewhere.
     """
 
     method: str
@@ -22,6 +26,7 @@
     deadline: float
     is_relayed: bool = False
     ignores_health: bool = False
+    max_wait_s: float = math.inf
 
     @property
     def route(self) -> Route:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
@@ -20,4 +20,5 @@
     NO_PEER = "no_peer"
     PEER_REFUSED = "peer_refused"
     QUEUE_FULL = "queue_full"
+    WAIT_TOO_LONG = "wait_too_long"
     RETRIES_EXHAUSTED = "retries_exhausted"
--- a/tests/oleanderweir_agent/load/test_load_table.py
+++ b/tests/oleanderweir_agent/load/test_load_table.py
@@ -33,6 +33,7 @@
     slots=4,
     limit=4,
     free_slots=4,
+    free_long_slots=3,
     waiting=0,
     expected_wait_s=0.0,
     busy_share=0.0,
