Forecast waits with caution, so that a refusal comes early or not at all

Change: the forecast that decides on waiting is multiplied by 1.25. Ruled out: a fixed bound on the wait of 50 ms, which would refuse in every small burst.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -17,6 +17,9 @@
     from oleanderweir_agent.queueing.waiting_request import WaitingRequest
 
 
+WAIT_CAUTION = 1.25
+
+
 @attrs.frozen(kw_only=True)
 class QueueForecast:
     """Expected waits in seconds, from the service times that have been learnt."""
@@ -56,4 +59,5 @@
             long_slots = self.policy.long_slots(snapshot.limit)
             wait_s = max(wait_s, self.wait_s(ahead.long_only(limit=long_slots)))
         typical_s = self.service_times.typical_s()
-        return wait_s + self.policy.overtaking_s(waiting, typical_s)
+        overtaking_s = self.policy.overtaking_s(waiting, typical_s)
+        return WAIT_CAUTION * wait_s + overtaking_s
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/route.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/route.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 
 MAX_SEGMENTS = 6
 MAX_SEGMENT_LENGTH = 32
 ANY_SEGMENT = "*"
+CACHED_ROUTES = 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -20,12 +23,14 @@
     @classmethod
     def of(cls, *, method: str, path: str) -> Route:
         """Return the route of a request; the query plays no part."""
-        bare_path = path.partition("?")[0]
-        segments = bare_path.strip("/").split("/")[:MAX_SEGMENTS]
-        return cls(
-            method=method,
-            template="/" + "/".join(_generalize(segment) for segment in segments),
-        )
+        return _make_route(method, path.partition("?")[0])
+
+
+@functools.lru_cache(maxsize=CACHED_ROUTES)
+def _make_route(method: str, path: str) -> Route:
+    segments = path.strip("/").split("/")[:MAX_SEGMENTS]
+    template = "/" + "/".join(_generalize(segment) for segment in segments)
+    return Route(method=method, template=template)
 
 
 def _generalize(segment: str) -> str:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/service_time_histogram.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/service_time_histogram.py
@@ -29,6 +29,7 @@
     next_weight: float = 1.0
     total_weight: float = 0.0
     total_sum: float = 0.0
+    quantiles: dict[float, float] = attrs.field(factory=dict)
 
     @property
     def is_empty(self) -> bool:
@@ -44,6 +45,7 @@
 
     def observe(self, service_time_s: float) -> None:
         """Take in one run."""
+        self.quantiles.clear()
         index = self.bucket_of(service_time_s)
         self.weights[index] += self.next_weight
         self.sums[index] += self.next_weight * service_time_s
@@ -71,6 +73,12 @@
 
     def quantile_s(self, share: float) -> float:
         """Return the service time that this share of runs stays within."""
+        if share not in self.quantiles:
+            self.quantiles[share] = self.compute_quantile_s(share)
+        return self.quantiles[share]
+
+    def compute_quantile_s(self, share: float) -> float:
+        """Return the mean of the bucket in which this share of runs is reached."""
         wanted = share * self.total_weight
         seen = 0.0
         for weight, total in zip(self.weights, self.sums, strict=True):
