Spread tickets along hash rings, and repair by bucket digests

Cause: 12,600 processes cannot all watch the configuration service within 2,000 reads a second, so a few readers of each zone watch it and the rest must hear of tickets from peers.

Way: every process dials its successors on three hash rings of its zone; readers do so among the readers of all zones. Sessions push changes both ways, heartbeats carry the register's digest, and differing buckets are fetched whole. A token bucket holds sent and received bytes to 4,096 a second over any window of 300 s.

--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/membership/__init__.py
@@ -0,0 +1,26 @@
+"""The lagging instance list, and what every process derives from it."""
+
+from __future__ import annotations
+
+from oleanderweir.membership.instance_list_source import InstanceListSource
+from oleanderweir.membership.instance_record import InstanceRecord
+from oleanderweir.membership.instance_role import InstanceRole
+from oleanderweir.membership.instance_state import InstanceState
+from oleanderweir.membership.learned_instance import LearnedInstance
+from oleanderweir.membership.membership import Membership
+from oleanderweir.membership.rendezvous import rank
+from oleanderweir.membership.rendezvous import ring_successor
+from oleanderweir.membership.rendezvous import ring_successors
+
+
+__all__ = [
+    "InstanceListSource",
+    "InstanceRecord",
+    "InstanceRole",
+    "InstanceState",
+    "LearnedInstance",
+    "Membership",
+    "rank",
+    "ring_successor",
+    "ring_successors",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/membership/instance_record.py
@@ -0,0 +1,26 @@
+"""One instance of the instance list."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.membership.instance_role import InstanceRole
+    from oleanderweir.membership.instance_state import InstanceState
+    from oleanderweir.net import SocketAddress
+
+
+@attrs.frozen(kw_only=True)
+class InstanceRecord:
+    """An instance, as the platform lists it or as it introduced itself."""
+
+    name: str
+    role: InstanceRole
+    region: str
+    availability_zone: str
+    peer_address: SocketAddress
+    data_address: SocketAddress
+    state: InstanceState
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/membership/rendezvous.py
@@ -0,0 +1,69 @@
+"""Rankings and rings that every process derives alike from a list of names."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+SCORE_LENGTH_BYTES = 8
+
+
+def score(name: str, *, purpose: str) -> bytes:
+    """Return the position of a name for one purpose, the same in every process."""
+    data = f"{purpose}\0{name}".encode()
+    return blake2b(data, digest_size=SCORE_LENGTH_BYTES).digest()
+
+
+def rank(names: Iterable[str], *, purpose: str) -> list[str]:
+    """
+    Return the names in rendezvous order for one purpose.
+
+    A name that joins or leaves moves no other two names against each other.
+    """
+    return sorted(names, key=lambda name: score(name, purpose=purpose))
+
+
+def ring_successor(name: str, names: Iterable[str], *, purpose: str) -> str | None:
+    """
+    Return the name that follows ``name`` on the hash ring of one purpose.
+
+    ``name`` need not be among ``names``. Return None when there is no other name.
+    """
+    own = score(name, purpose=purpose)
+    best_after: tuple[bytes, str] | None = None
+    best: tuple[bytes, str] | None = None
+    for other in names:
+        if other == name:
+            continue
+        candidate = (score(other, purpose=purpose), other)
+        if best is None or candidate < best:
+            best = candidate
+        if candidate[0] > own and (best_after is None or candidate < best_after):
+            best_after = candidate
+    chosen = best_after or best
+    return None if chosen is None else chosen[1]
+
+
+def ring_successors(
+    name: str, names: Iterable[str], *, purpose: str, ring_count: int
+) -> tuple[str, ...]:
+    """
+    Return the successors of ``name`` on ``ring_count`` independent rings.
+
+    No name occurs twice: a ring whose successor was taken gives its next one.
+    """
+    remaining = set(names)
+    remaining.discard(name)
+    successors: list[str] = []
+    for ring in range(ring_count):
+        successor = ring_successor(name, remaining, purpose=f"{purpose}/{ring}")
+        if successor is None:
+            break
+        successors.append(successor)
+        remaining.discard(successor)
+    return tuple(successors)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/control_budget.py
@@ -0,0 +1,68 @@
+"""The bytes a second that control may take."""
+
+from __future__ import annotations
+
+import attrs
+import trio
+
+from oleanderweir.spreading.metrics import BUDGET_DELAY_SECONDS
+from oleanderweir.spreading.metrics import CONTROL_BYTES
+from oleanderweir.spreading.metrics import CONTROL_DELAYS
+
+
+RATE_BYTES_PER_S = 2048.0
+CAPACITY_BYTES = 2048.0 * 300
+REPAIR_RESERVE_BYTES = CAPACITY_BYTES / 4
+
+
+@attrs.define(kw_only=True, eq=False)
+class ControlBudget:
+    """
+    A token bucket over everything that a process sends and receives for control.
+
+    With the defaults no window of 300 s carries more than 4,096 bytes a second on
+    average: a full bucket, 614,400 bytes, and 2,048 bytes a second besides. What is
+    received counts too and may overdraw the bucket; sending then waits. Nothing is
+    dropped here.
+    """
+
+    rate_bytes_per_s: float = RATE_BYTES_PER_S
+    capacity_bytes: float = CAPACITY_BYTES
+    repair_reserve_bytes: float = REPAIR_RESERVE_BYTES
+    tokens: float = attrs.field(init=False)
+    updated_at: float | None = attrs.field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        self.tokens = self.capacity_bytes
+
+    def available_bytes(self) -> float:
+        """Return the tokens left now, below zero when overdrawn."""
+        now = trio.current_time()
+        if self.updated_at is not None:
+            earned = (now - self.updated_at) * self.rate_bytes_per_s
+            self.tokens = min(self.capacity_bytes, self.tokens + earned)
+        self.updated_at = now
+        return self.tokens
+
+    def charge(self, size_bytes: int, *, direction: str) -> None:
+        """Take tokens for bytes that were received or sent."""
+        self.available_bytes()
+        self.tokens -= size_bytes
+        CONTROL_BYTES.labels(direction=direction).inc(size_bytes)
+
+    def delay_s(self, *, reserve_bytes: float = 0.0) -> float:
+        """Return how long it takes until more than ``reserve_bytes`` are left."""
+        missing = reserve_bytes - self.available_bytes()
+        if missing < 0:
+            return 0.0
+        return (missing + 1) / self.rate_bytes_per_s
+
+    async def wait(self) -> None:
+        """Return when the bucket is no longer overdrawn; count the delay."""
+        delay_s = self.delay_s()
+        if delay_s > 0:
+            CONTROL_DELAYS.inc()
+        while delay_s > 0:
+            BUDGET_DELAY_SECONDS.inc(delay_s)
+            await trio.sleep(delay_s)
+            delay_s = self.delay_s()
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/dialler_pool.py
@@ -0,0 +1,41 @@
+"""The tasks that dial peers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from oleanderweir.membership import InstanceRecord
+    from oleanderweir.spreading.peer_dialler import PeerDialler
+
+
+@attrs.define(kw_only=True, eq=False)
+class DiallerPool:
+    """Runs one dialler for each wanted peer; ends those no longer wanted."""
+
+    nursery: trio.Nursery
+    make_dialler: Callable[[InstanceRecord], PeerDialler]
+    scopes: dict[InstanceRecord, trio.CancelScope] = attrs.field(factory=dict)
+
+    def keep(self, wanted: Iterable[InstanceRecord]) -> None:
+        """Start and end diallers so that exactly the wanted peers have one."""
+        records = set(wanted)
+        for record in list(self.scopes):
+            if record not in records:
+                self.scopes.pop(record).cancel()
+        for record in sorted(records - self.scopes.keys(), key=lambda r: r.name):
+            scope = trio.CancelScope()
+            self.scopes[record] = scope
+            self.nursery.start_soon(self._run, scope, self.make_dialler(record))
+
+    async def _run(self, scope: trio.CancelScope, dialler: PeerDialler) -> None:
+        """Run one dialler until it is ended."""
+        with scope:
+            await dialler.run()
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/greeting.py
@@ -0,0 +1,43 @@
+"""Greetings and the instances that they describe."""
+
+from __future__ import annotations
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.membership import InstanceRecord
+from oleanderweir.membership import InstanceRole
+from oleanderweir.membership import InstanceState
+from oleanderweir.net import SocketAddress
+from oleanderweir.spreading.exceptions import InvalidPeerMessageError
+from oleanderweir.spreading.messages import Hello
+
+
+def make_hello(record: InstanceRecord, *, incarnation: str) -> Hello:
+    """Return the greeting of an instance."""
+    return Hello(
+        name=record.name,
+        incarnation=incarnation,
+        role=record.role.value,
+        region=record.region,
+        availability_zone=record.availability_zone,
+        peer_address=str(record.peer_address),
+        data_address=str(record.data_address),
+    )
+
+
+def read_hello(hello: Hello) -> InstanceRecord:
+    """Return the instance that greets; raise ``InvalidPeerMessageError``."""
+    try:
+        return InstanceRecord(
+            name=hello.name,
+            role=InstanceRole(hello.role),
+            region=hello.region,
+            availability_zone=hello.availability_zone,
+            peer_address=SocketAddress.parse(hello.peer_address),
+            data_address=SocketAddress.parse(hello.data_address),
+            state=InstanceState.LIVE,
+        )
+    except (OleanderweirError, ValueError) as error:
+        raise InvalidPeerMessageError(
+            f"the greeting of '{hello.name}' describes no instance ({error}); "
+            "run one version on all instances"
+        ) from error
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
@@ -0,0 +1,139 @@
+"""Sessions over gRPC with mutual TLS."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+import attrs
+import trio
+import trio_asyncio
+from grpclib.client import Channel
+from grpclib.const import Cardinality
+from grpclib.const import Handler
+from grpclib.server import Server
+from trio_asyncio import aio_as_trio
+from trio_asyncio import trio_as_aio
+
+from oleanderweir.net import AddressInUseError
+from oleanderweir.spreading.bytes_codec import BytesCodec
+from oleanderweir.spreading.exceptions import PeerUnavailableError
+from oleanderweir.spreading.grpc_peer_stream import STREAM_ERRORS
+from oleanderweir.spreading.grpc_peer_stream import GrpcPeerStream
+
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from oleanderweir.net import SocketAddress
+    from oleanderweir.spreading.peer_credentials import PeerCredentials
+    from oleanderweir.spreading.peer_stream import PeerStream
+
+
+METHOD = "/oleanderweir.spreading.Peers/Session"
+CONNECT_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class SessionService:
+    """The gRPC service with its one method, a bidirectional stream."""
+
+    handler: Callable[[PeerStream], Awaitable[None]]
+
+    async def run(self, stream: Any) -> None:
+        """Run one session; called from asyncio by the gRPC server."""
+        await trio_as_aio(self.handler)(GrpcPeerStream(stream=stream))
+
+    def __mapping__(self) -> dict[str, Handler]:
+        """Return the methods of the service, as the gRPC server reads them."""
+        handler = Handler(self.run, Cardinality.STREAM_STREAM, bytes, bytes)
+        return {METHOD: handler}
+
+
+@attrs.define(kw_only=True, eq=False)
+class GrpcPeerTransport:
+    """
+    Opens and takes gRPC streams; both ends show certificates of one authority.
+
+    ``bind_address`` is where sessions are taken.
+    """
+
+    bind_address: SocketAddress
+    credentials: PeerCredentials
+    client_context: ssl.SSLContext = attrs.field(init=False)
+    server_context: ssl.SSLContext = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.client_context = self.credentials.client_context()
+        self.server_context = self.credentials.server_context()
+
+    @asynccontextmanager
+    async def serve(
+        self, handler: Callable[[PeerStream], Awaitable[None]]
+    ) -> AsyncIterator[None]:
+        """Take sessions while entered; raise ``AddressInUseError``."""
+        async with trio_asyncio.open_loop():
+            service = SessionService(handler=handler)
+            server = await aio_as_trio(self._start)(service)
+            try:
+                yield
+            finally:
+                with trio.move_on_after(CLOSE_TIMEOUT_S, shield=True):
+                    await aio_as_trio(self._stop)(server)
+
+    @asynccontextmanager
+    async def connect(self, address: str) -> AsyncIterator[PeerStream]:
+        """Open a session's stream; raise ``PeerUnavailableError``."""
+        channel: Channel = await aio_as_trio(self._open_channel)(address)
+        try:
+            stream = await self._open_stream(channel, address)
+            yield GrpcPeerStream(stream=stream)
+        finally:
+            # Closing the connection ends its only stream on both sides.
+            channel.close()
+
+    async def _start(self, service: SessionService) -> Server:
+        """Bind and listen."""
+        server = Server([service], codec=BytesCodec())
+        try:
+            await server.start(
+                self.bind_address.host, self.bind_address.port, ssl=self.server_context
+            )
+        except OSError as error:
+            raise AddressInUseError(
+                f"TCP {self.bind_address} can't be bound ({error.strerror}); "
+                "stop what holds it or choose another address"
+            ) from error
+        return server
+
+    async def _stop(self, server: Server) -> None:
+        """Stop listening and end the sessions that were taken."""
+        server.close()
+        await server.wait_closed()
+
+    async def _open_channel(self, address: str) -> Channel:
+        """Return a channel that isn't connected yet."""
+        host, _, port = address.rpartition(":")
+        return Channel(host, int(port), ssl=self.client_context, codec=BytesCodec())
+
+    async def _open_stream(self, channel: Channel, address: str) -> Any:
+        """Connect and begin the session's stream within the timeout."""
+        stream = channel.request(METHOD, Cardinality.STREAM_STREAM, bytes, bytes)
+        with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
+            try:
+                await aio_as_trio(stream.__aenter__)()
+                await aio_as_trio(stream.send_request)()
+            except STREAM_ERRORS as error:
+                raise PeerUnavailableError(
+                    f"peer {address} can't be reached ({error!r})"
+                ) from error
+        if scope.cancelled_caught:
+            raise PeerUnavailableError(
+                f"peer {address} didn't answer within {CONNECT_TIMEOUT_S} s"
+            )
+        return stream
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/messages/bucket_content.py
@@ -0,0 +1,14 @@
+"""The entries of one bucket."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class BucketContent:
+    """Carries every entry of one bucket, encoded, at the floor of the bucket."""
+
+    number: int
+    floor: int
+    entries: bytes
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/messages/bucket_contents.py
@@ -0,0 +1,14 @@
+"""The entries of whole buckets."""
+
+from __future__ import annotations
+
+import attrs
+
+from oleanderweir.spreading.messages.bucket_content import BucketContent  # noqa: TC001
+
+
+@attrs.frozen(kw_only=True)
+class BucketContents:
+    """Answers a request, or offers what the other side lacks."""
+
+    buckets: tuple[BucketContent, ...]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_credentials.py
@@ -0,0 +1,52 @@
+"""The certificate by which instances know each other."""
+
+from __future__ import annotations
+
+import ssl
+
+import attrs
+
+from oleanderweir.spreading.exceptions import InvalidPeerCredentialsError
+
+
+ALPN_PROTOCOLS = ["h2"]
+
+
+@attrs.frozen(kw_only=True)
+class PeerCredentials:
+    """
+    Paths of PEM files: an instance's certificate, its key, and the authority.
+
+    The authority signs for nothing but the instances of one installation: whoever
+    shows a certificate of it is a peer. Host names are not compared, since instances
+    talk by address.
+    """
+
+    certificate_path: str
+    key_path: str
+    authority_path: str
+
+    def server_context(self) -> ssl.SSLContext:
+        """Return the TLS settings of the side that takes sessions."""
+        return self._context(ssl.PROTOCOL_TLS_SERVER)
+
+    def client_context(self) -> ssl.SSLContext:
+        """Return the TLS settings of the side that dials."""
+        return self._context(ssl.PROTOCOL_TLS_CLIENT)
+
+    def _context(self, protocol: int) -> ssl.SSLContext:
+        """Load the files; raise ``InvalidPeerCredentialsError`` when unusable."""
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.set_alpn_protocols(ALPN_PROTOCOLS)
+        try:
+            context.load_cert_chain(self.certificate_path, self.key_path)
+            context.load_verify_locations(self.authority_path)
+        except OSError as error:
+            raise InvalidPeerCredentialsError(
+                f"the certificate, key or authority can't be loaded ({error}); name "
+                "three PEM files of which the authority signed the certificate"
+            ) from error
+        return context
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_dialler.py
@@ -0,0 +1,92 @@
+"""The task that keeps a session with one peer."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.spreading.exceptions import PeerUnavailableError
+from oleanderweir.spreading.metrics import DIAL_RETRIES
+from oleanderweir.spreading.metrics import SESSIONS_ENDED
+from oleanderweir.spreading.peer_session import PeerSession
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir.membership import InstanceRecord
+    from oleanderweir.membership import Membership
+    from oleanderweir.spreading.peer_transport import PeerTransport
+    from oleanderweir.spreading.spreading_context import SpreadingContext
+
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class PeerDialler:
+    """
+    Dials one peer again and again, with a growing, jittered backoff.
+
+    A peer that can't be reached is suspected, and no longer when it greets.
+    """
+
+    record: InstanceRecord
+    context: SpreadingContext
+    membership: Membership
+    transport: PeerTransport
+    on_greeting: Callable[[PeerSession], None]
+    on_synchronized: Callable[[PeerSession], None]
+    on_end: Callable[[PeerSession], None]
+    backoff_s: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.backoff_s = self.context.settings.dial_backoff_min_s
+
+    async def run(self) -> None:
+        """Keep a session with the peer until cancelled."""
+        while True:
+            try:
+                await self._run_session()
+            except OleanderweirError as error:
+                self._note_failure(error)
+            await trio.sleep(self.backoff_s * self.context.random.uniform(0.5, 1.0))
+            limit_s = self.context.settings.dial_backoff_max_s
+            self.backoff_s = min(limit_s, self.backoff_s * 2)
+
+    async def _run_session(self) -> None:
+        """Dial once and run the session to its end."""
+        address = str(self.record.peer_address)
+        async with self.transport.connect(address) as stream:
+            session = PeerSession(
+                context=self.context,
+                stream=stream,
+                is_dialler=True,
+                on_greeting=self._greeted,
+                on_synchronized=self.on_synchronized,
+            )
+            try:
+                await session.run()
+            finally:
+                self.on_end(session)
+
+    def _greeted(self, session: PeerSession) -> None:
+        """Reset the backoff and pass the greeting on."""
+        if session.peer is not None and session.peer.name != self.record.name:
+            raise PeerUnavailableError(
+                f"{self.record.peer_address} belongs to '{session.peer.name}' now, "
+                f"not to '{self.record.name}'; the instance list lags"
+            )
+        self.backoff_s = self.context.settings.dial_backoff_min_s
+        self.on_greeting(session)
+
+    def _note_failure(self, error: OleanderweirError) -> None:
+        """Count a session that ended or never came about."""
+        SESSIONS_ENDED.labels(reason=error.code).inc()
+        DIAL_RETRIES.labels(reason=error.code).inc()
+        logger.info("session with %s ended: %s", self.record.name, error)
+        self.membership.suspect(self.record.name)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_selection.py
@@ -0,0 +1,119 @@
+"""Whom a process keeps sessions with, and whether it watches the service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.membership import InstanceState
+from oleanderweir.membership import rank
+from oleanderweir.membership import ring_successors
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from oleanderweir.membership import InstanceRecord
+    from oleanderweir.membership import Membership
+
+
+READER_RING_PURPOSE = "readers"
+
+
+@attrs.define(kw_only=True, eq=False)
+class PeerSelection:
+    """
+    Derives peers and readers from the known instances; nothing is elected.
+
+    In each availability zone every process dials its successors on a few hash rings.
+    The readers of all zones do so among themselves besides, which joins the zones.
+    As many reserves as there are readers dial the readers of their zone, so that they
+    notice when one fails and take its place.
+    """
+
+    own: InstanceRecord
+    membership: Membership
+    ring_count: int
+    readers_per_zone: int
+
+    def peers(self, *, unhelpful: frozenset[str] = frozenset()) -> set[str]:
+        """
+        Return the names of the instances to dial now.
+
+        Suspected and ``unhelpful`` instances are replaced by the ones that follow
+        them; those that would be dialled otherwise are tried besides.
+        """
+        zone = self._zone(self.own.availability_zone)
+        suspected = {name for name in zone if self.membership.is_suspected(name)}
+        answering = zone - suspected - unhelpful
+        chosen = self._successors(zone) | self._successors(answering)
+        readers = self.readers()
+        if self.own.name in readers:
+            ring = self._readers_of_all_zones() | set(readers)
+            chosen |= self._successors(ring, purpose=READER_RING_PURPOSE)
+        elif self.own.name in self._ranked()[: 2 * self.readers_per_zone]:
+            chosen |= set(readers)
+        chosen.discard(self.own.name)
+        return chosen
+
+    def readers(self) -> tuple[str, ...]:
+        """Return the readers of the own availability zone, in order."""
+        return tuple(self._ranked()[: self.readers_per_zone])
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this process watches the configuration service."""
+        return self.own.name in self.readers()
+
+    def others(self) -> set[str]:
+        """
+        Return the other instances whose state concerns this one when it boots.
+
+        These are the ones of its availability zone, or all where it has none.
+        """
+        zone = self._zone(self.own.availability_zone) - {self.own.name}
+        return zone or set(self.membership.instances()) - {self.own.name}
+
+    def _successors(
+        self, names: Iterable[str], *, purpose: str | None = None
+    ) -> set[str]:
+        """Return the own successors among some names."""
+        return set(
+            ring_successors(
+                self.own.name,
+                names,
+                purpose=purpose or self.own.availability_zone,
+                ring_count=self.ring_count,
+            )
+        )
+
+    def _ranked(self) -> list[str]:
+        """Return the answering instances of the own zone, first reader first."""
+        return self._rank_zone(self.own.availability_zone)
+
+    def _rank_zone(self, zone: str) -> list[str]:
+        """Return the answering instances of a zone, first reader first."""
+        names = self._zone(zone) | (
+            {self.own.name} if zone == self.own.availability_zone else set()
+        )
+        answering = {name for name in names if not self.membership.is_suspected(name)}
+        return rank(answering, purpose=f"reader/{zone}")
+
+    def _readers_of_all_zones(self) -> set[str]:
+        """Return the readers of every availability zone."""
+        zones = {
+            record.availability_zone for record in self.membership.instances().values()
+        }
+        readers: set[str] = set()
+        for zone in zones:
+            readers.update(self._rank_zone(zone)[: self.readers_per_zone])
+        return readers
+
+    def _zone(self, zone: str) -> set[str]:
+        """Return the names of the instances of a zone that stay."""
+        return {
+            record.name
+            for record in self.membership.instances().values()
+            if record.availability_zone == zone and record.state is InstanceState.LIVE
+        }
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/service_follower.py
@@ -0,0 +1,129 @@
+"""Reads what is published at the configuration service."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.spreading.metrics import IS_READER
+from oleanderweir.spreading.metrics import SERVICE_READS
+from oleanderweir.tickets import BootOutcome
+from oleanderweir.tickets import BootSource
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from oleanderweir.spreading.spreading_context import SpreadingContext
+    from oleanderweir.spreading.ticket_source import TicketSource
+    from oleanderweir.tickets import Ticket
+
+
+CURSOR_MARGIN_TICKETS = 200
+READ_INTERVAL_MIN_S = 0.2
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceFollower:
+    """
+    Watches the configuration service as a reader, else reads it rarely.
+
+    ``cursor`` is the last ticket that this process read at the service itself; what
+    came from peers may have gaps before it and doesn't move it. A process that got
+    its state from peers begins a little before their highest ticket, one that didn't
+    reads the snapshot.
+    """
+
+    context: SpreadingContext
+    source: TicketSource
+    has_peer_state: Callable[[], bool]
+    is_reader: bool = False
+    cursor: int | None = None
+    role_changed: trio.Event = attrs.field(factory=trio.Event)
+
+    async def run(self) -> None:
+        """Follow the service until cancelled."""
+        backoff_s = self.context.settings.read_backoff_min_s
+        while True:
+            try:
+                await self._read_once()
+                backoff_s = self.context.settings.read_backoff_min_s
+                await trio.sleep(READ_INTERVAL_MIN_S)
+            except OleanderweirError as error:
+                self._note_failure(error)
+                await trio.sleep(backoff_s * self.context.random.uniform(0.5, 1.0))
+                backoff_s = min(self.context.settings.read_backoff_max_s, backoff_s * 2)
+
+    def set_reader(self, *, is_reader: bool) -> None:
+        """Begin or cease to watch."""
+        if is_reader == self.is_reader:
+            return
+        self.is_reader = is_reader
+        IS_READER.set(is_reader)
+        self.role_changed.set()
+        self.role_changed = trio.Event()
+
+    async def _read_once(self) -> None:
+        """Boot, watch, or read once and rest."""
+        if self.cursor is None:
+            await self._boot()
+        elif self.is_reader:
+            await self._watch(self.cursor)
+        else:
+            await self._rest()
+            if not self.is_reader:
+                await self._read(self.cursor)
+
+    async def _boot(self) -> None:
+        """Read what this process needs to begin with."""
+        register = self.context.register
+        if self.has_peer_state():
+            await self._read(max(0, register.highest_ticket - CURSOR_MARGIN_TICKETS))
+        else:
+            snapshot = await self.source.read_snapshot()
+            SERVICE_READS.labels(kind="snapshot", outcome="ok").inc()
+            register.merge_snapshot(snapshot)
+            self.cursor = snapshot.highest_ticket
+        self.context.boot_gate.record(
+            BootSource.CONFIGURATION_SERVICE, BootOutcome.MERGED
+        )
+
+    async def _watch(self, after: int) -> None:
+        """Wait for the next tickets."""
+        tickets = await self.source.watch_tickets(after)
+        SERVICE_READS.labels(kind="watch", outcome="ok").inc()
+        self._merge(after, tickets)
+
+    async def _read(self, after: int) -> None:
+        """Read the tickets since the last time."""
+        tickets = await self.source.read_tickets(after)
+        SERVICE_READS.labels(kind="tickets", outcome="ok").inc()
+        self._merge(after, tickets)
+
+    async def _rest(self) -> None:
+        """Wait for the next rare read, or for the role to change."""
+        interval_s = self.context.settings.rare_read_interval_s
+        with trio.move_on_after(interval_s * self.context.random.uniform(0.5, 1.0)):
+            await self.role_changed.wait()
+
+    def _merge(self, after: int, tickets: Sequence[Ticket]) -> None:
+        """Merge tickets and move the cursor."""
+        entries = [entry for ticket in tickets for entry in ticket.entries]
+        self.context.register.merge(entries)
+        self.cursor = max([after, *(ticket.number for ticket in tickets)])
+
+    def _note_failure(self, error: OleanderweirError) -> None:
+        """Count a failed read; while booting, peers may have to suffice."""
+        SERVICE_READS.labels(kind="any", outcome=error.code).inc()
+        logger.warning("the configuration service can't be read: %s", error)
+        if self.cursor is None:
+            self.context.boot_gate.record(
+                BootSource.CONFIGURATION_SERVICE, BootOutcome.UNAVAILABLE
+            )
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
@@ -0,0 +1,188 @@
+"""Comparison and repair of registers within one session."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.spreading.exceptions import InvalidPeerMessageError
+from oleanderweir.spreading.messages import BucketContent
+from oleanderweir.spreading.messages import BucketContents
+from oleanderweir.spreading.messages import BucketDigests
+from oleanderweir.spreading.messages import BucketRequest
+from oleanderweir.spreading.metrics import BUCKETS_REPAIRED
+from oleanderweir.spreading.metrics import REPAIRS_SKIPPED
+from oleanderweir.spreading.repair_plan import BUCKETS_PER_REQUEST
+from oleanderweir.tickets import BUCKET_COUNT
+from oleanderweir.tickets import decode_entries
+from oleanderweir.tickets import encode_entries
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.spreading.messages import Heartbeat
+    from oleanderweir.spreading.peer_session import PeerSession
+    from oleanderweir.spreading.spreading_context import SpreadingContext
+
+
+@attrs.define(kw_only=True, eq=False)
+class SessionRepair:
+    """
+    The anti-entropy of one session.
+
+    The dialling side sends its digest. The other side answers by its own digest, or
+    by its bucket digests when they differ. The dialling side then fetches differing
+    buckets, merges them, and offers in return those that differ still.
+    """
+
+    session: PeerSession
+    is_synchronized: bool = False
+    differing: deque[int] = attrs.field(factory=deque)
+    claimed: tuple[int, ...] = ()
+    requested: deque[int] = attrs.field(factory=deque)
+
+    @property
+    def context(self) -> SpreadingContext:
+        """What the sessions of the process share."""
+        return self.session.context
+
+    def take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Compare registers as a whole."""
+        self.session.is_peer_ready = heartbeat.is_ready
+        register = self.context.register
+        is_equal = heartbeat.digest == register.digest()
+        if is_equal and heartbeat.floor > register.floor:
+            register.adopt_floor(heartbeat.floor, register.bucket_digests())
+        if not self.session.is_dialler:
+            self._answer(is_equal=is_equal)
+        self._set_synchronized(is_equal)
+
+    def _answer(self, *, is_equal: bool) -> None:
+        """Answer a heartbeat of the dialling side."""
+        if is_equal or self._is_settling():
+            self.session.reply(self.session.heartbeat())
+            return
+        register = self.context.register
+        self.session.reply(
+            BucketDigests(
+                digests=register.bucket_digests(),
+                floor=register.floor,
+                is_ready=self.context.boot_gate.is_ready,
+            )
+        )
+
+    def _is_settling(self) -> bool:
+        """Whether changes that pass just now explain a difference."""
+        if not self.context.boot_gate.is_ready:
+            return False
+        age_s = trio.current_time() - self.context.changed_at
+        if age_s >= self.context.settings.settle_time_s:
+            return False
+        REPAIRS_SKIPPED.labels(reason="settling").inc()
+        return True
+
+    def take_digests(self, message: BucketDigests) -> None:
+        """Find the differing buckets and fetch the first of them."""
+        if len(message.digests) != BUCKET_COUNT:
+            raise InvalidPeerMessageError(
+                f"a peer has {len(message.digests)} buckets, not {BUCKET_COUNT}"
+            )
+        self.session.is_peer_ready = message.is_ready
+        self.is_synchronized = False
+        if self.claimed:
+            return
+        self.differing = deque(self._find_differing(message.digests, message.floor))
+        # Peers that boot together begin at different buckets.
+        self.differing.rotate(self.context.random.randrange(BUCKET_COUNT))
+        self._request_next()
+
+    def _find_differing(self, digests: Sequence[int], floor: int) -> tuple[int, ...]:
+        """Return the numbers of the buckets whose content differs."""
+        register = self.context.register
+        if floor > register.floor:
+            return register.adopt_floor(floor, digests)
+        own = register.bucket_digests()
+        return tuple(n for n in range(BUCKET_COUNT) if own[n] != digests[n])
+
+    def _request_next(self) -> None:
+        """Ask for the next buckets, or compare again when none is left."""
+        self.claimed = self.context.repair_plan.claim(self.differing)
+        for bucket in self.claimed:
+            self.differing.remove(bucket)
+        if self.claimed:
+            self.session.reply(BucketRequest(buckets=self.claimed))
+        elif not self.differing:
+            self.session.reply(self.session.heartbeat())
+
+    def take_request(self, request: BucketRequest) -> None:
+        """Queue the buckets that the peer asks for."""
+        if not all(0 <= number < BUCKET_COUNT for number in request.buckets):
+            raise InvalidPeerMessageError("a peer asked for a bucket that isn't there")
+        for number in request.buckets[:BUCKETS_PER_REQUEST]:
+            if number not in self.requested:
+                self.requested.append(number)
+        self.session.wake.set()
+
+    def next_contents(self) -> BucketContents | None:
+        """Return the contents that the peer waits for."""
+        numbers = [
+            self.requested.popleft()
+            for _ in range(min(BUCKETS_PER_REQUEST, len(self.requested)))
+        ]
+        if not numbers:
+            return None
+        return BucketContents(buckets=tuple(self._content(n) for n in numbers))
+
+    def _content(self, number: int) -> BucketContent:
+        """Return everything that a bucket holds."""
+        register = self.context.register
+        return BucketContent(
+            number=number,
+            floor=register.buckets[number].floor,
+            entries=encode_entries(register.bucket_entries(number)),
+        )
+
+    def take_contents(self, message: BucketContents) -> None:
+        """Merge whole buckets, and offer those in which this side knows more."""
+        self.session.is_merging = True
+        try:
+            for content in message.buckets:
+                self._merge(content)
+        finally:
+            self.session.is_merging = False
+        if not self.session.is_dialler:
+            return
+        self.context.repair_plan.release(self.claimed)
+        self.claimed = ()
+        self._request_next()
+
+    def _merge(self, content: BucketContent) -> None:
+        """Merge one bucket."""
+        if not 0 <= content.number < BUCKET_COUNT:
+            raise InvalidPeerMessageError("a peer sent a bucket that isn't there")
+        register = self.context.register
+        entries = decode_entries(content.entries)
+        if any(entry.key.bucket != content.number for entry in entries):
+            raise InvalidPeerMessageError("a peer sent an entry in the wrong bucket")
+        register.merge_bucket(content.number, floor=content.floor, entries=entries)
+        BUCKETS_REPAIRED.inc()
+        offered = {entry.digest for entry in entries}
+        held = {entry.digest for entry in register.bucket_entries(content.number)}
+        if self.session.is_dialler and held != offered:
+            self.requested.append(content.number)
+            self.session.wake.set()
+
+    def _set_synchronized(self, is_equal: bool) -> None:  # noqa: FBT001
+        """Remember the outcome of a comparison and tell of the first agreement."""
+        self.is_synchronized = is_equal
+        if is_equal:
+            self.session.on_synchronized(self.session)
+
+    def abandon(self) -> None:
+        """Give back what this session was fetching."""
+        self.context.repair_plan.release(self.claimed)
+        self.claimed = ()
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_table.py
@@ -0,0 +1,68 @@
+"""The open sessions of a process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.spreading.metrics import PEER_SESSIONS
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from oleanderweir.spreading.peer_session import PeerSession
+    from oleanderweir.tickets import Entry
+
+
+@attrs.define(kw_only=True, eq=False)
+class SessionTable:
+    """
+    Holds the sessions whose greeting is complete, whichever side dialled.
+
+    Two processes may hold two sessions, since either may dial; changes go out on one
+    of them.
+    """
+
+    sessions: list[PeerSession] = attrs.field(factory=list)
+
+    def add(self, session: PeerSession) -> None:
+        """
+        Hold a session.
+
+        Sessions with an earlier process of the same name end: it has been replaced.
+        """
+        peer = session.peer
+        for other in list(self.sessions):
+            if peer is None or other.peer is None or other.peer.name != peer.name:
+                continue
+            if other.peer.incarnation != peer.incarnation:
+                other.end("the peer was restarted")
+        self.sessions.append(session)
+        PEER_SESSIONS.set(len(self.sessions))
+
+    def discard(self, session: PeerSession) -> None:
+        """Forget a session, held or not."""
+        if session in self.sessions:
+            self.sessions.remove(session)
+        PEER_SESSIONS.set(len(self.sessions))
+
+    def push(self, entries: Iterable[Entry]) -> None:
+        """Send entries to every peer but the one that they come from."""
+        batch = tuple(entries)
+        reached = {
+            session.peer.name
+            for session in self.sessions
+            if session.is_merging and session.peer is not None
+        }
+        for session in self.sessions:
+            if session.peer is None or session.peer.name in reached:
+                continue
+            reached.add(session.peer.name)
+            session.push(batch)
+
+    def compare(self) -> None:
+        """Compare registers on every session that this process dialled."""
+        for session in self.sessions:
+            session.compare()
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
@@ -0,0 +1,242 @@
+"""Spreads tickets between the processes of the system."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.membership import Membership
+from oleanderweir.spreading.control_budget import ControlBudget
+from oleanderweir.spreading.dialler_pool import DiallerPool
+from oleanderweir.spreading.greeting import make_hello
+from oleanderweir.spreading.greeting import read_hello
+from oleanderweir.spreading.metrics import INSTANCE_LIST_READS
+from oleanderweir.spreading.metrics import PAUSES
+from oleanderweir.spreading.metrics import SESSIONS_ENDED
+from oleanderweir.spreading.metrics import SESSIONS_OPENED
+from oleanderweir.spreading.metrics import SESSIONS_REFUSED
+from oleanderweir.spreading.peer_boot import PeerBoot
+from oleanderweir.spreading.peer_dialler import PeerDialler
+from oleanderweir.spreading.peer_selection import PeerSelection
+from oleanderweir.spreading.peer_session import PeerSession
+from oleanderweir.spreading.service_follower import ServiceFollower
+from oleanderweir.spreading.session_table import SessionTable
+from oleanderweir.spreading.spreading_context import SpreadingContext
+from oleanderweir.spreading.spreading_settings import SpreadingSettings
+
+
+if TYPE_CHECKING:
+    import random
+
+    from oleanderweir.membership import InstanceListSource
+    from oleanderweir.membership import InstanceRecord
+    from oleanderweir.spreading.peer_stream import PeerStream
+    from oleanderweir.spreading.peer_transport import PeerTransport
+    from oleanderweir.spreading.ticket_source import TicketSource
+    from oleanderweir.tickets import BootGate
+    from oleanderweir.tickets import Entry
+    from oleanderweir.tickets import TicketRegister
+
+
+INCARNATION_BITS = 64
+PAUSE_CHECK_INTERVAL_S = 1.0
+PAUSE_THRESHOLD_S = 3.0
+RESELECTION_INTERVAL_S = 30.0
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Spreader:
+    """
+    Keeps the register of this process in step with all others.
+
+    It reads the published tickets, as a reader or rarely, exchanges changes with a
+    few peers that it derives from the instance list, and repairs what was missed.
+    ``own`` describes this process; ``boot_gate`` opens when it may serve.
+    """
+
+    own: InstanceRecord
+    register: TicketRegister
+    boot_gate: BootGate
+    instance_list: InstanceListSource
+    ticket_source: TicketSource
+    transport: PeerTransport
+    random: random.Random
+    settings: SpreadingSettings = attrs.field(factory=SpreadingSettings)
+    budget: ControlBudget = attrs.field(factory=ControlBudget)
+    sessions: SessionTable = attrs.field(factory=SessionTable)
+    membership: Membership = attrs.field(init=False)
+    selection: PeerSelection = attrs.field(init=False)
+    context: SpreadingContext = attrs.field(init=False)
+    peer_boot: PeerBoot = attrs.field(init=False)
+    follower: ServiceFollower = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.membership = Membership(
+            learned_lease_s=self.settings.learned_lease_s,
+            suspicion_s=self.settings.suspicion_s,
+        )
+        self.selection = PeerSelection(
+            own=self.own,
+            membership=self.membership,
+            ring_count=self.settings.ring_count,
+            readers_per_zone=self.settings.readers_per_zone,
+        )
+        incarnation = f"{self.random.getrandbits(INCARNATION_BITS):016x}"
+        self.context = SpreadingContext(
+            register=self.register,
+            budget=self.budget,
+            boot_gate=self.boot_gate,
+            settings=self.settings,
+            hello=make_hello(self.own, incarnation=incarnation),
+            random=self.random,
+        )
+        self.peer_boot = PeerBoot(
+            context=self.context, membership=self.membership, selection=self.selection
+        )
+        self.follower = ServiceFollower(
+            context=self.context,
+            source=self.ticket_source,
+            has_peer_state=lambda: self.peer_boot.has_peer_state,
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process has merged enough to serve."""
+        return self.boot_gate.is_ready
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """
+        Spread until cancelled; started when sessions are taken.
+
+        Raise ``AddressInUseError`` when the own peer address can't be bound.
+        """
+        self.register.listeners.append(self._entries_in_force)
+        try:
+            async with (
+                self.transport.serve(self._accept),
+                trio.open_nursery() as nursery,
+            ):
+                nursery.start_soon(self._refresh_instance_list)
+                nursery.start_soon(self._keep_sessions)
+                nursery.start_soon(self._follow)
+                nursery.start_soon(self._watch_for_pauses)
+                task_status.started()
+        finally:
+            self.register.listeners.remove(self._entries_in_force)
+
+    def _entries_in_force(self, entries: tuple[Entry, ...]) -> None:
+        """Push what came into force; what a boot reads is no news to others."""
+        self.context.changed_at = trio.current_time()
+        if self.boot_gate.is_ready:
+            self.sessions.push(entries)
+
+    async def _accept(self, stream: PeerStream) -> None:
+        """Run a session that a peer dialled."""
+        if len(self.sessions.sessions) >= self.settings.max_sessions:
+            SESSIONS_REFUSED.labels(reason="too_many_sessions").inc()
+            return
+        session = PeerSession(
+            context=self.context,
+            stream=stream,
+            is_dialler=False,
+            on_greeting=self._greeted,
+            on_synchronized=self._synchronized,
+        )
+        try:
+            await session.run()
+        except OleanderweirError as error:
+            SESSIONS_ENDED.labels(reason=error.code).inc()
+        finally:
+            self.sessions.discard(session)
+
+    def _greeted(self, session: PeerSession) -> None:
+        """Learn of the peer and hold the session."""
+        side = "dialler" if session.is_dialler else "acceptor"
+        SESSIONS_OPENED.labels(side=side).inc()
+        if session.peer is not None:
+            self.membership.learn(read_hello(session.peer))
+        self.sessions.add(session)
+
+    def _synchronized(self, session: PeerSession) -> None:
+        """Renew what is known of the peer."""
+        if session.peer is not None:
+            self.membership.learn(read_hello(session.peer))
+        self.peer_boot.note_synchronized(session)
+
+    async def _refresh_instance_list(self) -> None:
+        """Read the instance list at a jittered interval, sooner after a failure."""
+        backoff_s = self.settings.read_backoff_min_s
+        while True:
+            try:
+                records = await self.instance_list.read_instances()
+            except OleanderweirError as error:
+                INSTANCE_LIST_READS.labels(outcome=error.code).inc()
+                logger.warning("the instance list can't be read: %s", error)
+                delay_s = backoff_s
+                backoff_s = min(self.settings.read_backoff_max_s, backoff_s * 2)
+            else:
+                is_taken = self.membership.update(records)
+                outcome = "ok" if is_taken else "empty"
+                INSTANCE_LIST_READS.labels(outcome=outcome).inc()
+                delay_s = self.settings.instance_list_interval_s
+                backoff_s = self.settings.read_backoff_min_s
+            await trio.sleep(delay_s * self.random.uniform(0.5, 1.0))
+
+    async def _keep_sessions(self) -> None:
+        """Dial the peers that the known instances call for."""
+        async with trio.open_nursery() as nursery:
+            pool = DiallerPool(nursery=nursery, make_dialler=self._make_dialler)
+            selected_version = -1
+            selected_at = 0.0
+            while True:
+                now = trio.current_time()
+                is_old = now - selected_at > RESELECTION_INTERVAL_S
+                if is_old or self.membership.version != selected_version:
+                    selected_at = now
+                    selected_version = self.membership.version
+                    self._select(pool)
+                await trio.sleep(self.settings.selection_interval_s)
+
+    def _select(self, pool: DiallerPool) -> None:
+        """Choose peers and role anew."""
+        self.peer_boot.consider()
+        names = self.selection.peers(unhelpful=self.peer_boot.unhelpful())
+        instances = self.membership.instances()
+        pool.keep(instances[name] for name in names if name in instances)
+        self.follower.set_reader(is_reader=self.selection.is_reader)
+
+    def _make_dialler(self, record: InstanceRecord) -> PeerDialler:
+        """Return the dialler of one peer."""
+        return PeerDialler(
+            record=record,
+            context=self.context,
+            membership=self.membership,
+            transport=self.transport,
+            on_greeting=self._greeted,
+            on_synchronized=self._synchronized,
+            on_end=self.sessions.discard,
+        )
+
+    async def _follow(self) -> None:
+        """Follow the service, after peers had their chance to give the bulk."""
+        with trio.move_on_after(self.settings.peer_boot_timeout_s):
+            await self.peer_boot.decided.wait()
+        await self.follower.run()
+
+    async def _watch_for_pauses(self) -> None:
+        """Compare with peers at once when the process was paused."""
+        while True:
+            before = trio.current_time()
+            await trio.sleep(PAUSE_CHECK_INTERVAL_S)
+            if trio.current_time() - before > PAUSE_THRESHOLD_S:
+                PAUSES.inc()
+                logger.warning("the process was paused; comparing with peers")
+                self.sessions.compare()
--- /dev/null
+++ b/tests/oleanderweir/spreading/memory_transport.py
@@ -0,0 +1,121 @@
+"""A transport in memory, with delay, partitions and frozen processes."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.spreading import PeerClosedError
+from oleanderweir.spreading import PeerUnavailableError
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from oleanderweir.spreading import PeerStream
+
+
+CONNECT_TIMEOUT_S = 2.0
+Packets = trio.MemorySendChannel[tuple[float, bytes]]
+Arrivals = trio.MemoryReceiveChannel[tuple[float, bytes]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryNetwork:
+    """Links between addresses; ``is_cut`` decides which carry nothing for now."""
+
+    delay_s: float = 0.002
+    is_cut: Callable[[str, str], bool] = lambda source, target: False
+    servers: dict[str, MemoryTransport] = attrs.field(factory=dict)
+
+    async def wait_connected(self, source: str, target: str) -> None:
+        while self.is_cut(source, target):
+            await trio.sleep(0.1)
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryStream:
+    network: MemoryNetwork
+    own: str
+    peer: str
+    packets: Packets
+    arrivals: Arrivals
+
+    async def send(self, data: bytes) -> None:
+        try:
+            await self.packets.send((trio.current_time() + self.network.delay_s, data))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerClosedError("the stream is closed") from error
+
+    async def receive(self) -> bytes:
+        try:
+            arrives_at, data = await self.arrivals.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError) as error:
+            raise PeerClosedError("the stream is closed") from error
+        await trio.sleep_until(max(arrives_at, trio.current_time()))
+        await self.network.wait_connected(self.peer, self.own)
+        return data
+
+    def close(self) -> None:
+        self.packets.close()
+        self.arrivals.close()
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryTransport:
+    network: MemoryNetwork
+    address: str
+    nursery: trio.Nursery | None = None
+    handler: Callable[[PeerStream], Awaitable[None]] | None = None
+
+    @asynccontextmanager
+    async def serve(
+        self, handler: Callable[[PeerStream], Awaitable[None]]
+    ) -> AsyncIterator[None]:
+        self.handler = handler
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self.network.servers[self.address] = self
+            try:
+                yield
+            finally:
+                del self.network.servers[self.address]
+                nursery.cancel_scope.cancel()
+
+    @asynccontextmanager
+    async def connect(self, address: str) -> AsyncIterator[PeerStream]:
+        await trio.sleep(self.network.delay_s)
+        if self.network.is_cut(self.address, address):
+            await trio.sleep(CONNECT_TIMEOUT_S)
+            raise PeerUnavailableError("the link is cut")
+        server = self.network.servers.get(address)
+        if server is None or server.nursery is None:
+            raise PeerUnavailableError("nothing listens there")
+        there: tuple[Packets, Arrivals] = trio.open_memory_channel(1000)
+        back: tuple[Packets, Arrivals] = trio.open_memory_channel(1000)
+        near = self._stream(self.address, address, there[0], back[1])
+        far = self._stream(address, self.address, back[0], there[1])
+        server.nursery.start_soon(server.take, far)
+        try:
+            yield near
+        finally:
+            near.close()
+
+    def _stream(
+        self, own: str, peer: str, out: Packets, into: Arrivals
+    ) -> MemoryStream:
+        return MemoryStream(
+            network=self.network, own=own, peer=peer, packets=out, arrivals=into
+        )
+
+    async def take(self, stream: MemoryStream) -> None:
+        assert self.handler is not None
+        try:
+            await self.handler(stream)
+        finally:
+            stream.close()
