Test spreading under partition, freeze, restart, stale lists and a burst

Cause: each fault of the issue needs a test that causes it, in virtual time.

The list of instances is now read for the own zone by every process, and for the fleet by readers alone: 12,600 records at some 30 compressed bytes each would take more of the control budget than the tickets do.

--- a/packages/oleanderweir/src/oleanderweir/membership/membership.py
+++ b/packages/oleanderweir/src/oleanderweir/membership/membership.py
@@ -34,21 +34,37 @@
     is_listed: bool = False
     version: int = 0
 
-    def update(self, records: Iterable[InstanceRecord]) -> bool:
+    def update(
+        self,
+        records: Iterable[InstanceRecord],
+        *,
+        availability_zone: str | None = None,
+    ) -> bool:
         """
         Take a newly read list; return whether it was taken.
 
-        An empty list, which a platform in trouble gives, leaves the last one in use.
+        ``availability_zone`` tells that the list covers that zone only. An empty list,
+        which a platform in trouble gives, leaves the last one in use.
         """
         listed = {record.name: record for record in records}
         if not listed and self.listed:
             return False
         self.is_listed = True
+        if availability_zone is not None:
+            listed = {**self._listed_outside(availability_zone), **listed}
         if listed != self.listed:
             self.listed = listed
             self.version += 1
         return True
 
+    def _listed_outside(self, availability_zone: str) -> dict[str, InstanceRecord]:
+        """Return what is listed for the other availability zones."""
+        return {
+            name: record
+            for name, record in self.listed.items()
+            if record.availability_zone != availability_zone
+        }
+
     def learn(self, record: InstanceRecord) -> None:
         """Remember an instance that introduced itself; renew its lease."""
         known = self.learned.get(record.name)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/spreading/instance_lister.py
@@ -0,0 +1,96 @@
+"""Reads the instance list again and again."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.exceptions import OleanderweirError
+from oleanderweir.spreading.metrics import INSTANCE_LIST_READS
+
+
+if TYPE_CHECKING:
+    import random
+
+    from oleanderweir.membership import InstanceListSource
+    from oleanderweir.membership import Membership
+    from oleanderweir.spreading.spreading_settings import SpreadingSettings
+
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class InstanceLister:
+    """
+    Keeps the membership in step with the platform's list.
+
+    Every process reads the list of its availability zone; a reader of tickets, which
+    has peers in all zones, reads the list of the whole fleet besides, less often.
+    """
+
+    zone_list: InstanceListSource
+    fleet_list: InstanceListSource
+    availability_zone: str
+    membership: Membership
+    settings: SpreadingSettings
+    random: random.Random
+    is_reader: bool = False
+    reader_chosen: trio.Event = attrs.field(factory=trio.Event)
+
+    def set_reader(self, *, is_reader: bool) -> None:
+        """Begin or cease to read the list of the whole fleet."""
+        self.is_reader = is_reader
+        if is_reader:
+            self.reader_chosen.set()
+        elif self.reader_chosen.is_set():
+            self.reader_chosen = trio.Event()
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_zone)
+            nursery.start_soon(self._read_fleet)
+
+    async def _read_zone(self) -> None:
+        """Read the list of the own zone at its interval."""
+        while True:
+            await self._read_until_taken(self.zone_list, self.availability_zone)
+            await self._rest(self.settings.zone_list_interval_s)
+
+    async def _read_fleet(self) -> None:
+        """Read the list of the fleet at its interval while a reader."""
+        while True:
+            await self.reader_chosen.wait()
+            await self._read_until_taken(self.fleet_list, None)
+            await self._rest(self.settings.fleet_list_interval_s)
+
+    async def _read_until_taken(
+        self, source: InstanceListSource, availability_zone: str | None
+    ) -> None:
+        """Read one list, with a growing backoff while that fails."""
+        backoff_s = self.settings.read_backoff_min_s
+        while not await self._read(source, availability_zone):
+            await self._rest(backoff_s)
+            backoff_s = min(self.settings.read_backoff_max_s, backoff_s * 2)
+
+    async def _read(
+        self, source: InstanceListSource, availability_zone: str | None
+    ) -> bool:
+        """Read one list; return whether it could be read."""
+        try:
+            records = await source.read_instances()
+        except OleanderweirError as error:
+            INSTANCE_LIST_READS.labels(outcome=error.code).inc()
+            logger.warning("the instance list can't be read: %s", error)
+            return False
+        is_taken = self.membership.update(records, availability_zone=availability_zone)
+        INSTANCE_LIST_READS.labels(outcome="ok" if is_taken else "empty").inc()
+        return True
+
+    async def _rest(self, interval_s: float) -> None:
+        """Sleep for a jittered interval."""
+        await trio.sleep(interval_s * self.random.uniform(0.5, 1.0))
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
@@ -14,7 +14,7 @@
 from oleanderweir.spreading.dialler_pool import DiallerPool
 from oleanderweir.spreading.greeting import make_hello
 from oleanderweir.spreading.greeting import read_hello
-from oleanderweir.spreading.metrics import INSTANCE_LIST_READS
+from oleanderweir.spreading.instance_lister import InstanceLister
 from oleanderweir.spreading.metrics import PAUSES
 from oleanderweir.spreading.metrics import SESSIONS_ENDED
 from oleanderweir.spreading.metrics import SESSIONS_OPENED
@@ -58,12 +58,15 @@
     It reads the published tickets, as a reader or rarely, exchanges changes with a
     few peers that it derives from the instance list, and repairs what was missed.
     ``own`` describes this process; ``boot_gate`` opens when it may serve.
+    ``zone_list`` gives the instances of the own availability zone, ``fleet_list``
+    those of all; only readers need the latter.
     """
 
     own: InstanceRecord
     register: TicketRegister
     boot_gate: BootGate
-    instance_list: InstanceListSource
+    zone_list: InstanceListSource
+    fleet_list: InstanceListSource
     ticket_source: TicketSource
     transport: PeerTransport
     random: random.Random
@@ -75,6 +78,7 @@
     context: SpreadingContext = attrs.field(init=False)
     peer_boot: PeerBoot = attrs.field(init=False)
     follower: ServiceFollower = attrs.field(init=False)
+    lister: InstanceLister = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(
@@ -104,6 +108,14 @@
             source=self.ticket_source,
             has_peer_state=lambda: self.peer_boot.has_peer_state,
         )
+        self.lister = InstanceLister(
+            zone_list=self.zone_list,
+            fleet_list=self.fleet_list,
+            availability_zone=self.own.availability_zone,
+            membership=self.membership,
+            settings=self.settings,
+            random=self.random,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -124,7 +136,7 @@
                 self.transport.serve(self._accept),
                 trio.open_nursery() as nursery,
             ):
-                nursery.start_soon(self._refresh_instance_list)
+                nursery.start_soon(self.lister.run)
                 nursery.start_soon(self._keep_sessions)
                 nursery.start_soon(self._follow)
                 nursery.start_soon(self._watch_for_pauses)
@@ -171,25 +183,6 @@
             self.membership.learn(read_hello(session.peer))
         self.peer_boot.note_synchronized(session)
 
-    async def _refresh_instance_list(self) -> None:
-        """Read the instance list at a jittered interval, sooner after a failure."""
-        backoff_s = self.settings.read_backoff_min_s
-        while True:
-            try:
-                records = await self.instance_list.read_instances()
-            except OleanderweirError as error:
-                INSTANCE_LIST_READS.labels(outcome=error.code).inc()
-                logger.warning("the instance list can't be read: %s", error)
-                delay_s = backoff_s
-                backoff_s = min(self.settings.read_backoff_max_s, backoff_s * 2)
-            else:
-                is_taken = self.membership.update(records)
-                outcome = "ok" if is_taken else "empty"
-                INSTANCE_LIST_READS.labels(outcome=outcome).inc()
-                delay_s = self.settings.instance_list_interval_s
-                backoff_s = self.settings.read_backoff_min_s
-            await trio.sleep(delay_s * self.random.uniform(0.5, 1.0))
-
     async def _keep_sessions(self) -> None:
         """Dial the peers that the known instances call for."""
         async with trio.open_nursery() as nursery:
@@ -211,7 +204,9 @@
         names = self.selection.peers(unhelpful=self.peer_boot.unhelpful())
         instances = self.membership.instances()
         pool.keep(instances[name] for name in names if name in instances)
-        self.follower.set_reader(is_reader=self.selection.is_reader)
+        is_reader = self.selection.is_reader
+        self.follower.set_reader(is_reader=is_reader)
+        self.lister.set_reader(is_reader=is_reader)
 
     def _make_dialler(self, record: InstanceRecord) -> PeerDialler:
         """Return the dialler of one peer."""
--- a/tests/oleanderweir/spreading/cluster.py
+++ b/tests/oleanderweir/spreading/cluster.py
@@ -143,7 +143,8 @@
             own=record,
             register=TicketRegister(),
             boot_gate=BootGate(),
-            instance_list=reader,
+            zone_list=reader,
+            fleet_list=reader,
             ticket_source=reader,
             transport=MemoryTransport(
                 network=self.network, address=str(record.peer_address)
--- a/tests/oleanderweir/spreading/memory_transport.py
+++ b/tests/oleanderweir/spreading/memory_transport.py
@@ -84,7 +84,8 @@
             try:
                 yield
             finally:
-                del self.network.servers[self.address]
+                if self.network.servers.get(self.address) is self:
+                    del self.network.servers[self.address]
                 nursery.cancel_scope.cancel()
 
     @asynccontextmanager
--- /dev/null
+++ b/tests/oleanderweir/spreading/test_spreader.py
@@ -0,0 +1,199 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from tests.oleanderweir.spreading.cluster import Cluster
+from tests.oleanderweir.spreading.cluster import make_record
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from trio.testing import MockClock
+
+
+TARGET_S = 4.0
+HEAL_S = 45.0
+
+
+@pytest.fixture
+async def cluster(autojump_clock: MockClock) -> AsyncIterator[Cluster]:
+    async with trio.open_nursery() as nursery:
+        yield Cluster(nursery=nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def start_ready(cluster: Cluster, count: int, *, zones: int) -> None:
+    cluster.platform.publish("a", "b")
+    await cluster.start(range(count), zones=zones)
+    await cluster.wait_ready()
+
+
+@pytest.mark.parametrize("zones", [1, 3], ids=["one zone", "three zones"])
+async def test_ticket_is_in_force_everywhere_within_target(
+    autojump_clock: MockClock, cluster: Cluster, zones: int
+) -> None:
+    await start_ready(cluster, 24, zones=zones)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
+async def test_few_processes_watch_the_service(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 24, zones=2)
+    await trio.sleep(60)
+    readers = [n for n in cluster.nodes.values() if n.spreader.follower.is_reader]
+    assert len(readers) == 6
+
+
+async def test_zone_with_stale_service_gets_tickets_from_other_zones(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 18, zones=3)
+    await trio.sleep(5)
+    for number, node in cluster.nodes.items():
+        if number % 3:
+            node.reader.stale_at = 1
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
+async def test_partitioned_zone_keeps_its_state_and_merges_on_healing(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 18, zones=2)
+    before = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", before, within_s=TARGET_S)
+    zone = {
+        str(n.spreader.own.peer_address)
+        for number, n in cluster.nodes.items()
+        if number % 2
+    }
+    cluster.network.is_cut = lambda source, target: (source in zone) != (target in zone)
+    for number, node in cluster.nodes.items():
+        if number % 2:
+            node.reader.stale_at = before
+    ticket = cluster.platform.publish("a")
+    await trio.sleep(60)
+    tickets = {number: n.ticket_of("a") for number, n in cluster.nodes.items()}
+    assert set(tickets.values()) == {before, ticket}
+    assert all(tickets[n] == (before if n % 2 else ticket) for n in tickets)
+    cluster.network.is_cut = lambda source, target: False
+    await cluster.wait_everywhere("a", ticket, within_s=HEAL_S)
+
+
+async def test_frozen_process_is_bypassed_and_wakes_to_the_newest_state(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 12, zones=1)
+    await trio.sleep(10)
+    frozen = cluster.nodes.pop(3)
+    address = str(frozen.spreader.own.peer_address)
+    cluster.network.is_cut = lambda source, target: address in {source, target}
+    frozen.reader.stale_at = 1
+    for _ in range(3):
+        ticket = cluster.platform.publish("a")
+        await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+        await trio.sleep(20)
+    assert frozen.ticket_of("a") == 1
+    cluster.nodes[3] = frozen
+    cluster.network.is_cut = lambda source, target: False
+    await cluster.wait_everywhere("a", ticket, within_s=HEAL_S)
+
+
+async def test_process_restarted_at_the_same_address_gets_the_state_from_peers(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 12, zones=1)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+    cluster.platform.is_down = True
+    record = cluster.nodes[5].spreader.own
+    cluster.stop(5, is_listed=True)
+    cluster.platform.is_down = False
+    node = await cluster.start_one(5, record)
+    node.reader.stale_at = 1
+    await cluster.wait_ready()
+    assert node.ticket_of("a") == ticket
+
+
+async def test_ticket_stays_in_force_while_half_is_replaced_and_service_is_stale(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 16, zones=2)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+    for number in range(0, 16, 2):
+        cluster.stop(number)
+        record = make_record(100 + number, zone=f"zone-{number // 2 % 2}")
+        cluster.platform.instances.append(record)
+        node = await cluster.start_one(100 + number, record)
+        node.reader.stale_at = 1
+        with trio.fail_after(HEAL_S):
+            while not node.spreader.is_ready:
+                await trio.sleep(0.05)
+        assert node.ticket_of("a") == ticket
+    assert cluster.is_everywhere("a", ticket)
+
+
+async def test_instance_that_the_list_lacks_gets_tickets_in_time(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 12, zones=1)
+    await cluster.start_one(50, make_record(50, zone="zone-0"))
+    await cluster.wait_ready()
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
+async def test_dead_instances_on_the_list_do_not_stop_tickets(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 20, zones=1)
+    for number in range(0, 20, 2):
+        cluster.stop(number, is_listed=True)
+    await trio.sleep(10)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
+async def test_empty_list_leaves_the_last_list_in_use(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 8, zones=1)
+    cluster.platform.instances.clear()
+    await trio.sleep(200)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
+async def test_booting_process_without_reachable_peers_is_not_ready(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 6, zones=1)
+    record = make_record(50, zone="zone-0")
+    cluster.network.is_cut = lambda source, target: (
+        str(record.peer_address) in {source, target}
+    )
+    node = await cluster.start_one(50, record)
+    await trio.sleep(120)
+    assert not node.spreader.is_ready
+    cluster.network.is_cut = lambda source, target: False
+    await cluster.wait_ready()
+
+
+async def test_burst_exceeding_the_budget_is_delayed_and_complete(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 10, zones=1)
+    for node in cluster.nodes.values():
+        node.spreader.budget.tokens = 0
+    names = [f"service-{n}" for n in range(200)]
+    for name in names:
+        cluster.platform.publish(name)
+    for number, name in enumerate(names):
+        await cluster.wait_everywhere(name, number + 2, within_s=120)
