--- a/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
@@ -12,6 +12,7 @@
 from oleanderweir.spreading.exceptions import InvalidPeerMessageError
 from oleanderweir.spreading.exceptions import PeerClosedError
 from oleanderweir.spreading.exceptions import PeerUnavailableError
+from oleanderweir.spreading.greeting import read_hello
 from oleanderweir.spreading.messages import BucketContents
 from oleanderweir.spreading.messages import BucketDigests
 from oleanderweir.spreading.messages import BucketRequest
@@ -30,6 +31,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from oleanderweir.membership import InstanceRecord
     from oleanderweir.spreading.messages import PeerMessage
     from oleanderweir.spreading.peer_stream import PeerStream
     from oleanderweir.spreading.spreading_context import SpreadingContext
@@ -47,8 +49,8 @@
     Pushes changes to a peer, takes the peer's, and repairs what was missed.
 
     The side that dialled sends heartbeats; each is answered, so either side notices a
-    silent peer. ``peer`` is known once the greeting is complete. ``run`` ends by the
-    error that ended the session.
+    silent peer. ``peer`` and ``instance`` are known after the greeting. ``run``
+    ends by the error that ended the session.
     """
 
     context: SpreadingContext
@@ -57,6 +59,7 @@
     on_greeting: Callable[[PeerSession], None]
     on_synchronized: Callable[[PeerSession], None]
     peer: Hello | None = None
+    instance: InstanceRecord | None = None
     is_peer_ready: bool = False
     is_merging: bool = False
     replies: deque[PeerMessage] = attrs.field(factory=deque)
@@ -108,10 +111,10 @@
 
     def heartbeat(self) -> Heartbeat:
         """Return the heartbeat that describes this process now."""
-        register = self.context.register
+        digest = self.context.digest()
         return Heartbeat(
-            digest=register.digest(),
-            floor=register.floor,
+            digest=digest.content,
+            floor=digest.floor,
             is_ready=self.context.boot_gate.is_ready,
         )
 
@@ -131,6 +134,7 @@
             if not isinstance(message, Hello):
                 raise InvalidPeerMessageError("a peer spoke before its greeting")
             self.peer = message
+            self.instance = read_hello(message)
             return
         raise PeerUnavailableError("a peer didn't greet in time; see its log")
 
@@ -170,7 +174,8 @@
                 del self.outbox[entry.key]
         self.is_merging = True
         try:
-            self.context.register.merge(entries)
+            with self.context.changing() as register:
+                register.merge(entries)
         finally:
             self.is_merging = False
 
--- a/packages/oleanderweir/src/oleanderweir/spreading/service_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/service_follower.py
@@ -83,18 +83,23 @@
 
     async def _boot(self) -> None:
         """Read what this process needs to begin with."""
-        register = self.context.register
         if self.has_peer_state():
-            await self._read(max(0, register.highest_ticket - CURSOR_MARGIN_TICKETS))
+            highest = self.context.register.highest_ticket
+            await self._read(max(0, highest - CURSOR_MARGIN_TICKETS))
         else:
-            snapshot = await self.source.read_snapshot()
-            SERVICE_READS.labels(kind="snapshot", outcome="ok").inc()
-            register.merge_snapshot(snapshot)
-            self.cursor = snapshot.highest_ticket
+            await self._read_snapshot()
         self.context.boot_gate.record(
             BootSource.CONFIGURATION_SERVICE, BootOutcome.MERGED
         )
 
+    async def _read_snapshot(self) -> None:
+        """Read the whole published state."""
+        snapshot = await self.source.read_snapshot()
+        SERVICE_READS.labels(kind="snapshot", outcome="ok").inc()
+        with self.context.changing() as register:
+            register.merge_snapshot(snapshot)
+        self.cursor = snapshot.highest_ticket
+
     async def _watch(self, after: int) -> None:
         """Wait for the next tickets."""
         tickets = await self.source.watch_tickets(after)
@@ -102,10 +107,14 @@
         self._merge(after, tickets)
 
     async def _read(self, after: int) -> None:
-        """Read the tickets since the last time."""
-        tickets = await self.source.read_tickets(after)
-        SERVICE_READS.labels(kind="tickets", outcome="ok").inc()
-        self._merge(after, tickets)
+        """Read the tickets since the last time, page by page."""
+        while True:
+            tickets = await self.source.read_tickets(after)
+            SERVICE_READS.labels(kind="tickets", outcome="ok").inc()
+            self._merge(after, tickets)
+            if not tickets:
+                return
+            after = tickets[-1].number
 
     async def _rest(self) -> None:
         """Wait for the next rare read, or for the role to change."""
@@ -116,7 +125,8 @@
     def _merge(self, after: int, tickets: Sequence[Ticket]) -> None:
         """Merge tickets and move the cursor."""
         entries = [entry for ticket in tickets for entry in ticket.entries]
-        self.context.register.merge(entries)
+        with self.context.changing() as register:
+            register.merge(entries)
         self.cursor = max([after, *(ticket.number for ticket in tickets)])
 
     def _note_failure(self, error: OleanderweirError) -> None:
--- a/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
@@ -53,10 +53,11 @@
     def take_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Compare registers as a whole."""
         self.session.is_peer_ready = heartbeat.is_ready
-        register = self.context.register
-        is_equal = heartbeat.digest == register.digest()
-        if is_equal and heartbeat.floor > register.floor:
-            register.adopt_floor(heartbeat.floor, register.bucket_digests())
+        own = self.context.digest()
+        is_equal = heartbeat.digest == own.content
+        if is_equal and heartbeat.floor > own.floor:
+            with self.context.changing() as register:
+                register.adopt_floor(heartbeat.floor, register.bucket_digests())
         if not self.session.is_dialler:
             self._answer(is_equal=is_equal)
         self._set_synchronized(is_equal)
@@ -70,7 +71,7 @@
         self.session.reply(
             BucketDigests(
                 digests=register.bucket_digests(),
-                floor=register.floor,
+                floor=self.context.digest().floor,
                 is_ready=self.context.boot_gate.is_ready,
             )
         )
@@ -102,10 +103,10 @@
 
     def _find_differing(self, digests: Sequence[int], floor: int) -> tuple[int, ...]:
         """Return the numbers of the buckets whose content differs."""
-        register = self.context.register
-        if floor > register.floor:
-            return register.adopt_floor(floor, digests)
-        own = register.bucket_digests()
+        if floor > self.context.digest().floor:
+            with self.context.changing() as register:
+                return register.adopt_floor(floor, digests)
+        own = self.context.register.bucket_digests()
         return tuple(n for n in range(BUCKET_COUNT) if own[n] != digests[n])
 
     def _request_next(self) -> None:
@@ -164,11 +165,11 @@
         """Merge one bucket."""
         if not 0 <= content.number < BUCKET_COUNT:
             raise InvalidPeerMessageError("a peer sent a bucket that isn't there")
-        register = self.context.register
         entries = decode_entries(content.entries)
         if any(entry.key.bucket != content.number for entry in entries):
             raise InvalidPeerMessageError("a peer sent an entry in the wrong bucket")
-        register.merge_bucket(content.number, floor=content.floor, entries=entries)
+        with self.context.changing() as register:
+            register.merge_bucket(content.number, floor=content.floor, entries=entries)
         BUCKETS_REPAIRED.inc()
         offered = {entry.digest for entry in entries}
         held = {entry.digest for entry in register.bucket_entries(content.number)}
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
@@ -13,7 +13,6 @@
 from oleanderweir.spreading.control_budget import ControlBudget
 from oleanderweir.spreading.dialler_pool import DiallerPool
 from oleanderweir.spreading.greeting import make_hello
-from oleanderweir.spreading.greeting import read_hello
 from oleanderweir.spreading.instance_lister import InstanceLister
 from oleanderweir.spreading.metrics import PAUSES
 from oleanderweir.spreading.metrics import SESSIONS_ENDED
@@ -147,6 +146,7 @@
     def _entries_in_force(self, entries: tuple[Entry, ...]) -> None:
         """Push what came into force; what a boot reads is no news to others."""
         self.context.changed_at = trio.current_time()
+        self.context.cached_digest = None
         if self.boot_gate.is_ready:
             self.sessions.push(entries)
 
@@ -173,14 +173,14 @@
         """Learn of the peer and hold the session."""
         side = "dialler" if session.is_dialler else "acceptor"
         SESSIONS_OPENED.labels(side=side).inc()
-        if session.peer is not None:
-            self.membership.learn(read_hello(session.peer))
+        if session.instance is not None:
+            self.membership.learn(session.instance)
         self.sessions.add(session)
 
     def _synchronized(self, session: PeerSession) -> None:
         """Renew what is known of the peer."""
-        if session.peer is not None:
-            self.membership.learn(read_hello(session.peer))
+        if session.instance is not None:
+            self.membership.learn(session.instance)
         self.peer_boot.note_synchronized(session)
 
     async def _keep_sessions(self) -> None:
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreading_context.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreading_context.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import attrs
 
 from oleanderweir.spreading.peer_message_codec import PeerMessageCodec
+from oleanderweir.spreading.register_digest import RegisterDigest
 from oleanderweir.spreading.repair_plan import RepairPlan
 
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterator
 
     from oleanderweir.spreading.control_budget import ControlBudget
     from oleanderweir.spreading.messages import Hello
@@ -25,6 +28,7 @@
     """
     The state that the sessions of one process share.
 
+    The register is changed through ``changing`` only, since its digest is kept.
     ``changed_at`` is when the register changed last, in seconds of trio's clock.
     """
 
@@ -37,3 +41,20 @@
     codec: PeerMessageCodec = attrs.field(factory=PeerMessageCodec)
     repair_plan: RepairPlan = attrs.field(factory=RepairPlan)
     changed_at: float = float("-inf")
+    cached_digest: RegisterDigest | None = None
+
+    def digest(self) -> RegisterDigest:
+        """Return the digest and floor of the register."""
+        if self.cached_digest is None:
+            self.cached_digest = RegisterDigest(
+                content=self.register.digest(), floor=self.register.floor
+            )
+        return self.cached_digest
+
+    @contextmanager
+    def changing(self) -> Iterator[TicketRegister]:
+        """Give the register to change; its digest is computed anew afterwards."""
+        try:
+            yield self.register
+        finally:
+            self.cached_digest = None
