--- a/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/__init__.py
@@ -16,16 +16,21 @@
 from oleanderweir.tickets.exceptions import InvalidTicketError
 from oleanderweir.tickets.exceptions import UnreadableTicketFileError
 from oleanderweir.tickets.merge_outcome import MergeOutcome
+from oleanderweir.tickets.published_entry_reader import read_published_entry
 from oleanderweir.tickets.register_bucket import RegisterBucket
 from oleanderweir.tickets.register_view import RegisterView
 from oleanderweir.tickets.snapshot import Snapshot
 from oleanderweir.tickets.ticket import Ticket
+from oleanderweir.tickets.ticket_checker import TicketChecker
+from oleanderweir.tickets.ticket_document import MAX_TICKET_BYTES
+from oleanderweir.tickets.ticket_parser import parse_ticket
 from oleanderweir.tickets.ticket_problem import TicketProblem
 from oleanderweir.tickets.ticket_register import TicketRegister
 
 
 __all__ = [
     "BUCKET_COUNT",
+    "MAX_TICKET_BYTES",
     "BootGate",
     "BootOutcome",
     "BootSource",
@@ -40,9 +45,12 @@
     "RegisterView",
     "Snapshot",
     "Ticket",
+    "TicketChecker",
     "TicketProblem",
     "TicketRegister",
     "UnreadableTicketFileError",
     "decode_entries",
     "encode_entries",
+    "parse_ticket",
+    "read_published_entry",
 ]
