--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/spreading.py
@@ -0,0 +1,57 @@
+"""Measure how tickets spread over real nodes."""
+
+from __future__ import annotations
+
+import json
+import logging
+from pathlib import Path
+
+import attrs
+import click
+import trio
+
+from oleanderweir_bench.spreading import Experiment
+from oleanderweir_bench.spreading import ExperimentPlan
+from oleanderweir_bench.spreading import ExperimentResult
+from oleanderweir_bench.spreading import make_table
+
+
+@click.command("spreading")
+@click.option(
+    "--nodes",
+    "node_counts",
+    type=click.IntRange(min=2, max=1000),
+    multiple=True,
+    default=[200],
+    show_default=True,
+    help="Nodes of a run; give it several times for several runs.",
+)
+@click.option(
+    "--workers",
+    type=click.IntRange(min=1, max=16),
+    default=4,
+    show_default=True,
+    help="Processes that hold the nodes.",
+)
+@click.option(
+    "--output",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="File for the results as JSON.",
+)
+def spreading(node_counts: tuple[int, ...], workers: int, output: Path | None) -> None:
+    """Run nodes on the loopback address and print what spreading costs."""
+    logging.basicConfig(level=logging.ERROR)
+    plans = [
+        ExperimentPlan(node_count=count, worker_count=workers) for count in node_counts
+    ]
+    results = [trio.run(run_experiment, plan) for plan in plans]
+    if output is not None:
+        documents = [attrs.asdict(result) for result in results]
+        output.write_text(json.dumps(documents, indent=2) + "\n", encoding="utf-8")
+    click.echo(make_table(results))
+
+
+async def run_experiment(plan: ExperimentPlan) -> ExperimentResult:
+    """Run one experiment with its own stand-ins and workers."""
+    async with Experiment.prepare(plan) as experiment:
+        return await experiment.run()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment.py
@@ -0,0 +1,230 @@
+"""The experiment that measures spreading with real nodes."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_bench.platform import ConfigurationServiceStandIn
+from oleanderweir_bench.platform import serve_application
+from oleanderweir_bench.spreading.experiment_result import ExperimentResult
+from oleanderweir_bench.spreading.fleet import Fleet
+from oleanderweir_bench.spreading.node import LOOPBACK
+from oleanderweir_bench.spreading.peer_certificates import write_peer_credentials
+from oleanderweir_bench.spreading.usage_per_node import UsagePerNode
+from oleanderweir_bench.spreading.worker_plan import WorkerPlan
+from oleanderweir_bench.spreading.worker_process import WorkerProcess
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from oleanderweir_bench.spreading.experiment_plan import ExperimentPlan
+    from oleanderweir_bench.spreading.messages import WorkerUsage
+
+
+SETTLE_S = 5.0
+
+
+def make_ticket(number: int, names: list[str]) -> str:
+    """Return the text of a ticket that sets some services."""
+    services = {
+        name: {
+            "address": f"198.51.{number % 250}.{index % 250 + 1}:443",
+            "request_timeout_s": 10.0,
+            "retry_ratio": 0.1,
+            "feed_paths": ["/ticks", "/feed"],
+        }
+        for index, name in enumerate(names)
+    }
+    return json.dumps({"ticket": number, "services": services})
+
+
+@attrs.define(kw_only=True, eq=False)
+class Experiment:
+    """Runs one fleet through rest, single tickets, a burst and replacement."""
+
+    plan: ExperimentPlan
+    fleet: Fleet
+    configuration: ConfigurationServiceStandIn
+    instances: ConfigurationServiceStandIn
+
+    @classmethod
+    @asynccontextmanager
+    async def prepare(cls, plan: ExperimentPlan) -> AsyncIterator[Experiment]:
+        """Start the stand-ins and the workers; end them on exit."""
+        configuration = ConfigurationServiceStandIn()
+        instances = ConfigurationServiceStandIn()
+        async with trio.open_nursery() as nursery:
+            urls = []
+            for stand_in in (configuration, instances):
+                address = await nursery.start(serve, stand_in)
+                urls.append(f"http://{address}")
+            with tempfile.TemporaryDirectory() as folder:
+                credentials = write_peer_credentials(Path(folder))
+                worker_plan = WorkerPlan(
+                    configuration_url=urls[0],
+                    instance_list_url=urls[1],
+                    certificate_path=credentials.certificate_path,
+                    key_path=credentials.key_path,
+                    authority_path=credentials.authority_path,
+                )
+                fleet = Fleet(workers=[], instances=instances.state)
+                experiment = cls(
+                    plan=plan,
+                    fleet=fleet,
+                    configuration=configuration,
+                    instances=instances,
+                )
+                try:
+                    await experiment.start_workers(nursery, worker_plan)
+                    yield experiment
+                finally:
+                    with trio.CancelScope(shield=True):
+                        for worker in fleet.workers:
+                            await worker.stop()
+            nursery.cancel_scope.cancel()
+
+    async def start_workers(
+        self, nursery: trio.Nursery, worker_plan: WorkerPlan
+    ) -> None:
+        """Start the worker processes."""
+        for _ in range(self.plan.worker_count):
+            worker = await WorkerProcess.start(worker_plan, self.fleet.take_report)
+            self.fleet.workers.append(worker)
+            nursery.start_soon(worker.read_reports)
+
+    async def run(self) -> ExperimentResult:
+        """Run every phase and return what was measured."""
+        boot_s = await self.boot()
+        await trio.sleep(SETTLE_S)
+        rest_reads_per_s, rest = await self.measure_rest()
+        before = await self.fleet.usages()
+        spread_s = await self.publish_singles()
+        singles = await self.usage_since(before)
+        before = await self.fleet.usages()
+        burst_s, is_burst_complete = await self.publish_burst()
+        burst = await self.usage_since(before)
+        peak = self.peak_reads_per_s()
+        watches = self.configuration.meter.waiting_watches
+        replaced, ready_s, is_ready, is_kept = await self.replace_half()
+        return ExperimentResult(
+            node_count=self.plan.node_count,
+            boot_s=boot_s,
+            spread_s=spread_s,
+            missed=self.plan.single_tickets - len(spread_s),
+            rest=rest,
+            singles=singles,
+            burst=burst,
+            burst_s=burst_s,
+            is_burst_complete=is_burst_complete,
+            rest_reads_per_s=rest_reads_per_s,
+            peak_reads_per_s=peak,
+            waiting_watches=watches,
+            replaced=replaced,
+            replaced_ready_s=ready_s,
+            is_replacement_ready=is_ready,
+            is_ticket_kept=is_kept,
+        )
+
+    async def boot(self) -> float:
+        """Start every node at once; return the time until all are ready."""
+        for _ in range(self.plan.preset_tickets):
+            self.publish(self.plan.services_per_ticket)
+        started_s = self.fleet.now_s()
+        await self.fleet.start(self.plan.node_count)
+        await self.fleet.wait_ready(timeout_s=self.plan.timeout_s)
+        return self.fleet.now_s() - started_s
+
+    def publish(self, service_count: int = 1) -> int:
+        """Publish the next ticket; return its number."""
+        number = self.configuration.state.highest_ticket + 1
+        names = [f"service-{number}-{n}" for n in range(service_count)]
+        return self.configuration.state.publish(make_ticket(number, names))
+
+    async def measure_rest(self) -> tuple[float, UsagePerNode]:
+        """Return reads a second and usage while nothing changes."""
+        before = await self.fleet.usages()
+        calls = self.calls()
+        await trio.sleep(self.plan.rest_s)
+        usage = await self.usage_since(before)
+        waiting = self.configuration.meter.waiting_watches
+        return (self.calls() - calls) / usage.duration_s + waiting, usage
+
+    async def publish_singles(self) -> list[float]:
+        """Publish tickets one at a time; return the times to the last node."""
+        spread_s = []
+        for _ in range(self.plan.single_tickets):
+            published_s = self.fleet.now_s()
+            ticket = self.publish()
+            if await self.fleet.wait_in_force([ticket], timeout_s=self.plan.timeout_s):
+                spread_s.append(self.fleet.last_in_force_s(ticket) - published_s)
+            await trio.sleep(self.plan.single_interval_s)
+        return spread_s
+
+    async def publish_burst(self) -> tuple[float, bool]:
+        """Publish many tickets at once; return the time to the last, and success."""
+        published_s = self.fleet.now_s()
+        tickets = [self.publish() for _ in range(self.plan.burst_tickets)]
+        is_complete = await self.fleet.wait_in_force(
+            tickets, timeout_s=self.plan.timeout_s
+        )
+        return self.fleet.now_s() - published_s, is_complete
+
+    async def replace_half(self) -> tuple[int, float, bool, bool]:
+        """
+        Replace half of the nodes while the service is down, then stale.
+
+        Return how many, the time until all are ready, whether they were in time, and
+        whether the newest ticket is in force on every node.
+        """
+        newest = self.configuration.state.highest_ticket
+        started_s = self.fleet.now_s()
+        old = sorted(self.fleet.plans)[: self.plan.node_count // 2]
+        half = len(old) // 2
+        is_ready = True
+        self.configuration.conditions.is_down = True
+        for names in (old[:half], old[half:]):
+            await self.fleet.stop(names)
+            await self.fleet.start(len(names))
+            timeout_s = self.plan.timeout_s
+            is_ready &= await self.fleet.wait_ready(timeout_s=timeout_s)
+            self.configuration.conditions.is_down = False
+            self.configuration.conditions.stale_at = self.plan.preset_tickets
+        ready_s = self.fleet.now_s() - started_s
+        await trio.sleep(SETTLE_S)
+        return len(old), ready_s, is_ready, self.fleet.is_in_force(newest)
+
+    async def usage_since(self, before: list[WorkerUsage]) -> UsagePerNode:
+        """Return what a node used since a report."""
+        after = await self.fleet.usages()
+        return UsagePerNode.between(before, after, node_count=self.plan.node_count)
+
+    def calls(self) -> int:
+        """Return the calls at both stand-ins so far."""
+        meters = (self.configuration.meter, self.instances.meter)
+        return sum(sum(meter.calls.values()) for meter in meters)
+
+    def peak_reads_per_s(self) -> int:
+        """Return the most reads of a second at either stand-in."""
+        return max(
+            self.configuration.meter.peak_reads_per_s,
+            self.instances.meter.peak_reads_per_s,
+        )
+
+
+async def serve(
+    stand_in: ConfigurationServiceStandIn,
+    *,
+    task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a stand-in on a free port of the loopback address."""
+    await serve_application(
+        stand_in.application, host=LOOPBACK, port=0, task_status=task_status
+    )
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/fleet.py
@@ -0,0 +1,146 @@
+"""The nodes of an experiment, spread over worker processes."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections import defaultdict
+from itertools import count
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_bench.spreading.messages import NodePlan
+from oleanderweir_bench.spreading.messages import NodeReady
+from oleanderweir_bench.spreading.messages import StartNode
+from oleanderweir_bench.spreading.messages import StopNode
+from oleanderweir_bench.spreading.messages import TicketsInForce
+from oleanderweir_bench.spreading.node import LOOPBACK
+from oleanderweir_bench.spreading.node import make_record
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from oleanderweir_bench.platform import PublishedState
+    from oleanderweir_bench.spreading.messages import WorkerMessage
+    from oleanderweir_bench.spreading.messages import WorkerUsage
+    from oleanderweir_bench.spreading.worker_process import WorkerProcess
+
+
+ZONE_COUNT = 13
+REGION_COUNT = 5
+BALANCERS_PER_FLEET = 8
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+POLL_INTERVAL_S = 0.02
+
+
+def free_ports() -> Iterator[int]:
+    """Give ports of the loopback address that nothing is bound to."""
+    for port in range(FIRST_PORT, LAST_PORT):
+        with socket.socket() as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        yield port
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """
+    Starts, stops and observes nodes.
+
+    ``in_force`` holds, for each ticket and node, when the node merged it.
+    """
+
+    workers: list[WorkerProcess]
+    instances: PublishedState
+    plans: dict[str, NodePlan] = attrs.field(factory=dict)
+    homes: dict[str, WorkerProcess] = attrs.field(factory=dict)
+    ready_at_s: dict[str, float] = attrs.field(factory=dict)
+    in_force: dict[int, dict[str, float]] = attrs.field(
+        factory=lambda: defaultdict(dict)
+    )
+    numbers: Iterator[int] = attrs.field(factory=count)
+    ports: Iterator[int] = attrs.field(factory=free_ports)
+
+    def take_report(self, message: WorkerMessage) -> None:
+        """Record what a worker reports."""
+        match message:
+            case NodeReady():
+                self.ready_at_s[message.name] = message.at_s
+            case TicketsInForce():
+                for ticket in message.tickets:
+                    self.in_force[ticket].setdefault(message.name, message.at_s)
+
+    async def start(self, node_count: int) -> list[NodePlan]:
+        """Start nodes in all zones in turn and list them as instances."""
+        plans = [self.make_plan(next(self.numbers)) for _ in range(node_count)]
+        self.plans |= {plan.name: plan for plan in plans}
+        self.publish_instances()
+        for number, plan in enumerate(plans):
+            worker = self.workers[number % len(self.workers)]
+            self.homes[plan.name] = worker
+            await worker.send(StartNode(node=plan))
+        return plans
+
+    def make_plan(self, number: int) -> NodePlan:
+        """Return the plan of a new node."""
+        zone = number % ZONE_COUNT
+        is_balancer = number % BALANCERS_PER_FLEET == 0
+        return NodePlan(
+            name=f"instance-{number:05}",
+            role="balancer" if is_balancer else "agent",
+            region=f"region-{zone % REGION_COUNT}",
+            availability_zone=f"zone-{zone:02}",
+            port=next(self.ports),
+        )
+
+    async def stop(self, names: Iterable[str]) -> None:
+        """Stop nodes without warning and take them off the list."""
+        for name in names:
+            await self.homes.pop(name).send(StopNode(name=name))
+            del self.plans[name]
+        self.publish_instances()
+
+    def publish_instances(self) -> None:
+        """List the nodes as instances."""
+        self.instances.list_instances([make_record(p) for p in self.plans.values()])
+
+    async def wait_ready(self, *, timeout_s: float) -> bool:
+        """Wait until every node is ready; return whether that happened in time."""
+        with trio.move_on_after(timeout_s):
+            while not self.ready_at_s.keys() >= self.plans.keys():
+                await trio.sleep(POLL_INTERVAL_S)
+            return True
+        return False
+
+    async def wait_in_force(self, tickets: Iterable[int], *, timeout_s: float) -> bool:
+        """Wait until tickets are in force on every node; return whether in time."""
+        wanted = list(tickets)
+        with trio.move_on_after(timeout_s):
+            while any(not self.is_in_force(ticket) for ticket in wanted):
+                await trio.sleep(POLL_INTERVAL_S)
+            return True
+        return False
+
+    def is_in_force(self, ticket: int) -> bool:
+        """Whether a ticket is in force on every node."""
+        return self.in_force[ticket].keys() >= self.plans.keys()
+
+    def last_in_force_s(self, ticket: int) -> float:
+        """Return when the last node merged a ticket."""
+        return max(self.in_force[ticket][name] for name in self.plans)
+
+    async def usages(self) -> list[WorkerUsage]:
+        """Return what each worker has used so far."""
+        return [await worker.usage() for worker in self.workers]
+
+    @staticmethod
+    def now_s() -> float:
+        """Return the time of the machine's monotonic clock."""
+        return time.monotonic()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/markdown_table.py
@@ -0,0 +1,64 @@
+"""Results as a markdown table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir_bench.spreading.experiment_result import ExperimentResult
+
+
+MEBIBYTE = 2**20
+
+
+def make_table(results: Sequence[ExperimentResult]) -> str:
+    """Return one column for each result."""
+    columns = [make_column(result) for result in results]
+    names = list(columns[0])
+    lines = [
+        "| quantity |" + " |".join(f" {r.node_count} nodes" for r in results) + " |"
+    ]
+    lines.append("| --- |" + " --- |" * len(columns))
+    for name in names:
+        cells = " | ".join(column[name] for column in columns)
+        lines.append(f"| {name} | {cells} |")
+    return "\n".join(lines)
+
+
+def make_column(result: ExperimentResult) -> dict[str, str]:
+    """Return the cells of one result by their row's name."""
+    spread = sorted(result.spread_s) or [float("nan")]
+    return {
+        "all started at once, all ready after, s": f"{result.boot_s:.2f}",
+        "ticket to last node, median, s": f"{spread[len(spread) // 2]:.3f}",
+        "ticket to last node, longest, s": f"{spread[-1]:.3f}",
+        "tickets that missed the timeout": str(result.missed),
+        "burst to last node, s": f"{result.burst_s:.2f}",
+        "burst complete": describe(result.is_burst_complete),
+        "control bytes per node at rest, B/s": f"{result.rest.control_bytes_per_s:.0f}",
+        "control bytes per node, single tickets, B/s": (
+            f"{result.singles.control_bytes_per_s:.0f}"
+        ),
+        "control bytes per node in the burst, B": (
+            f"{result.burst.control_bytes_per_s * result.burst.duration_s:.0f}"
+        ),
+        "processor time per node at rest, ms/s": f"{result.rest.cpu_ms_per_s:.2f}",
+        "processor time per node, single tickets, ms/s": (
+            f"{result.singles.cpu_ms_per_s:.2f}"
+        ),
+        "memory per node, MiB": f"{result.rest.memory_bytes / MEBIBYTE:.2f}",
+        "reads at rest, 1/s": f"{result.rest_reads_per_s:.1f}",
+        "most reads in a second": str(result.peak_reads_per_s),
+        "waiting watches": str(result.waiting_watches),
+        "nodes replaced with the service down or stale": str(result.replaced),
+        "replacements ready": describe(result.is_replacement_ready),
+        "newest ticket kept by all": describe(result.is_ticket_kept),
+    }
+
+
+def describe(is_true: bool) -> str:  # noqa: FBT001
+    """Return yes or no."""
+    return "yes" if is_true else "no"
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/messages/json_lines.py
@@ -0,0 +1,34 @@
+"""Messages between the experiment and its workers, one JSON line each."""
+
+from __future__ import annotations
+
+import json
+
+import cattrs
+from cattrs.strategies import configure_tagged_union
+
+from oleanderweir_bench.spreading.messages.node_ready import NodeReady
+from oleanderweir_bench.spreading.messages.report_usage import ReportUsage
+from oleanderweir_bench.spreading.messages.start_node import StartNode
+from oleanderweir_bench.spreading.messages.stop_node import StopNode
+from oleanderweir_bench.spreading.messages.tickets_in_force import TicketsInForce
+from oleanderweir_bench.spreading.messages.worker_usage import WorkerUsage
+
+
+WorkerMessage = (
+    StartNode | StopNode | ReportUsage | NodeReady | TicketsInForce | WorkerUsage
+)
+CONVERTER = cattrs.Converter()
+configure_tagged_union(WorkerMessage, CONVERTER)
+
+
+def encode_line(message: WorkerMessage) -> bytes:
+    """Return a message as a line."""
+    document = CONVERTER.unstructure(message, unstructure_as=WorkerMessage)
+    return json.dumps(document).encode() + b"\n"
+
+
+def decode_line(line: bytes) -> WorkerMessage:
+    """Read a message from a line."""
+    message: WorkerMessage = CONVERTER.structure(json.loads(line), WorkerMessage)  # type: ignore[arg-type]
+    return message
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/worker_process.py
@@ -0,0 +1,84 @@
+"""The experiment's side of a worker."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+import attrs
+import cattrs
+import trio
+
+from oleanderweir_bench.spreading.line_stream import read_lines
+from oleanderweir_bench.spreading.messages import ReportUsage
+from oleanderweir_bench.spreading.messages import WorkerUsage
+from oleanderweir_bench.spreading.messages import decode_line
+from oleanderweir_bench.spreading.messages import encode_line
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir_bench.spreading.messages import WorkerMessage
+    from oleanderweir_bench.spreading.worker_plan import WorkerPlan
+
+
+MODULE = "oleanderweir_bench.spreading.worker"
+
+
+@attrs.define(kw_only=True, eq=False)
+class WorkerProcess:
+    """Sends orders to a worker process and passes its reports on."""
+
+    process: trio.Process
+    on_report: Callable[[WorkerMessage], None]
+    usages: list[WorkerUsage] = attrs.field(factory=list)
+    usage_added: trio.Event = attrs.field(factory=trio.Event)
+
+    @classmethod
+    async def start(
+        cls, plan: WorkerPlan, on_report: Callable[[WorkerMessage], None]
+    ) -> WorkerProcess:
+        """Start the process."""
+        document = json.dumps(cattrs.unstructure(plan))
+        process = await trio.lowlevel.open_process(
+            [sys.executable, "-m", MODULE, document],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        return cls(process=process, on_report=on_report)
+
+    async def read_reports(self) -> None:
+        """Pass reports on until the process ends."""
+        assert self.process.stdout is not None
+        async for line in read_lines(self.process.stdout):
+            message = decode_line(line)
+            if isinstance(message, WorkerUsage):
+                self.usages.append(message)
+                self.usage_added.set()
+            else:
+                self.on_report(message)
+
+    async def send(self, message: WorkerMessage) -> None:
+        """Send an order."""
+        assert self.process.stdin is not None
+        await self.process.stdin.send_all(encode_line(message))
+
+    async def usage(self) -> WorkerUsage:
+        """Ask for the usage so far and return it."""
+        self.usage_added = trio.Event()
+        await self.send(ReportUsage())
+        await self.usage_added.wait()
+        return self.usages[-1]
+
+    async def stop(self) -> None:
+        """End the process and wait for it."""
+        assert self.process.stdin is not None
+        await self.process.stdin.aclose()
+        with trio.move_on_after(5):
+            await self.process.wait()
+            return
+        self.process.kill()
+        await self.process.wait()
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreading_settings.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreading_settings.py
@@ -30,8 +30,8 @@
     dial_backoff_max_s: float = 20.0
     suspicion_s: float = 30.0
     selection_interval_s: float = 1.0
-    zone_list_interval_s: float = 120.0
-    fleet_list_interval_s: float = 600.0
+    zone_list_interval_s: float = 300.0
+    fleet_list_interval_s: float = 3600.0
     rare_read_interval_s: float = 600.0
     read_backoff_min_s: float = 0.5
     read_backoff_max_s: float = 30.0
