Join the whole path: control plane, binaries and demonstration

Cause of the first failures: the kernel's parent-death signal follows the thread that starts a process, and trio's worker thread ends after ten idle seconds, so all processes died at once; ports from the kernel's local range were taken by connections before their process bound them; and an empty instance list leaves every booting process waiting. Ruled out: crashes of the processes themselves (their logs end after 'starting').

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import trio
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
 
@@ -25,10 +26,9 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-    import trio
-
     from oleanderweir.configuration import BackendServer
     from oleanderweir.configuration import ConfigurationView
+    from oleanderweir.control import ControlPlane
     from oleanderweir.keys import KeyRing
     from oleanderweir.net import SocketAddress
     from oleanderweir_agent.metrics import AgentMetrics
@@ -56,6 +56,7 @@
         tls_private_key: Path,
         key_ring: KeyRing,
         configuration: ConfigurationView,
+        control_plane: ControlPlane,
         metrics: AgentMetrics,
     ) -> None:
         self.backend_server_name = backend_server_name
@@ -63,6 +64,7 @@
         self.backend_address = backend_address
         self.key_ring = key_ring
         self.configuration = configuration
+        self.control_plane = control_plane
         self.metrics = metrics
         self.incarnation = int(time.time()) & MAX_INCARNATION
         self.quic_configuration = QuicConfiguration(
@@ -83,9 +85,11 @@
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Serve until cancelled."""
         try:
-            task_status.started()
-            entry = await self._wait_own_entry()
-            await self._make_endpoint(entry.service).run()
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.control_plane.run)
+                task_status.started()
+                entry = await self._wait_own_entry()
+                await self._make_endpoint(entry.service).run()
         finally:
             self.socket.close()
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/factory.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir.configuration.pending_configuration import PendingConfiguration
+from oleanderweir.control import ControlPlane
+from oleanderweir.membership import InstanceRole
 from oleanderweir_agent.agent import Agent
 from oleanderweir_agent.metrics import AgentMetrics
 
@@ -17,6 +18,9 @@
 
 def create_agent(settings: AgentSettings, *, registry: CollectorRegistry) -> Agent:
     """Return an agent with its socket bound; raise ``AddressInUseError``."""
+    control_plane = ControlPlane(
+        settings=settings, role=InstanceRole.AGENT, data_address=settings.agent_address
+    )
     return Agent(
         backend_server_name=settings.backend_server,
         agent_address=settings.agent_address,
@@ -24,6 +28,7 @@
         tls_certificate=settings.tls_certificate,
         tls_private_key=settings.tls_private_key,
         key_ring=settings.key_ring,
-        configuration=PendingConfiguration(),
+        configuration=control_plane.view,
+        control_plane=control_plane,
         metrics=AgentMetrics(registry=registry),
     )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/balancer.py
@@ -25,6 +25,7 @@
 
     from oleanderweir.configuration import ConfigurationView
     from oleanderweir.configuration import Service
+    from oleanderweir.control import ControlPlane
     from oleanderweir.keys import KeyRing
     from oleanderweir_balancer.metrics import BalancerMetrics
 
@@ -49,11 +50,13 @@
         bind_host: str | None,
         key_ring: KeyRing,
         configuration: ConfigurationView,
+        control_plane: ControlPlane,
         metrics: BalancerMetrics,
         random_source: random.Random,
     ) -> None:
         self.bind_host = bind_host
         self.configuration = configuration
+        self.control_plane = control_plane
         self.metrics = metrics
         self.connection_ids = ConnectionIdCodec(key_ring=key_ring)
         self.to_agents = EnvelopeCodec(
@@ -81,6 +84,7 @@
         """Serve until cancelled; report started once the first sockets listen."""
         try:
             async with trio.open_nursery() as nursery:
+                await nursery.start(self.control_plane.run)
                 nursery.start_soon(self._receive_from_agents)
                 nursery.start_soon(self.opener.run)
                 await nursery.start(self._follow_configuration, nursery)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -8,11 +8,15 @@
 import httpx
 
 from oleanderweir.configuration import Service
+from oleanderweir.membership import InstanceRecord
+from oleanderweir.membership import InstanceRole
+from oleanderweir.membership import InstanceState
 from oleanderweir_bench.callers import Http3Caller
 from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
 from oleanderweir_bench.deployment.address_plan import AddressPlan
 from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
+from oleanderweir_bench.deployment.platform_operator import PlatformOperator
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
 from oleanderweir_bench.keys import CertificateAuthority
 
@@ -21,11 +25,13 @@
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
+    from oleanderweir.net import SocketAddress
     from oleanderweir_bench.processes import ProcessSupervisor
     from oleanderweir_bench.processes import SupervisedProcess
 
 
 BENCH = "oleanderweir_bench"
+REGION = "central-chile"
 SECRET_BYTES = 32
 
 
@@ -59,10 +65,15 @@
             feed_paths=("/feed",),
         )
         self.configuration_address = self.plan.choose(FABRIC_HOST)
+        self.operator = PlatformOperator(
+            configuration_address=self.configuration_address
+        )
         self.control_address = self.plan.choose(FABRIC_HOST)
         self.balancers: dict[str, DeployedBalancer] = {}
         self.servers: dict[str, DeployedServer] = {}
         self.certificate = self.authority.write(folder, service_name)
+        self.peer_certificate = self.authority.write(folder, "instance")
+        self.authority_path = self.authority.write_authority(folder)
         self.tickets_folder = folder / "tickets"
         self.tickets_folder.mkdir()
 
@@ -111,13 +122,18 @@
         name = f"balancer-{number}"
         host = self.plan.balancer_host(number)
         admin_address = self.plan.choose(host)
-        process = await self.start_product(
+        record = self.make_record(
             name,
-            "oleanderweir-balancer",
+            InstanceRole.BALANCER,
             number,
+            data_address=self.plan.choose(host),
+            peer_address=self.plan.choose(host),
+        )
+        process = await self.start_product(
+            record,
+            "oleanderweir-balancer",
             f"--bind-host={host}",
-            f"--back-address={self.plan.choose(host)}",
-            f"--peer-address={self.plan.choose(host)}",
+            f"--back-address={record.data_address}",
             f"--admin-address={admin_address}",
         )
         balancer = DeployedBalancer(
@@ -141,13 +157,18 @@
             f"--name={entry.name}",
             f"--slots={entry.slots}",
         )
-        agent_process = await self.start_product(
+        record = self.make_record(
             f"agent-{number}",
-            "oleanderweir-agent",
+            InstanceRole.AGENT,
             number,
+            data_address=entry.agent_address,
+            peer_address=entry.peer_address,
+        )
+        agent_process = await self.start_product(
+            record,
+            "oleanderweir-agent",
             f"--backend-server={entry.name}",
             f"--agent-address={entry.agent_address}",
-            f"--peer-address={entry.peer_address}",
             f"--backend-address={backend_address}",
             f"--admin-address={admin_address}",
             f"--tls-certificate={self.certificate.certificate}",
@@ -164,16 +185,22 @@
         return server
 
     async def start_product(
-        self, name: str, script: str, number: int, *arguments: str
+        self, record: InstanceRecord, script: str, *arguments: str
     ) -> SupervisedProcess:
-        """Start one of the two binaries with the flags that both share."""
+        """List an instance and start its binary with the flags that both share."""
+        await self.operator.list_instance(record)
         return await self.supervisor.start_script(
-            name,
+            record.name,
             script,
             "run",
-            f"--instance-name={name}",
-            f"--availability-zone={self.plan.availability_zone(number)}",
+            f"--instance-name={record.name}",
+            f"--availability-zone={record.availability_zone}",
+            f"--region={record.region}",
+            f"--peer-address={record.peer_address}",
             f"--configuration-url=http://{self.configuration_address}",
+            f"--peer-tls-certificate={self.peer_certificate.certificate}",
+            f"--peer-tls-private-key={self.peer_certificate.private_key}",
+            f"--peer-tls-ca={self.authority_path}",
             *arguments,
             environment={"OLEANDERWEIR_KEYS": self.keys},
         )
@@ -200,9 +227,7 @@
             backend_servers=backend_servers,
             removed_backend_servers=removed_backend_servers,
         )
-        async with httpx.AsyncClient() as client:
-            url = f"http://{self.configuration_address}/operator/tickets"
-            (await client.post(url, content=text)).raise_for_status()
+        await self.operator.publish_ticket(text)
 
     async def spray_over(self, balancer: DeployedBalancer) -> None:
         """Have the fabric spray over a balancer."""
@@ -236,6 +261,26 @@
             server_name=self.service.name,
         )
 
+    def make_record(
+        self,
+        name: str,
+        role: InstanceRole,
+        number: int,
+        *,
+        data_address: SocketAddress,
+        peer_address: SocketAddress,
+    ) -> InstanceRecord:
+        """Return what the instance list says of an instance."""
+        return InstanceRecord(
+            name=name,
+            role=role,
+            region=REGION,
+            availability_zone=self.plan.availability_zone(number),
+            peer_address=peer_address,
+            data_address=data_address,
+            state=InstanceState.LIVE,
+        )
+
     def make_entry(self, number: int) -> BackendServer:
         """Return what a ticket says of a backend server; the same on each call."""
         return self.plan.backend_server(self.service.name, number, self.slots)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/platform_operator.py
@@ -0,0 +1,53 @@
+"""What the platform and its operators publish during a trial."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import httpx
+
+from oleanderweir.configuration_service.messages import InstanceListPart
+from oleanderweir.configuration_service.messages import encode_message
+
+
+if TYPE_CHECKING:
+    from oleanderweir.membership import InstanceRecord
+    from oleanderweir.net import SocketAddress
+
+
+@attrs.define(kw_only=True, eq=False)
+class PlatformOperator:
+    """
+    Publishes tickets and the instance list at the stand-in's operators' interface.
+
+    Every method raises ``httpx.HTTPStatusError`` when the stand-in refuses.
+    """
+
+    configuration_address: SocketAddress
+    instances: dict[str, InstanceRecord] = attrs.field(factory=dict)
+
+    async def publish_ticket(self, text: str) -> None:
+        """Publish a ticket."""
+        await self._call("POST", "tickets", text.encode())
+
+    async def list_instance(self, record: InstanceRecord) -> None:
+        """Put an instance on the list."""
+        self.instances[record.name] = record
+        await self._publish_instances()
+
+    async def delist_instance(self, name: str) -> None:
+        """Take an instance off the list."""
+        del self.instances[name]
+        await self._publish_instances()
+
+    async def _publish_instances(self) -> None:
+        part = InstanceListPart(
+            version=0, part=0, parts=1, instances=tuple(self.instances.values())
+        )
+        await self._call("PUT", "instances", encode_message(part))
+
+    async def _call(self, method: str, path: str, content: bytes) -> None:
+        url = f"http://{self.configuration_address}/operator/{path}"
+        async with httpx.AsyncClient() as client:
+            (await client.request(method, url, content=content)).raise_for_status()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ports.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ports.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 from oleanderweir_bench.exceptions import BindError
 
 
 ATTEMPTS = 50
+# Below the range from which the kernel takes the local ports of connections.
+FIRST_PORT = 16_000
+LAST_PORT = 32_000
 
 
 def find_free_port(*hosts: str) -> int:
@@ -17,9 +21,7 @@
     Raise ``BindError`` when none is found. The port is not held.
     """
     for _ in range(ATTEMPTS):
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-            probe.bind((hosts[0], 0))
-            port = int(probe.getsockname()[1])
+        port = random.randint(FIRST_PORT, LAST_PORT)
         if all(is_free(host, port) for host in hosts):
             return port
     raise BindError(f"no port is free on {', '.join(hosts)}; end other processes")
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
@@ -94,13 +94,15 @@
         environment: Mapping[str, str] | None = None,
     ) -> SupervisedProcess:
         """Start a process and collect what it writes."""
-        process = await trio.lowlevel.open_process(
+        # The kernel watches the thread that starts a process. trio would use a worker
+        # thread, which ends when it has idled for some seconds.
+        process = subprocess.Popen(
             list(command),
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             env={**os.environ, **(environment or {})},
-            preexec_fn=end_with_parent,
+            preexec_fn=end_with_parent,  # noqa: PLW1509
         )
         supervised = SupervisedProcess(name=name, process=process)
         self.processes.append(supervised)
@@ -114,10 +116,10 @@
             process.terminate()
         with trio.move_on_after(self.end_grace_s):
             for process in self.processes:
-                await process.process.wait()
+                await process.wait()
         for process in self.processes:
             process.kill()
-            await process.process.wait()
+            await process.wait()
 
 
 async def collect_output(supervised: SupervisedProcess) -> None:
@@ -126,8 +128,9 @@
     if output is None:
         return
     rest = b""
-    async with output:
-        while data := await output.receive_some(READ_BYTES):
+    async with trio.lowlevel.FdStream(os.dup(output.fileno())) as stream:
+        output.close()
+        while data := await stream.receive_some(READ_BYTES):
             *lines, rest = (rest + data).split(b"\n")
             for line in lines:
                 text = line.decode(errors="replace")
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/control/__init__.py
@@ -0,0 +1,8 @@
+"""What a process does to know the tickets in force."""
+
+from __future__ import annotations
+
+from oleanderweir.control.control_plane import ControlPlane
+
+
+__all__ = ["ControlPlane"]
--- a/tests/oleanderweir_bench/processes/test_process_supervisor.py
+++ b/tests/oleanderweir_bench/processes/test_process_supervisor.py
@@ -67,7 +67,7 @@
             await trio.sleep(0.001)
         assert process.is_running
         process.kill()
-        await process.process.wait()
+        await process.wait()
         assert not process.is_running
 
 
