Check ticket files from the command line

Cause: operators need the verdict of every process on a ticket before they publish it. Ruled out: one line for the whole ticket; with many problems it grows past reading, and the checker tells them apart already.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/console/application.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/console/application.py
@@ -6,6 +6,7 @@
 from oleanderweir.console.commands import CheckCommand
 from oleanderweir.console.commands import RunCommand
 from oleanderweir.console.commands import StatusCommand
+from oleanderweir.console.commands import TicketCheckCommand
 from oleanderweir_agent.console.options import create_agent_options
 from oleanderweir_agent.factory import create_agent
 from oleanderweir_agent.settings import AgentSettings
@@ -28,6 +29,7 @@
             ),
             CheckCommand(options=create_agent_options(), create_settings=AgentSettings),
             StatusCommand(),
+            TicketCheckCommand(),
         ],
     )
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/console/application.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/console/application.py
@@ -6,6 +6,7 @@
 from oleanderweir.console.commands import CheckCommand
 from oleanderweir.console.commands import RunCommand
 from oleanderweir.console.commands import StatusCommand
+from oleanderweir.console.commands import TicketCheckCommand
 from oleanderweir_balancer.console.options import create_balancer_options
 from oleanderweir_balancer.factory import create_balancer
 from oleanderweir_balancer.settings import BalancerSettings
@@ -30,6 +31,7 @@
                 options=create_balancer_options(), create_settings=BalancerSettings
             ),
             StatusCommand(),
+            TicketCheckCommand(),
         ],
     )
 
--- a/packages/oleanderweir/src/oleanderweir/console/commands/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/console/commands/__init__.py
@@ -5,6 +5,7 @@
 from oleanderweir.console.commands.check import CheckCommand
 from oleanderweir.console.commands.run import RunCommand
 from oleanderweir.console.commands.status import StatusCommand
+from oleanderweir.console.commands.ticket_check import TicketCheckCommand
 
 
-__all__ = ["CheckCommand", "RunCommand", "StatusCommand"]
+__all__ = ["CheckCommand", "RunCommand", "StatusCommand", "TicketCheckCommand"]
--- a/packages/oleanderweir/src/oleanderweir/console/reporting.py
+++ b/packages/oleanderweir/src/oleanderweir/console/reporting.py
@@ -16,6 +16,7 @@
 from oleanderweir.net import InvalidAddressError
 from oleanderweir.settings import InvalidSettingError
 from oleanderweir.settings import InvalidTlsMaterialError
+from oleanderweir.tickets import UnreadableTicketFileError
 
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
     InvalidSettingError: ExitCode.INVALID_SETTINGS,
     InvalidTlsMaterialError: ExitCode.INVALID_SETTINGS,
     AddressInUseError: ExitCode.ADDRESS_IN_USE,
+    UnreadableTicketFileError: ExitCode.TICKET_REFUSED,
     NoAnswerError: ExitCode.NO_ANSWER,
     NotReadyError: ExitCode.NOT_READY,
     ShutdownCutError: ExitCode.SHUTDOWN_CUT,
