Require TLS material towards peers

Cause: the transport between processes authenticates both ends by certificates of one authority and has no mode without them, so a process without the three files can't take part; it must be refused by the missing flag, not later. Ruled out: keeping them optional and refusing in the factory; check would then pass settings that run refuses. Errors of peer credentials and service URLs get exit code 2.

--- a/packages/oleanderweir/src/oleanderweir/console/options.py
+++ b/packages/oleanderweir/src/oleanderweir/console/options.py
@@ -109,16 +109,19 @@
         setting_option(
             "--peer-tls-certificate",
             type=FILE,
+            required=True,
             help="Certificate towards other processes (PEM).",
         ),
         setting_option(
             "--peer-tls-private-key",
             type=FILE,
+            required=True,
             help="Private key of that certificate (PEM).",
         ),
         setting_option(
             "--peer-tls-ca",
             type=FILE,
+            required=True,
             help="Authorities that sign the certificates of other processes (PEM).",
         ),
     ]
--- a/packages/oleanderweir/src/oleanderweir/console/reporting.py
+++ b/packages/oleanderweir/src/oleanderweir/console/reporting.py
@@ -6,6 +6,7 @@
 
 import click
 
+from oleanderweir.configuration_service import InvalidServiceUrlError
 from oleanderweir.console.exceptions import NoAnswerError
 from oleanderweir.console.exceptions import NotReadyError
 from oleanderweir.console.exceptions import ShutdownCutError
@@ -16,6 +17,7 @@
 from oleanderweir.net import InvalidAddressError
 from oleanderweir.settings import InvalidSettingError
 from oleanderweir.settings import InvalidTlsMaterialError
+from oleanderweir.spreading import InvalidPeerCredentialsError
 from oleanderweir.tickets import UnreadableTicketFileError
 
 
@@ -28,6 +30,8 @@
     InvalidKeyRingError: ExitCode.INVALID_SETTINGS,
     InvalidSettingError: ExitCode.INVALID_SETTINGS,
     InvalidTlsMaterialError: ExitCode.INVALID_SETTINGS,
+    InvalidPeerCredentialsError: ExitCode.INVALID_SETTINGS,
+    InvalidServiceUrlError: ExitCode.INVALID_SETTINGS,
     AddressInUseError: ExitCode.ADDRESS_IN_USE,
     UnreadableTicketFileError: ExitCode.TICKET_REFUSED,
     NoAnswerError: ExitCode.NO_ANSWER,
--- a/packages/oleanderweir/src/oleanderweir/settings/process_settings.py
+++ b/packages/oleanderweir/src/oleanderweir/settings/process_settings.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from oleanderweir.settings.exceptions import InvalidSettingError
 from oleanderweir.settings.log_level import LogLevel
 from oleanderweir.settings.tls_material import TlsMaterial
 from oleanderweir.settings.validators import check_distinct
@@ -47,9 +46,9 @@
     key_ring: KeyRing = attrs.field(repr=False)
     configuration_url: str = attrs.field(validator=check_url)
     instance_list_url: str | None = attrs.field(default=None, validator=check_url)
-    peer_tls_certificate: Path | None = None
-    peer_tls_private_key: Path | None = None
-    peer_tls_ca: Path | None = None
+    peer_tls_certificate: Path
+    peer_tls_private_key: Path
+    peer_tls_ca: Path
     log_level: LogLevel = LogLevel.INFO
     shutdown_grace_s: float = attrs.field(
         default=DEFAULT_SHUTDOWN_GRACE_S, validator=check_grace
@@ -57,12 +56,6 @@
 
     def __attrs_post_init__(self) -> None:
         check_distinct(self.tcp_addresses)
-        given = {self.peer_tls_certificate, self.peer_tls_private_key, self.peer_tls_ca}
-        if None in given and given != {None}:
-            raise InvalidSettingError(
-                "--peer-tls-certificate, --peer-tls-private-key and --peer-tls-ca "
-                "belong together; give all three or none"
-            )
 
     @property
     def tcp_addresses(self) -> Mapping[str, SocketAddress]:
@@ -75,10 +68,8 @@
         return {}
 
     @property
-    def peer_tls(self) -> TlsMaterial | None:
+    def peer_tls(self) -> TlsMaterial:
         """TLS material towards other processes."""
-        if self.peer_tls_certificate is None or self.peer_tls_private_key is None:
-            return None
         return TlsMaterial(
             certificate=self.peer_tls_certificate,
             private_key=self.peer_tls_private_key,
@@ -88,4 +79,4 @@
     @property
     def tls_materials(self) -> Sequence[TlsMaterial]:
         """All TLS material that the process uses."""
-        return () if self.peer_tls is None else (self.peer_tls,)
+        return (self.peer_tls,)
--- a/tests/oleanderweir/settings/builders.py
+++ b/tests/oleanderweir/settings/builders.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from pathlib import Path
 from typing import Any
 
 from oleanderweir.keys import KeyRing
@@ -17,6 +18,9 @@
         "peer_address": SocketAddress(host="127.0.0.1", port=7001),
         "admin_address": SocketAddress(host="127.0.0.1", port=7002),
         "key_ring": KeyRing.parse(f"1:{SECRET}"),
+        "peer_tls_certificate": Path("a.pem"),
+        "peer_tls_private_key": Path("a.key"),
+        "peer_tls_ca": Path("ca.pem"),
         "configuration_url": "http://127.0.0.1:8500",
     }
     return ProcessSettings(**{**values, **changes})
