Explain the counters of tickets, peers and requests to operators

Cause: the operators' page has to cover every counter that /metrics shows, and the parts on tickets, spreading and requests have come in since. Ruled out: reading prometheus_client's global registry in the test; what it holds depends on which modules were imported before. Conclusion: the test walks the modules of counters by name.

--- a/tests/tools/test_operators_page.py
+++ b/tests/tools/test_operators_page.py
@@ -2,12 +2,18 @@
 
 import pytest
 from prometheus_client import CollectorRegistry
+from prometheus_client import Counter
+from prometheus_client import Gauge
 
 from oleanderweir.admin import ReadinessReason
+from oleanderweir.configuration_service import metrics as platform_metrics
 from oleanderweir.console import ExitCode
 from oleanderweir.console.process_metrics import ProcessMetrics
+from oleanderweir.spreading import metrics as spreading_metrics
+from oleanderweir.tickets import metrics as ticket_metrics
 from oleanderweir_agent.drop_reason import DropReason as AgentDropReason
 from oleanderweir_agent.metrics import AgentMetrics
+from oleanderweir_agent.verdicts import RequestMetrics
 from oleanderweir_balancer.drop_reason import DropReason as BalancerDropReason
 from oleanderweir_balancer.metrics import BalancerMetrics
 from tools.check import ROOT
@@ -21,10 +27,15 @@
     ProcessMetrics(registry=registry)
     BalancerMetrics(registry=registry)
     AgentMetrics(registry=registry)
-    return [
+    RequestMetrics(registry=registry)
+    for module in (spreading_metrics, ticket_metrics, platform_metrics):
+        for metric in vars(module).values():
+            if isinstance(metric, Counter | Gauge):
+                registry.register(metric)
+    return sorted(
         f"{family.name}_total" if family.type == "counter" else family.name
         for family in registry.collect()
-    ]
+    )
 
 
 @pytest.mark.parametrize("metric", list_metrics())
