Export when the first certificate of a process ends

Cause: a certificate that runs out breaks sessions long after the start, so check can't tell it in time.

--- a/packages/oleanderweir/src/oleanderweir/console/process_metrics.py
+++ b/packages/oleanderweir/src/oleanderweir/console/process_metrics.py
@@ -9,11 +9,15 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from prometheus_client import CollectorRegistry
 
+    from oleanderweir.settings import TlsMaterial
+
 
 class ProcessMetrics:
-    """Readiness, late wake-ups and log messages left out."""
+    """Readiness, late wake-ups, certificates and log messages left out."""
 
     def __init__(self, *, registry: CollectorRegistry) -> None:
         self.is_ready = Gauge(
@@ -31,8 +35,22 @@
             "Seconds by which the process woke up late, added up.",
             registry=registry,
         )
+        self.certificate_expiry = Gauge(
+            "oleanderweir_process_certificate_expiry_timestamp_seconds",
+            "Unix time at which the first certificate of the process ends.",
+            registry=registry,
+        )
         self.suppressed_log_messages = Counter(
             "oleanderweir_log_messages_suppressed",
             "Repeated log messages that were counted and not written.",
             registry=registry,
         )
+
+    def note_certificates(self, materials: Sequence[TlsMaterial]) -> None:
+        """Export when the first certificate ends, as it was read at the start."""
+        self.certificate_expiry.set(
+            min(
+                material.read_certificate().not_valid_after_utc.timestamp()
+                for material in materials
+            )
+        )
--- a/packages/oleanderweir/src/oleanderweir/console/process_runner.py
+++ b/packages/oleanderweir/src/oleanderweir/console/process_runner.py
@@ -97,6 +97,7 @@
         """Serve until a signal or an error ends the process."""
         self.started_at = trio.current_time()
         metrics = ProcessMetrics(registry=self.registry)
+        metrics.note_certificates(self.settings.tls_materials)
         monitor = ProcessMonitor(
             readiness=self.readiness, metrics=metrics, repeat_filter=self.repeat_filter
         )
--- a/packages/oleanderweir/src/oleanderweir/settings/tls_material.py
+++ b/packages/oleanderweir/src/oleanderweir/settings/tls_material.py
@@ -44,15 +44,19 @@
             _load_authorities(context, self.authorities)
         self._check_validity(now or datetime.now(UTC))
 
-    def _check_validity(self, now: datetime) -> None:
-        """Raise ``InvalidTlsMaterialError`` if the certificate is out of date."""
+    def read_certificate(self) -> x509.Certificate:
+        """Return the certificate; raise ``InvalidTlsMaterialError`` if unreadable."""
         try:
-            certificate = x509.load_pem_x509_certificate(self.certificate.read_bytes())
+            return x509.load_pem_x509_certificate(self.certificate.read_bytes())
         except (OSError, ValueError) as error:
             raise InvalidTlsMaterialError(
                 f"{self.certificate} can't be read ({_describe(error)}); "
                 "give a PEM certificate"
             ) from error
+
+    def _check_validity(self, now: datetime) -> None:
+        """Raise ``InvalidTlsMaterialError`` if the certificate is out of date."""
+        certificate = self.read_certificate()
         if now > certificate.not_valid_after_utc:
             raise InvalidTlsMaterialError(
                 f"{self.certificate} ended at {certificate.not_valid_after_utc}; "
--- a/tests/oleanderweir/console/test_process_runner.py
+++ b/tests/oleanderweir/console/test_process_runner.py
@@ -5,11 +5,13 @@
 import signal
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import Protocol
 
 import httpx
 import pytest
 import trio
 import trio.testing
+from prometheus_client.parser import text_string_to_metric_families
 
 from oleanderweir.console import ProcessEndedError
 from oleanderweir.console import ProcessFailedError
@@ -22,10 +24,14 @@
 from tests.oleanderweir.console.fakes import taken_address
 from tests.oleanderweir.helpers_admin import find_free_address
 from tests.oleanderweir.settings.builders import build_settings
+from tests.oleanderweir.settings.tls_files import ISSUED_AT
+from tests.oleanderweir.settings.tls_files import VALIDITY
+from tests.oleanderweir.settings.tls_files import write_tls_files
 
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from pathlib import Path
 
     from oleanderweir.settings import ProcessSettings
 
@@ -39,11 +45,25 @@
     root.setLevel(level)
 
 
-def create_runner(
-    process: FakeProcess, **changes: Any
-) -> ProcessRunner[ProcessSettings]:
-    settings = build_settings(admin_address=find_free_address(), **changes)
-    return ProcessRunner(role="balancer", settings=settings, create=process.create)
+class CreateRunner(Protocol):
+    def __call__(
+        self, process: FakeProcess, **changes: Any
+    ) -> ProcessRunner[ProcessSettings]: ...
+
+
+@pytest.fixture
+def create_runner(tmp_path: Path) -> CreateRunner:
+    material = write_tls_files(tmp_path)
+
+    def create(process: FakeProcess, **changes: Any) -> ProcessRunner[ProcessSettings]:
+        settings = build_settings(
+            admin_address=find_free_address(),
+            peer_tls_certificate=material.certificate,
+            **changes,
+        )
+        return ProcessRunner(role="balancer", settings=settings, create=process.create)
+
+    return create
 
 
 async def serve_and_signal(
@@ -63,7 +83,7 @@
 
 
 async def test_a_drained_process_ends_when_its_work_is_done(
-    autojump_clock: trio.testing.MockClock,
+    autojump_clock: trio.testing.MockClock, create_runner: CreateRunner
 ) -> None:
     process = FakeDrainableProcess(work_s=7.0)
     runner = create_runner(process, shutdown_grace_s=30.0)
@@ -77,7 +97,7 @@
 
 
 async def test_work_longer_than_the_grace_is_cut_and_told(
-    autojump_clock: trio.testing.MockClock,
+    autojump_clock: trio.testing.MockClock, create_runner: CreateRunner
 ) -> None:
     process = FakeDrainableProcess(work_s=60.0)
     runner = create_runner(process, shutdown_grace_s=30.0)
@@ -90,7 +110,7 @@
 
 
 async def test_a_process_without_work_serves_on_for_the_grace(
-    autojump_clock: trio.testing.MockClock,
+    autojump_clock: trio.testing.MockClock, create_runner: CreateRunner
 ) -> None:
     process = FakeProcess()
     runner = create_runner(process, shutdown_grace_s=5.0)
@@ -102,7 +122,7 @@
 
 
 async def test_a_second_signal_ends_at_once(
-    autojump_clock: trio.testing.MockClock,
+    autojump_clock: trio.testing.MockClock, create_runner: CreateRunner
 ) -> None:
     process = FakeDrainableProcess(work_s=60.0)
     runner = create_runner(process, shutdown_grace_s=30.0)
@@ -113,7 +133,9 @@
     assert runner.is_cut
 
 
-async def test_the_process_says_that_it_shuts_down_while_work_goes_on() -> None:
+async def test_the_process_says_that_it_shuts_down_while_work_goes_on(
+    create_runner: CreateRunner,
+) -> None:
     runner = create_runner(FakeDrainableProcess(work_s=60.0))
     url = f"http://{runner.settings.admin_address}"
     with trio.fail_after(10):
@@ -133,6 +155,12 @@
     assert (leaving.status_code, leaving.json()["reasons"]) == (503, ["shutting_down"])
     assert "oleanderweir_process_ready 0.0" in metrics.text
     assert "process_cpu_seconds_total" in metrics.text
+    (family,) = (
+        family
+        for family in text_string_to_metric_families(metrics.text)
+        if family.name.endswith("certificate_expiry_timestamp_seconds")
+    )
+    assert family.samples[0].value == (ISSUED_AT + VALIDITY).timestamp()
 
 
 @pytest.mark.parametrize(
@@ -145,13 +173,15 @@
     ids=["known-error", "unforeseen-error", "ended-by-itself"],
 )
 def test_a_failure_while_serving_comes_out_as_one_error(
-    process: FakeProcess, expected: type[Exception]
+    process: FakeProcess, expected: type[Exception], create_runner: CreateRunner
 ) -> None:
     with pytest.raises(expected):
         create_runner(process).run()
 
 
-def test_a_cut_shutdown_is_an_error(capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_cut_shutdown_is_an_error(
+    capsys: pytest.CaptureFixture[str], create_runner: CreateRunner
+) -> None:
     process = FakeDrainableProcess(work_s=60.0)
     runner = create_runner(process, shutdown_grace_s=0.0)
     process.run = raising_sigterm(process)  # type: ignore[method-assign]
