Add seeded experiments in virtual time, and count overtaking from the mean

Trio's scheduler is seeded; it has no public switch.

The allowance for later requests that pass was counted from the median, 0.05 s, while every request of the route was expected to take the mean, 0.1 s; so all looked as if they would be passed, and were relayed in vain.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/fifo_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/fifo_policy.py
@@ -23,6 +23,6 @@
         """Return all slots."""
         return limit
 
-    def overtaking_s(self, waiting: WaitingRequest, typical_s: float) -> float:
+    def overtaking_s(self, waiting: WaitingRequest, mean_s: float) -> float:
         """Return 0: nothing passes."""
         return 0.0
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -58,6 +58,6 @@
         if waiting.is_long:
             long_slots = self.policy.long_slots(snapshot.limit)
             wait_s = max(wait_s, self.wait_s(ahead.long_only(limit=long_slots)))
-        typical_s = self.service_times.typical_s()
-        overtaking_s = self.policy.overtaking_s(waiting, typical_s)
+        mean_s = self.service_times.overall.mean_s
+        overtaking_s = self.policy.overtaking_s(waiting, mean_s)
         return WAIT_CAUTION * wait_s + overtaking_s
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_policy.py
@@ -19,5 +19,5 @@
     def long_slots(self, limit: int) -> int:
         """Return how many of the slots long requests may hold at once; at least 1."""
 
-    def overtaking_s(self, waiting: WaitingRequest, typical_s: float) -> float:
+    def overtaking_s(self, waiting: WaitingRequest, mean_s: float) -> float:
         """Return how long later requests may pass this one, in seconds."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/reserved_slots_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/reserved_slots_policy.py
@@ -28,6 +28,6 @@
         """Return the slots that are not reserved, one at least."""
         return max(1, limit - max(1, round(limit * self.reserved_share)))
 
-    def overtaking_s(self, waiting: WaitingRequest, typical_s: float) -> float:
+    def overtaking_s(self, waiting: WaitingRequest, mean_s: float) -> float:
         """Return 0: short work passes long work only in reserved slots."""
         return 0.0
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/shortest_expected_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/shortest_expected_policy.py
@@ -38,6 +38,6 @@
             return limit
         return max(1, limit - max(1, round(limit * self.reserved_share)))
 
-    def overtaking_s(self, waiting: WaitingRequest, typical_s: float) -> float:
-        """Return how much later a typical request may come and still pass."""
-        return max(0.0, self.stretch * (waiting.expected_s - typical_s))
+    def overtaking_s(self, waiting: WaitingRequest, mean_s: float) -> float:
+        """Return how much later a mean request may come and still pass."""
+        return max(0.0, self.stretch * (waiting.expected_s - mean_s))
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/__init__.py
@@ -0,0 +1,48 @@
+"""Experiments in virtual time around the real decisions of the agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir_bench.experiments.crest import CrestExperiment
+from oleanderweir_bench.experiments.imbalance import ImbalanceExperiment
+from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.stragglers import StragglersExperiment
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+def run_crest(seed: int) -> list[ResultTable]:
+    """Run the crest with true slots, and with fewer than the tickets say."""
+    return [
+        CrestExperiment(seed=seed, true_slots_share=share).run()
+        for share in (1.0, 0.67)
+    ]
+
+
+def run_stragglers(seed: int) -> list[ResultTable]:
+    """Run the stragglers."""
+    return [StragglersExperiment(seed=seed).run()]
+
+
+def run_imbalance(seed: int) -> list[ResultTable]:
+    """Run the imbalance."""
+    return [ImbalanceExperiment(seed=seed).run()]
+
+
+EXPERIMENTS: dict[str, Callable[[int], list[ResultTable]]] = {
+    "crest": run_crest,
+    "imbalance": run_imbalance,
+    "stragglers": run_stragglers,
+}
+
+
+__all__ = [
+    "EXPERIMENTS",
+    "CrestExperiment",
+    "ImbalanceExperiment",
+    "ResultTable",
+    "StragglersExperiment",
+]
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
@@ -0,0 +1,173 @@
+"""How evenly backend servers of differing speed are used."""
+
+from __future__ import annotations
+
+import random
+import statistics
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.load import RandomChooser
+from oleanderweir_agent.load import RoundRobinChooser
+from oleanderweir_agent.load import TwoChoicesChooser
+from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.demand import Demand
+from oleanderweir_bench.experiments.job_end import JobEnd
+from oleanderweir_bench.experiments.policy_set import PolicySet
+from oleanderweir_bench.experiments.quantile import quantile
+from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.simulated_service import SimulatedService
+from oleanderweir_bench.experiments.speeds import spread_speeds
+from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.load import BackendChooser
+
+
+SIZES = ((7, 4), (3, 4), (7, 3), (3, 3))
+LOAD = 0.7
+WORK_S = 0.1
+DEADLINE_S = 10.0
+WARM_UP_S = 20.0
+MEASURED_S = 60.0
+SESSIONS = 300
+HEADINGS = (
+    "backend servers x slots",
+    "policies",
+    "max / mean of use",
+    "use from slowest to fastest",
+    "relayed",
+    "p99 (ms)",
+    "not answered",
+)
+
+
+def make_random_chooser(source: random.Random) -> BackendChooser:
+    """Return the chooser at random."""
+    return RandomChooser(random=source)
+
+
+def make_round_robin_chooser(source: random.Random) -> BackendChooser:
+    """Return the chooser in turn, beginning anywhere."""
+    return RoundRobinChooser(turn=source.randrange(1000))
+
+
+def make_two_choices_chooser(source: random.Random) -> BackendChooser:
+    """Return the chooser of the better of two."""
+    return TwoChoicesChooser(random=source)
+
+
+QUEUE_POLICY = ShortestExpectedPolicy()
+POLICIES = (
+    PolicySet(
+        name="random, no relay",
+        make_chooser=make_random_chooser,
+        queue_policy=QUEUE_POLICY,
+        relays=False,
+    ),
+    PolicySet(
+        name="round-robin, no relay",
+        make_chooser=make_round_robin_chooser,
+        queue_policy=QUEUE_POLICY,
+        relays=False,
+    ),
+    PolicySet(
+        name="random, relay",
+        make_chooser=make_random_chooser,
+        queue_policy=QUEUE_POLICY,
+    ),
+    PolicySet(
+        name="round-robin, relay",
+        make_chooser=make_round_robin_chooser,
+        queue_policy=QUEUE_POLICY,
+    ),
+    PolicySet(
+        name="two choices, relay",
+        make_chooser=make_two_choices_chooser,
+        queue_policy=QUEUE_POLICY,
+    ),
+    PolicySet(name="least wait, no relay", queue_policy=QUEUE_POLICY, relays=False),
+    PolicySet(name="least wait, relay", queue_policy=QUEUE_POLICY),
+)
+
+
+@attrs.define(kw_only=True)
+class ImbalanceExperiment:
+    """The use of slots across backend servers of fourfold differing speed."""
+
+    seed: int
+
+    def run(self) -> ResultTable:
+        """Return a row for each size and set of policies."""
+        table = ResultTable(
+            title=f"Use of backend servers of 4x differing speed, load {LOAD:.0%}, "
+            f"seed {self.seed}",
+            headings=HEADINGS,
+        )
+        for number, slots in SIZES:
+            for policies in POLICIES:
+                self.add_row(table, number, slots, policies)
+        return table
+
+    def add_row(
+        self, table: ResultTable, number: int, slots: int, policies: PolicySet
+    ) -> None:
+        """Run once and add the row."""
+
+        async def run_steady() -> SimulatedService:
+            return await self.run_steady(number, slots, policies)
+
+        service = run_in_virtual_time(run_steady, seed=self.seed)
+        uses = [
+            agent.backend_server.busy_s / (slots * MEASURED_S)
+            for agent in service.agents
+        ]
+        records = [r for r in service.records if r.job.arrived_at >= WARM_UP_S]
+        answered = [r for r in records if r.end is JobEnd.ANSWERED]
+        relayed = sum(record.is_relayed for record in records)
+        table.add(
+            f"{number} x {slots}",
+            policies.name,
+            f"{max(uses) / statistics.fmean(uses):.2f}",
+            " ".join(f"{use:.2f}" for use in uses),
+            f"{relayed / len(records):.1%}",
+            f"{quantile((r.latency_s for r in answered), 0.99) * 1000:.0f}",
+            f"{1.0 - len(answered) / len(records):.2%}",
+        )
+
+    async def run_steady(
+        self, number: int, slots: int, policies: PolicySet
+    ) -> SimulatedService:
+        """Send steady demand and measure the use after a warm-up."""
+        source = random.Random(self.seed)
+        service = SimulatedService(
+            policies=policies,
+            speeds=spread_speeds(number),
+            slots=slots,
+            random=random.Random(source.random()),
+        )
+        rate = LOAD * service.capacity / WORK_S
+        demand = Demand(
+            random=random.Random(source.random()),
+            rate=lambda time_s: rate,
+            highest_rate=rate,
+            deadline_s=DEADLINE_S,
+            work_s=WORK_S,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(service.exchange_reports)
+            service.open_session()
+            nursery.start_soon(self.open_sessions, service)
+            nursery.start_soon(demand.send_for, service, WARM_UP_S + MEASURED_S)
+            await trio.sleep(WARM_UP_S)
+            service.measure_from_now()
+            await trio.sleep(MEASURED_S)
+            nursery.cancel_scope.cancel()
+        return service
+
+    async def open_sessions(self, service: SimulatedService) -> None:
+        """Open the sessions during the first half of the warm-up."""
+        await service.open_sessions(SESSIONS, over_s=WARM_UP_S / 2)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/job_end.py
@@ -0,0 +1,13 @@
+"""How a request of an experiment ended."""
+
+from __future__ import annotations
+
+import enum
+
+
+class JobEnd(enum.Enum):
+    """How a request of an experiment ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    LATE = "late"
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/result_table.py
@@ -0,0 +1,35 @@
+"""The result of an experiment as a table."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+@attrs.define(kw_only=True)
+class ResultTable:
+    """Rows of text under headings, with a title."""
+
+    title: str
+    headings: Sequence[str]
+    rows: list[Sequence[str]] = attrs.field(factory=list)
+
+    def add(self, *cells: str) -> None:
+        """Add one row."""
+        self.rows.append(cells)
+
+    def render(self) -> str:
+        """Return the table in Markdown."""
+        lines = [f"### {self.title}", "", self.line(self.headings)]
+        lines.append(self.line(["---"] * len(self.headings)))
+        lines += [self.line(row) for row in self.rows]
+        return "\n".join(lines)
+
+    def line(self, cells: Sequence[str]) -> str:
+        """Return one line of the table."""
+        return "| " + " | ".join(cells) + " |"
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_backend_server.py
@@ -0,0 +1,69 @@
+"""A backend server in virtual time."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+import trio
+
+
+BACKLOG = 64
+RETRY_AFTER_S = 0.2
+
+
+class SimulatedShedError(Exception):
+    """The backend server refused a request before it began."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class SimulatedBackendServer:
+    """
+    A backend server with slots, a speed and a backlog.
+
+    Work beyond the slots waits in the backlog in order of arrival; work beyond the
+    backlog is shed. Work is cancelled with its caller, as the deadline demands; what
+    it has used of a slot is lost.
+    """
+
+    name: str
+    slots: int
+    speed: float
+    backlog: int = BACKLOG
+    cold_until: float = -math.inf
+    cold_speed_share: float = 0.25
+    queued: int = 0
+    busy_s: float = 0.0
+    measured_from: float = 0.0
+    semaphore: trio.Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.semaphore = trio.Semaphore(self.slots)
+
+    async def run(self, work_s: float) -> None:
+        """Do the work; raise ``SimulatedShedError`` when the backlog is full."""
+        if self.queued >= self.backlog and self.semaphore.value == 0:
+            raise SimulatedShedError
+        self.queued += 1
+        try:
+            await self.semaphore.acquire()
+        finally:
+            self.queued -= 1
+        started_at = trio.current_time()
+        try:
+            await trio.sleep(work_s / self.current_speed)
+        finally:
+            self.semaphore.release()
+            self.count_busy(started_at)
+
+    @property
+    def current_speed(self) -> float:
+        """The speed of work that starts now; lower during a cold start."""
+        if trio.current_time() < self.cold_until:
+            return self.speed * self.cold_speed_share
+        return self.speed
+
+    def count_busy(self, started_at: float) -> None:
+        """Add the time for which one slot was in use, from ``measured_from`` on."""
+        begin = max(started_at, self.measured_from)
+        self.busy_s += max(0.0, trio.current_time() - begin)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
@@ -0,0 +1,141 @@
+"""A service of several agents in virtual time."""
+
+from __future__ import annotations
+
+import random
+import sys
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.load import REPORT_INTERVAL_S
+from oleanderweir_agent.load import LoadReporter
+from oleanderweir_agent.load import LoadTable
+from oleanderweir_agent.load import ServiceGroup
+from oleanderweir_agent.queueing import Admission
+from oleanderweir_bench.experiments.simulated_agent import ONE_WAY_S
+from oleanderweir_bench.experiments.simulated_agent import SimulatedAgent
+from oleanderweir_bench.experiments.simulated_backend_server import (
+    SimulatedBackendServer,
+)
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir_agent.load import LoadReport
+    from oleanderweir_bench.experiments.job import Job
+    from oleanderweir_bench.experiments.job_record import JobRecord
+    from oleanderweir_bench.experiments.policy_set import PolicySet
+
+
+@attrs.define(kw_only=True, eq=False)
+class SimulatedService:
+    """
+    Agents beside backend servers of the given speeds, and the sessions on them.
+
+    ``slots`` is what the tickets say; ``true_slots`` what the backend servers have,
+    which may be fewer.
+    """
+
+    policies: PolicySet
+    speeds: Sequence[float]
+    slots: int
+    random: random.Random
+    true_slots: int | None = None
+    agents: list[SimulatedAgent] = attrs.field(factory=list)
+    sessions: list[SimulatedAgent] = attrs.field(factory=list)
+    records: list[JobRecord] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        peers: dict[str, SimulatedAgent] = {}
+        members = frozenset(f"b{index}" for index in range(len(self.speeds)))
+        for index, speed in enumerate(self.speeds):
+            agent = self.make_agent(f"b{index}", speed, peers, members)
+            peers[agent.reporter.name] = agent
+            self.agents.append(agent)
+        for agent in self.agents:
+            self.deliver(agent.reporter.report())
+
+    def make_agent(
+        self,
+        name: str,
+        speed: float,
+        peers: dict[str, SimulatedAgent],
+        members: frozenset[str],
+    ) -> SimulatedAgent:
+        """Return one agent beside its backend server."""
+        admission = Admission(
+            slots=self.slots if self.policies.is_limited else sys.maxsize,
+            limiter=self.policies.make_limit(self.slots),
+            policy=self.policies.queue_policy,
+        )
+        return SimulatedAgent(
+            backend_server=SimulatedBackendServer(
+                name=name, slots=self.true_slots or self.slots, speed=speed
+            ),
+            admission=admission,
+            reporter=LoadReporter(name=name, incarnation=1, admission=admission),
+            group=ServiceGroup(
+                own_name=name,
+                table=LoadTable(members=members),
+                chooser=self.policies.make_chooser(random.Random(self.random.random())),
+            ),
+            relays=self.policies.relays,
+            peers=peers,
+        )
+
+    @property
+    def capacity(self) -> float:
+        """Seconds of work a second that the backend servers can do."""
+        return sum(
+            agent.backend_server.slots * agent.backend_server.speed
+            for agent in self.agents
+        )
+
+    def open_session(self) -> None:
+        """Let any agent name the agent of a new session."""
+        asked = self.random.choice(self.agents)
+        name = asked.group.choose_host()
+        assert name is not None
+        host = asked.peers[name]
+        host.reporter.sessions += 1
+        self.sessions.append(host)
+
+    async def open_sessions(self, number: int, *, over_s: float) -> None:
+        """Open sessions at equal distances."""
+        for _ in range(number):
+            self.open_session()
+            await trio.sleep(over_s / number)
+
+    async def exchange_reports(self) -> None:
+        """Let every agent hear from every other, for ever."""
+        async with trio.open_nursery() as nursery:
+            for agent in self.agents:
+                nursery.start_soon(self.send_reports, agent)
+
+    async def send_reports(self, agent: SimulatedAgent) -> None:
+        """Send the reports of one agent, for ever."""
+        await trio.sleep(self.random.uniform(0.0, REPORT_INTERVAL_S))
+        while True:
+            report = agent.reporter.report()
+            await trio.sleep(ONE_WAY_S)
+            self.deliver(report)
+            await trio.sleep(REPORT_INTERVAL_S - ONE_WAY_S)
+
+    def deliver(self, report: LoadReport) -> None:
+        """Give a report to every agent."""
+        for agent in self.agents:
+            agent.group.table.merge(report)
+
+    async def serve(self, job: Job) -> None:
+        """Serve a job on one of the sessions and keep its record."""
+        host = self.random.choice(self.sessions)
+        self.records.append(await host.serve(job))
+
+    def measure_from_now(self) -> None:
+        """Forget the use of the backend servers so far."""
+        for agent in self.agents:
+            agent.backend_server.busy_s = 0.0
+            agent.backend_server.measured_from = trio.current_time()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/speeds.py
@@ -0,0 +1,13 @@
+"""Speeds of backend servers that were bought over years."""
+
+from __future__ import annotations
+
+
+LOWEST_SPEED = 0.5
+HIGHEST_SPEED = 2.0
+
+
+def spread_speeds(number: int) -> list[float]:
+    """Return speeds from the lowest to four times that, by equal factors."""
+    ratio = HIGHEST_SPEED / LOWEST_SPEED
+    return [LOWEST_SPEED * ratio ** (index / (number - 1)) for index in range(number)]
