Start processes from the main thread

The kernel sends the parent-death signal when the starting thread ends, and trio starts processes on worker threads that end after 10 s of rest. Ruled out: a fault of the data path (the agents' logs end without an error); preexec_fn (unsafe with threads). Conclusion: subprocess.Popen from the main thread, through a small launcher that asks for the signal and becomes the command. A test fails against the code before (the thread is not the main one); another one kills a bench and sees its process end.

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/launcher.py
@@ -0,0 +1,25 @@
+"""
+Become another command that ends with the process that started this one.
+
+Run as a file, with the command as arguments. It imports little, so that it is quick.
+"""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import sys
+
+
+PR_SET_PDEATHSIG = 1
+
+
+def main() -> None:
+    """Have Linux kill this process when its parent dies, then become the command."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    os.execv(sys.argv[1], sys.argv[1:])
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import ctypes
 import os
-import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -14,6 +12,7 @@
 import trio
 
 from oleanderweir_bench.exceptions import ProcessFailedError
+from oleanderweir_bench.processes import launcher
 from oleanderweir_bench.processes.output_line import OutputLine
 from oleanderweir_bench.processes.supervised_process import SupervisedProcess
 
@@ -25,15 +24,9 @@
 
 
 END_GRACE_S = 5.0
-PR_SET_PDEATHSIG = 1
 READ_BYTES = 65536
 
 
-def end_with_parent() -> None:
-    """Have the kernel kill this new process when the one that started it dies."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-
-
 class ProcessSupervisor:
     """
     Starts processes and ends them when its context is left.
@@ -93,18 +86,20 @@
         *,
         environment: Mapping[str, str] | None = None,
     ) -> SupervisedProcess:
-        """Start a process and collect what it writes."""
-        process = await trio.lowlevel.open_process(
-            list(command),
+        """Start a command, given with its whole path, and collect what it writes."""
+        # The kernel ends a process with the thread that started it, so trio's own way,
+        # which starts processes on short-lived threads, would end them too early.
+        process = subprocess.Popen(
+            [sys.executable, "-S", launcher.__file__, *command],
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             env={**os.environ, **(environment or {})},
-            preexec_fn=end_with_parent,
         )
         supervised = SupervisedProcess(name=name, process=process)
         self.processes.append(supervised)
         self.nursery.start_soon(collect_output, supervised)
+        await trio.lowlevel.checkpoint()
         return supervised
 
     async def end_all(self) -> None:
@@ -114,19 +109,20 @@
             process.terminate()
         with trio.move_on_after(self.end_grace_s):
             for process in self.processes:
-                await process.process.wait()
+                await process.wait()
         for process in self.processes:
             process.kill()
-            await process.process.wait()
+            await process.wait()
 
 
 async def collect_output(supervised: SupervisedProcess) -> None:
     """Collect the lines of a process until it closes its output."""
-    output = supervised.process.stdout
-    if output is None:
+    pipe = supervised.process.stdout
+    if pipe is None:
         return
     rest = b""
-    async with output:
+    async with trio.lowlevel.FdStream(os.dup(pipe.fileno())) as output:
+        pipe.close()
         while data := await output.receive_some(READ_BYTES):
             *lines, rest = (rest + data).split(b"\n")
             for line in lines:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/processes/supervised_process.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/supervised_process.py
@@ -15,6 +15,7 @@
 
 
 if TYPE_CHECKING:
+    import subprocess
     from collections.abc import Iterator
 
     from oleanderweir.net import SocketAddress
@@ -43,7 +44,7 @@
     """
 
     name: str
-    process: trio.Process
+    process: subprocess.Popen[bytes]
     lines: deque[OutputLine] = attrs.field(factory=open_lines)
 
     @property
@@ -77,6 +78,11 @@
         if self.is_running:
             self.process.send_signal(number)
 
+    async def wait(self) -> None:
+        """Wait until it has ended."""
+        while self.is_running:
+            await trio.sleep(POLL_INTERVAL_S)
+
     async def wait_line(self, text: str, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Wait for a line that holds ``text``; raise ``ProcessFailedError``."""
         with self.expect(f"line with '{text}'", timeout_s):
--- a/tests/oleanderweir_bench/processes/test_process_supervisor.py
+++ b/tests/oleanderweir_bench/processes/test_process_supervisor.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
-import os
+import subprocess
 import sys
+import threading
+from pathlib import Path
+from typing import Any
 
 import pytest
 import trio
@@ -15,18 +18,31 @@
 DEAF = "import signal; signal.signal(signal.SIGTERM, signal.SIG_IGN); " + TALK
 FAIL = "import sys; sys.exit('no such flag')"
 
+KILLED_BENCH = f"""
+import os, signal, sys, trio
+from oleanderweir_bench.processes import ProcessSupervisor
 
-def is_alive(pid: int) -> bool:
-    try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
-        return False
-    return True
+async def main():
+    async with ProcessSupervisor() as supervisor:
+        process = await supervisor.start("talker", [sys.executable, "-c", {TALK!r}])
+        await process.wait_line("ready")
+        print(process.process.pid, flush=True)
+        os.kill(os.getpid(), signal.SIGKILL)
+
+trio.run(main)
+"""
 
 
 def read_state(pid: int) -> str:
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as stat:
-        return stat.read().rpartition(") ")[2][0]
+    try:
+        stat = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8")
+    except (FileNotFoundError, ProcessLookupError):
+        return ""
+    return stat.rpartition(") ")[2][0]
+
+
+def is_alive(pid: int) -> bool:
+    return read_state(pid) not in {"", "Z"}
 
 
 async def test_output_is_collected_as_json() -> None:
@@ -67,10 +83,39 @@
             await trio.sleep(0.001)
         assert process.is_running
         process.kill()
-        await process.process.wait()
+        await process.wait()
         assert not process.is_running
 
 
+async def test_processes_are_started_by_the_thread_that_lives_longest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    threads: list[threading.Thread] = []
+    start = subprocess.Popen
+
+    def note_thread(*arguments: Any, **options: Any) -> subprocess.Popen[bytes]:
+        threads.append(threading.current_thread())
+        return start(*arguments, **options)
+
+    monkeypatch.setattr(subprocess, "Popen", note_thread)
+    async with ProcessSupervisor() as supervisor:
+        await supervisor.start("talker", [sys.executable, "-c", TALK])
+
+    assert threads == [threading.main_thread()]
+
+
+async def test_processes_end_with_a_bench_that_is_killed() -> None:
+    async with ProcessSupervisor() as supervisor:
+        bench = await supervisor.start("bench", [sys.executable, "-c", KILLED_BENCH])
+        await bench.wait()
+        while not bench.lines:
+            await trio.sleep(0.001)
+
+        pid = int(bench.lines[0].text)
+        while is_alive(pid):
+            await trio.sleep(0.001)
+
+
 async def test_an_early_end_is_told_with_the_last_lines() -> None:
     async with ProcessSupervisor() as supervisor:
         process = await supervisor.start("loser", [sys.executable, "-c", FAIL])
