--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -2,28 +2,26 @@
 
 from __future__ import annotations
 
+import math
 import time
 from typing import TYPE_CHECKING
 
 import trio
+import trio_asyncio
 from aioquic.h3.connection import H3_ALPN
 from aioquic.quic.configuration import QuicConfiguration
 
 from oleanderweir.connection_id import CONNECTION_ID_LENGTH_BYTES
-from oleanderweir.connection_id import ConnectionIdCodec
 from oleanderweir.connection_id.connection_id import MAX_INCARNATION
-from oleanderweir.envelope import EnvelopeCodec
-from oleanderweir.keys import KeyPurpose
 from oleanderweir.net import UdpSocket
-from oleanderweir_agent.backend import BackendClient
-from oleanderweir_agent.quic import AgentChoice
-from oleanderweir_agent.quic import ConnectionIdIssuer
-from oleanderweir_agent.quic import PacketEndpoint
-from oleanderweir_agent.quic import RetryTokenCodec
-from oleanderweir_agent.requests.direct_handler import DirectHandler
+from oleanderweir.spreading import StreamService
+from oleanderweir_agent.peers.grpc_relay_connector import RELAY_METHOD
+from oleanderweir_agent.peers.grpc_relay_connector import GrpcRelayConnector
+from oleanderweir_agent.service_host import ServiceHost
 
 
 if TYPE_CHECKING:
+    import random
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
@@ -31,7 +29,9 @@
     from oleanderweir.control import ControlPlane
     from oleanderweir.keys import KeyRing
     from oleanderweir.net import SocketAddress
+    from oleanderweir.spreading import PeerStream
     from oleanderweir_agent.metrics import AgentMetrics
+    from oleanderweir_agent.verdicts import RequestMetrics
 
 
 SESSION_IDLE_TIMEOUT_S = 60.0
@@ -51,6 +51,7 @@
         *,
         backend_server_name: str,
         agent_address: SocketAddress,
+        peer_address: SocketAddress,
         backend_address: SocketAddress,
         tls_certificate: Path,
         tls_private_key: Path,
@@ -58,6 +59,8 @@
         configuration: ConfigurationView,
         control_plane: ControlPlane,
         metrics: AgentMetrics,
+        request_metrics: RequestMetrics,
+        random_source: random.Random,
     ) -> None:
         self.backend_server_name = backend_server_name
         self.agent_address = agent_address
@@ -66,6 +69,13 @@
         self.configuration = configuration
         self.control_plane = control_plane
         self.metrics = metrics
+        self.request_metrics = request_metrics
+        self.random_source = random_source
+        self.host: ServiceHost | None = None
+        self.connector = GrpcRelayConnector(credentials=control_plane.credentials)
+        control_plane.other_services.append(
+            StreamService(method=RELAY_METHOD, handler=self._serve_offer)
+        )
         self.incarnation = int(time.time()) & MAX_INCARNATION
         self.quic_configuration = QuicConfiguration(
             alpn_protocols=H3_ALPN,
@@ -75,7 +85,8 @@
             max_stream_data=MAX_STREAM_DATA_BYTES,
         )
         self.quic_configuration.load_cert_chain(tls_certificate, tls_private_key)
-        self.socket = UdpSocket(bind_address=agent_address)
+        self.packet_socket = UdpSocket(bind_address=agent_address)
+        self.load_socket = UdpSocket(bind_address=peer_address)
 
     @property
     def is_ready(self) -> bool:
@@ -85,17 +96,22 @@
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Serve until cancelled."""
         try:
-            async with trio.open_nursery() as nursery:
+            async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
                 await nursery.start(self.control_plane.run)
                 task_status.started()
-                entry = await self._wait_own_entry()
-                await self._make_endpoint(entry.service).run()
+                self.host = self._make_host(await self._wait_own_entry())
+                await self.host.run()
         finally:
-            self.socket.close()
+            self.connector.close()
+            self.packet_socket.close()
+            self.load_socket.close()
 
-    def choose(self) -> AgentChoice:
-        """Return this agent itself."""
-        return AgentChoice(address=self.agent_address, incarnation=self.incarnation)
+    async def drain(self) -> None:
+        """Take no new work; return once nothing is left to finish."""
+        if self.host is None:
+            return
+        self.host.drain.begin(drain_period_s=math.inf)
+        await self.host.drain.wait_finished()
 
     def _own_entry(self) -> BackendServer | None:
         """Return the entry in force of the backend server beside this agent."""
@@ -109,30 +125,32 @@
         """Wait until a ticket names the backend server beside this agent."""
         while True:
             entry = self._own_entry()
-            if entry is not None:
+            if entry is not None and self.configuration.service(entry.service):
                 return entry
             await self.configuration.wait_changed()
 
-    def _make_endpoint(self, service_name: str) -> PacketEndpoint:
-        codec = ConnectionIdCodec(key_ring=self.key_ring)
-        return PacketEndpoint(
-            socket=self.socket,
-            service_name=service_name,
+    def _make_host(self, entry: BackendServer) -> ServiceHost:
+        """Put together what serves the backend server's service."""
+        service = self.configuration.service(entry.service)
+        assert service is not None
+        return ServiceHost(
+            entry=entry,
+            service=service,
+            incarnation=self.incarnation,
+            key_ring=self.key_ring,
             configuration=self.configuration,
+            find_entry=self._own_entry,
             quic_configuration=self.quic_configuration,
-            from_balancers=EnvelopeCodec(
-                key_ring=self.key_ring, purpose=KeyPurpose.ENVELOPE_TO_AGENT
-            ),
-            to_balancers=EnvelopeCodec(
-                key_ring=self.key_ring, purpose=KeyPurpose.ENVELOPE_TO_BALANCER
-            ),
-            tokens=RetryTokenCodec(key_ring=self.key_ring),
-            issuer=ConnectionIdIssuer(
-                codec=codec,
-                agent_address=self.agent_address,
-                incarnation=self.incarnation,
-            ),
-            chooser=self,
-            handler=DirectHandler(backend=BackendClient(address=self.backend_address)),
+            packet_socket=self.packet_socket,
+            load_socket=self.load_socket,
+            backend_address=self.backend_address,
+            connector=self.connector,
             metrics=self.metrics,
+            request_metrics=self.request_metrics,
+            random_source=self.random_source,
         )
+
+    async def _serve_offer(self, stream: PeerStream) -> None:
+        """Serve an offer of a peer; without a host it ends unanswered."""
+        if self.host is not None:
+            await self.host.relay_server.serve(stream)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/backend/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/__init__.py
@@ -3,8 +3,14 @@
 from __future__ import annotations
 
 from oleanderweir_agent.backend.backend_client import BackendClient
+from oleanderweir_agent.backend.backend_exchange import BackendExchange
 from oleanderweir_agent.backend.exceptions import BackendBrokenError
 from oleanderweir_agent.backend.exceptions import BackendUnreachableError
 
 
-__all__ = ["BackendBrokenError", "BackendClient", "BackendUnreachableError"]
+__all__ = [
+    "BackendBrokenError",
+    "BackendClient",
+    "BackendExchange",
+    "BackendUnreachableError",
+]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/drain/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/drain/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir_agent.drain.drain_state import DrainState
+from oleanderweir_agent.drain.drain_watcher import DrainWatcher
 
 
-__all__ = ["DrainState"]
+__all__ = ["DrainState", "DrainWatcher"]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/factory.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from oleanderweir.control import ControlPlane
 from oleanderweir.membership import InstanceRole
 from oleanderweir_agent.agent import Agent
 from oleanderweir_agent.metrics import AgentMetrics
+from oleanderweir_agent.verdicts import RequestMetrics
 
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
     return Agent(
         backend_server_name=settings.backend_server,
         agent_address=settings.agent_address,
+        peer_address=settings.peer_address,
         backend_address=settings.backend_address,
         tls_certificate=settings.tls_certificate,
         tls_private_key=settings.tls_private_key,
@@ -31,4 +34,6 @@
         configuration=control_plane.view,
         control_plane=control_plane,
         metrics=AgentMetrics(registry=registry),
+        request_metrics=RequestMetrics(registry=registry),
+        random_source=random.Random(),
     )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
@@ -51,6 +51,11 @@
         self.relays = {
             outcome: relays.labels(outcome.value) for outcome in RelayOutcome
         }
+        self.invalid_load_reports = Counter(
+            "oleanderweir_agent_invalid_load_reports",
+            "Datagrams that were no load report of this installation.",
+            registry=registry,
+        )
         self.drains = Counter(
             "oleanderweir_agent_drains",
             "Drains that began, by ticket or by signal.",
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/grpc_relay_connector.py
@@ -0,0 +1,91 @@
+"""Streams to peer agents over gRPC, with one connection to each."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+from grpclib.client import Channel
+from grpclib.const import Cardinality
+from trio_asyncio import aio_as_trio
+
+from oleanderweir.spreading import PeerClosedError
+from oleanderweir.spreading import PeerUnavailableError
+from oleanderweir.spreading.bytes_codec import BytesCodec
+from oleanderweir.spreading.grpc_peer_stream import STREAM_ERRORS
+from oleanderweir.spreading.grpc_peer_stream import GrpcPeerStream
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from oleanderweir.net import SocketAddress
+    from oleanderweir.spreading import PeerCredentials
+    from oleanderweir.spreading import PeerStream
+
+
+RELAY_METHOD = "/oleanderweir.agent.Relay/Run"
+CONNECT_TIMEOUT_S = 0.5
+
+
+class GrpcRelayConnector:
+    """
+    Keeps one channel to each peer and opens a stream on it for each offer.
+
+    A channel whose connection was lost connects anew with the next stream. To be used
+    inside a trio-asyncio loop.
+    """
+
+    def __init__(self, *, credentials: PeerCredentials) -> None:
+        self.context = credentials.client_context()
+        self.channels: dict[SocketAddress, Channel] = {}
+
+    @asynccontextmanager
+    async def connect(self, address: SocketAddress) -> AsyncIterator[PeerStream]:
+        """Open a stream, and end it on exit; raise ``PeerUnavailableError``."""
+        channel = await aio_as_trio(self._ensure_channel)(address)
+        stream: Any = channel.request(
+            RELAY_METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+        )
+        try:
+            await self._begin(stream, address)
+            yield GrpcPeerStream(stream=stream)
+        finally:
+            await self._end(stream)
+
+    def close(self) -> None:
+        """Close every channel."""
+        for channel in self.channels.values():
+            channel.close()
+
+    async def _ensure_channel(self, address: SocketAddress) -> Channel:
+        """Return the channel to a peer."""
+        if address not in self.channels:
+            self.channels[address] = Channel(
+                address.host, address.port, ssl=self.context, codec=BytesCodec()
+            )
+        return self.channels[address]
+
+    async def _begin(self, stream: Any, address: SocketAddress) -> None:
+        """Connect if need be, and open the stream; no message is sent yet."""
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await aio_as_trio(stream.__aenter__)()
+                await aio_as_trio(stream.send_request)()
+            except STREAM_ERRORS as error:
+                raise PeerUnavailableError(
+                    f"peer agent {address} can't be reached ({error!r})"
+                ) from error
+            return
+        raise PeerUnavailableError(
+            f"peer agent {address} didn't answer within {CONNECT_TIMEOUT_S} s"
+        )
+
+    async def _end(self, stream: Any) -> None:
+        """Reset a stream that has not ended, so that the peer stops its work."""
+        ending = PeerClosedError("the relay has ended")
+        with trio.move_on_after(CONNECT_TIMEOUT_S, shield=True):
+            # With an error, the stream is reset and released at once.
+            await aio_as_trio(stream.__aexit__)(type(ending), ending, None)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/messages/answer_end.py
@@ -0,0 +1,10 @@
+"""The end of a whole answer."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class AnswerEnd:
+    """Nothing follows; without this message an answer is not whole."""
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/messages/refusal.py
@@ -0,0 +1,13 @@
+"""A refusal of an offer."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Refusal:
+    """The peer did not take the request, so it did not run there."""
+
+    reason: str
+    retry_after_s: float | None
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_client.py
@@ -0,0 +1,166 @@
+"""Offers requests to peer agents."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.spreading import PeerClosedError
+from oleanderweir.spreading import PeerUnavailableError
+from oleanderweir_agent.peers.exceptions import InvalidRelayMessageError
+from oleanderweir_agent.peers.messages import AnswerEnd
+from oleanderweir_agent.peers.messages import AnswerHead
+from oleanderweir_agent.peers.messages import BodyPart
+from oleanderweir_agent.peers.messages import Offer
+from oleanderweir_agent.peers.messages import Refusal
+from oleanderweir_agent.peers.relay_stream import RelayStream
+from oleanderweir_agent.requests import ResponseHead
+from oleanderweir_agent.verdicts import FailureReason
+from oleanderweir_agent.verdicts import RejectionReason
+from oleanderweir_agent.verdicts import RequestFailedError
+from oleanderweir_agent.verdicts import RequestRejectedError
+
+
+if TYPE_CHECKING:
+    from oleanderweir.configuration import ConfigurationView
+    from oleanderweir.net import SocketAddress
+    from oleanderweir_agent.peers.messages import RelayMessage
+    from oleanderweir_agent.peers.relay_connector import RelayConnector
+    from oleanderweir_agent.peers.relay_message_codec import RelayMessageCodec
+    from oleanderweir_agent.requests import Request
+    from oleanderweir_agent.requests import Responder
+
+
+BODY_PART_BYTES = 64 * 1024
+FEED_ANSWER_TIMEOUT_S = 3.0
+
+
+class RelayClient:
+    """
+    Sends a request to a peer and passes the answer on.
+
+    Until the first byte of the offer is written the request did not run; after that
+    only the peer's refusal proves it.
+    """
+
+    def __init__(
+        self,
+        *,
+        service_name: str,
+        configuration: ConfigurationView,
+        connector: RelayConnector,
+        codec: RelayMessageCodec,
+    ) -> None:
+        self.service_name = service_name
+        self.configuration = configuration
+        self.connector = connector
+        self.codec = codec
+
+    async def offer(
+        self,
+        *,
+        peer: str,
+        request: Request,
+        responder: Responder,
+        max_wait_s: float,
+    ) -> None:
+        """
+        Have a peer answer a request, if it takes it.
+
+        Raise ``RequestRejectedError`` when the peer refused or was never reached, and
+        ``RequestFailedError`` when it was lost after it may have taken the request.
+        """
+        address = self._find_address(peer)
+        is_offered = False
+        with trio.move_on_at(request.deadline):
+            try:
+                async with self.connector.connect(address) as stream:
+                    relay = RelayStream(stream=stream, codec=self.codec)
+                    is_offered = True
+                    await self._send_offer(relay, request, max_wait_s)
+                    await self._receive_answer(relay, request, responder)
+            except PeerUnavailableError as error:
+                raise _refused(error.message) from error
+            except (PeerClosedError, InvalidRelayMessageError) as error:
+                raise _lost(error.message) from error
+            return
+        if is_offered:
+            raise RequestFailedError(
+                reason=FailureReason.DEADLINE_EXCEEDED,
+                message="the deadline passed at a peer; allow the request more time",
+            )
+        raise _refused("the deadline passed before a peer was reached")
+
+    def _find_address(self, peer: str) -> SocketAddress:
+        """Return where a peer takes offers."""
+        for server in self.configuration.backend_servers(self.service_name):
+            if server.name == peer:
+                return server.peer_address
+        raise _refused(f"no ticket in force names backend server {peer}")
+
+    async def _send_offer(
+        self, relay: RelayStream, request: Request, max_wait_s: float
+    ) -> None:
+        """Send a request with its body."""
+        remaining_s = request.deadline - trio.current_time()
+        await relay.send(
+            Offer(
+                service=self.service_name,
+                request_id=request.request_id,
+                method=request.method,
+                path=request.path,
+                headers=request.headers,
+                body_bytes=len(request.body),
+                timeout_s=None if math.isinf(remaining_s) else remaining_s,
+                max_wait_s=None if math.isinf(max_wait_s) else max_wait_s,
+                is_feed=request.is_feed,
+            )
+        )
+        for start in range(0, len(request.body), BODY_PART_BYTES):
+            part = request.body[start : start + BODY_PART_BYTES]
+            await relay.send(BodyPart(data=part))
+
+    async def _receive_answer(
+        self, relay: RelayStream, request: Request, responder: Responder
+    ) -> None:
+        """Pass the answer of a peer on, once it has taken the request."""
+        head = await self._receive_first(relay, request)
+        if isinstance(head, Refusal):
+            raise _refused(f"the peer refused ({head.reason})", head.retry_after_s)
+        if not isinstance(head, AnswerHead):
+            raise _lost("the peer took the request and could not answer it")
+        await responder.send_head(
+            ResponseHead(status=head.status, headers=head.headers)
+        )
+        while True:
+            message = await relay.receive()
+            if isinstance(message, AnswerEnd):
+                await responder.finish()
+                return
+            if not isinstance(message, BodyPart):
+                raise _lost("the peer broke its answer off")
+            await responder.send_data(message.data)
+
+    async def _receive_first(
+        self, relay: RelayStream, request: Request
+    ) -> RelayMessage:
+        """Return the first message of a peer; a feed must begin within its timeout."""
+        if not request.is_feed:
+            return await relay.receive()
+        with trio.move_on_after(FEED_ANSWER_TIMEOUT_S):
+            return await relay.receive()
+        raise _lost("the peer did not begin the feed in time")
+
+
+def _refused(message: str, retry_after_s: float | None = None) -> RequestRejectedError:
+    return RequestRejectedError(
+        reason=RejectionReason.PEER_REFUSED,
+        message=message,
+        retry_after_s=retry_after_s,
+    )
+
+
+def _lost(message: str) -> RequestFailedError:
+    return RequestFailedError(reason=FailureReason.PEER_LOST, message=message)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_connector.py
@@ -0,0 +1,22 @@
+"""How streams to peer agents are opened."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from contextlib import AbstractAsyncContextManager
+
+    from oleanderweir.net import SocketAddress
+    from oleanderweir.spreading import PeerStream
+
+
+class RelayConnector(Protocol):
+    """Opens authenticated streams to peer agents."""
+
+    def connect(
+        self, address: SocketAddress
+    ) -> AbstractAsyncContextManager[PeerStream]:
+        """Open a stream, and end it on exit; raise ``PeerUnavailableError``."""
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_stream.py
@@ -0,0 +1,31 @@
+"""One relayed request's stream of messages."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from oleanderweir.spreading import PeerStream
+    from oleanderweir_agent.peers.messages import RelayMessage
+    from oleanderweir_agent.peers.relay_message_codec import RelayMessageCodec
+
+
+class RelayStream:
+    """
+    Sends and receives typed messages.
+
+    Both methods raise ``PeerClosedError`` when the peer is gone.
+    """
+
+    def __init__(self, *, stream: PeerStream, codec: RelayMessageCodec) -> None:
+        self.stream = stream
+        self.codec = codec
+
+    async def send(self, message: RelayMessage) -> None:
+        """Send a message."""
+        await self.stream.send(self.codec.encode(message))
+
+    async def receive(self) -> RelayMessage:
+        """Return the next message; raise ``InvalidRelayMessageError``."""
+        return self.codec.decode(await self.stream.receive())
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
@@ -274,6 +274,7 @@
             path=path,
             headers=incoming.headers,
             body=bytes(incoming.body),
+            arrived_at=trio.current_time(),
             deadline=math.inf if is_feed else self._deadline(incoming),
             is_feed=is_feed,
         )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/incoming_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/incoming_request.py
@@ -7,6 +7,8 @@
 import attrs
 import trio
 
+from oleanderweir_agent.requests.header import first_value
+
 
 if TYPE_CHECKING:
     from oleanderweir_agent.requests import Header
@@ -36,7 +38,4 @@
 
     def first(self, name: bytes) -> bytes | None:
         """Return the value of the first header field of that name."""
-        for header in self.headers:
-            if header.name == name:
-                return header.value
-        return None
+        return first_value(self.headers, name)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -98,6 +98,11 @@
         for connection in self.connections:
             connection.send_goaway()
 
+    def close_connections(self, *, reason: str) -> None:
+        """Close every connection in order."""
+        for connection in self.connections:
+            connection.close(reason=reason)
+
     def add_connection_id(self, connection_id: bytes, owner: CallerConnection) -> None:
         """Deliver packets with this connection ID to the connection."""
         self.by_connection_id[connection_id] = owner
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/local_runner.py
@@ -0,0 +1,179 @@
+"""Runs requests at the backend server beside this agent."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_agent.backend import BackendBrokenError
+from oleanderweir_agent.backend import BackendUnreachableError
+from oleanderweir_agent.limits import WorkResult
+from oleanderweir_agent.verdicts import FailureReason
+from oleanderweir_agent.verdicts import RejectionReason
+from oleanderweir_agent.verdicts import RequestFailedError
+from oleanderweir_agent.verdicts import RequestProgress
+from oleanderweir_agent.verdicts import RequestRejectedError
+from oleanderweir_agent.verdicts import RequestStage
+from oleanderweir_agent.verdicts import Verdict
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.backend import BackendClient
+    from oleanderweir_agent.backend import BackendExchange
+    from oleanderweir_agent.queueing import Admission
+    from oleanderweir_agent.queueing import FeedAdmission
+    from oleanderweir_agent.queueing import Permit
+    from oleanderweir_agent.queueing import WorkRequest
+    from oleanderweir_agent.requests.request import Request
+    from oleanderweir_agent.requests.responder import Responder
+    from oleanderweir_agent.requests.response_head import ResponseHead
+
+
+SERVICE_UNAVAILABLE = 503
+NOT_RUN_HEADER = b"request-not-run"
+RETRY_AFTER_HEADER = b"retry-after"
+
+
+class LocalRunner:
+    """
+    Admits a request, sends it to the backend server and passes the answer on.
+
+    Every method raises ``RequestRejectedError`` when the request did not run, and
+    ``RequestFailedError`` when it may have run.
+    """
+
+    def __init__(
+        self,
+        *,
+        backend: BackendClient,
+        admission: Admission,
+        feed_admission: FeedAdmission,
+    ) -> None:
+        self.backend = backend
+        self.admission = admission
+        self.feed_admission = feed_admission
+
+    async def run_feed(self, request: Request, responder: Responder) -> None:
+        """Pass a feed on for as long as it goes."""
+        with self.feed_admission.admit():
+            await self._exchange(request, responder, RequestProgress())
+
+    async def run_work(
+        self, request: Request, responder: Responder, work: WorkRequest
+    ) -> None:
+        """Run a request in a slot, within its deadline."""
+        async with self.admission.admit(work) as permit:
+            progress = RequestProgress()
+            # What the deadline cuts off is the last thing to be reported otherwise.
+            permit.outcome(WorkResult.TIMED_OUT)
+            with trio.move_on_at(request.deadline):
+                await self._run_admitted(request, responder, progress, permit)
+                return
+            raise _deadline_error(progress)
+
+    async def _run_admitted(
+        self,
+        request: Request,
+        responder: Responder,
+        progress: RequestProgress,
+        permit: Permit,
+    ) -> None:
+        """Run a request that holds a slot, and report how it ended."""
+        try:
+            await self._exchange(request, responder, progress)
+        except RequestRejectedError as error:
+            is_shed = error.reason is RejectionReason.BACKEND_SHED
+            result = WorkResult.SHED if is_shed else WorkResult.FAILED
+            permit.outcome(result, retry_after_s=error.retry_after_s)
+            raise
+        except RequestFailedError:
+            permit.outcome(WorkResult.FAILED)
+            raise
+        except trio.Cancelled:
+            if trio.current_time() < request.deadline:
+                permit.outcome(WorkResult.ABANDONED)
+            raise
+        permit.outcome(WorkResult.SUCCEEDED)
+
+    async def _exchange(
+        self, request: Request, responder: Responder, progress: RequestProgress
+    ) -> None:
+        """Exchange a request for its answer."""
+        try:
+            exchange = await self.backend.connect()
+        except BackendUnreachableError as error:
+            raise self._reject(
+                RejectionReason.BACKEND_UNREACHABLE, error.message
+            ) from error
+        async with exchange:
+            progress.advance(RequestStage.SENT)
+            try:
+                await exchange.send(request)
+                head = await exchange.read_head()
+                self._check_shed(head, progress)
+                progress.advance(RequestStage.ANSWERING)
+                await self._pass_on(exchange, head, responder)
+            except BackendBrokenError as error:
+                raise _broken_error(progress, error.message) from error
+            progress.advance(RequestStage.ANSWERED)
+
+    async def _pass_on(
+        self, exchange: BackendExchange, head: ResponseHead, responder: Responder
+    ) -> None:
+        """Pass a whole answer on to the caller."""
+        await responder.send_head(head)
+        async with contextlib.aclosing(exchange.read_body()) as body:
+            async for data in body:
+                await responder.send_data(data)
+        await responder.finish()
+
+    def _check_shed(self, head: ResponseHead, progress: RequestProgress) -> None:
+        """Raise ``RequestRejectedError`` if the protocol says that nothing ran."""
+        if head.status != SERVICE_UNAVAILABLE:
+            return
+        if head.first(NOT_RUN_HEADER) is None:
+            return
+        progress.prove_not_run()
+        raise self._reject(
+            RejectionReason.BACKEND_SHED,
+            "the backend server has no room; try again later",
+            retry_after_s=_read_seconds(head.first(RETRY_AFTER_HEADER)),
+        )
+
+    def _reject(
+        self,
+        reason: RejectionReason,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> RequestRejectedError:
+        """Count a refusal and return its error."""
+        self.admission.metrics.count_rejection(reason)
+        return RequestRejectedError(
+            reason=reason, message=message, retry_after_s=retry_after_s
+        )
+
+
+def _read_seconds(value: bytes | None) -> float | None:
+    """Return a ``Retry-After`` in seconds; dates are not read."""
+    return float(value) if value is not None and value.isdigit() else None
+
+
+def _deadline_error(
+    progress: RequestProgress,
+) -> RequestRejectedError | RequestFailedError:
+    """Return the error of a request whose deadline passed on the way."""
+    message = "the deadline passed; allow the request more time"
+    if progress.verdict is Verdict.NOT_RUN:
+        return RequestRejectedError(
+            reason=RejectionReason.DEADLINE_PAST, message=message
+        )
+    return RequestFailedError(reason=FailureReason.DEADLINE_EXCEEDED, message=message)
+
+
+def _broken_error(progress: RequestProgress, message: str) -> RequestFailedError:
+    """Return the error of an exchange that broke off."""
+    is_cut = progress.stage >= RequestStage.ANSWERING
+    reason = FailureReason.ANSWER_CUT if is_cut else FailureReason.BACKEND_LOST
+    return RequestFailedError(reason=reason, message=message)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request.py
@@ -19,8 +19,8 @@
     """
     A whole request, as it goes to a backend server.
 
-    ``deadline`` is in trio's time; ``request_id`` names the request in ledgers and
-    logs.
+    ``arrived_at`` and ``deadline`` are in trio's time; ``request_id`` names the
+    request in ledgers and logs.
     """
 
     request_id: str
@@ -28,6 +28,7 @@
     path: str
     headers: tuple[Header, ...]
     body: bytes
+    arrived_at: float
     deadline: float
     is_feed: bool = False
 
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_dispatcher.py
@@ -0,0 +1,117 @@
+"""Decides whether a request runs here or at a peer agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir_agent.metrics.relay_outcome import RelayOutcome
+from oleanderweir_agent.queueing import WorkRequest
+from oleanderweir_agent.verdicts import FailureReason
+from oleanderweir_agent.verdicts import RejectionReason
+from oleanderweir_agent.verdicts import RequestFailedError
+from oleanderweir_agent.verdicts import RequestRejectedError
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.load import PeerOffer
+    from oleanderweir_agent.load import RelayPolicy
+    from oleanderweir_agent.metrics import AgentMetrics
+    from oleanderweir_agent.peers.peer_relay import PeerRelay
+    from oleanderweir_agent.requests.local_runner import LocalRunner
+    from oleanderweir_agent.requests.request import Request
+    from oleanderweir_agent.requests.responder import Responder
+
+
+class RequestDispatcher:
+    """
+    Runs one attempt of a request, here or at one of the peers.
+
+    ``policy`` tells when a request is offered to a peer. Each offer is refused, which
+    proves that nothing ran, or taken once.
+    """
+
+    def __init__(
+        self,
+        *,
+        runner: LocalRunner,
+        policy: RelayPolicy,
+        relay: PeerRelay,
+        metrics: AgentMetrics,
+    ) -> None:
+        self.runner = runner
+        self.policy = policy
+        self.relay = relay
+        self.metrics = metrics
+
+    async def run_feed(self, request: Request, responder: Responder) -> None:
+        """Open a feed here, or at a peer when this agent refuses it."""
+        try:
+            await self.runner.run_feed(request, responder)
+        except RequestRejectedError as rejection:
+            await self._offer_refused(request, responder, rejection)
+
+    async def run_work(self, request: Request, responder: Responder) -> None:
+        """Run a request here or at a peer."""
+        work = self._describe(request)
+        while True:
+            offer = self.policy.offer_before_waiting(work)
+            if offer and await self._send(offer, request, responder):
+                return
+            try:
+                await self.runner.run_work(
+                    request, responder, self.policy.with_patience(work)
+                )
+            except RequestRejectedError as rejection:
+                if rejection.reason is not RejectionReason.PATIENCE_OVER:
+                    await self._offer_refused(request, responder, rejection)
+                    return
+            else:
+                return
+            work = attrs.evolve(work, arrived_at=request.arrived_at)
+
+    def _describe(self, request: Request) -> WorkRequest:
+        """Return what admission needs to know of a request."""
+        return WorkRequest(
+            method=request.method,
+            path=request.path,
+            deadline=request.deadline,
+            ignores_health=self.policy.group.table.is_panic,
+        )
+
+    async def _offer_refused(
+        self,
+        request: Request,
+        responder: Responder,
+        rejection: RequestRejectedError,
+    ) -> None:
+        """Offer a request that is refused here; raise its refusal if none takes it."""
+        tried: set[str] = set()
+        work = self._describe(request)
+        while offer := self.policy.offer_refused(work, tried=tried):
+            tried.add(offer.peer)
+            if await self._send(offer, request, responder):
+                return
+        raise rejection
+
+    async def _send(
+        self, offer: PeerOffer, request: Request, responder: Responder
+    ) -> bool:
+        """Send an offer; return whether the request was answered there."""
+        try:
+            await self.relay.offer(
+                peer=offer.peer,
+                request=request,
+                responder=responder,
+                max_wait_s=offer.request.max_wait_s,
+            )
+        except RequestRejectedError:
+            self.metrics.relays[RelayOutcome.REFUSED].inc()
+            return False
+        except RequestFailedError as error:
+            if error.reason is FailureReason.PEER_LOST:
+                self.metrics.relays[RelayOutcome.LOST].inc()
+            raise
+        self.metrics.relays[RelayOutcome.TAKEN].inc()
+        return True
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_service.py
@@ -0,0 +1,148 @@
+"""Answers the requests of callers, whole or with a truthful refusal."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_agent.requests.header import Header
+from oleanderweir_agent.requests.response_head import ResponseHead
+from oleanderweir_agent.verdicts import FailureReason
+from oleanderweir_agent.verdicts import RejectionReason
+from oleanderweir_agent.verdicts import RequestFailedError
+from oleanderweir_agent.verdicts import RequestRejectedError
+from oleanderweir_agent.verdicts import Verdict
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.metrics import AgentMetrics
+    from oleanderweir_agent.requests.request import Request
+    from oleanderweir_agent.requests.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.requests.responder import Responder
+    from oleanderweir_agent.retries import RetryPolicy
+    from oleanderweir_agent.verdicts import RequestMetrics
+
+
+BAD_GATEWAY = 502
+SERVICE_UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+MIN_RETRY_AFTER_S = 1
+# A refusal by admission comes back at once: a second attempt would only wait longer.
+WORTH_REPEATING = frozenset(
+    {
+        RejectionReason.BACKEND_SHED,
+        RejectionReason.BACKEND_UNREACHABLE,
+        FailureReason.BACKEND_LOST,
+        FailureReason.PEER_LOST,
+    }
+)
+
+
+class RequestService:
+    """
+    Answers each request once.
+
+    An attempt that did not run, or an idempotent one that broke off, is repeated
+    within the deadline and the retry budget, unless a part of the answer is already
+    on its way.
+    """
+
+    def __init__(
+        self,
+        *,
+        dispatcher: RequestDispatcher,
+        retry_policy: RetryPolicy,
+        request_metrics: RequestMetrics,
+        metrics: AgentMetrics,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.retry_policy = retry_policy
+        self.request_metrics = request_metrics
+        self.metrics = metrics
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        """Answer a request whole, or refuse or reset it."""
+        try:
+            await self._attempt_all(request, responder)
+        except RequestRejectedError as error:
+            self._count(error.verdict)
+            await self._refuse(responder, error)
+        except RequestFailedError as error:
+            self._count(error.verdict)
+            self.request_metrics.count_failure(error.reason)
+            await self._fail(responder, error)
+        else:
+            self._count(Verdict.RAN)
+
+    async def _attempt_all(self, request: Request, responder: Responder) -> None:
+        """Attempt a request until it is answered or may not be repeated."""
+        self.retry_policy.budget.record_first_attempt()
+        attempts = 0
+        while True:
+            attempts += 1
+            try:
+                await self._attempt(request, responder)
+            except (RequestRejectedError, RequestFailedError) as error:
+                delay_s = self._plan_retry(request, responder, error, attempts)
+                if delay_s is None:
+                    raise
+                await trio.sleep(delay_s)
+            else:
+                return
+
+    async def _attempt(self, request: Request, responder: Responder) -> None:
+        """Make one attempt."""
+        if request.is_feed:
+            await self.dispatcher.run_feed(request, responder)
+        else:
+            await self.dispatcher.run_work(request, responder)
+
+    def _plan_retry(
+        self,
+        request: Request,
+        responder: Responder,
+        error: RequestRejectedError | RequestFailedError,
+        attempts: int,
+    ) -> float | None:
+        """Return the seconds before the next attempt, or None for no retry."""
+        if responder.is_head_sent or error.reason not in WORTH_REPEATING:
+            return None
+        return self.retry_policy.plan(
+            method=request.method,
+            verdict=error.verdict,
+            attempts=attempts,
+            deadline=request.deadline,
+            reason=error.reason.value,
+            retry_after_s=getattr(error, "retry_after_s", None),
+        )
+
+    async def _refuse(self, responder: Responder, error: RequestRejectedError) -> None:
+        """Tell the caller that the request did not run, why, and when to return."""
+        if responder.is_head_sent:
+            responder.reset()
+            return
+        retry_after_s = max(MIN_RETRY_AFTER_S, math.ceil(error.retry_after_s or 0.0))
+        headers = (
+            Header(name=b"retry-after", value=str(retry_after_s).encode()),
+            Header(name=b"request-not-run", value=error.reason.value.encode()),
+        )
+        await responder.send_head(
+            ResponseHead(status=SERVICE_UNAVAILABLE, headers=headers)
+        )
+        await responder.finish()
+
+    async def _fail(self, responder: Responder, error: RequestFailedError) -> None:
+        """Tell the caller that the request may have run."""
+        if responder.is_head_sent:
+            responder.reset()
+            return
+        is_late = error.reason is FailureReason.DEADLINE_EXCEEDED
+        status = GATEWAY_TIMEOUT if is_late else BAD_GATEWAY
+        header = Header(name=b"request-may-have-run", value=error.reason.value.encode())
+        await responder.send_head(ResponseHead(status=status, headers=(header,)))
+        await responder.finish()
+
+    def _count(self, verdict: Verdict) -> None:
+        self.metrics.requests.labels(verdict.value).inc()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/responder.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/responder.py
@@ -18,6 +18,10 @@
     nothing, so it may have run.
     """
 
+    @property
+    def is_head_sent(self) -> bool:
+        """Whether a part of the answer is on its way."""
+
     async def send_head(self, head: ResponseHead) -> None:
         """Send status and header fields."""
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/response_head.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/response_head.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from oleanderweir_agent.requests.header import first_value
+
 
 if TYPE_CHECKING:
     from oleanderweir_agent.requests.header import Header
@@ -17,3 +19,7 @@
 
     status: int
     headers: tuple[Header, ...]
+
+    def first(self, name: bytes) -> bytes | None:
+        """Return the value of the first header field of that name."""
+        return first_value(self.headers, name)
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
@@ -0,0 +1,208 @@
+"""Everything that an agent runs for the service of its backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.connection_id import ConnectionIdCodec
+from oleanderweir.envelope import EnvelopeCodec
+from oleanderweir.keys import KeyPurpose
+from oleanderweir_agent.backend import BackendClient
+from oleanderweir_agent.drain import DrainState
+from oleanderweir_agent.drain import DrainWatcher
+from oleanderweir_agent.health.health_probe import HealthProbe
+from oleanderweir_agent.limits import ColdStartRamp
+from oleanderweir_agent.limits import FixedLimit
+from oleanderweir_agent.load import LeastWaitChooser
+from oleanderweir_agent.load import LoadReporter
+from oleanderweir_agent.load import LoadTable
+from oleanderweir_agent.load import RelayPolicy
+from oleanderweir_agent.load import ServiceGroup
+from oleanderweir_agent.peers.load_exchange import LoadExchange
+from oleanderweir_agent.peers.load_report_codec import LoadReportCodec
+from oleanderweir_agent.peers.relay_client import RelayClient
+from oleanderweir_agent.peers.relay_message_codec import RelayMessageCodec
+from oleanderweir_agent.peers.relay_server import RelayServer
+from oleanderweir_agent.queueing import Admission
+from oleanderweir_agent.queueing import FeedAdmission
+from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_agent.quic import AgentChoice
+from oleanderweir_agent.quic import ConnectionIdIssuer
+from oleanderweir_agent.quic import PacketEndpoint
+from oleanderweir_agent.quic import RetryTokenCodec
+from oleanderweir_agent.requests.local_runner import LocalRunner
+from oleanderweir_agent.requests.request_dispatcher import RequestDispatcher
+from oleanderweir_agent.requests.request_service import RequestService
+from oleanderweir_agent.retries import RetryBudget
+from oleanderweir_agent.retries import RetryPolicy
+from oleanderweir_agent.service_chooser import ServiceChooser
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from aioquic.quic.configuration import QuicConfiguration
+
+    from oleanderweir.configuration import BackendServer
+    from oleanderweir.configuration import ConfigurationView
+    from oleanderweir.configuration import Service
+    from oleanderweir.keys import KeyRing
+    from oleanderweir.net import SocketAddress
+    from oleanderweir.net import UdpSocket
+    from oleanderweir_agent.metrics import AgentMetrics
+    from oleanderweir_agent.peers.relay_connector import RelayConnector
+    from oleanderweir_agent.verdicts import RequestMetrics
+
+
+class ServiceHost:
+    """
+    The endpoint, the decisions and the peers of one backend server.
+
+    Made once a ticket names the backend server, since its slots and its service
+    come from there.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: BackendServer,
+        service: Service,
+        incarnation: int,
+        key_ring: KeyRing,
+        configuration: ConfigurationView,
+        find_entry: Callable[[], BackendServer | None],
+        quic_configuration: QuicConfiguration,
+        packet_socket: UdpSocket,
+        load_socket: UdpSocket,
+        backend_address: SocketAddress,
+        connector: RelayConnector,
+        metrics: AgentMetrics,
+        request_metrics: RequestMetrics,
+        random_source: random.Random,
+    ) -> None:
+        backend = BackendClient(address=backend_address)
+        relay_codec = RelayMessageCodec()
+        self.metrics = metrics
+        self.drain = DrainState()
+        self.drain_watcher = DrainWatcher(
+            configuration=configuration, find_entry=find_entry, state=self.drain
+        )
+        self.admission = Admission(
+            slots=entry.slots,
+            limiter=FixedLimit(limit=entry.slots),
+            policy=ShortestExpectedPolicy(),
+            drain=self.drain,
+            ramp=ColdStartRamp(),
+            metrics=request_metrics,
+        )
+        self.probe = HealthProbe(
+            backend=backend, health=self.admission.health, random_source=random_source
+        )
+        self.reporter = LoadReporter(
+            name=entry.name, incarnation=incarnation, admission=self.admission
+        )
+        table = LoadTable(members=frozenset([entry.name]), metrics=request_metrics)
+        group = ServiceGroup(
+            own_name=entry.name,
+            table=table,
+            chooser=LeastWaitChooser(random=random_source),
+        )
+        self.load_exchange = LoadExchange(
+            socket=load_socket,
+            service_name=service.name,
+            configuration=configuration,
+            reporter=self.reporter,
+            table=table,
+            codec=LoadReportCodec(key_ring=key_ring),
+            metrics=metrics,
+            random_source=random_source,
+        )
+        runner = LocalRunner(
+            backend=backend,
+            admission=self.admission,
+            feed_admission=FeedAdmission(
+                connections=entry.connections,
+                drain=self.drain,
+                metrics=request_metrics,
+            ),
+        )
+        self.relay_server = RelayServer(
+            service_name=service.name, runner=runner, codec=relay_codec
+        )
+        dispatcher = RequestDispatcher(
+            runner=runner,
+            policy=RelayPolicy(admission=self.admission, group=group),
+            relay=RelayClient(
+                service_name=service.name,
+                configuration=configuration,
+                connector=connector,
+                codec=relay_codec,
+            ),
+            metrics=metrics,
+        )
+        handler = RequestService(
+            dispatcher=dispatcher,
+            retry_policy=RetryPolicy(
+                budget=RetryBudget(ratio=service.retry_ratio),
+                random=random_source,
+                metrics=request_metrics,
+            ),
+            request_metrics=request_metrics,
+            metrics=metrics,
+        )
+        self.endpoint = PacketEndpoint(
+            socket=packet_socket,
+            service_name=service.name,
+            configuration=configuration,
+            quic_configuration=quic_configuration,
+            from_balancers=EnvelopeCodec(
+                key_ring=key_ring, purpose=KeyPurpose.ENVELOPE_TO_AGENT
+            ),
+            to_balancers=EnvelopeCodec(
+                key_ring=key_ring, purpose=KeyPurpose.ENVELOPE_TO_BALANCER
+            ),
+            tokens=RetryTokenCodec(key_ring=key_ring),
+            issuer=ConnectionIdIssuer(
+                codec=ConnectionIdCodec(key_ring=key_ring),
+                agent_address=entry.agent_address,
+                incarnation=incarnation,
+            ),
+            chooser=ServiceChooser(
+                own=AgentChoice(address=entry.agent_address, incarnation=incarnation),
+                service_name=service.name,
+                group=group,
+                configuration=configuration,
+            ),
+            handler=handler,
+            metrics=metrics,
+        )
+        self.drain.listeners.append(self._drain_begun)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        self.admission.ramp.restart()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.endpoint.run)
+            nursery.start_soon(self.drain_watcher.run)
+            nursery.start_soon(self.load_exchange.run)
+            nursery.start_soon(self.probe.run)
+            nursery.start_soon(self._end_drained_sessions)
+
+    def _drain_begun(self) -> None:
+        """Tell peers and callers at once that this backend server leaves."""
+        self.metrics.drains.inc()
+        self.load_exchange.report()
+        self.endpoint.send_goaway()
+
+    async def _end_drained_sessions(self) -> None:
+        """Close what a drain leaves open when its period is over."""
+        while True:
+            await self.drain.wait_begun()
+            with trio.move_on_at(self.drain.ends_at):
+                await self.drain.changed.wait()
+            if self.drain.has_period_passed:
+                self.endpoint.close_connections(reason="drain period over")
+                await self.drain.changed.wait()
--- a/packages/oleanderweir/src/oleanderweir/control/control_plane.py
+++ b/packages/oleanderweir/src/oleanderweir/control/control_plane.py
@@ -29,13 +29,15 @@
 
     from oleanderweir.net import SocketAddress
     from oleanderweir.settings import ProcessSettings
+    from oleanderweir.spreading import StreamService
 
 
 class ControlPlane:
     """
     The register of a process, the view of it, and the task that spreads it.
 
-    ``data_address`` is where the process takes packets. Raises
+    ``data_address`` is where the process takes packets. Services that are added to
+    ``other_services`` before ``run`` are served at the peer address too. Raises
     ``InvalidSettingError`` without TLS material for peers.
     """
 
@@ -56,6 +58,7 @@
             data_address=data_address,
             state=InstanceState.LIVE,
         )
+        self.other_services: list[StreamService] = []
         self.credentials = _make_credentials(settings)
         self.random_source = random.Random()
         self.register = TicketRegister()
@@ -90,7 +93,9 @@
             fleet_list=InstanceListReader(client=instances),
             ticket_source=ConfigurationServiceReader(client=configuration),
             transport=GrpcPeerTransport(
-                bind_address=settings.peer_address, credentials=self.credentials
+                bind_address=settings.peer_address,
+                credentials=self.credentials,
+                other_services=self.other_services,
             ),
             random=self.random_source,
         )
--- a/packages/oleanderweir/src/oleanderweir/keys/exceptions.py
+++ b/packages/oleanderweir/src/oleanderweir/keys/exceptions.py
@@ -11,3 +11,9 @@
     """The text of a key ring is not usable."""
 
     code: ClassVar[str] = "invalid_keys"
+
+
+class UnauthenticMessageError(OleanderweirError):
+    """A message was not protected under a key of this installation."""
+
+    code: ClassVar[str] = "unauthentic_message"
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/keys/message_authenticator.py
@@ -0,0 +1,56 @@
+"""Authentication of datagrams between processes."""
+
+from __future__ import annotations
+
+import hmac
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+from oleanderweir.keys.exceptions import UnauthenticMessageError
+
+
+if TYPE_CHECKING:
+    from oleanderweir.keys.key_purpose import KeyPurpose
+    from oleanderweir.keys.key_ring import KeyRing
+
+
+MAC_LENGTH_BYTES = 16
+BODY_START = 1 + MAC_LENGTH_BYTES
+MAC_KEY_LENGTH_BYTES = 32
+
+
+class MessageAuthenticator:
+    """
+    Protects messages of one purpose.
+
+    A message is one byte of key ID, a keyed BLAKE2b MAC of 16 bytes and the body.
+    Each purpose has its own key, so a message cannot stand for one of another.
+    """
+
+    def __init__(self, *, key_ring: KeyRing, purpose: KeyPurpose) -> None:
+        self.mac_keys = {
+            key.key_id: key.derive(purpose, length_bytes=MAC_KEY_LENGTH_BYTES)
+            for key in key_ring.keys
+        }
+        self.issuing_prefix = bytes([key_ring.issuing.key_id])
+        self.issuing_mac_key = self.mac_keys[key_ring.issuing.key_id]
+
+    def protect(self, body: bytes) -> bytes:
+        """Return a message with this body."""
+        mac = blake2b(
+            body, key=self.issuing_mac_key, digest_size=MAC_LENGTH_BYTES
+        ).digest()
+        return self.issuing_prefix + mac + body
+
+    def verify(self, message: bytes) -> bytes:
+        """Return the body; raise ``UnauthenticMessageError`` if it is not ours."""
+        if len(message) <= BODY_START:
+            raise UnauthenticMessageError("the message is too short")
+        mac_key = self.mac_keys.get(message[0])
+        if mac_key is None:
+            raise UnauthenticMessageError("the message has an unknown key ID")
+        body = message[BODY_START:]
+        mac = blake2b(body, key=mac_key, digest_size=MAC_LENGTH_BYTES).digest()
+        if not hmac.compare_digest(mac, message[1:BODY_START]):
+            raise UnauthenticMessageError("the message is not authentic")
+        return body
--- a/packages/oleanderweir/src/oleanderweir/spreading/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/__init__.py
@@ -15,6 +15,7 @@
 from oleanderweir.spreading.peer_transport import PeerTransport
 from oleanderweir.spreading.spreader import Spreader
 from oleanderweir.spreading.spreading_settings import SpreadingSettings
+from oleanderweir.spreading.stream_service import StreamService
 from oleanderweir.spreading.ticket_source import TicketSource
 
 
@@ -32,5 +33,6 @@
     "PeerUnavailableError",
     "Spreader",
     "SpreadingSettings",
+    "StreamService",
     "TicketSource",
 ]
--- a/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
@@ -11,16 +11,15 @@
 import trio_asyncio
 from grpclib.client import Channel
 from grpclib.const import Cardinality
-from grpclib.const import Handler
 from grpclib.server import Server
 from trio_asyncio import aio_as_trio
-from trio_asyncio import trio_as_aio
 
 from oleanderweir.net import AddressInUseError
 from oleanderweir.spreading.bytes_codec import BytesCodec
 from oleanderweir.spreading.exceptions import PeerUnavailableError
 from oleanderweir.spreading.grpc_peer_stream import STREAM_ERRORS
 from oleanderweir.spreading.grpc_peer_stream import GrpcPeerStream
+from oleanderweir.spreading.stream_service import StreamService
 
 
 if TYPE_CHECKING:
@@ -28,43 +27,29 @@
     from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from oleanderweir.net import SocketAddress
     from oleanderweir.spreading.peer_credentials import PeerCredentials
     from oleanderweir.spreading.peer_stream import PeerStream
 
 
-METHOD = "/oleanderweir.spreading.Peers/Session"
+SESSION_METHOD = "/oleanderweir.spreading.Peers/Session"
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
 
 
-@attrs.define(kw_only=True, eq=False)
-class SessionService:
-    """The gRPC service with its one method, a bidirectional stream."""
-
-    handler: Callable[[PeerStream], Awaitable[None]]
-
-    async def run(self, stream: Any) -> None:
-        """Run one session; called from asyncio by the gRPC server."""
-        await trio_as_aio(self.handler)(GrpcPeerStream(stream=stream))
-
-    def __mapping__(self) -> dict[str, Handler]:
-        """Return the methods of the service, as the gRPC server reads them."""
-        handler = Handler(self.run, Cardinality.STREAM_STREAM, bytes, bytes)
-        return {METHOD: handler}
-
-
 @attrs.define(kw_only=True, eq=False)
 class GrpcPeerTransport:
     """
     Opens and takes gRPC streams; both ends show certificates of one authority.
 
-    ``bind_address`` is where sessions are taken.
+    ``bind_address`` is where sessions are taken, and calls of ``other_services``.
     """
 
     bind_address: SocketAddress
     credentials: PeerCredentials
+    other_services: Sequence[StreamService] = ()
     client_context: ssl.SSLContext = attrs.field(init=False)
     server_context: ssl.SSLContext = attrs.field(init=False)
 
@@ -78,7 +63,7 @@
     ) -> AsyncIterator[None]:
         """Take sessions while entered; raise ``AddressInUseError``."""
         async with trio_asyncio.open_loop():
-            service = SessionService(handler=handler)
+            service = StreamService(method=SESSION_METHOD, handler=handler)
             server = await aio_as_trio(self._start)(service)
             try:
                 yield
@@ -97,9 +82,9 @@
             # Closing the connection ends its only stream on both sides.
             channel.close()
 
-    async def _start(self, service: SessionService) -> Server:
+    async def _start(self, service: StreamService) -> Server:
         """Bind and listen."""
-        server = Server([service], codec=BytesCodec())
+        server = Server([service, *self.other_services], codec=BytesCodec())
         try:
             await server.start(
                 self.bind_address.host, self.bind_address.port, ssl=self.server_context
@@ -123,7 +108,9 @@
 
     async def _open_stream(self, channel: Channel, address: str) -> Any:
         """Connect and begin the session's stream within the timeout."""
-        stream = channel.request(METHOD, Cardinality.STREAM_STREAM, bytes, bytes)
+        stream = channel.request(
+            SESSION_METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+        )
         with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
             try:
                 await aio_as_trio(stream.__aenter__)()
