Wire the verbs of both binaries in one place

Cause: duplicates showed the two applications with the same list of commands. Ruled out: one application for both roles; the binaries are installed apart.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/console/application.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/console/application.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir.console import Application
-from oleanderweir.console.commands import CheckCommand
-from oleanderweir.console.commands import RunCommand
-from oleanderweir.console.commands import StatusCommand
-from oleanderweir.console.commands import TicketCheckCommand
+from oleanderweir.console.commands import create_process_commands
 from oleanderweir_agent.console.options import create_agent_options
 from oleanderweir_agent.factory import create_agent
 from oleanderweir_agent.settings import AgentSettings
@@ -20,17 +17,12 @@
     return Application(
         name=NAME,
         description="Answer callers beside one backend server.",
-        commands=[
-            RunCommand(
-                role="agent",
-                options=create_agent_options(),
-                create_settings=AgentSettings,
-                create_process=create_agent,
-            ),
-            CheckCommand(options=create_agent_options(), create_settings=AgentSettings),
-            StatusCommand(),
-            TicketCheckCommand(),
-        ],
+        commands=create_process_commands(
+            role="agent",
+            options=create_agent_options(),
+            create_settings=AgentSettings,
+            create_process=create_agent,
+        ),
     )
 
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/console/application.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/console/application.py
@@ -3,10 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir.console import Application
-from oleanderweir.console.commands import CheckCommand
-from oleanderweir.console.commands import RunCommand
-from oleanderweir.console.commands import StatusCommand
-from oleanderweir.console.commands import TicketCheckCommand
+from oleanderweir.console.commands import create_process_commands
 from oleanderweir_balancer.console.options import create_balancer_options
 from oleanderweir_balancer.factory import create_balancer
 from oleanderweir_balancer.settings import BalancerSettings
@@ -20,19 +17,12 @@
     return Application(
         name=NAME,
         description="Forward the packets of callers to agents, and back.",
-        commands=[
-            RunCommand(
-                role="balancer",
-                options=create_balancer_options(),
-                create_settings=BalancerSettings,
-                create_process=create_balancer,
-            ),
-            CheckCommand(
-                options=create_balancer_options(), create_settings=BalancerSettings
-            ),
-            StatusCommand(),
-            TicketCheckCommand(),
-        ],
+        commands=create_process_commands(
+            role="balancer",
+            options=create_balancer_options(),
+            create_settings=BalancerSettings,
+            create_process=create_balancer,
+        ),
     )
 
 
