Thin out repeated messages of every level but debugging

Cause: a balancer without a configuration service wrote 37 lines in eight seconds, 24 of them the same retry at INFO, which the filter let pass; and the line that tells the count held the template in place of a message. Conclusion: INFO is thinned out too, and the line quotes the last message left out.

--- a/packages/oleanderweir/src/oleanderweir/logs/repeat_filter.py
+++ b/packages/oleanderweir/src/oleanderweir/logs/repeat_filter.py
@@ -1,4 +1,4 @@
-"""Thins out warnings and errors that repeat."""
+"""Thins out messages that repeat."""
 
 from __future__ import annotations
 
@@ -22,10 +22,11 @@
 
 class RepeatFilter(logging.Filter):
     """
-    Passes a few warnings or errors of one kind in each window and counts the rest.
+    Passes a few messages of one kind in each window and counts the rest.
 
     No count is lost: ``report_suppressed`` logs it once the window is over, and with
     ``is_final`` at once. ``clock`` returns seconds that never go back.
+    Messages for debugging all pass.
     """
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
@@ -36,7 +37,7 @@
 
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether to write a record."""
-        if record.levelno < logging.WARNING or hasattr(record, "suppressed"):
+        if record.levelno < logging.INFO or hasattr(record, "suppressed"):
             return True
         window = self._window(record)
         if window is None:
@@ -45,6 +46,7 @@
             window.passed += 1
             return True
         window.suppressed += 1
+        window.last_message = record.getMessage()
         self.suppressed_total += 1
         return False
 
@@ -84,8 +86,8 @@
         """Log the count of one window."""
         logging.getLogger(key.logger_name).log(
             key.level,
-            "%d more times: %s",
+            "%d more times, the last: %s",
             window.suppressed,
-            key.template,
-            extra={"code": key.code, "suppressed": window.suppressed},
+            window.last_message,
+            extra={"code": key.code or None, "suppressed": window.suppressed},
         )
--- a/packages/oleanderweir/src/oleanderweir/logs/repeat_window.py
+++ b/packages/oleanderweir/src/oleanderweir/logs/repeat_window.py
@@ -17,8 +17,13 @@
 
 @attrs.define(kw_only=True)
 class RepeatWindow:
-    """Messages of one key since ``started_at``, which is in the filter's time."""
+    """
+    Messages of one key since ``started_at``, which is in the filter's time.
+
+    ``last_message`` is the latest one that was suppressed.
+    """
 
     started_at: float
     passed: int = 0
     suppressed: int = 0
+    last_message: str = ""
