--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -110,7 +110,7 @@
         """Take no new work; return once nothing is left to finish."""
         if self.host is None:
             return
-        self.host.drain.begin(drain_period_s=math.inf)
+        self.host.drain.begin(drain_period_s=math.inf, is_final=True)
         await self.host.drain.wait_finished()
 
     def _own_entry(self) -> BackendServer | None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/drain/drain_state.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/drain/drain_state.py
@@ -19,7 +19,8 @@
     The drain of one backend server, and the work that still runs on it.
 
     From ``begin`` on there is no new work; running requests and feeds go on until
-    they end or ``ends_at`` has come. A later ticket may call the drain off.
+    they end or ``ends_at`` has come. A later ticket may call the drain off, but not
+    a final one, with which the process itself shuts down.
     ``listeners`` are called at the beginning of each drain, so that work that waits
     is refused at once and callers are told to move.
     """
@@ -28,6 +29,7 @@
     ends_at: float = math.inf
     tracked: int = 0
     is_draining: bool = False
+    is_final: bool = False
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     @property
@@ -35,8 +37,9 @@
         """Whether the drain period is over."""
         return self.is_draining and trio.current_time() >= self.ends_at
 
-    def begin(self, *, drain_period_s: float) -> None:
+    def begin(self, *, drain_period_s: float, is_final: bool = False) -> None:
         """Begin the drain; a running one keeps its end."""
+        self.is_final |= is_final
         if self.is_draining:
             return
         self.is_draining = True
@@ -46,8 +49,8 @@
             listener()
 
     def call_off(self) -> None:
-        """Take new work again."""
-        if not self.is_draining:
+        """Take new work again, unless the process is shutting down."""
+        if not self.is_draining or self.is_final:
             return
         self.is_draining = False
         self.ends_at = math.inf
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/peers/load_exchange.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/load_exchange.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from oleanderweir.configuration import ConfigurationView
     from oleanderweir.net import UdpSocket
@@ -43,6 +44,7 @@
         codec: LoadReportCodec,
         metrics: AgentMetrics,
         random_source: random.Random,
+        count_sessions: Callable[[], int],
     ) -> None:
         self.socket = socket
         self.service_name = service_name
@@ -52,6 +54,7 @@
         self.codec = codec
         self.metrics = metrics
         self.random_source = random_source
+        self.count_sessions = count_sessions
 
     async def run(self) -> None:
         """Exchange reports until cancelled."""
@@ -70,6 +73,7 @@
         """Report once, to this agent's own table as well."""
         servers = self.configuration.backend_servers(self.service_name)
         self.table.set_members(frozenset(server.name for server in servers))
+        self.reporter.sessions = self.count_sessions()
         report = self.reporter.report()
         self.table.merge(report)
         data = self.codec.encode(report)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
@@ -119,6 +119,7 @@
             codec=LoadReportCodec(key_ring=key_ring),
             metrics=metrics,
             random_source=random_source,
+            count_sessions=lambda: len(self.endpoint.connections),
         )
         runner = LocalRunner(
             backend=backend,
