--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/forwarding/__init__.py
@@ -0,0 +1,9 @@
+"""Costs of forwarding, beside a bare relay in the same run."""
+
+from __future__ import annotations
+
+from oleanderweir_bench.forwarding.forwarding_benchmark import ForwardingBenchmark
+from oleanderweir_bench.forwarding.forwarding_cost import ForwardingCost
+
+
+__all__ = ["ForwardingBenchmark", "ForwardingCost"]
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/forwarding/forwarding_benchmark.py
@@ -0,0 +1,221 @@
+"""Measures the processor time of forwarding in one process."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import socket
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+from prometheus_client import CollectorRegistry
+
+from oleanderweir.connection_id import ConnectionId
+from oleanderweir.connection_id import ConnectionIdCodec
+from oleanderweir.envelope import Envelope
+from oleanderweir.envelope import EnvelopeCodec
+from oleanderweir.keys import KeyPurpose
+from oleanderweir.keys import KeyRing
+from oleanderweir.net import SocketAddress
+from oleanderweir.net import UdpSocket
+from oleanderweir.net import pack_pair
+from oleanderweir_balancer.agent_selector import AgentSelector
+from oleanderweir_balancer.flow_opener import FlowOpener
+from oleanderweir_balancer.metrics import BalancerMetrics
+from oleanderweir_balancer.service_listener import ServiceListener
+from oleanderweir_bench.deployment.ports import find_free_port
+from oleanderweir_bench.forwarding.bare_relay import BareRelay
+from oleanderweir_bench.forwarding.forwarding_cost import ForwardingCost
+from oleanderweir_bench.forwarding.one_server_configuration import (
+    OneServerConfiguration,
+)
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+HOST = "127.0.0.1"
+PACKET_BYTES = 1200
+BURST_PACKETS = 32
+US_PER_S = 1_000_000
+SECRET_BYTES = 32
+SERVICE = SocketAddress(host="192.0.2.1", port=443)
+
+
+def bind() -> UdpSocket:
+    """Return a socket at a free address."""
+    return UdpSocket(bind_address=SocketAddress(host=HOST, port=find_free_port(HOST)))
+
+
+@attrs.define(kw_only=True, eq=False)
+class ForwardingBenchmark:
+    """
+    Sends bursts through the balancer's own code and through bare relays.
+
+    Sender, forwarder and sink share one process; only the forwarder's part of the
+    time is counted. ``packets`` is the number for each kind.
+    """
+
+    packets: int
+    front: UdpSocket = attrs.field(factory=bind)
+    back: UdpSocket = attrs.field(factory=bind)
+    sink: UdpSocket = attrs.field(factory=bind)
+    key_ring: KeyRing = attrs.field()
+
+    from_agents: EnvelopeCodec = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.from_agents = self._make_codec(KeyPurpose.ENVELOPE_TO_BALANCER)
+
+    @key_ring.default
+    def _make_key_ring(self) -> KeyRing:
+        return KeyRing.parse(f"1:{secrets.token_hex(SECRET_BYTES)}")
+
+    async def run(self) -> list[ForwardingCost]:
+        """Measure every kind; the batched bare relay is the floor of each."""
+        listener = self._make_listener()
+        packet = self._make_packet(listener)
+        relay = BareRelay(socket=self.front, destination=self.sink.bind_address.pair)
+        floor = await self._measure(self.front, packet, relay.relay_batch)
+        plain = trio.socket.from_stdlib_socket(self.front.raw)
+        costs = {
+            "bare relay, batched": floor,
+            "bare relay, one by one": await self._measure(
+                self.front, packet, lambda: relay.relay_one(plain)
+            ),
+            "balancer, established, to the agent": await self._measure(
+                self.front, packet, lambda: self._forward(listener)
+            ),
+            "balancer, to the caller": await self._measure(
+                self.back, self._enclose(packet), lambda: self._return(listener)
+            ),
+            "balancer, first packet of a flow": await self._measure_new_flows(listener),
+        }
+        return [
+            ForwardingCost(name=name, cpu_us_per_packet=cost, floor_us_per_packet=floor)
+            for name, cost in costs.items()
+        ]
+
+    async def _measure(
+        self,
+        entrance: UdpSocket,
+        packet: bytes,
+        forward: Callable[[], Awaitable[int]],
+    ) -> float:
+        """Return the microseconds a packet of one kind of forwarding."""
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        spent_s = 0.0
+        forwarded = 0
+        with sender:
+            while forwarded < self.packets:
+                for _ in range(BURST_PACKETS):
+                    sender.sendto(packet, entrance.bind_address.pair)
+                started_s = time.thread_time()
+                burst = 0
+                while burst < BURST_PACKETS:
+                    burst += await forward()
+                spent_s += time.thread_time() - started_s
+                forwarded += burst
+                self._empty_sink()
+        return spent_s * US_PER_S / forwarded
+
+    async def _measure_new_flows(self, listener: ServiceListener) -> float:
+        """Return the microseconds a first packet, with the hedge's bookkeeping."""
+        spent_s = 0.0
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            for number in range(self.packets // BURST_PACKETS):
+                for index in range(BURST_PACKETS):
+                    packet = make_initial(number * BURST_PACKETS + index)
+                    sender.sendto(packet, self.front.bind_address.pair)
+                started_s = time.thread_time()
+                burst = 0
+                while burst < BURST_PACKETS:
+                    burst += await self._forward(listener)
+                spent_s += time.thread_time() - started_s
+                listener.opener.pending.clear()
+                self._empty_sink()
+        flows = self.packets // BURST_PACKETS * BURST_PACKETS
+        return spent_s * US_PER_S / flows
+
+    async def _forward(self, listener: ServiceListener) -> int:
+        """Route what is there as the balancer's task does."""
+        batch = await self.front.receive_batch()
+        for datagram in batch:
+            listener.route(datagram)
+        return len(batch)
+
+    async def _return(self, listener: ServiceListener) -> int:
+        """Pass what is there to callers as the balancer's task does."""
+        batch = await self.back.receive_batch()
+        for datagram in batch:
+            listener.send_to_caller(self.from_agents.decode(datagram.data))
+        return len(batch)
+
+    def _empty_sink(self) -> None:
+        """Read what has arrived, so that nothing is dropped for want of room."""
+        while True:
+            try:
+                self.sink.raw.recv(PACKET_BYTES * 2)
+            except BlockingIOError:
+                return
+
+    def _make_listener(self) -> ServiceListener:
+        metrics = BalancerMetrics(registry=CollectorRegistry())
+        selector = AgentSelector(
+            configuration=OneServerConfiguration(
+                agent_address=self.sink.bind_address, service_address=SERVICE
+            ),
+            random_source=random.Random(1),
+        )
+        return ServiceListener(
+            service_name="horaflujo",
+            service_address=SERVICE,
+            socket=self.front,
+            back_socket=self.back,
+            connection_ids=ConnectionIdCodec(key_ring=self.key_ring),
+            envelopes=self._make_codec(KeyPurpose.ENVELOPE_TO_AGENT),
+            selector=selector,
+            opener=FlowOpener(
+                selector=selector,
+                send=self._send_to_agent,
+                metrics=metrics,
+            ),
+            metrics=metrics,
+        )
+
+    def _send_to_agent(self, data: bytes, agent: SocketAddress) -> None:
+        self.back.send_to(data, agent.pair)
+
+    def _make_codec(self, purpose: KeyPurpose) -> EnvelopeCodec:
+        return EnvelopeCodec(key_ring=self.key_ring, purpose=purpose)
+
+    def _make_packet(self, listener: ServiceListener) -> bytes:
+        """Return an established packet that names the sink as its agent."""
+        codec = listener.connection_ids
+        connection_id = ConnectionId(
+            agent=self.sink.bind_address.packed,
+            incarnation=1,
+            service_tag=codec.issuing_service_tag(SERVICE.packed),
+            nonce=1,
+        )
+        return (b"\x40" + codec.encode(connection_id)).ljust(PACKET_BYTES, b"\0")
+
+    def _enclose(self, packet: bytes) -> bytes:
+        """Return a packet to the sink as an agent sends it."""
+        envelope = Envelope(
+            service=SERVICE.packed,
+            caller=pack_pair(self.sink.bind_address.pair),
+            datagram=packet,
+        )
+        return self.from_agents.encode(envelope)
+
+
+def make_initial(number: int) -> bytes:
+    """Return the first packet of a flow of its own."""
+    connection_id = number.to_bytes(8, "big")
+    head = b"\xc0\0\0\0\x01\x08" + connection_id + b"\x08" + connection_id
+    return head.ljust(PACKET_BYTES, b"\0")
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/forwarding/one_server_configuration.py
@@ -0,0 +1,49 @@
+"""A fixed configuration with one service and one backend server."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.configuration import BackendServer
+from oleanderweir.configuration import Service
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.net import SocketAddress
+
+
+class OneServerConfiguration:
+    """What a balancer knows when one backend server serves one service."""
+
+    is_ready = True
+
+    def __init__(
+        self, *, agent_address: SocketAddress, service_address: SocketAddress
+    ) -> None:
+        self.only_service = Service(name="horaflujo", address=service_address)
+        self.only_server = BackendServer(
+            name="horaflujo-1",
+            service="horaflujo",
+            availability_zone="stgo-b",
+            agent_address=agent_address,
+            peer_address=agent_address,
+            slots=4,
+        )
+
+    def services(self) -> Sequence[Service]:
+        """Return the one service."""
+        return [self.only_service]
+
+    def service(self, name: str) -> Service | None:
+        """Return the one service for its name."""
+        return self.only_service if name == self.only_service.name else None
+
+    def backend_servers(self, service: str) -> Sequence[BackendServer]:
+        """Return the one backend server."""
+        return [self.only_server] if service == self.only_service.name else []
+
+    async def wait_changed(self) -> None:
+        """Never return, since nothing changes; not used by the benchmark."""
+        raise NotImplementedError
