Offer what waits to a peer again and again, on terms that make it worth while

Change: a request waits at its own backend server for about the time of one run, keeps its place, and is offered again; a peer takes it only if it waits at most half as long there. A request that is refused here is offered to two peers that may let it wait.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
@@ -17,7 +17,6 @@
 from oleanderweir_agent.queueing.queue_forecast import QueueForecast
 from oleanderweir_agent.queueing.service_time_model import ServiceTimeModel
 from oleanderweir_agent.queueing.slot_queue import SlotQueue
-from oleanderweir_agent.queueing.waiting_request import WaitingRequest
 from oleanderweir_agent.verdicts import RejectionReason
 from oleanderweir_agent.verdicts import RequestMetrics
 from oleanderweir_agent.verdicts import RequestRejectedError
@@ -30,6 +29,7 @@
     from oleanderweir_agent.queueing.permit import Permit
     from oleanderweir_agent.queueing.queue_policy import QueuePolicy
     from oleanderweir_agent.queueing.queue_snapshot import QueueSnapshot
+    from oleanderweir_agent.queueing.waiting_request import WaitingRequest
     from oleanderweir_agent.queueing.work_request import WorkRequest
 
 
@@ -148,32 +148,18 @@
 
     def forecast_wait_s(self, request: WorkRequest) -> float:
         """Return the expected wait of a request that comes now, in seconds."""
-        return self.forecast.cautious_wait_s(self.snapshot(), self.describe(request))
+        waiting = self.forecast.describe(request)
+        return self.forecast.cautious_wait_s(self.snapshot(), waiting)
 
     def enqueue(self, request: WorkRequest) -> WaitingRequest:
         """Put a request into the queue, unless it is refused right away."""
         self.check_state(request)
-        waiting = self.describe(request)
+        waiting = self.forecast.describe(request)
         if self.pause_s > 0.0 or not self.queue.can_start(waiting, limit=self.limit):
             self.check_queue(waiting)
         self.queue.insert(waiting)
         return waiting
 
-    def describe(self, request: WorkRequest) -> WaitingRequest:
-        """Return what is expected of a request that comes now."""
-        expected_s = self.service_times.expected_s(request.route)
-        waiting = WaitingRequest(
-            request=request,
-            expected_s=expected_s,
-            is_long=self.service_times.is_long(expected_s),
-            arrived_at=trio.current_time(),
-            latest_start=(
-                request.deadline - self.service_times.cautious_s(request.route)
-            ),
-        )
-        waiting.rank = self.policy.rank(waiting)
-        return waiting
-
     def check_state(self, request: WorkRequest) -> None:
         """Raise the refusal that does not depend on the queue, if there is one."""
         if self.drain.is_draining:
@@ -190,8 +176,9 @@
             raise self.reject(RejectionReason.QUEUE_FULL, retry_after_s=wait_s)
         if wait_s > waiting.request.max_wait_s:
             raise self.reject(RejectionReason.WAIT_TOO_LONG, retry_after_s=wait_s)
-        late_s = waiting.arrived_at + wait_s - waiting.latest_start
-        if late_s <= 0.0:
+        late_s = trio.current_time() + wait_s - waiting.latest_start
+        # A request that was let in before is not refused by a later forecast.
+        if late_s <= 0.0 or waiting.request.arrived_at is not None:
             return
         if self.pause_s > 0.0:
             raise self.reject(
@@ -221,14 +208,19 @@
         """Wait until the request starts, is refused, or the limit may have risen."""
         # Rounding may put a rise just before now, which would spin without a pause.
         rise_at = max(self.next_rise_at(), trio.current_time() + MIN_RECHECK_S)
-        with trio.move_on_at(min(waiting.latest_start, rise_at)):
+        wake_at = min(waiting.latest_start, waiting.patient_until, rise_at)
+        with trio.move_on_at(wake_at):
             await waiting.decided.wait()
         if waiting.decided.is_set():
             return
         self.dispatch()
-        is_late = trio.current_time() >= waiting.latest_start
-        if is_late and not waiting.decided.is_set():
+        now = trio.current_time()
+        if waiting.decided.is_set():
+            return
+        if now >= waiting.latest_start:
             self.refuse(waiting, RejectionReason.DEADLINE_UNREACHABLE)
+        elif now >= waiting.patient_until:
+            self.refuse(waiting, RejectionReason.PATIENCE_OVER)
 
     def next_rise_at(self) -> float:
         """Return the trio time at which slots open without a run that ends."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -8,13 +8,15 @@
 import attrs
 import trio
 
+from oleanderweir_agent.queueing.waiting_request import WaitingRequest
+
 
 if TYPE_CHECKING:
     from oleanderweir_agent.queueing.permit import Permit
     from oleanderweir_agent.queueing.queue_policy import QueuePolicy
     from oleanderweir_agent.queueing.queue_snapshot import QueueSnapshot
     from oleanderweir_agent.queueing.service_time_model import ServiceTimeModel
-    from oleanderweir_agent.queueing.waiting_request import WaitingRequest
+    from oleanderweir_agent.queueing.work_request import WorkRequest
 
 
 WAIT_CAUTION = 1.25
@@ -27,6 +29,22 @@
     service_times: ServiceTimeModel
     policy: QueuePolicy
 
+    def describe(self, request: WorkRequest) -> WaitingRequest:
+        """Return what is expected of a request that comes now."""
+        now = trio.current_time()
+        expected_s = self.service_times.expected_s(request.route)
+        cautious_s = self.service_times.cautious_s(request.route)
+        waiting = WaitingRequest(
+            request=request,
+            expected_s=expected_s,
+            is_long=self.service_times.is_long(expected_s),
+            arrived_at=now if request.arrived_at is None else request.arrived_at,
+            latest_start=request.deadline - cautious_s,
+            patient_until=now + request.patience_s,
+        )
+        waiting.rank = self.policy.rank(waiting)
+        return waiting
+
     def residual_s(self, permit: Permit) -> float:
         """Return how long a running request is expected to go on."""
         elapsed_s = trio.current_time() - permit.started_at
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/waiting_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/waiting_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -20,7 +21,8 @@
     A request that waits for a slot.
 
     Times are trio times; ``latest_start`` is the last moment at which a start still
-    makes sense. ``rank`` orders the queue, lowest first.
+    makes sense, ``patient_until`` the one at which it comes back to be tried
+    elsewhere. ``rank`` orders the queue, lowest first.
     """
 
     request: WorkRequest
@@ -28,6 +30,7 @@
     is_long: bool
     arrived_at: float
     latest_start: float
+    patient_until: float = math.inf
     rank: float = 0.0
     permit: Permit | None = None
     rejection: RequestRejectedError | None = None
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/work_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/work_request.py
@@ -18,7 +18,8 @@
     offered, which must not be passed on again. ``ignores_health`` is set when most of
     the service group looks dead, so that the evidence is not believed. A request
     that would wait longer than ``max_wait_s`` is refused, so that it can be tried
-    elsewhere.
+    elsewhere; one that has waited for ``patience_s`` comes back for the same reason.
+    ``arrived_at`` keeps the place of a request that was let into this queue before.
     """
 
     method: str
@@ -27,6 +28,8 @@
     is_relayed: bool = False
     ignores_health: bool = False
     max_wait_s: float = math.inf
+    patience_s: float = math.inf
+    arrived_at: float | None = None
 
     @property
     def route(self) -> Route:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
@@ -18,6 +18,7 @@
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DRAINING = "draining"
     NO_PEER = "no_peer"
+    PATIENCE_OVER = "patience_over"
     PEER_REFUSED = "peer_refused"
     QUEUE_FULL = "queue_full"
     WAIT_TOO_LONG = "wait_too_long"
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
@@ -65,12 +65,15 @@
     return Unlimited()
 
 
+CHOSEN = PolicySet(
+    name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()
+)
 POLICIES = (
     PolicySet(name="no limit", make_limit=make_no_limit, is_limited=False),
     PolicySet(name="fixed, FIFO"),
     PolicySet(name="AIMD, FIFO", make_limit=make_aimd_limit),
     PolicySet(name="gradient, FIFO", make_limit=make_gradient_limit),
-    PolicySet(name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()),
+    CHOSEN,
     PolicySet(
         name="AIMD, shortest expected",
         make_limit=make_aimd_limit,
@@ -91,6 +94,7 @@
 
     seed: int
     true_slots_share: float = 1.0
+    crest_s: float = CREST_S
 
     def run(self) -> ResultTable:
         """Return a row for each size and set of policies."""
@@ -114,7 +118,7 @@
 
         service = run_in_virtual_time(run_crest, seed=self.seed)
         begin = CALM_S + RISE_S * (1.0 / BASE_LOAD - 1.0) / (CREST_FACTOR - 1.0)
-        end = CALM_S + RISE_S + CREST_S
+        end = CALM_S + RISE_S + self.crest_s
         records = [
             record for record in service.records if begin <= record.job.arrived_at < end
         ]
@@ -158,7 +162,7 @@
 
         def rate(time_s: float) -> float:
             risen = min(1.0, max(0.0, (time_s - CALM_S) / RISE_S))
-            if time_s >= CALM_S + RISE_S + CREST_S:
+            if time_s >= CALM_S + RISE_S + self.crest_s:
                 risen = 0.0
             return base_rate * (1.0 + (CREST_FACTOR - 1.0) * risen)
 
@@ -173,7 +177,7 @@
             nursery.start_soon(service.exchange_reports)
             service.open_session()
             nursery.start_soon(self.open_sessions, service)
-            await demand.send_for(service, CALM_S + RISE_S + CREST_S + 1.0)
+            await demand.send_for(service, CALM_S + RISE_S + self.crest_s + 1.0)
             nursery.cancel_scope.cancel()
         return service
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
@@ -61,6 +61,7 @@
 
 
 QUEUE_POLICY = ShortestExpectedPolicy()
+CHOSEN = PolicySet(name="least wait, relay", queue_policy=QUEUE_POLICY)
 POLICIES = (
     PolicySet(
         name="random, no relay",
@@ -90,7 +91,7 @@
         queue_policy=QUEUE_POLICY,
     ),
     PolicySet(name="least wait, no relay", queue_policy=QUEUE_POLICY, relays=False),
-    PolicySet(name="least wait, relay", queue_policy=QUEUE_POLICY),
+    CHOSEN,
 )
 
 
@@ -99,6 +100,7 @@
     """The use of slots across backend servers of fourfold differing speed."""
 
     seed: int
+    measured_s: float = MEASURED_S
 
     def run(self) -> ResultTable:
         """Return a row for each size and set of policies."""
@@ -122,7 +124,7 @@
 
         service = run_in_virtual_time(run_steady, seed=self.seed)
         uses = [
-            agent.backend_server.busy_s / (slots * MEASURED_S)
+            agent.backend_server.busy_s / (slots * self.measured_s)
             for agent in service.agents
         ]
         records = [r for r in service.records if r.job.arrived_at >= WARM_UP_S]
@@ -161,10 +163,10 @@
             nursery.start_soon(service.exchange_reports)
             service.open_session()
             nursery.start_soon(self.open_sessions, service)
-            nursery.start_soon(demand.send_for, service, WARM_UP_S + MEASURED_S)
+            nursery.start_soon(demand.send_for, service, WARM_UP_S + self.measured_s)
             await trio.sleep(WARM_UP_S)
             service.measure_from_now()
-            await trio.sleep(MEASURED_S)
+            await trio.sleep(self.measured_s)
             nursery.cancel_scope.cancel()
         return service
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
@@ -12,6 +12,7 @@
 from oleanderweir_agent.load import REPORT_INTERVAL_S
 from oleanderweir_agent.load import LoadReporter
 from oleanderweir_agent.load import LoadTable
+from oleanderweir_agent.load import RelayPolicy
 from oleanderweir_agent.load import ServiceGroup
 from oleanderweir_agent.queueing import Admission
 from oleanderweir_bench.experiments.simulated_agent import ONE_WAY_S
@@ -71,18 +72,20 @@
             limiter=self.policies.make_limit(self.slots),
             policy=self.policies.queue_policy,
         )
+        group = ServiceGroup(
+            own_name=name,
+            table=LoadTable(members=members),
+            chooser=self.policies.make_chooser(random.Random(self.random.random())),
+        )
+        relay = RelayPolicy(admission=admission, group=group)
         return SimulatedAgent(
             backend_server=SimulatedBackendServer(
                 name=name, slots=self.true_slots or self.slots, speed=speed
             ),
             admission=admission,
             reporter=LoadReporter(name=name, incarnation=1, admission=admission),
-            group=ServiceGroup(
-                own_name=name,
-                table=LoadTable(members=members),
-                chooser=self.policies.make_chooser(random.Random(self.random.random())),
-            ),
-            relays=self.policies.relays,
+            group=group,
+            relay=relay if self.policies.relays else None,
             peers=peers,
         )
 
--- a/tests/oleanderweir_agent/queueing/test_admission.py
+++ b/tests/oleanderweir_agent/queueing/test_admission.py
@@ -197,6 +197,43 @@
         assert permit.queued_s == 0.0
 
 
+async def test_a_request_that_would_wait_too_long_is_refused_at_once(
+    autojump_clock: MockClock,
+) -> None:
+    caller = make_caller(slots=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.call, "/short", SHORT_S, 5.0)
+        await trio.sleep(0.01)
+        request = WorkRequest(
+            method="GET", path="/short", deadline=5.0, max_wait_s=0.02
+        )
+        with pytest.raises(RequestRejectedError, match="wait_too_long"):
+            await caller.admission.acquire(request)
+
+
+async def test_an_impatient_request_comes_back_and_keeps_its_place(
+    autojump_clock: MockClock,
+) -> None:
+    caller = make_caller(slots=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(caller.call, "/other", SHORT_S, 5.0)
+        await trio.sleep(0.01)
+        request = WorkRequest(
+            method="GET", path="/short", deadline=5.0, patience_s=0.02
+        )
+        with pytest.raises(RequestRejectedError, match="patience_over"):
+            await caller.admission.acquire(request)
+        assert trio.current_time() == pytest.approx(0.03)
+        nursery.start_soon(caller.call, "/other", SHORT_S, 5.0)
+        await trio.sleep(0.01)
+        permit = await caller.admission.acquire(
+            attrs.evolve(request, arrived_at=0.01, patience_s=5.0)
+        )
+
+        assert permit.started_at == pytest.approx(SHORT_S)
+        caller.admission.release(permit)
+
+
 async def test_feeds_hold_connections_and_no_slots(autojump_clock: MockClock) -> None:
     feeds = FeedAdmission(connections=1)
     with (
--- /dev/null
+++ b/tests/oleanderweir_bench/experiments/test_experiments.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import math
+
+import pytest
+from click.testing import CliRunner
+
+from oleanderweir_bench.console import application
+from oleanderweir_bench.experiments import CrestExperiment
+from oleanderweir_bench.experiments import ImbalanceExperiment
+from oleanderweir_bench.experiments import ResultTable
+from oleanderweir_bench.experiments import crest
+from oleanderweir_bench.experiments import imbalance
+from oleanderweir_bench.experiments.quantile import quantile
+
+
+def test_a_crest_repeats_itself_for_a_seed() -> None:
+    tables = []
+    for _ in range(2):
+        table = ResultTable(title="t", headings=crest.HEADINGS)
+        experiment = CrestExperiment(seed=3, crest_s=0.5)
+        experiment.add_row(table, 3, 3, crest.CHOSEN)
+        tables.append(table.render())
+
+    assert tables[0] == tables[1]
+
+
+def test_least_wait_uses_backend_servers_more_evenly_than_random() -> None:
+    table = ResultTable(title="t", headings=imbalance.HEADINGS)
+    experiment = ImbalanceExperiment(seed=3, measured_s=10.0)
+    experiment.add_row(table, 3, 3, imbalance.POLICIES[0])
+    experiment.add_row(table, 3, 3, imbalance.CHOSEN)
+
+    random_share, chosen_share = (float(row[2]) for row in table.rows)
+
+    assert chosen_share <= 1.15 < random_share
+
+
+@pytest.mark.parametrize(
+    ("values", "share", "expected"),
+    [([3.0, 1.0, 2.0], 0.5, 2.0), ([1.0], 0.99, 1.0), ([1.0, 2.0], 1.0, 2.0)],
+    ids=["median", "single", "highest"],
+)
+def test_quantiles(values: list[float], share: float, expected: float) -> None:
+    assert quantile(values, share) == expected
+
+
+def test_there_is_no_quantile_of_nothing() -> None:
+    assert math.isnan(quantile([], 0.5))
+
+
+def test_an_unknown_experiment_is_named_with_the_known_ones() -> None:
+    result = CliRunner().invoke(application, ["experiment", "rain"])
+
+    assert result.exit_code == 2
+    assert "'crest', 'imbalance', 'stragglers'" in result.output
