--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ports.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/ports.py
@@ -13,16 +13,22 @@
 FIRST_PORT = 16_000
 LAST_PORT = 32_000
 
+given_ports: set[int] = set()
+
 
 def find_free_port(*hosts: str) -> int:
     """
     Return a port that is free for UDP and TCP on every one of ``hosts``.
 
-    Raise ``BindError`` when none is found. The port is not held.
+    Raise ``BindError`` when none is found. The port is not held, but this process
+    gives it once only.
     """
     for _ in range(ATTEMPTS):
         port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in given_ports:
+            continue
         if all(is_free(host, port) for host in hosts):
+            given_ports.add(port)
             return port
     raise BindError(f"no port is free on {', '.join(hosts)}; end other processes")
 
--- a/tests/oleanderweir/helpers_admin.py
+++ b/tests/oleanderweir/helpers_admin.py
@@ -1,10 +1,10 @@
 from __future__ import annotations
 
-from oleanderweir.admin import bind_tcp_socket
 from oleanderweir.net import SocketAddress
+from oleanderweir_bench.deployment.ports import find_free_port
 
 
 def find_free_address() -> SocketAddress:
-    """Return an address whose port the kernel chose; it is free again."""
-    with bind_tcp_socket(SocketAddress(host="127.0.0.1", port=0)) as bound:
-        return SocketAddress(host="127.0.0.1", port=bound.getsockname()[1])
+    """Return an address that is free, and that no connection takes meanwhile."""
+    host = "127.0.0.1"
+    return SocketAddress(host=host, port=find_free_port(host))
