Refuse entries that cannot be hashed or hold NaN before they are merged

Cause: a field under a name of bytes, content nested to msgpack's limit, or a NaN passed the reading of a peer's entries. The first two then failed in the midst of a merge, after other entries of the message had come into force.

decode_entries now computes the digest itself and refuses numbers that are not finite. A test changes any byte of a message and expects entries that encode again to the same, or a refusal.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/platform/configuration_service_stand_in.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/configuration_service_stand_in.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Any
 
 import attrs
 import trio
@@ -74,7 +73,7 @@
         wait_s = min(read_number(request, "wait_s"), MAX_WATCH_S)
         if wait_s > 0:
             await self.watch(after, wait_s)
-        return answer(self.state.page(after, self.shown_ticket))
+        return answer(encode_message(self.state.page(after, self.shown_ticket)))
 
     async def read_instances(self, request: Request) -> Response:
         """Answer with one part of the instance list."""
@@ -118,6 +117,6 @@
     return number
 
 
-def answer(message: Any) -> Response:
-    """Return a message as a response."""
-    return Response(encode_message(message), media_type=JSON_TYPE)
+def answer(body: bytes) -> Response:
+    """Return an encoded message as a response."""
+    return Response(body, media_type=JSON_TYPE)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/platform/published_state.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/published_state.py
@@ -10,6 +10,7 @@
 from oleanderweir.configuration_service.messages import InstanceListPart
 from oleanderweir.configuration_service.messages import PublishedTicket
 from oleanderweir.configuration_service.messages import TicketPage
+from oleanderweir.configuration_service.messages import encode_message
 from oleanderweir.tickets import InvalidTicketError
 from oleanderweir.tickets import TicketRegister
 from oleanderweir.tickets import parse_ticket
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from oleanderweir.configuration_service.messages import SnapshotPart
     from oleanderweir.membership.instance_record import InstanceRecord
 
 
@@ -32,7 +32,8 @@
     The published tickets, floors and instances.
 
     ``history`` holds the tickets in the order of publication. A number that was
-    published twice stands in it twice, and readers get the later text.
+    published twice stands in it twice, and readers get the later text. The encoded
+    parts of snapshots and instance lists are kept until the next change.
     """
 
     history: list[PublishedTicket] = attrs.field(factory=list)
@@ -40,7 +41,8 @@
     instances: list[InstanceRecord] = attrs.field(factory=list)
     instances_version: int = 0
     changed: trio.Event = attrs.field(factory=trio.Event)
-    parts_by_ticket: dict[int, list[SnapshotPart]] = attrs.field(factory=dict)
+    snapshots: dict[int, list[bytes]] = attrs.field(factory=dict)
+    instance_lists: dict[str | None, list[bytes]] = attrs.field(factory=dict)
 
     @property
     def highest_ticket(self) -> int:
@@ -66,7 +68,7 @@
     def force(self, published: PublishedTicket) -> None:
         """Publish any text under any number, as an operator's mistake does."""
         self.history.append(published)
-        self.parts_by_ticket.clear()
+        self.snapshots.clear()
         self.notify()
 
     def declare_floor(self, floor: int) -> None:
@@ -78,12 +80,13 @@
         self.floors.append(
             FloorDeclaration(floor=floor, highest_ticket=self.highest_ticket)
         )
-        self.parts_by_ticket.clear()
+        self.snapshots.clear()
 
     def list_instances(self, instances: Sequence[InstanceRecord]) -> None:
         """Replace the instance list."""
         self.instances = sorted(instances, key=lambda instance: instance.name)
         self.instances_version += 1
+        self.instance_lists.clear()
 
     def notify(self) -> None:
         """Wake the watches, so that they look again."""
@@ -100,24 +103,35 @@
         register.raise_floor(max(floors, default=0))
         return register
 
-    def snapshot_parts(self, ticket: int) -> list[SnapshotPart]:
-        """Return the parts of the snapshot at a ticket."""
-        parts = self.parts_by_ticket.get(ticket)
-        if parts is None:
+    def snapshot_parts(self, ticket: int) -> list[bytes]:
+        """Return the encoded parts of the snapshot at a ticket."""
+        if ticket not in self.snapshots:
             parts = make_snapshot_parts(self.register_at(ticket), ticket)
-            self.parts_by_ticket[ticket] = parts
-        return parts
+            self.snapshots[ticket] = [encode_message(part) for part in parts]
+        return self.snapshots[ticket]
 
     def page(self, after: int, ticket: int) -> TicketPage:
         """Return the tickets after a number up to another, as many as fit."""
-        latest = {published.number: published for published in self.history}
-        following = [
-            latest[number] for number in sorted(latest) if after < number <= ticket
-        ]
-        first = split_by_size(following)[0]
+        latest = {
+            published.number: published
+            for published in self.history
+            if after < published.number <= ticket
+        }
+        first = split_by_size([latest[number] for number in sorted(latest)])[0]
         return TicketPage(highest_ticket=ticket, tickets=tuple(first))
 
-    def instance_parts(self, availability_zone: str | None) -> list[InstanceListPart]:
+    def instance_parts(self, availability_zone: str | None) -> list[bytes]:
+        """Return the encoded parts of the instance list, or of a zone's."""
+        if availability_zone not in self.instance_lists:
+            parts = self.make_instance_parts(availability_zone)
+            self.instance_lists[availability_zone] = [
+                encode_message(part) for part in parts
+            ]
+        return self.instance_lists[availability_zone]
+
+    def make_instance_parts(
+        self, availability_zone: str | None
+    ) -> list[InstanceListPart]:
         """Return the parts of the instance list, or of one availability zone's."""
         listed = [
             instance
--- a/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/entry_codec.py
@@ -83,9 +83,12 @@
     if kind not in KINDS:
         ENTRIES_DROPPED.labels(reason="unknown_kind").inc()
         return None
-    return entry_from_document(
+    entry = entry_from_document(
         key=EntryKey(kind=EntryKind(kind), name=name), ticket=ticket, document=document
     )
+    # Content that cannot be hashed is refused here, and not in the midst of a merge.
+    _ = entry.digest
+    return entry
 
 
 def entry_from_document(*, key: EntryKey, ticket: object, document: object) -> Entry:
--- a/packages/oleanderweir/src/oleanderweir/tickets/value_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/value_codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -43,6 +44,7 @@
     converter.register_structure_hook(SocketAddress, structure_address)
     for plain_type in (bool, int, str):
         converter.register_structure_hook(plain_type, structure_exactly)
+    converter.register_structure_hook(float, structure_finite)
     return converter
 
 
@@ -58,6 +60,15 @@
     return value
 
 
+def structure_finite(value: object, _: type) -> float:
+    """Return a number that is neither infinite nor NaN."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is no number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r} is not finite")
+    return float(value)
+
+
 CONVERTER = make_converter()
 
 
--- a/tests/oleanderweir/tickets/test_entry_codec.py
+++ b/tests/oleanderweir/tickets/test_entry_codec.py
@@ -1,9 +1,13 @@
 from __future__ import annotations
 
+import contextlib
 from typing import Any
 
 import msgpack
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from oleanderweir.configuration import Service
 from oleanderweir.tickets import InvalidEntryError
@@ -14,6 +18,7 @@
 from tests.oleanderweir.tickets.values import tombstone
 
 
+NAN = float("nan")
 DOCUMENT: dict[str, Any] = {"name": "horaflujo", "address": "192.0.2.1:443"}
 
 
@@ -64,6 +69,8 @@
         msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"address": 4}]]),
         msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"feed_paths": [1]}]]),
         msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"retry_ratio": "a"}]]),
+        msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {"retry_ratio": NAN}]]),
+        msgpack.packb([["service", "horaflujo", 3, DOCUMENT | {b"colour": 1}]]),
         encode_entries([service_entry(3)])[:-1],
     ],
     ids=[
@@ -80,6 +87,8 @@
         "address-is-number",
         "path-is-number",
         "ratio-is-text",
+        "ratio-is-nan",
+        "field-is-bytes",
         "cut-off",
     ],
 )
@@ -88,3 +97,19 @@
         decode_entries(data)
 
     assert caught.value.code == "invalid_entry"
+
+
+@settings(max_examples=300)
+@given(place=st.integers(min_value=0), byte=st.integers(min_value=0, max_value=255))
+def test_any_changed_byte_gives_entries_or_a_refusal(place: int, byte: int) -> None:
+    entries = [
+        service_entry(3),
+        tombstone(4, name="boletin"),
+        backend_server_entry(5, name="h-1"),
+    ]
+    data = bytearray(encode_entries(entries))
+    data[place % len(data)] = byte
+
+    with contextlib.suppress(InvalidEntryError):
+        decoded = decode_entries(bytes(data))
+        assert decode_entries(encode_entries(decoded)) == decoded
