--- a/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 from typing import Any
@@ -37,6 +38,7 @@
 METHOD = "/oleanderweir.spreading.Peers/Session"
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
+BACKLOG = 128
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,9 +79,10 @@
         self, handler: Callable[[PeerStream], Awaitable[None]]
     ) -> AsyncIterator[None]:
         """Take sessions while entered; raise ``AddressInUseError``."""
+        listener = bind_listener(self.bind_address)
         async with trio_asyncio.open_loop():
             service = SessionService(handler=handler)
-            server = await aio_as_trio(self._start)(service)
+            server = await aio_as_trio(self._start)(service, listener)
             try:
                 yield
             finally:
@@ -97,18 +100,10 @@
             # Closing the connection ends its only stream on both sides.
             channel.close()
 
-    async def _start(self, service: SessionService) -> Server:
-        """Bind and listen."""
+    async def _start(self, service: SessionService, listener: socket.socket) -> Server:
+        """Listen."""
         server = Server([service], codec=BytesCodec())
-        try:
-            await server.start(
-                self.bind_address.host, self.bind_address.port, ssl=self.server_context
-            )
-        except OSError as error:
-            raise AddressInUseError(
-                f"TCP {self.bind_address} can't be bound ({error.strerror}); "
-                "stop what holds it or choose another address"
-            ) from error
+        await server.start(sock=listener, ssl=self.server_context)
         return server
 
     async def _stop(self, server: Server) -> None:
@@ -137,3 +132,19 @@
                 f"peer {address} didn't answer within {CONNECT_TIMEOUT_S} s"
             )
         return stream
+
+
+def bind_listener(address: SocketAddress) -> socket.socket:
+    """Return a bound TCP socket; raise ``AddressInUseError``."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address.pair)
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise AddressInUseError(
+            f"TCP {address} can't be bound ({error.strerror}); "
+            "stop what holds it or choose another address"
+        ) from error
+    return listener
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
@@ -12,6 +12,7 @@
 from oleanderweir.membership import Membership
 from oleanderweir.spreading.control_budget import ControlBudget
 from oleanderweir.spreading.dialler_pool import DiallerPool
+from oleanderweir.spreading.exceptions import PeerClosedError
 from oleanderweir.spreading.greeting import make_hello
 from oleanderweir.spreading.instance_lister import InstanceLister
 from oleanderweir.spreading.metrics import PAUSES
@@ -166,6 +167,10 @@
             await session.run()
         except OleanderweirError as error:
             SESSIONS_ENDED.labels(reason=error.code).inc()
+        except trio.Cancelled:
+            # The transport cancels the sessions of a connection that is lost.
+            SESSIONS_ENDED.labels(reason=PeerClosedError.code).inc()
+            raise
         finally:
             self.sessions.discard(session)
 
--- /dev/null
+++ b/tests/oleanderweir/membership/test_membership.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.membership import Membership
+from tests.oleanderweir.spreading.cluster import make_record
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+
+NEAR = make_record(1, zone="near")
+FAR = make_record(2, zone="far")
+
+
+def make_membership() -> Membership:
+    return Membership(learned_lease_s=60, suspicion_s=30)
+
+
+async def test_list_of_one_zone_keeps_the_others(autojump_clock: MockClock) -> None:
+    membership = make_membership()
+    membership.update([NEAR, FAR])
+    other = make_record(3, zone="near")
+    membership.update([other], availability_zone="near")
+    assert set(membership.instances()) == {FAR.name, other.name}
+
+
+async def test_empty_list_is_not_taken(autojump_clock: MockClock) -> None:
+    membership = make_membership()
+    assert membership.update([NEAR])
+    assert not membership.update([])
+    assert set(membership.instances()) == {NEAR.name}
+
+
+async def test_learned_instance_stays_for_its_lease(autojump_clock: MockClock) -> None:
+    membership = make_membership()
+    membership.learn(NEAR)
+    await trio.sleep(59)
+    assert NEAR.name in membership.instances()
+    await trio.sleep(2)
+    assert NEAR.name not in membership.instances()
+
+
+async def test_suspicion_ends_by_time_or_greeting(autojump_clock: MockClock) -> None:
+    membership = make_membership()
+    membership.suspect(NEAR.name)
+    membership.suspect(FAR.name)
+    membership.learn(NEAR)
+    assert not membership.is_suspected(NEAR.name)
+    assert membership.is_suspected(FAR.name)
+    await trio.sleep(31)
+    assert not membership.is_suspected(FAR.name)
+
+
+async def test_version_grows_with_changes_alone(autojump_clock: MockClock) -> None:
+    membership = make_membership()
+    membership.update([NEAR])
+    version = membership.version
+    membership.update([NEAR])
+    assert membership.version == version
+    membership.learn(FAR)
+    assert membership.version > version
--- /dev/null
+++ b/tests/oleanderweir/spreading/test_repair_plan.py
@@ -0,0 +1,29 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.spreading.repair_plan import BUCKETS_PER_REQUEST
+from oleanderweir.spreading.repair_plan import REQUEST_TIMEOUT_S
+from oleanderweir.spreading.repair_plan import RepairPlan
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+
+async def test_bucket_is_claimed_once_until_released_or_overdue(
+    autojump_clock: MockClock,
+) -> None:
+    plan = RepairPlan()
+    assert plan.claim([1, 2]) == (1, 2)
+    assert plan.claim([2, 3]) == (3,)
+    plan.release([2])
+    assert plan.claim([1, 2]) == (2,)
+    await trio.sleep(REQUEST_TIMEOUT_S)
+    assert plan.claim([1]) == (1,)
+
+
+async def test_claim_is_bounded(autojump_clock: MockClock) -> None:
+    assert len(RepairPlan().claim(range(256))) == BUCKETS_PER_REQUEST
