--- a/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/spreading.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/spreading.py
@@ -16,6 +16,9 @@
 from oleanderweir_bench.spreading import make_table
 
 
+PRESET_TICKETS = 10
+
+
 @click.command("spreading")
 @click.option(
     "--nodes",
@@ -33,16 +36,31 @@
     show_default=True,
     help="Processes that hold the nodes.",
 )
+@click.option(
+    "--services",
+    type=click.IntRange(min=10),
+    default=200,
+    show_default=True,
+    help="Services that are published before the nodes start.",
+)
 @click.option(
     "--output",
     type=click.Path(dir_okay=False, path_type=Path),
     help="File for the results as JSON.",
 )
-def spreading(node_counts: tuple[int, ...], workers: int, output: Path | None) -> None:
+def spreading(
+    node_counts: tuple[int, ...], workers: int, services: int, output: Path | None
+) -> None:
     """Run nodes on the loopback address and print what spreading costs."""
     logging.basicConfig(level=logging.ERROR)
     plans = [
-        ExperimentPlan(node_count=count, worker_count=workers) for count in node_counts
+        ExperimentPlan(
+            node_count=count,
+            worker_count=workers,
+            preset_tickets=PRESET_TICKETS,
+            services_per_ticket=services // PRESET_TICKETS,
+        )
+        for count in node_counts
     ]
     results = [trio.run(run_experiment, plan) for plan in plans]
     if output is not None:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment.py
@@ -113,7 +113,11 @@
         burst = await self.usage_since(before)
         peak = self.peak_reads_per_s()
         watches = self.configuration.meter.waiting_watches
+        frozen, frozen_spread_s, catch_up_s = await self.freeze_some()
+        before = await self.fleet.usages()
         replaced, ready_s, is_ready, is_kept = await self.replace_half()
+        replacement = await self.usage_since(before)
+        replacement_bytes = replacement.control_bytes_per_s * replacement.duration_s
         return ExperimentResult(
             node_count=self.plan.node_count,
             boot_s=boot_s,
@@ -127,7 +131,11 @@
             rest_reads_per_s=rest_reads_per_s,
             peak_reads_per_s=peak,
             waiting_watches=watches,
+            frozen=frozen,
+            frozen_spread_s=frozen_spread_s,
+            catch_up_s=catch_up_s,
             replaced=replaced,
+            replacement_bytes=replacement_bytes * self.plan.node_count / replaced,
             replaced_ready_s=ready_s,
             is_replacement_ready=is_ready,
             is_ticket_kept=is_kept,
@@ -177,6 +185,33 @@
         )
         return self.fleet.now_s() - published_s, is_complete
 
+    async def freeze_some(self) -> tuple[int, list[float], float]:
+        """
+        Freeze the nodes of one worker, publish tickets, and let it run on.
+
+        Return how many were frozen, the times of the tickets to the last running
+        node, and the time that the frozen ones need to catch up.
+        """
+        worker = self.fleet.workers[-1]
+        running = self.fleet.names_outside(worker)
+        worker.freeze()
+        spread_s = []
+        for _ in range(self.plan.frozen_tickets):
+            published_s = self.fleet.now_s()
+            ticket = self.publish()
+            if await self.fleet.wait_in_force(
+                [ticket], timeout_s=self.plan.timeout_s, names=running
+            ):
+                spread_s.append(
+                    self.fleet.last_in_force_s(ticket, running) - published_s
+                )
+            await trio.sleep(self.plan.freeze_s / self.plan.frozen_tickets)
+        thawed_s = self.fleet.now_s()
+        worker.thaw()
+        await self.fleet.wait_in_force([ticket], timeout_s=self.plan.timeout_s)
+        catch_up_s = self.fleet.now_s() - thawed_s
+        return self.plan.node_count - len(running), spread_s, catch_up_s
+
     async def replace_half(self) -> tuple[int, float, bool, bool]:
         """
         Replace half of the nodes while the service is down, then stale.
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment_plan.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment_plan.py
@@ -22,4 +22,6 @@
     single_tickets: int = 10
     single_interval_s: float = 1.5
     burst_tickets: int = 200
+    freeze_s: float = 30.0
+    frozen_tickets: int = 5
     timeout_s: float = 60.0
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/fleet.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/fleet.py
@@ -119,22 +119,34 @@
             return True
         return False
 
-    async def wait_in_force(self, tickets: Iterable[int], *, timeout_s: float) -> bool:
-        """Wait until tickets are in force on every node; return whether in time."""
+    async def wait_in_force(
+        self,
+        tickets: Iterable[int],
+        *,
+        timeout_s: float,
+        names: frozenset[str] | None = None,
+    ) -> bool:
+        """Wait until tickets are in force on all or some; return whether in time."""
         wanted = list(tickets)
         with trio.move_on_after(timeout_s):
-            while any(not self.is_in_force(ticket) for ticket in wanted):
+            while any(not self.is_in_force(ticket, names) for ticket in wanted):
                 await trio.sleep(POLL_INTERVAL_S)
             return True
         return False
 
-    def is_in_force(self, ticket: int) -> bool:
-        """Whether a ticket is in force on every node."""
-        return self.in_force[ticket].keys() >= self.plans.keys()
+    def is_in_force(self, ticket: int, names: frozenset[str] | None = None) -> bool:
+        """Whether a ticket is in force on every node, or on some."""
+        return self.in_force[ticket].keys() >= (names or self.plans.keys())
 
-    def last_in_force_s(self, ticket: int) -> float:
-        """Return when the last node merged a ticket."""
-        return max(self.in_force[ticket][name] for name in self.plans)
+    def last_in_force_s(
+        self, ticket: int, names: frozenset[str] | None = None
+    ) -> float:
+        """Return when the last node, of all or of some, merged a ticket."""
+        return max(self.in_force[ticket][name] for name in names or self.plans)
+
+    def names_outside(self, worker: WorkerProcess) -> frozenset[str]:
+        """Return the nodes that a worker doesn't hold."""
+        return frozenset(n for n, home in self.homes.items() if home is not worker)
 
     async def usages(self) -> list[WorkerUsage]:
         """Return what each worker has used so far."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/markdown_table.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/markdown_table.py
@@ -53,7 +53,13 @@
         "reads at rest, 1/s": f"{result.rest_reads_per_s:.1f}",
         "most reads in a second": str(result.peak_reads_per_s),
         "waiting watches": str(result.waiting_watches),
+        "nodes frozen for 30 s": str(result.frozen),
+        "ticket to last running node meanwhile, longest, s": (
+            f"{max(result.frozen_spread_s, default=float('nan')):.3f}"
+        ),
+        "frozen nodes caught up after, s": f"{result.catch_up_s:.2f}",
         "nodes replaced with the service down or stale": str(result.replaced),
+        "control bytes for each replaced node, B": f"{result.replacement_bytes:.0f}",
         "replacements ready": describe(result.is_replacement_ready),
         "newest ticket kept by all": describe(result.is_ticket_kept),
     }
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/worker_process.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/worker_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import signal
 import subprocess
 import sys
 from typing import TYPE_CHECKING
@@ -73,6 +74,14 @@
         await self.usage_added.wait()
         return self.usages[-1]
 
+    def freeze(self) -> None:
+        """Stop the process from running, as an overloaded host does."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let the process run on."""
+        self.process.send_signal(signal.SIGCONT)
+
     async def stop(self) -> None:
         """End the process and wait for it."""
         assert self.process.stdin is not None
