Give tests of commands addresses that nobody else takes

Cause: of 17 runs of these tests two failed. The second was read: test_check_names_each_taken_address_and_file_on_a_line, "address already in use"; the first one's name was not kept. A port had been probed for TCP on 127.0.0.1, let go and bound for UDP later, while other test runs took ports there. Ruled out: probing for both protocols; the gap between probe and use stays. Fixed ports on 127.0.0.1; two runs at once would collide.

--- a/tests/oleanderweir/helpers_admin.py
+++ b/tests/oleanderweir/helpers_admin.py
@@ -1,10 +1,24 @@
 from __future__ import annotations
 
-from oleanderweir.admin import bind_tcp_socket
+import ipaddress
+import itertools
+import os
+
 from oleanderweir.net import SocketAddress
 
 
+LOOPBACK_START = int(ipaddress.IPv4Address("127.64.0.0"))
+MAX_PROCESS_ID = 2**22
+# Below the ports that the kernel gives away.
+PORTS = itertools.count(20_000)
+
+
 def find_free_address() -> SocketAddress:
-    """Return an address whose port the kernel chose; it is free again."""
-    with bind_tcp_socket(SocketAddress(host="127.0.0.1", port=0)) as bound:
-        return SocketAddress(host="127.0.0.1", port=bound.getsockname()[1])
+    """
+    Return an address that is free for TCP and UDP.
+
+    The loopback host is this process's own and each port is given once, so nobody
+    takes it between this choice and its use.
+    """
+    host = str(ipaddress.IPv4Address(LOOPBACK_START + os.getpid() % MAX_PROCESS_ID))
+    return SocketAddress(host=host, port=next(PORTS))
