--- a/tests/oleanderweir/helpers_admin.py
+++ b/tests/oleanderweir/helpers_admin.py
@@ -1,10 +1,24 @@
 from __future__ import annotations
 
+import ipaddress
+import itertools
+import os
+
 from oleanderweir.net import SocketAddress
-from oleanderweir_bench.deployment.ports import find_free_port
+
+
+LOOPBACK_START = int(ipaddress.IPv4Address("127.64.0.0"))
+MAX_PROCESS_ID = 2**22
+# Below the ports that the kernel gives away.
+PORTS = itertools.count(20_000)
 
 
 def find_free_address() -> SocketAddress:
-    """Return an address that is free, and that no connection takes meanwhile."""
-    host = "127.0.0.1"
-    return SocketAddress(host=host, port=find_free_port(host))
+    """
+    Return an address that is free for TCP and UDP.
+
+    The loopback host is this process's own and each port is given once, so nobody
+    takes it between this choice and its use.
+    """
+    host = str(ipaddress.IPv4Address(LOOPBACK_START + os.getpid() % MAX_PROCESS_ID))
+    return SocketAddress(host=host, port=next(PORTS))
