Name the remedy of every refusal, and test when requests are offered to peers

Cause: a refusal said the same for every reason, and operators need what to do next. A test drains one of three backend servers under load, in virtual time: it gets no new work from the moment of the drain on, its sessions go on through the peers, and every request of the run is answered.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
@@ -191,11 +191,7 @@
     ) -> RequestRejectedError:
         """Count a refusal and return its error."""
         self.metrics.count_rejection(reason)
-        return RequestRejectedError(
-            reason=reason,
-            message="the backend server takes no further request; try again later",
-            retry_after_s=retry_after_s,
-        )
+        return RequestRejectedError(reason=reason, retry_after_s=retry_after_s)
 
     def dispatch(self) -> None:
         """Start as many waiting requests as there are slots for, in their order."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/feed_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/feed_admission.py
@@ -48,7 +48,4 @@
     def reject(self, reason: RejectionReason) -> RequestRejectedError:
         """Count a refusal and return its error."""
         self.metrics.count_rejection(reason)
-        return RequestRejectedError(
-            reason=reason,
-            message="the backend server takes no further feed; open a new session",
-        )
+        return RequestRejectedError(reason=reason)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/exceptions.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/exceptions.py
@@ -6,6 +6,7 @@
 from typing import ClassVar
 
 from oleanderweir.exceptions import OleanderweirError
+from oleanderweir_agent.verdicts.rejection_remedy import REJECTION_REMEDIES
 from oleanderweir_agent.verdicts.verdict import Verdict
 
 
@@ -26,7 +27,7 @@
     A request was refused and has not run.
 
     ``retry_after_s`` is the time in seconds after which an attempt may succeed, as
-    far as it is known.
+    far as it is known. The message is the remedy of the reason unless one is given.
     """
 
     code: ClassVar[str] = "request_rejected"
@@ -36,9 +37,10 @@
         self,
         *,
         reason: RejectionReason,
-        message: str,
+        message: str | None = None,
         retry_after_s: float | None = None,
     ) -> None:
+        message = message or REJECTION_REMEDIES[reason]
         super().__init__(f"{message} (reason {reason.value})")
         self.reason = reason
         self.retry_after_s = retry_after_s
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
@@ -119,8 +119,6 @@
             await self.backend_server.run(job.work_s)
         except SimulatedShedError:
             permit.outcome(WorkResult.SHED, retry_after_s=RETRY_AFTER_S)
-            raise RequestRejectedError(
-                reason=RejectionReason.BACKEND_SHED, message="try a peer"
-            ) from None
+            raise RequestRejectedError(reason=RejectionReason.BACKEND_SHED) from None
         permit.outcome(WorkResult.SUCCEEDED)
         return JobEnd.ANSWERED
--- /dev/null
+++ b/tests/oleanderweir_bench/experiments/test_simulated_service.py
@@ -0,0 +1,55 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_bench.experiments.demand import Demand
+from oleanderweir_bench.experiments.imbalance import CHOSEN
+from oleanderweir_bench.experiments.job_end import JobEnd
+from oleanderweir_bench.experiments.simulated_service import SimulatedService
+from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
+
+
+if TYPE_CHECKING:
+    from oleanderweir_bench.experiments.simulated_agent import SimulatedAgent
+
+
+DRAIN_AT_S = 5.0
+
+
+async def drain_one_of_three() -> tuple[SimulatedService, SimulatedAgent, bool]:
+    service = SimulatedService(
+        policies=CHOSEN, speeds=[1.0, 1.0, 1.0], slots=4, random=random.Random(5)
+    )
+    demand = Demand(
+        random=random.Random(6),
+        rate=lambda time_s: 50.0,
+        highest_rate=50.0,
+        deadline_s=5.0,
+        work_s=0.1,
+    )
+    leaving = service.agents[0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(service.exchange_reports)
+        for _ in range(60):
+            service.open_session()
+        nursery.start_soon(demand.send_for, service, 2 * DRAIN_AT_S)
+        await trio.sleep(DRAIN_AT_S)
+        leaving.admission.drain.begin(drain_period_s=600.0)
+        service.measure_from_now()
+        is_finished = await leaving.admission.drain.wait_finished()
+        await trio.sleep(2 * DRAIN_AT_S)
+        nursery.cancel_scope.cancel()
+    return service, leaving, is_finished
+
+
+def test_a_leaving_backend_server_gets_no_new_work_while_its_sessions_go_on() -> None:
+    service, leaving, is_finished = run_in_virtual_time(drain_one_of_three, seed=1)
+
+    assert is_finished
+    assert leaving.reporter.sessions > 0
+    # What ran when the drain began ends; four slots times one long run at the most.
+    assert leaving.backend_server.busy_s < 4 * 0.3
+    assert {record.end for record in service.records} == {JobEnd.ANSWERED}
