--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/load_table.py
@@ -20,6 +20,7 @@
 
 
 REPORT_LIFETIME_S = 3.0
+PANIC = "panic"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -37,6 +38,7 @@
     panic_filter: PanicFilter = attrs.field(factory=PanicFilter)
     metrics: RequestMetrics = attrs.field(factory=RequestMetrics)
     entries: dict[str, LoadEntry] = attrs.field(factory=dict)
+    was_panic: bool = False
 
     def set_members(self, members: frozenset[str]) -> None:
         """Follow the tickets in force; forget those that are gone."""
@@ -69,7 +71,9 @@
         Expired reports and draining members are left out, and those that look dead
         unless most do.
         """
-        usable = self.panic_filter.usable(self.fresh())
+        fresh = self.fresh()
+        self.note_panic(is_panic=self.panic_filter.is_panic(fresh))
+        usable = self.panic_filter.usable(fresh)
         return [entry for entry in usable if entry.report.name not in exclude]
 
     @property
@@ -85,3 +89,9 @@
             for _, entry in sorted(self.entries.items())
             if entry.received_at >= oldest and not entry.report.is_draining
         ]
+
+    def note_panic(self, *, is_panic: bool) -> None:
+        """Count each time that most members begin to look dead."""
+        if is_panic and not self.was_panic:
+            self.metrics.health_changes.labels(reason=PANIC).inc()
+        self.was_panic = is_panic
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/request_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/request_metrics.py
@@ -27,7 +27,6 @@
     failures: Counter = attrs.field(init=False)
     retries: Counter = attrs.field(init=False)
     retry_refusals: Counter = attrs.field(init=False)
-    limit_changes: Counter = attrs.field(init=False)
     health_changes: Counter = attrs.field(init=False)
     load_reports: Counter = attrs.field(init=False)
 
@@ -36,7 +35,6 @@
         self.failures = self.create("request_failures", "Requests that may have run")
         self.retries = self.create("request_retries", "Attempts after the first")
         self.retry_refusals = self.create("retry_refusals", "Retries not made")
-        self.limit_changes = self.create("limit_changes", "Changes of the limit")
         self.health_changes = self.create("health_changes", "Changes of health")
         self.load_reports = self.create("load_reports", "Load reports taken or dropped")
 
--- a/tests/oleanderweir_agent/load/test_load_table.py
+++ b/tests/oleanderweir_agent/load/test_load_table.py
@@ -116,7 +116,11 @@
     table.merge(attrs.evolve(REPORT, name="b", sequence=2, is_healthy=False))
 
     assert table.is_panic
-    assert names(table) == ["a", "b", "c"]
+    assert names(table) == names(table) == ["a", "b", "c"]
+    counted = table.metrics.registry.get_sample_value(
+        "oleanderweir_agent_health_changes_total", {"reason": "panic"}
+    )
+    assert counted == 1.0
 
 
 @pytest.mark.parametrize(
