Keep a hint from ejecting a backend server for good

A hint now leaves one request at a time, which proves it right (one failure ejects) or wrong (one success ends it).

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/health/backend_health.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/health/backend_health.py
@@ -34,8 +34,8 @@
     A number of failures in a row ejects it, for a time that doubles with each
     ejection. After that it is on probation: work is tried again, one failure ejects
     it anew and one success ends it. What the health endpoint says counts only while
-    no outcome of the last ``evidence_lifetime_s`` speaks, and expires by itself. A
-    shed is an answer, not a failure.
+    no outcome of the last ``evidence_lifetime_s`` speaks, expires by itself, and puts
+    the backend server on probation at the worst. A shed is an answer, not a failure.
     """
 
     ramp: ColdStartRamp
@@ -61,7 +61,9 @@
         if now - self.observed_at <= self.evidence_lifetime_s:
             return HealthState.HEALTHY
         if now - self.hint_at <= self.hint_lifetime_s:
-            return HealthState.HEALTHY if self.hint_is_healthy else HealthState.EJECTED
+            # A hint alone never ejects: without work no outcome could outweigh it.
+            healthy = self.hint_is_healthy
+            return HealthState.HEALTHY if healthy else HealthState.PROBATION
         return HealthState.UNKNOWN
 
     @property
