Show that a backend server which fails at once does not draw the work

Cause: a server that fails within no time always has free slots, so every choice by load prefers it. Shown in virtual time: of about 1,000 requests in 20 s at most nine fail, one for each failure that ejects it.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/job_end.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/job_end.py
@@ -11,3 +11,4 @@
     ANSWERED = "answered"
     REFUSED = "refused"
     LATE = "late"
+    FAILED = "failed"
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
@@ -14,6 +14,9 @@
 from oleanderweir_bench.experiments.job_end import JobEnd
 from oleanderweir_bench.experiments.job_record import JobRecord
 from oleanderweir_bench.experiments.simulated_backend_server import RETRY_AFTER_S
+from oleanderweir_bench.experiments.simulated_backend_server import (
+    SimulatedFailureError,
+)
 from oleanderweir_bench.experiments.simulated_backend_server import SimulatedShedError
 
 
@@ -120,5 +123,8 @@
         except SimulatedShedError:
             permit.outcome(WorkResult.SHED, retry_after_s=RETRY_AFTER_S)
             raise RequestRejectedError(reason=RejectionReason.BACKEND_SHED) from None
+        except SimulatedFailureError:
+            permit.outcome(WorkResult.FAILED)
+            return JobEnd.FAILED
         permit.outcome(WorkResult.SUCCEEDED)
         return JobEnd.ANSWERED
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_backend_server.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_backend_server.py
@@ -16,6 +16,10 @@
     """The backend server refused a request before it began."""
 
 
+class SimulatedFailureError(Exception):
+    """The backend server failed after a request was sent."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class SimulatedBackendServer:
     """
@@ -32,6 +36,7 @@
     backlog: int = BACKLOG
     cold_until: float = -math.inf
     cold_speed_share: float = 0.25
+    is_broken: bool = False
     queued: int = 0
     busy_s: float = 0.0
     measured_from: float = 0.0
@@ -41,7 +46,14 @@
         self.semaphore = trio.Semaphore(self.slots)
 
     async def run(self, work_s: float) -> None:
-        """Do the work; raise ``SimulatedShedError`` when the backlog is full."""
+        """
+        Do the work.
+
+        Raises ``SimulatedShedError`` when the backlog is full, and at once
+        ``SimulatedFailureError`` while broken.
+        """
+        if self.is_broken:
+            raise SimulatedFailureError
         if self.queued >= self.backlog and self.semaphore.value == 0:
             raise SimulatedShedError
         self.queued += 1
--- a/tests/oleanderweir_bench/experiments/test_simulated_service.py
+++ b/tests/oleanderweir_bench/experiments/test_simulated_service.py
@@ -19,23 +19,51 @@
 DRAIN_AT_S = 5.0
 
 
-async def drain_one_of_three() -> tuple[SimulatedService, SimulatedAgent, bool]:
-    service = SimulatedService(
+def make_service() -> SimulatedService:
+    return SimulatedService(
         policies=CHOSEN, speeds=[1.0, 1.0, 1.0], slots=4, random=random.Random(5)
     )
-    demand = Demand(
+
+
+def make_demand() -> Demand:
+    return Demand(
         random=random.Random(6),
         rate=lambda time_s: 50.0,
         highest_rate=50.0,
         deadline_s=5.0,
         work_s=0.1,
     )
+
+
+async def break_one_of_three() -> SimulatedService:
+    service = make_service()
+    service.agents[0].backend_server.is_broken = True
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(service.exchange_reports)
+        for _ in range(60):
+            service.open_session()
+        await make_demand().send_for(service, 20.0)
+        nursery.cancel_scope.cancel()
+    return service
+
+
+def test_a_backend_server_that_fails_at_once_does_not_draw_the_work() -> None:
+    service = run_in_virtual_time(break_one_of_three, seed=1)
+
+    ends = [record.end for record in service.records]
+    # Five failures eject it; each ejection twice as long ends in one more.
+    assert ends.count(JobEnd.FAILED) <= 5 + 4
+    assert ends.count(JobEnd.ANSWERED) + ends.count(JobEnd.FAILED) == len(ends) > 900
+
+
+async def drain_one_of_three() -> tuple[SimulatedService, SimulatedAgent, bool]:
+    service = make_service()
     leaving = service.agents[0]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(service.exchange_reports)
         for _ in range(60):
             service.open_session()
-        nursery.start_soon(demand.send_for, service, 2 * DRAIN_AT_S)
+        nursery.start_soon(make_demand().send_for, service, 2 * DRAIN_AT_S)
         await trio.sleep(DRAIN_AT_S)
         leaving.admission.drain.begin(drain_period_s=600.0)
         service.measure_from_now()
