--- a/tests/oleanderweir_agent/health/test_backend_health.py
+++ b/tests/oleanderweir_agent/health/test_backend_health.py
@@ -8,7 +8,6 @@
 
 from oleanderweir_agent.health import BackendHealth
 from oleanderweir_agent.health import HealthState
-from oleanderweir_agent.health import PanicFilter
 from oleanderweir_agent.limits import ColdStartRamp
 from oleanderweir_agent.limits import WorkOutcome
 from oleanderweir_agent.limits import WorkResult
@@ -93,16 +92,3 @@
     observe(health, WorkResult.SHED, times=50)
 
     assert health.state is HealthState.HEALTHY
-
-
-@pytest.mark.parametrize(
-    ("healthy", "dead", "usable"),
-    [(4, 3, 4), (3, 4, 7), (0, 7, 7), (7, 0, 7)],
-    ids=["few-dead", "most-dead", "all-dead", "none-dead"],
-)
-def test_panic_ignores_health_when_most_look_dead(
-    healthy: int, dead: int, usable: int
-) -> None:
-    members = [Member(is_healthy=True)] * healthy + [Member(is_healthy=False)] * dead
-
-    assert len(PanicFilter().usable(members)) == usable
--- /dev/null
+++ b/tests/oleanderweir_agent/health/test_panic_filter.py
@@ -0,0 +1,34 @@
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from oleanderweir_agent.health import BackendHealth
+from oleanderweir_agent.health import PanicFilter
+from oleanderweir_agent.limits import WorkOutcome
+from oleanderweir_agent.limits import WorkResult
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    is_healthy: bool
+
+
+def observe(health: BackendHealth, result: WorkResult, *, times: int = 1) -> None:
+    for _ in range(times):
+        health.observe(
+            WorkOutcome(result=result, service_time_s=0.1, expected_s=0.1, in_flight=1)
+        )
+
+
+@pytest.mark.parametrize(
+    ("healthy", "dead", "usable"),
+    [(4, 3, 4), (3, 4, 7), (0, 7, 7), (7, 0, 7)],
+    ids=["few-dead", "most-dead", "all-dead", "none-dead"],
+)
+def test_panic_ignores_health_when_most_look_dead(
+    healthy: int, dead: int, usable: int
+) -> None:
+    members = [Member(is_healthy=True)] * healthy + [Member(is_healthy=False)] * dead
+
+    assert len(PanicFilter().usable(members)) == usable
--- /dev/null
+++ b/tests/oleanderweir_agent/limits/test_gradient_limit.py
@@ -0,0 +1,28 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir_agent.limits import GradientLimit
+from oleanderweir_agent.limits import WorkResult
+from tests.oleanderweir_agent.limits.limit_runs import run
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+
+async def test_gradient_shrinks_as_service_times_stretch_and_recovers(
+    autojump_clock: MockClock,
+) -> None:
+    limit = GradientLimit(ceiling=16)
+    for _ in range(20):
+        run(limit, WorkResult.SUCCEEDED)
+    assert limit.limit == 16
+
+    for _ in range(40):
+        run(limit, WorkResult.SUCCEEDED, service_time_s=0.4)
+    assert limit.limit <= 8
+
+    for _ in range(80):
+        run(limit, WorkResult.SUCCEEDED)
+    assert limit.limit == 16
--- /dev/null
+++ b/tests/oleanderweir_agent/load/test_service_group.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from oleanderweir_agent.load import LeastWaitChooser
+from oleanderweir_agent.load import LoadTable
+from oleanderweir_agent.load import RandomChooser
+from oleanderweir_agent.load import RoundRobinChooser
+from oleanderweir_agent.load import ServiceGroup
+from oleanderweir_agent.load import TwoChoicesChooser
+from tests.oleanderweir_agent.load.load_tables import REPORT
+from tests.oleanderweir_agent.load.load_tables import make_table
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from oleanderweir_agent.load import BackendChooser
+
+
+def names(table: LoadTable) -> list[str]:
+    return [entry.report.name for entry in table.candidates()]
+
+
+@pytest.mark.parametrize(
+    "chooser",
+    [
+        RandomChooser(random=random.Random(1)),
+        RoundRobinChooser(),
+        TwoChoicesChooser(random=random.Random(1)),
+        LeastWaitChooser(random=random.Random(1)),
+    ],
+    ids=["random", "round-robin", "two-choices", "least-wait"],
+)
+async def test_every_chooser_reaches_every_peer_but_the_own_and_the_excluded(
+    autojump_clock: MockClock, chooser: BackendChooser
+) -> None:
+    table = make_table(*(attrs.evolve(REPORT, name=name) for name in "abc"))
+    group = ServiceGroup(own_name="a", table=table, chooser=chooser)
+
+    assert {group.choose_peer() for _ in range(50)} == {"b", "c"}
+    assert {group.choose_peer(exclude={"b"}) for _ in range(5)} == {"c"}
+    assert group.choose_peer(exclude={"b", "c"}) is None
+    assert {group.choose_host() for _ in range(50)} == {"a", "b", "c"}
