Add the churn experiment and its hash baseline

Ruled out: counting by the feed alone (a session whose packets reach the wrong agent goes on to receive ticks until QUIC's idle timeout, so each session also posts a report at the end); an own agent for the baseline (any agent takes a flow whose Retry token it can read, so only the balancer's route differs).

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_experiment.py
@@ -0,0 +1,185 @@
+"""Keeps sessions open while balancers and backend servers change."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_bench.callers import CallerError
+from oleanderweir_bench.churn.churn_result import ChurnResult
+from oleanderweir_bench.churn.feed_session import FeedSession
+from oleanderweir_bench.churn.session_opener import SessionOpener
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from oleanderweir_bench.callers import Http3Caller
+    from oleanderweir_bench.churn.churn_schedule import ChurnSchedule
+    from oleanderweir_bench.deployment import Deployment
+
+
+BALANCERS = 3
+BACKEND_SERVERS = 4
+OPENING_AT_ONCE = 10
+OPENING_TIMEOUT_S = 120.0
+
+
+class ChurnExperiment:
+    """
+    Keeps sessions open, each with a feed, while the deployment changes.
+
+    One balancer is killed, one joins, one freezes; a backend server is added by ticket
+    and another is drained by ticket. In the end each session posts a report.
+    """
+
+    def __init__(
+        self,
+        *,
+        deployment: Deployment,
+        schedule: ChurnSchedule,
+        sessions: int,
+        routing: str,
+        tell: Callable[[str], None],
+    ) -> None:
+        self.deployment = deployment
+        self.schedule = schedule
+        self.sessions = [FeedSession(number=number) for number in range(sessions)]
+        self.routing = routing
+        self.tell = tell
+        self.opening = trio.CapacityLimiter(OPENING_AT_ONCE)
+        self.probing = trio.Event()
+        self.started_at = 0.0
+
+    async def run(self) -> ChurnResult:
+        """Run the whole schedule and sum up."""
+        opener = SessionOpener(create_caller=self.deployment.create_caller)
+        await self.deployment.start(
+            balancers=BALANCERS, backend_servers=BACKEND_SERVERS
+        )
+        async with trio.open_nursery() as nursery:
+            for session in self.sessions:
+                nursery.start_soon(self.keep, session)
+            await self.wait_opened()
+            nursery.start_soon(opener.run)
+            await self.go_through_schedule()
+            self.note_stalled()
+            self.probing.set()
+            schedule = self.schedule
+            await trio.sleep(schedule.probe_spread_s + schedule.probe_timeout_s)
+            nursery.cancel_scope.cancel()
+        return ChurnResult.summarize(
+            routing=self.routing,
+            sessions=self.sessions,
+            opener=opener,
+            doubled_runs=await self.count_doubled_runs(),
+        )
+
+    async def wait_opened(self) -> None:
+        """Wait until every session has its first tick, or has failed."""
+        with trio.move_on_after(OPENING_TIMEOUT_S):
+            for session in self.sessions:
+                await session.opened.wait()
+        self.started_at = trio.current_time()
+        failed = sum(session.is_broken for session in self.sessions)
+        self.tell(f"{len(self.sessions) - failed} sessions are open, {failed} failed.")
+
+    async def go_through_schedule(self) -> None:
+        """Cause every change at its time."""
+        schedule = self.schedule
+        steps: list[tuple[float, str, Callable[[], Awaitable[None]]]] = [
+            (schedule.kill_s, "kill balancer-1", self.kill),
+            (schedule.join_s, "start balancer-4", self.join),
+            (schedule.freeze_at_s, "freeze balancer-2", self.freeze),
+            (schedule.add_s, "add a backend server", self.add),
+            (schedule.leave_s, "drain a backend server", self.leave),
+        ]
+        for at_s, text, step in steps:
+            await trio.sleep_until(self.started_at + at_s)
+            self.tell(f"{trio.current_time() - self.started_at:5.1f} s: {text}")
+            await step()
+        await trio.sleep_until(self.started_at + schedule.end_s)
+
+    async def kill(self) -> None:
+        """Kill a balancer; the fabric notices later."""
+        balancer = self.deployment.balancers["balancer-1"]
+        balancer.process.kill()
+        await trio.sleep(self.schedule.notice_s)
+        await self.deployment.spray_no_more_over(balancer)
+
+    async def join(self) -> None:
+        """Start one more balancer and spray over it once it is ready."""
+        balancer = await self.deployment.start_balancer(BALANCERS + 1)
+        await self.deployment.wait_balancer(balancer)
+        await self.deployment.spray_over(balancer)
+
+    async def freeze(self) -> None:
+        """Freeze a balancer and let it wake up late."""
+        balancer = self.deployment.balancers["balancer-2"]
+        balancer.process.freeze()
+        await trio.sleep(self.schedule.freeze_s)
+        balancer.process.thaw()
+
+    async def add(self) -> None:
+        """Add a backend server by ticket."""
+        server = await self.deployment.start_server(BACKEND_SERVERS + 1)
+        await self.deployment.publish(backend_servers=(server.entry,))
+        await self.deployment.wait_server(server)
+
+    async def leave(self) -> None:
+        """Drain a backend server by ticket."""
+        entry = self.deployment.make_entry(1)
+        draining = attrs.evolve(entry, is_draining=True)
+        await self.deployment.publish(backend_servers=(draining,))
+
+    async def keep(self, session: FeedSession) -> None:
+        """Keep one session with its feed; note what breaks it."""
+        try:
+            async with self.opening:
+                caller = self.deployment.create_caller()
+                await caller.__aenter__()
+            try:
+                await self.follow(session, caller)
+            finally:
+                await caller.__aexit__(None, None, None)
+        except CallerError as error:
+            session.error = session.error or str(error)
+        finally:
+            session.opened.set()
+
+    async def follow(self, session: FeedSession, caller: Http3Caller) -> None:
+        """Read the feed, and post a report when the schedule is over."""
+        feed = await caller.open_feed("/feed?interval_ms=1000")
+        async with feed, trio.open_nursery() as nursery:
+            nursery.start_soon(self.probe, session, caller)
+            await session.follow(feed)
+            nursery.cancel_scope.cancel()
+
+    async def probe(self, session: FeedSession, caller: Http3Caller) -> None:
+        """Post a report, at a time of the session's own."""
+        await self.probing.wait()
+        share = session.number / len(self.sessions)
+        await trio.sleep(share * self.schedule.probe_spread_s)
+        body = json.dumps({"id": f"report-{session.number}"}).encode()
+        timeout_s = self.schedule.probe_timeout_s
+        try:
+            await caller.request("POST", "/reports", body=body, timeout_s=timeout_s)
+        except CallerError as error:
+            session.probe_error = str(error)
+
+    def note_stalled(self) -> None:
+        """Note the sessions whose feed has gone silent."""
+        now = trio.current_time()
+        for session in self.sessions:
+            if not session.error and session.is_stalled(now, self.schedule.stall_s):
+                session.error = f"no tick in the last {self.schedule.stall_s} s"
+
+    async def count_doubled_runs(self) -> int:
+        """Return how many reports were started more than once."""
+        runs = Counter(await self.deployment.list_started_items())
+        return sum(count > 1 for count in runs.values())
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_result.py
@@ -0,0 +1,94 @@
+"""What a churn run found."""
+
+from __future__ import annotations
+
+import math
+import statistics
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from oleanderweir_bench.churn.feed_session import FeedSession
+    from oleanderweir_bench.churn.session_opener import SessionOpener
+
+
+PERCENTILE = 99
+
+
+@attrs.frozen(kw_only=True)
+class ChurnResult:
+    """
+    What a churn run found.
+
+    ``broken`` sessions lost their feed, stalled, or had no answer to the request at the
+    end. ``doubled_runs`` counts reports that were started more than once. Gaps are the
+    longest time between two ticks of a session, times of opening the handshake.
+    """
+
+    routing: str
+    sessions: int
+    broken: int
+    broken_feeds: int
+    unanswered_probes: int
+    missing_ticks: int
+    doubled_ticks: int
+    doubled_runs: int
+    gap_median_s: float
+    gap_max_s: float
+    new_sessions: int
+    failed_new_sessions: int
+    opening_median_s: float
+    opening_p99_s: float
+    errors: Mapping[str, int]
+
+    @classmethod
+    def summarize(
+        cls,
+        *,
+        routing: str,
+        sessions: Sequence[FeedSession],
+        opener: SessionOpener,
+        doubled_runs: int,
+    ) -> ChurnResult:
+        """Sum up the sessions of a run."""
+        gaps = [session.longest_gap_s for session in sessions] or [0.0]
+        openings = sorted(opener.opening_times_s) or [0.0]
+        errors: dict[str, int] = {}
+        for session in sessions:
+            text = session.error or session.probe_error
+            if text:
+                errors[text] = errors.get(text, 0) + 1
+        return cls(
+            routing=routing,
+            sessions=len(sessions),
+            broken=sum(session.is_broken for session in sessions),
+            broken_feeds=sum(bool(session.error) for session in sessions),
+            unanswered_probes=sum(bool(session.probe_error) for session in sessions),
+            missing_ticks=sum(session.missing for session in sessions),
+            doubled_ticks=sum(session.doubled for session in sessions),
+            doubled_runs=doubled_runs,
+            gap_median_s=round(statistics.median(gaps), 3),
+            gap_max_s=round(max(gaps), 3),
+            new_sessions=opener.attempts,
+            failed_new_sessions=opener.failures,
+            opening_median_s=round(statistics.median(openings), 4),
+            opening_p99_s=round(openings[find_rank(len(openings))], 4),
+            errors=errors,
+        )
+
+    @property
+    def is_passed(self) -> bool:
+        """Whether nothing broke, was missing or was doubled."""
+        return not (
+            self.broken or self.missing_ticks or self.doubled_ticks or self.doubled_runs
+        )
+
+
+def find_rank(count: int) -> int:
+    """Return the index of the 99th percentile in a sorted sequence (nearest rank)."""
+    return max(0, math.ceil(count * PERCENTILE / 100) - 1)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/rendezvous_listener.py
@@ -0,0 +1,51 @@
+"""The baseline: a balancer that hashes addresses and reads no connection ID."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from oleanderweir.net import pack_pair
+from oleanderweir_balancer.drop_reason import DropReason
+from oleanderweir_balancer.service_listener import ServiceListener
+
+
+if TYPE_CHECKING:
+    from oleanderweir.configuration import BackendServer
+    from oleanderweir.net import Datagram
+
+
+DIGEST_BYTES = 8
+
+
+class RendezvousListener(ServiceListener):
+    """
+    Routes every packet by the rendezvous hash of the caller's address and port.
+
+    The destination's half of the 4-tuple is the same for all packets of a service.
+    Draining backend servers are left out, as they may take no new work.
+    """
+
+    def route(self, datagram: Datagram) -> None:
+        """Forward one packet to the agent with the highest score."""
+        servers = self.candidates()
+        if not servers:
+            self.metrics.dropped[DropReason.NO_BACKEND_SERVER].inc()
+            return
+        caller = pack_pair(datagram.source)
+        chosen = max(servers, key=lambda server: score(caller, server))
+        self.back_socket.send_to(self._enclose(datagram), chosen.agent_address.pair)
+        self.metrics.forwarded_to_agent.inc()
+
+    def candidates(self) -> list[BackendServer]:
+        """Return the backend servers that take new work."""
+        if self.service_name is None:
+            return []
+        servers = self.selector.configuration.backend_servers(self.service_name)
+        return [server for server in servers if not server.is_draining]
+
+
+def score(caller: bytes, server: BackendServer) -> bytes:
+    """Return the rank of a backend server for a caller."""
+    key = caller + server.agent_address.packed
+    return hashlib.blake2b(key, digest_size=DIGEST_BYTES).digest()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
@@ -70,7 +70,8 @@
         """Post a clock report and count its runs."""
         body = json.dumps({"id": REPORT_ID}).encode()
         response = await caller.request("POST", "/reports", body=body)
-        runs = await self.deployment.count_runs(REPORT_ID)
+        started = await self.deployment.list_started_items()
+        runs = started.count(REPORT_ID)
         return DemoCheck(
             name="A clock report runs once",
             is_passed=response.status == 200 and runs == 1,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir_bench.deployment.address_plan import AddressPlan
+from oleanderweir_bench.deployment.balancer_kind import BalancerKind
 from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
 from oleanderweir_bench.deployment.deployment import Deployment
@@ -12,6 +13,7 @@
 
 __all__ = [
     "AddressPlan",
+    "BalancerKind",
     "DeployedBalancer",
     "DeployedServer",
     "Deployment",
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/balancer_kind.py
@@ -0,0 +1,17 @@
+"""Which kind of balancer a deployment runs."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class BalancerKind(Enum):
+    """
+    How balancers route established packets.
+
+    ``ANCHORED`` reads the connection ID. ``RENDEZVOUS`` hashes addresses; it is the
+    baseline of the bench.
+    """
+
+    ANCHORED = "anchored"
+    RENDEZVOUS = "rendezvous-hash"
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -11,6 +11,9 @@
 from oleanderweir_bench.callers import Http3Caller
 from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
 from oleanderweir_bench.deployment.address_plan import AddressPlan
+from oleanderweir_bench.deployment.balancer_kind import BalancerKind
+from oleanderweir_bench.deployment.commands import agent_command
+from oleanderweir_bench.deployment.commands import balancer_command
 from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
@@ -18,6 +21,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
@@ -45,10 +49,12 @@
         folder: Path,
         service_name: str = "horaflujo",
         slots: int = 4,
+        balancer_kind: BalancerKind = BalancerKind.ANCHORED,
     ) -> None:
         self.supervisor = supervisor
         self.folder = folder
         self.slots = slots
+        self.balancer_kind = balancer_kind
         self.authority = CertificateAuthority()
         self.keys = f"1:{secrets.token_hex(SECRET_BYTES)}"
         self.tickets = TicketWriter()
@@ -113,7 +119,7 @@
         admin_address = self.plan.choose(host)
         process = await self.start_product(
             name,
-            "oleanderweir-balancer",
+            balancer_command(self.balancer_kind),
             number,
             f"--bind-host={host}",
             f"--back-address={self.plan.choose(host)}",
@@ -143,7 +149,7 @@
         )
         agent_process = await self.start_product(
             f"agent-{number}",
-            "oleanderweir-agent",
+            agent_command(),
             number,
             f"--backend-server={entry.name}",
             f"--agent-address={entry.agent_address}",
@@ -164,17 +170,18 @@
         return server
 
     async def start_product(
-        self, name: str, script: str, number: int, *arguments: str
+        self, name: str, command: Sequence[str], number: int, *arguments: str
     ) -> SupervisedProcess:
-        """Start one of the two binaries with the flags that both share."""
-        return await self.supervisor.start_script(
+        """Start a balancer or an agent with the flags that both share."""
+        return await self.supervisor.start(
             name,
-            script,
-            "run",
-            f"--instance-name={name}",
-            f"--availability-zone={self.plan.availability_zone(number)}",
-            f"--configuration-url=http://{self.configuration_address}",
-            *arguments,
+            [
+                *command,
+                f"--instance-name={name}",
+                f"--availability-zone={self.plan.availability_zone(number)}",
+                f"--configuration-url=http://{self.configuration_address}",
+                *arguments,
+            ],
             environment={"OLEANDERWEIR_KEYS": self.keys},
         )
 
@@ -218,15 +225,15 @@
             url = f"http://{self.control_address}/balancers/{balancer.host}"
             (await client.request(method, url)).raise_for_status()
 
-    async def count_runs(self, item_id: str) -> int:
-        """Return how often a report or confirmation was started, in all."""
-        count = 0
+    async def list_started_items(self) -> list[str]:
+        """Return the identifiers of all reports and confirmations that started."""
+        items: list[str] = []
         async with httpx.AsyncClient() as client:
             for server in self.servers.values():
                 url = f"http://{server.backend_address}/ledger"
                 records = (await client.get(url)).json()
-                count += sum(record["item_id"] == item_id for record in records)
-        return count
+                items += [record["item_id"] for record in records if record["item_id"]]
+        return items
 
     def create_caller(self) -> Http3Caller:
         """Return a new caller of the service."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
@@ -5,13 +5,11 @@
 import os
 import subprocess
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Self
 
 import trio
 
-from oleanderweir_bench.exceptions import ProcessFailedError
 from oleanderweir_bench.processes import launcher
 from oleanderweir_bench.processes.output_line import OutputLine
 from oleanderweir_bench.processes.supervised_process import SupervisedProcess
@@ -62,23 +60,6 @@
         """Start a Python module with the interpreter of the bench."""
         return await self.start(name, [sys.executable, "-m", module, *arguments])
 
-    async def start_script(
-        self,
-        name: str,
-        script: str,
-        *arguments: str,
-        environment: Mapping[str, str] | None = None,
-    ) -> SupervisedProcess:
-        """
-        Start a command that is installed beside the bench.
-
-        Raise ``ProcessFailedError`` when it is not installed.
-        """
-        path = Path(sys.executable).parent / script
-        if not path.exists():
-            raise ProcessFailedError(f"{path} is missing; install the workspace")
-        return await self.start(name, [str(path), *arguments], environment=environment)
-
     async def start(
         self,
         name: str,
--- a/tests/oleanderweir_bench/processes/test_process_supervisor.py
+++ b/tests/oleanderweir_bench/processes/test_process_supervisor.py
@@ -128,9 +128,3 @@
         process = await supervisor.start("talker", [sys.executable, "-c", TALK])
         with pytest.raises(ProcessFailedError, match="gave no line with 'absent'"):
             await process.wait_line("absent", timeout_s=0.05)
-
-
-async def test_a_missing_script_is_told() -> None:
-    async with ProcessSupervisor() as supervisor:
-        with pytest.raises(ProcessFailedError, match="install the workspace"):
-            await supervisor.start_script("absent", "no-such-script")
