--- a/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_experiment.py
@@ -110,13 +110,13 @@
         balancer = self.deployment.balancers["balancer-1"]
         balancer.process.kill()
         await trio.sleep(self.schedule.notice_s)
-        await self.deployment.spray_no_more_over(balancer)
+        await self.deployment.fabric.remove_balancer(balancer.host)
 
     async def join(self) -> None:
         """Start one more balancer and spray over it once it is ready."""
         balancer = await self.deployment.start_balancer(BALANCERS + 1)
         await self.deployment.wait_balancer(balancer)
-        await self.deployment.spray_over(balancer)
+        await self.deployment.fabric.add_balancer(balancer.host)
 
     async def freeze(self) -> None:
         """Freeze a balancer and let it wake up late."""
@@ -177,7 +177,8 @@
         now = trio.current_time()
         for session in self.sessions:
             if not session.error and session.is_stalled(now, self.schedule.stall_s):
-                session.error = f"no tick in the last {self.schedule.stall_s} s"
+                silent_at_s = session.last_tick_at - self.started_at
+                session.error = f"no tick after {silent_at_s:.0f} s"
 
     async def count_doubled_runs(self) -> int:
         """Return how many reports were started more than once."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
@@ -108,6 +108,6 @@
                 balancer.process.kill()
                 self.tell(f"  {balancer.name} is killed; the fabric does not know yet.")
             if number == NOTICE_AFTER_TICK:
-                await self.deployment.spray_no_more_over(balancer)
+                await self.deployment.fabric.remove_balancer(balancer.host)
                 self.tell("  The fabric sprays over the others now.")
         return ticks
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -8,6 +8,9 @@
 import httpx
 
 from oleanderweir.configuration import Service
+from oleanderweir.membership import InstanceRecord
+from oleanderweir.membership import InstanceRole
+from oleanderweir.membership import InstanceState
 from oleanderweir_bench.callers import Http3Caller
 from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
 from oleanderweir_bench.deployment.address_plan import AddressPlan
@@ -16,6 +19,8 @@
 from oleanderweir_bench.deployment.commands import balancer_command
 from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
+from oleanderweir_bench.deployment.fabric_control import FabricControl
+from oleanderweir_bench.deployment.platform_operator import PlatformOperator
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
 from oleanderweir_bench.keys import CertificateAuthority
 
@@ -25,11 +30,13 @@
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
+    from oleanderweir.net import SocketAddress
     from oleanderweir_bench.processes import ProcessSupervisor
     from oleanderweir_bench.processes import SupervisedProcess
 
 
 BENCH = "oleanderweir_bench"
+REGION = "central-chile"
 SECRET_BYTES = 32
 
 
@@ -65,10 +72,15 @@
             feed_paths=("/feed",),
         )
         self.configuration_address = self.plan.choose(FABRIC_HOST)
-        self.control_address = self.plan.choose(FABRIC_HOST)
+        self.operator = PlatformOperator(
+            configuration_address=self.configuration_address
+        )
+        self.fabric = FabricControl(address=self.plan.choose(FABRIC_HOST))
         self.balancers: dict[str, DeployedBalancer] = {}
         self.servers: dict[str, DeployedServer] = {}
         self.certificate = self.authority.write(folder, service_name)
+        self.peer_certificate = self.authority.write(folder, "instance")
+        self.authority_path = self.authority.write_authority(folder)
         self.tickets_folder = folder / "tickets"
         self.tickets_folder.mkdir()
 
@@ -107,23 +119,28 @@
             BENCH,
             "fabric",
             f"--service={self.service.address}",
-            f"--control={self.control_address}",
+            f"--control={self.fabric.address}",
             *hosts,
         )
-        await process.wait_port(self.control_address)
+        await process.wait_port(self.fabric.address)
 
     async def start_balancer(self, number: int) -> DeployedBalancer:
         """Start a balancer; the fabric does not spray over it yet."""
         name = f"balancer-{number}"
         host = self.plan.balancer_host(number)
         admin_address = self.plan.choose(host)
-        process = await self.start_product(
+        record = self.make_record(
             name,
-            balancer_command(self.balancer_kind),
+            InstanceRole.BALANCER,
             number,
+            data_address=self.plan.choose(host),
+            peer_address=self.plan.choose(host),
+        )
+        process = await self.start_product(
+            record,
+            balancer_command(self.balancer_kind),
             f"--bind-host={host}",
-            f"--back-address={self.plan.choose(host)}",
-            f"--peer-address={self.plan.choose(host)}",
+            f"--back-address={record.data_address}",
             f"--admin-address={admin_address}",
         )
         balancer = DeployedBalancer(
@@ -147,13 +164,18 @@
             f"--name={entry.name}",
             f"--slots={entry.slots}",
         )
-        agent_process = await self.start_product(
+        record = self.make_record(
             f"agent-{number}",
-            agent_command(),
+            InstanceRole.AGENT,
             number,
+            data_address=entry.agent_address,
+            peer_address=entry.peer_address,
+        )
+        agent_process = await self.start_product(
+            record,
+            agent_command(),
             f"--backend-server={entry.name}",
             f"--agent-address={entry.agent_address}",
-            f"--peer-address={entry.peer_address}",
             f"--backend-address={backend_address}",
             f"--admin-address={admin_address}",
             f"--tls-certificate={self.certificate.certificate}",
@@ -170,18 +192,23 @@
         return server
 
     async def start_product(
-        self, name: str, command: Sequence[str], number: int, *arguments: str
+        self, record: InstanceRecord, command: Sequence[str], *arguments: str
     ) -> SupervisedProcess:
-        """Start a balancer or an agent with the flags that both share."""
+        """List an instance and start its binary with the flags that both share."""
+        await self.operator.list_instance(record)
+        shared = [
+            f"--instance-name={record.name}",
+            f"--availability-zone={record.availability_zone}",
+            f"--region={record.region}",
+            f"--peer-address={record.peer_address}",
+            f"--configuration-url=http://{self.configuration_address}",
+            f"--peer-tls-certificate={self.peer_certificate.certificate}",
+            f"--peer-tls-private-key={self.peer_certificate.private_key}",
+            f"--peer-tls-ca={self.authority_path}",
+        ]
         return await self.supervisor.start(
-            name,
-            [
-                *command,
-                f"--instance-name={name}",
-                f"--availability-zone={self.plan.availability_zone(number)}",
-                f"--configuration-url=http://{self.configuration_address}",
-                *arguments,
-            ],
+            record.name,
+            [*command, *shared, *arguments],
             environment={"OLEANDERWEIR_KEYS": self.keys},
         )
 
@@ -207,23 +234,7 @@
             backend_servers=backend_servers,
             removed_backend_servers=removed_backend_servers,
         )
-        async with httpx.AsyncClient() as client:
-            url = f"http://{self.configuration_address}/operator/tickets"
-            (await client.post(url, content=text)).raise_for_status()
-
-    async def spray_over(self, balancer: DeployedBalancer) -> None:
-        """Have the fabric spray over a balancer."""
-        await self.control("PUT", balancer)
-
-    async def spray_no_more_over(self, balancer: DeployedBalancer) -> None:
-        """Have the fabric notice that a balancer is gone."""
-        await self.control("DELETE", balancer)
-
-    async def control(self, method: str, balancer: DeployedBalancer) -> None:
-        """Change the fabric's balancers."""
-        async with httpx.AsyncClient() as client:
-            url = f"http://{self.control_address}/balancers/{balancer.host}"
-            (await client.request(method, url)).raise_for_status()
+        await self.operator.publish_ticket(text)
 
     async def list_started_items(self) -> list[str]:
         """Return the identifiers of all reports and confirmations that started."""
@@ -243,6 +254,26 @@
             server_name=self.service.name,
         )
 
+    def make_record(
+        self,
+        name: str,
+        role: InstanceRole,
+        number: int,
+        *,
+        data_address: SocketAddress,
+        peer_address: SocketAddress,
+    ) -> InstanceRecord:
+        """Return what the instance list says of an instance."""
+        return InstanceRecord(
+            name=name,
+            role=role,
+            region=REGION,
+            availability_zone=self.plan.availability_zone(number),
+            peer_address=peer_address,
+            data_address=data_address,
+            state=InstanceState.LIVE,
+        )
+
     def make_entry(self, number: int) -> BackendServer:
         """Return what a ticket says of a backend server; the same on each call."""
         return self.plan.backend_server(self.service.name, number, self.slots)
