--- a/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/demo/demo.py
@@ -70,7 +70,8 @@
         """Post a clock report and count its runs."""
         body = json.dumps({"id": REPORT_ID}).encode()
         response = await caller.request("POST", "/reports", body=body)
-        runs = await self.deployment.count_runs(REPORT_ID)
+        started = await self.deployment.list_started_items()
+        runs = started.count(REPORT_ID)
         return DemoCheck(
             name="A clock report runs once",
             is_passed=response.status == 200 and runs == 1,
@@ -107,6 +108,6 @@
                 balancer.process.kill()
                 self.tell(f"  {balancer.name} is killed; the fabric does not know yet.")
             if number == NOTICE_AFTER_TICK:
-                await self.deployment.spray_no_more_over(balancer)
+                await self.deployment.fabric.remove_balancer(balancer.host)
                 self.tell("  The fabric sprays over the others now.")
         return ticks
