--- a/packages/oleanderweir/src/oleanderweir/configuration_service/configuration_service_reader.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/configuration_service_reader.py
@@ -9,9 +9,9 @@
 import attrs
 
 from oleanderweir.configuration_service.exceptions import InvalidServiceResponseError
-from oleanderweir.configuration_service.exceptions import ServiceUnavailableError
 from oleanderweir.configuration_service.messages import SnapshotPart
 from oleanderweir.configuration_service.messages import TicketPage
+from oleanderweir.configuration_service.part_reader import PartReader
 from oleanderweir.configuration_service.snapshot_builder import build_snapshot
 from oleanderweir.tickets import InvalidTicketError
 from oleanderweir.tickets import Ticket
@@ -30,8 +30,6 @@
 SNAPSHOT_PATH = "/v1/snapshot"
 TICKETS_PATH = "/v1/tickets"
 WATCH_S = 30
-MAX_SNAPSHOT_PARTS = 64
-MAX_SNAPSHOT_RESTARTS = 3
 
 logger = logging.getLogger(__name__)
 
@@ -55,14 +53,13 @@
 
         Raise ``InvalidSnapshotError`` when it contradicts itself.
         """
-        for _ in range(MAX_SNAPSHOT_RESTARTS):
-            parts = await self.read_parts()
-            if parts:
-                return build_snapshot(parts)
-        raise ServiceUnavailableError(
-            "the snapshot was replaced during each of "
-            f"{MAX_SNAPSHOT_RESTARTS} reads; publish it less often"
+        reader = PartReader(
+            client=self.client,
+            path=SNAPSHOT_PATH,
+            part_type=SnapshotPart,
+            subject="snapshot",
         )
+        return build_snapshot(await reader.read({}))
 
     async def read_tickets(self, after: int) -> Sequence[Ticket]:
         """
@@ -84,32 +81,6 @@
         )
         return self.parse_page(after, page)
 
-    async def read_parts(self) -> list[SnapshotPart]:
-        """Return the parts of one snapshot, or nothing when it was replaced."""
-        first = await self.read_part(0)
-        if not 1 <= first.parts <= MAX_SNAPSHOT_PARTS:
-            raise InvalidServiceResponseError(
-                f"the snapshot has {first.parts} parts; "
-                f"publish 1 to {MAX_SNAPSHOT_PARTS}"
-            )
-        parts = [first]
-        for number in range(1, first.parts):
-            part = await self.read_part(number)
-            if not part.has_same_snapshot_as(first):
-                return []
-            parts.append(part)
-        return parts
-
-    async def read_part(self, number: int) -> SnapshotPart:
-        """Return one part of the snapshot."""
-        part = await self.client.read(SNAPSHOT_PATH, SnapshotPart, {"part": number})
-        if part.part != number:
-            raise InvalidServiceResponseError(
-                f"part {number} of the snapshot calls itself {part.part}; "
-                "publish it again"
-            )
-        return part
-
     def parse_page(self, after: int, page: TicketPage) -> tuple[Ticket, ...]:
         """Return the tickets of a page; raise when they do not follow each other."""
         numbers = [after, *(published.number for published in page.tickets)]
--- a/packages/oleanderweir/src/oleanderweir/configuration_service/instance_list_reader.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/instance_list_reader.py
@@ -6,9 +6,8 @@
 
 import attrs
 
-from oleanderweir.configuration_service.exceptions import InvalidServiceResponseError
-from oleanderweir.configuration_service.exceptions import ServiceUnavailableError
 from oleanderweir.configuration_service.messages import InstanceListPart
+from oleanderweir.configuration_service.part_reader import PartReader
 
 
 if TYPE_CHECKING:
@@ -19,8 +18,6 @@
 
 
 INSTANCES_PATH = "/v1/instances"
-MAX_LIST_PARTS = 64
-MAX_LIST_RESTARTS = 3
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -41,34 +38,12 @@
         Raise ``ServiceUnavailableError`` when the list cannot be read and
         ``InvalidServiceResponseError`` when it breaks the protocol.
         """
-        for _ in range(MAX_LIST_RESTARTS):
-            parts = await self.read_parts()
-            if parts:
-                return tuple(record for part in parts for record in part.instances)
-        raise ServiceUnavailableError(
-            f"the instance list changed during each of {MAX_LIST_RESTARTS} reads; "
-            "read it later"
+        reader = PartReader(
+            client=self.client,
+            path=INSTANCES_PATH,
+            part_type=InstanceListPart,
+            subject="instance list",
         )
-
-    async def read_parts(self) -> list[InstanceListPart]:
-        """Return the parts of one version, or nothing when it was replaced."""
-        first = await self.read_part(0)
-        if not 1 <= first.parts <= MAX_LIST_PARTS:
-            raise InvalidServiceResponseError(
-                f"the instance list has {first.parts} parts; "
-                f"publish 1 to {MAX_LIST_PARTS}"
-            )
-        parts = [first]
-        for number in range(1, first.parts):
-            part = await self.read_part(number)
-            if (part.version, part.parts) != (first.version, first.parts):
-                return []
-            parts.append(part)
-        return parts
-
-    async def read_part(self, number: int) -> InstanceListPart:
-        """Return one part of the list."""
-        parameters: dict[str, str | int] = {"part": number}
-        if self.availability_zone is not None:
-            parameters["availability_zone"] = self.availability_zone
-        return await self.client.read(INSTANCES_PATH, InstanceListPart, parameters)
+        zone = self.availability_zone
+        parts = await reader.read({} if zone is None else {"availability_zone": zone})
+        return tuple(record for part in parts for record in part.instances)
--- a/packages/oleanderweir/src/oleanderweir/configuration_service/messages/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/messages/__init__.py
@@ -9,6 +9,7 @@
 from oleanderweir.configuration_service.messages.message_codec import decode_message
 from oleanderweir.configuration_service.messages.message_codec import encode_message
 from oleanderweir.configuration_service.messages.published_entry import PublishedEntry
+from oleanderweir.configuration_service.messages.published_part import PublishedPart
 from oleanderweir.configuration_service.messages.published_ticket import PublishedTicket
 from oleanderweir.configuration_service.messages.snapshot_part import SnapshotPart
 from oleanderweir.configuration_service.messages.ticket_page import TicketPage
@@ -18,6 +19,7 @@
     "MAX_VALUE_BYTES",
     "InstanceListPart",
     "PublishedEntry",
+    "PublishedPart",
     "PublishedTicket",
     "SnapshotPart",
     "TicketPage",
--- a/packages/oleanderweir/src/oleanderweir/configuration_service/messages/instance_list_part.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/messages/instance_list_part.py
@@ -23,3 +23,8 @@
     part: int
     parts: int
     instances: tuple[InstanceRecord, ...]
+
+    @property
+    def identity(self) -> tuple[int, int]:
+        """What all parts of one state have in common."""
+        return (self.version, self.parts)
--- a/packages/oleanderweir/src/oleanderweir/configuration_service/messages/snapshot_part.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/messages/snapshot_part.py
@@ -30,10 +30,6 @@
     entry_count: int
     entries: tuple[PublishedEntry, ...]
 
-    def has_same_snapshot_as(self, other: SnapshotPart) -> bool:
-        """Whether both belong to one snapshot."""
-        return self.identity == other.identity
-
     @property
     def identity(self) -> tuple[int, int, int, int]:
         """What all parts of a snapshot have in common."""
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/configuration_service/part_reader.py
@@ -0,0 +1,83 @@
+"""Reads what the platform publishes in several parts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+import attrs
+
+from oleanderweir.configuration_service.exceptions import InvalidServiceResponseError
+from oleanderweir.configuration_service.exceptions import ServiceUnavailableError
+from oleanderweir.configuration_service.messages import PublishedPart
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from oleanderweir.configuration_service.service_client import ServiceClient
+
+
+MAX_PARTS = 64
+MAX_RESTARTS = 3
+
+PartT = TypeVar("PartT", bound=PublishedPart)
+
+
+@attrs.frozen(kw_only=True)
+class PartReader(Generic[PartT]):
+    """
+    Reads all parts of one state, and starts again when it is replaced meanwhile.
+
+    ``subject`` names in messages what is read.
+    """
+
+    client: ServiceClient
+    path: str
+    part_type: type[PartT]
+    subject: str
+
+    async def read(self, parameters: Mapping[str, str]) -> list[PartT]:
+        """
+        Return the parts of one state in their order.
+
+        Raise ``ServiceUnavailableError`` when they cannot be read or are replaced
+        again and again, and ``InvalidServiceResponseError`` when the numbers of the
+        parts are wrong.
+        """
+        for _ in range(MAX_RESTARTS):
+            parts = await self.read_once(parameters)
+            if parts:
+                return parts
+        raise ServiceUnavailableError(
+            f"the {self.subject} was replaced during each of {MAX_RESTARTS} reads; "
+            "publish it less often"
+        )
+
+    async def read_once(self, parameters: Mapping[str, str]) -> list[PartT]:
+        """Return the parts of one state, or nothing when it was replaced."""
+        first = await self.read_part(0, parameters)
+        if not 1 <= first.parts <= MAX_PARTS:
+            raise InvalidServiceResponseError(
+                f"the {self.subject} has {first.parts} parts; publish 1 to {MAX_PARTS}"
+            )
+        parts = [first]
+        for number in range(1, first.parts):
+            part = await self.read_part(number, parameters)
+            if part.identity != first.identity:
+                return []
+            parts.append(part)
+        return parts
+
+    async def read_part(self, number: int, parameters: Mapping[str, str]) -> PartT:
+        """Return one part."""
+        part = await self.client.read(
+            self.path, self.part_type, {"part": number, **parameters}
+        )
+        if part.part != number:
+            raise InvalidServiceResponseError(
+                f"part {number} of the {self.subject} calls itself {part.part}; "
+                "publish it again"
+            )
+        return part
--- a/tests/oleanderweir/configuration_service/test_configuration_service_reader.py
+++ b/tests/oleanderweir/configuration_service/test_configuration_service_reader.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import attrs
 import pytest
@@ -64,7 +65,7 @@
 async def test_snapshot_that_never_stands_still_is_given_up() -> None:
     _, client = scripted_client(*[FIRST, attrs.evolve(SECOND, floor=3)] * 3)
 
-    with pytest.raises(ServiceUnavailableError, match="publish it less often"):
+    with pytest.raises(ServiceUnavailableError, match="snapshot was replaced"):
         await ConfigurationServiceReader(client=client).read_snapshot()
 
 
@@ -88,6 +89,14 @@
         await ConfigurationServiceReader(client=client).read_snapshot()
 
 
+@pytest.mark.parametrize("change", [{"parts": 0}, {"parts": 65}, {"part": 1}])
+async def test_parts_with_wrong_numbers_are_refused(change: dict[str, Any]) -> None:
+    _, client = scripted_client(attrs.evolve(FIRST, **change))
+
+    with pytest.raises(InvalidServiceResponseError, match="publish"):
+        await ConfigurationServiceReader(client=client).read_snapshot()
+
+
 async def test_snapshot_of_a_later_release_is_read() -> None:
     value = {"address": "192.0.2.1:443", "colour": "blue"}
     other = PublishedEntry(key="region/south", ticket=3, value={})
--- a/tests/oleanderweir/configuration_service/test_instance_list_reader.py
+++ b/tests/oleanderweir/configuration_service/test_instance_list_reader.py
@@ -39,7 +39,7 @@
 async def test_list_that_never_stands_still_is_given_up() -> None:
     _, client = scripted_client(*[FIRST, attrs.evolve(SECOND, version=4)] * 3)
 
-    with pytest.raises(ServiceUnavailableError, match="read it later"):
+    with pytest.raises(ServiceUnavailableError, match="instance list was replaced"):
         await InstanceListReader(client=client).read_instances()
 
 
--- a/tests/oleanderweir/tickets/mutants.py
+++ b/tests/oleanderweir/tickets/mutants.py
@@ -6,7 +6,6 @@
 from oleanderweir.tickets import Entry
 from oleanderweir.tickets import MergeOutcome
 from oleanderweir.tickets import RegisterBucket
-from tests.oleanderweir.tickets.merge_machine import MergeMachine
 
 
 class WithoutNumberCheck(RegisterBucket):
@@ -55,27 +54,3 @@
 
     def may_serve(self) -> bool:
         return True
-
-
-class WithoutNumberCheckMachine(MergeMachine):
-    bucket_type = WithoutNumberCheck
-
-
-class EarlyCollectionMachine(MergeMachine):
-    bucket_type = EarlyCollection
-
-
-class ForgottenFloorMachine(MergeMachine):
-    bucket_type = ForgottenFloor
-
-
-class KeptRemovalsMachine(MergeMachine):
-    bucket_type = KeptRemovals
-
-
-class LastConflictWinsMachine(MergeMachine):
-    bucket_type = LastConflictWins
-
-
-class ServiceBeforeMergeMachine(MergeMachine):
-    gate_type = ServiceBeforeMerge
--- a/tests/oleanderweir/tickets/test_mutants.py
+++ b/tests/oleanderweir/tickets/test_mutants.py
@@ -6,19 +6,22 @@
 
 import pytest
 
+from oleanderweir.tickets import BootGate
 from tests.oleanderweir.tickets.merge_machine import MergeMachine
-from tests.oleanderweir.tickets.mutants import EarlyCollectionMachine
-from tests.oleanderweir.tickets.mutants import ForgottenFloorMachine
-from tests.oleanderweir.tickets.mutants import KeptRemovalsMachine
-from tests.oleanderweir.tickets.mutants import LastConflictWinsMachine
-from tests.oleanderweir.tickets.mutants import ServiceBeforeMergeMachine
-from tests.oleanderweir.tickets.mutants import WithoutNumberCheckMachine
+from tests.oleanderweir.tickets.mutants import EarlyCollection
+from tests.oleanderweir.tickets.mutants import ForgottenFloor
+from tests.oleanderweir.tickets.mutants import KeptRemovals
+from tests.oleanderweir.tickets.mutants import LastConflictWins
+from tests.oleanderweir.tickets.mutants import ServiceBeforeMerge
+from tests.oleanderweir.tickets.mutants import WithoutNumberCheck
 from tests.oleanderweir.tickets.processes import InvariantViolationError
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from oleanderweir.tickets import RegisterBucket
+
 
 def read_latest(machine: MergeMachine) -> None:
     machine.read_snapshot(index=0, moment=-1)
@@ -78,24 +81,25 @@
 @pytest.mark.parametrize(
     ("run", "mutant", "message"),
     [
-        (read_a_stale_snapshot, WithoutNumberCheckMachine, "went back"),
-        (hear_late_of_a_fresh_removal, EarlyCollectionMachine, "went back"),
-        (hear_late_of_a_collected_removal, ForgottenFloorMachine, "went back"),
-        (sleep_through_a_removal, KeptRemovalsMachine, "processes differ"),
-        (hear_twice_of_a_conflict, LastConflictWinsMachine, "went back"),
-        (boot_from_a_stale_service, ServiceBeforeMergeMachine, "before it knows"),
+        (read_a_stale_snapshot, WithoutNumberCheck, "went back"),
+        (hear_late_of_a_fresh_removal, EarlyCollection, "went back"),
+        (hear_late_of_a_collected_removal, ForgottenFloor, "went back"),
+        (sleep_through_a_removal, KeptRemovals, "processes differ"),
+        (hear_twice_of_a_conflict, LastConflictWins, "went back"),
+        (boot_from_a_stale_service, ServiceBeforeMerge, "before it knows"),
     ],
 )
 def test_run_that_needs_a_rule(
-    run: Callable[[MergeMachine], None], mutant: type[MergeMachine], message: str
+    run: Callable[[MergeMachine], None],
+    mutant: type[RegisterBucket | BootGate],
+    message: str,
 ) -> None:
-    machine = MergeMachine()
-    run(machine)
-    machine.no_key_goes_back()
+    field = "gate_type" if issubclass(mutant, BootGate) else "bucket_type"
+    broken_type = type("BrokenMachine", (MergeMachine,), {field: mutant})
 
-    broken = mutant()
+    run_and_check(run, MergeMachine())
     with pytest.raises(InvariantViolationError, match=message):
-        run_and_check(run, broken)
+        run_and_check(run, broken_type())
 
 
 def run_and_check(run: Callable[[MergeMachine], None], machine: MergeMachine) -> None:
