--- a/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/grpc_peer_transport.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 from typing import Any
@@ -11,16 +12,15 @@
 import trio_asyncio
 from grpclib.client import Channel
 from grpclib.const import Cardinality
-from grpclib.const import Handler
 from grpclib.server import Server
 from trio_asyncio import aio_as_trio
-from trio_asyncio import trio_as_aio
 
 from oleanderweir.net import AddressInUseError
 from oleanderweir.spreading.bytes_codec import BytesCodec
 from oleanderweir.spreading.exceptions import PeerUnavailableError
 from oleanderweir.spreading.grpc_peer_stream import STREAM_ERRORS
 from oleanderweir.spreading.grpc_peer_stream import GrpcPeerStream
+from oleanderweir.spreading.stream_service import StreamService
 
 
 if TYPE_CHECKING:
@@ -28,31 +28,17 @@
     from collections.abc import AsyncIterator
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Sequence
 
     from oleanderweir.net import SocketAddress
     from oleanderweir.spreading.peer_credentials import PeerCredentials
     from oleanderweir.spreading.peer_stream import PeerStream
 
 
-METHOD = "/oleanderweir.spreading.Peers/Session"
+SESSION_METHOD = "/oleanderweir.spreading.Peers/Session"
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 1.0
-
-
-@attrs.define(kw_only=True, eq=False)
-class SessionService:
-    """The gRPC service with its one method, a bidirectional stream."""
-
-    handler: Callable[[PeerStream], Awaitable[None]]
-
-    async def run(self, stream: Any) -> None:
-        """Run one session; called from asyncio by the gRPC server."""
-        await trio_as_aio(self.handler)(GrpcPeerStream(stream=stream))
-
-    def __mapping__(self) -> dict[str, Handler]:
-        """Return the methods of the service, as the gRPC server reads them."""
-        handler = Handler(self.run, Cardinality.STREAM_STREAM, bytes, bytes)
-        return {METHOD: handler}
+BACKLOG = 128
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -60,11 +46,12 @@
     """
     Opens and takes gRPC streams; both ends show certificates of one authority.
 
-    ``bind_address`` is where sessions are taken.
+    ``bind_address`` is where sessions are taken, and calls of ``other_services``.
     """
 
     bind_address: SocketAddress
     credentials: PeerCredentials
+    other_services: Sequence[StreamService] = ()
     client_context: ssl.SSLContext = attrs.field(init=False)
     server_context: ssl.SSLContext = attrs.field(init=False)
 
@@ -77,9 +64,10 @@
         self, handler: Callable[[PeerStream], Awaitable[None]]
     ) -> AsyncIterator[None]:
         """Take sessions while entered; raise ``AddressInUseError``."""
+        listener = bind_listener(self.bind_address)
         async with trio_asyncio.open_loop():
-            service = SessionService(handler=handler)
-            server = await aio_as_trio(self._start)(service)
+            service = StreamService(method=SESSION_METHOD, handler=handler)
+            server = await aio_as_trio(self._start)(service, listener)
             try:
                 yield
             finally:
@@ -97,18 +85,10 @@
             # Closing the connection ends its only stream on both sides.
             channel.close()
 
-    async def _start(self, service: SessionService) -> Server:
-        """Bind and listen."""
-        server = Server([service], codec=BytesCodec())
-        try:
-            await server.start(
-                self.bind_address.host, self.bind_address.port, ssl=self.server_context
-            )
-        except OSError as error:
-            raise AddressInUseError(
-                f"TCP {self.bind_address} can't be bound ({error.strerror}); "
-                "stop what holds it or choose another address"
-            ) from error
+    async def _start(self, service: StreamService, listener: socket.socket) -> Server:
+        """Listen."""
+        server = Server([service, *self.other_services], codec=BytesCodec())
+        await server.start(sock=listener, ssl=self.server_context)
         return server
 
     async def _stop(self, server: Server) -> None:
@@ -123,7 +103,9 @@
 
     async def _open_stream(self, channel: Channel, address: str) -> Any:
         """Connect and begin the session's stream within the timeout."""
-        stream = channel.request(METHOD, Cardinality.STREAM_STREAM, bytes, bytes)
+        stream = channel.request(
+            SESSION_METHOD, Cardinality.STREAM_STREAM, bytes, bytes
+        )
         with trio.move_on_after(CONNECT_TIMEOUT_S) as scope:
             try:
                 await aio_as_trio(stream.__aenter__)()
@@ -137,3 +119,19 @@
                 f"peer {address} didn't answer within {CONNECT_TIMEOUT_S} s"
             )
         return stream
+
+
+def bind_listener(address: SocketAddress) -> socket.socket:
+    """Return a bound TCP socket; raise ``AddressInUseError``."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind(address.pair)
+        listener.listen(BACKLOG)
+    except OSError as error:
+        listener.close()
+        raise AddressInUseError(
+            f"TCP {address} can't be bound ({error.strerror}); "
+            "stop what holds it or choose another address"
+        ) from error
+    return listener
