Follow the slots that the backend server shows, when it sheds

AIMD halves a limit of three or four for one shed and stops all starts for the Retry-After, although its slots are busy.

Change: a shed beside n running requests sets the limit to n; one more slot is tried after 2 s without a shed; Retry-After pauses only when nothing else ran.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/limits/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/limits/__init__.py
@@ -7,6 +7,7 @@
 from oleanderweir_agent.limits.concurrency_limit import ConcurrencyLimit
 from oleanderweir_agent.limits.fixed_limit import FixedLimit
 from oleanderweir_agent.limits.gradient_limit import GradientLimit
+from oleanderweir_agent.limits.observed_slots_limit import ObservedSlotsLimit
 from oleanderweir_agent.limits.unlimited import Unlimited
 from oleanderweir_agent.limits.work_outcome import WorkOutcome
 from oleanderweir_agent.limits.work_result import WorkResult
@@ -18,6 +19,7 @@
     "ConcurrencyLimit",
     "FixedLimit",
     "GradientLimit",
+    "ObservedSlotsLimit",
     "Unlimited",
     "WorkOutcome",
     "WorkResult",
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/limits/observed_slots_limit.py
@@ -0,0 +1,70 @@
+"""A limit that follows the slots which the backend server shows."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_agent.limits.work_result import WorkResult
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.limits.work_outcome import WorkOutcome
+
+
+PROBE_INTERVAL_S = 2.0
+MAX_PAUSE_S = 5.0
+FLOOR = 1
+
+
+@attrs.define(kw_only=True)
+class ObservedSlotsLimit:
+    """
+    The slots of the ticket, or fewer once the backend server sheds.
+
+    A shed beside ``n`` running requests says that there are ``n`` slots. After
+    ``probe_interval_s`` without a shed one more is tried, up to the ceiling. A shed
+    with nothing else running asks for rest: its ``Retry-After`` pauses new starts,
+    for ``max_pause_s`` at most.
+    """
+
+    ceiling: int
+    floor: int = FLOOR
+    probe_interval_s: float = PROBE_INTERVAL_S
+    max_pause_s: float = MAX_PAUSE_S
+    paused_until: float = 0.0
+    changed_at: float = -math.inf
+    limit: int = attrs.field()
+
+    @limit.default
+    def _start_at_ceiling(self) -> int:
+        return self.ceiling
+
+    def record(self, outcome: WorkOutcome) -> None:
+        """Follow a shed, or try one more slot."""
+        if outcome.result is WorkResult.SHED:
+            self.follow_shed(outcome)
+        elif outcome.result is WorkResult.SUCCEEDED:
+            self.probe(outcome)
+
+    def follow_shed(self, outcome: WorkOutcome) -> None:
+        """Come down to the requests that ran beside the one that was shed."""
+        now = trio.current_time()
+        beside = outcome.in_flight - 1
+        if beside == 0 and outcome.retry_after_s is not None:
+            pause_s = min(outcome.retry_after_s, self.max_pause_s)
+            self.paused_until = max(self.paused_until, now + pause_s)
+        self.limit = max(self.floor, min(self.limit, beside))
+        self.changed_at = now
+
+    def probe(self, outcome: WorkOutcome) -> None:
+        """Try one more slot if the limit was in use and kept for long enough."""
+        now = trio.current_time()
+        if outcome.in_flight < self.limit or self.limit >= self.ceiling:
+            return
+        if now - self.changed_at >= self.probe_interval_s:
+            self.limit += 1
+            self.changed_at = now
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
@@ -10,6 +10,7 @@
 
 from oleanderweir_agent.limits import AimdLimit
 from oleanderweir_agent.limits import GradientLimit
+from oleanderweir_agent.limits import ObservedSlotsLimit
 from oleanderweir_agent.limits import Unlimited
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
 from oleanderweir_bench.experiments.demand import Demand
@@ -17,6 +18,7 @@
 from oleanderweir_bench.experiments.policy_set import PolicySet
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.simulated_backend_server import BACKLOG
 from oleanderweir_bench.experiments.simulated_service import SimulatedService
 from oleanderweir_bench.experiments.speeds import spread_speeds
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
@@ -59,6 +61,11 @@
     return GradientLimit(ceiling=slots)
 
 
+def make_observed_limit(slots: int) -> ConcurrencyLimit:
+    """Return the limit that follows the slots shown."""
+    return ObservedSlotsLimit(ceiling=slots)
+
+
 def make_no_limit(slots: int) -> ConcurrencyLimit:
     """Return no limit."""
     del slots
@@ -66,19 +73,27 @@
 
 
 CHOSEN = PolicySet(
-    name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()
+    name="observed slots, shortest expected",
+    make_limit=make_observed_limit,
+    queue_policy=ShortestExpectedPolicy(),
 )
 POLICIES = (
     PolicySet(name="no limit", make_limit=make_no_limit, is_limited=False),
     PolicySet(name="fixed, FIFO"),
     PolicySet(name="AIMD, FIFO", make_limit=make_aimd_limit),
     PolicySet(name="gradient, FIFO", make_limit=make_gradient_limit),
+    PolicySet(name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()),
     CHOSEN,
     PolicySet(
         name="AIMD, shortest expected",
         make_limit=make_aimd_limit,
         queue_policy=ShortestExpectedPolicy(),
     ),
+    PolicySet(
+        name="gradient, shortest expected",
+        make_limit=make_gradient_limit,
+        queue_policy=ShortestExpectedPolicy(),
+    ),
 )
 
 
@@ -94,13 +109,15 @@
 
     seed: int
     true_slots_share: float = 1.0
+    backlog: int = BACKLOG
     crest_s: float = CREST_S
 
     def run(self) -> ResultTable:
         """Return a row for each size and set of policies."""
         table = ResultTable(
             title=f"Crest x{CREST_FACTOR:g} in {RISE_S:g} s, "
-            f"true slots {self.true_slots_share:.0%}, seed {self.seed}",
+            f"true slots {self.true_slots_share:.0%}, backlog {self.backlog}, "
+            f"seed {self.seed}",
             headings=HEADINGS,
         )
         for number, slots in SIZES:
@@ -156,6 +173,7 @@
             speeds=spread_speeds(number),
             slots=slots,
             true_slots=max(1, round(slots * self.true_slots_share)),
+            backlog=self.backlog,
             random=random.Random(source.random()),
         )
         base_rate = BASE_LOAD * service.capacity / WORK_S
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
@@ -17,6 +17,7 @@
 from oleanderweir_agent.queueing import Admission
 from oleanderweir_bench.experiments.simulated_agent import ONE_WAY_S
 from oleanderweir_bench.experiments.simulated_agent import SimulatedAgent
+from oleanderweir_bench.experiments.simulated_backend_server import BACKLOG
 from oleanderweir_bench.experiments.simulated_backend_server import (
     SimulatedBackendServer,
 )
@@ -45,6 +46,7 @@
     slots: int
     random: random.Random
     true_slots: int | None = None
+    backlog: int = BACKLOG
     agents: list[SimulatedAgent] = attrs.field(factory=list)
     sessions: list[SimulatedAgent] = attrs.field(factory=list)
     records: list[JobRecord] = attrs.field(factory=list)
@@ -80,7 +82,10 @@
         relay = RelayPolicy(admission=admission, group=group)
         return SimulatedAgent(
             backend_server=SimulatedBackendServer(
-                name=name, slots=self.true_slots or self.slots, speed=speed
+                name=name,
+                slots=self.true_slots or self.slots,
+                speed=speed,
+                backlog=self.backlog,
             ),
             admission=admission,
             reporter=LoadReporter(name=name, incarnation=1, admission=admission),
