--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/queue_forecast.py
@@ -19,7 +19,7 @@
     from oleanderweir_agent.queueing.work_request import WorkRequest
 
 
-WAIT_CAUTION = 1.25
+WAIT_CAUTION = 1.4
 
 
 @attrs.frozen(kw_only=True)
