--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -14,14 +14,19 @@
 from oleanderweir_bench.callers import Http3Caller
 from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
 from oleanderweir_bench.deployment.address_plan import AddressPlan
+from oleanderweir_bench.deployment.balancer_kind import BalancerKind
+from oleanderweir_bench.deployment.commands import agent_command
+from oleanderweir_bench.deployment.commands import balancer_command
 from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
+from oleanderweir_bench.deployment.fabric_control import FabricControl
 from oleanderweir_bench.deployment.platform_operator import PlatformOperator
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
 from oleanderweir_bench.keys import CertificateAuthority
 
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
@@ -51,10 +56,12 @@
         folder: Path,
         service_name: str = "horaflujo",
         slots: int = 4,
+        balancer_kind: BalancerKind = BalancerKind.ANCHORED,
     ) -> None:
         self.supervisor = supervisor
         self.folder = folder
         self.slots = slots
+        self.balancer_kind = balancer_kind
         self.authority = CertificateAuthority()
         self.keys = f"1:{secrets.token_hex(SECRET_BYTES)}"
         self.tickets = TicketWriter()
@@ -68,7 +75,7 @@
         self.operator = PlatformOperator(
             configuration_address=self.configuration_address
         )
-        self.control_address = self.plan.choose(FABRIC_HOST)
+        self.fabric = FabricControl(address=self.plan.choose(FABRIC_HOST))
         self.balancers: dict[str, DeployedBalancer] = {}
         self.servers: dict[str, DeployedServer] = {}
         self.certificate = self.authority.write(folder, service_name)
@@ -112,10 +119,10 @@
             BENCH,
             "fabric",
             f"--service={self.service.address}",
-            f"--control={self.control_address}",
+            f"--control={self.fabric.address}",
             *hosts,
         )
-        await process.wait_port(self.control_address)
+        await process.wait_port(self.fabric.address)
 
     async def start_balancer(self, number: int) -> DeployedBalancer:
         """Start a balancer; the fabric does not spray over it yet."""
@@ -131,7 +138,7 @@
         )
         process = await self.start_product(
             record,
-            "oleanderweir-balancer",
+            balancer_command(self.balancer_kind),
             f"--bind-host={host}",
             f"--back-address={record.data_address}",
             f"--admin-address={admin_address}",
@@ -166,7 +173,7 @@
         )
         agent_process = await self.start_product(
             record,
-            "oleanderweir-agent",
+            agent_command(),
             f"--backend-server={entry.name}",
             f"--agent-address={entry.agent_address}",
             f"--backend-address={backend_address}",
@@ -185,14 +192,11 @@
         return server
 
     async def start_product(
-        self, record: InstanceRecord, script: str, *arguments: str
+        self, record: InstanceRecord, command: Sequence[str], *arguments: str
     ) -> SupervisedProcess:
         """List an instance and start its binary with the flags that both share."""
         await self.operator.list_instance(record)
-        return await self.supervisor.start_script(
-            record.name,
-            script,
-            "run",
+        shared = [
             f"--instance-name={record.name}",
             f"--availability-zone={record.availability_zone}",
             f"--region={record.region}",
@@ -201,7 +205,10 @@
             f"--peer-tls-certificate={self.peer_certificate.certificate}",
             f"--peer-tls-private-key={self.peer_certificate.private_key}",
             f"--peer-tls-ca={self.authority_path}",
-            *arguments,
+        ]
+        return await self.supervisor.start(
+            record.name,
+            [*command, *shared, *arguments],
             environment={"OLEANDERWEIR_KEYS": self.keys},
         )
 
@@ -229,29 +236,15 @@
         )
         await self.operator.publish_ticket(text)
 
-    async def spray_over(self, balancer: DeployedBalancer) -> None:
-        """Have the fabric spray over a balancer."""
-        await self.control("PUT", balancer)
-
-    async def spray_no_more_over(self, balancer: DeployedBalancer) -> None:
-        """Have the fabric notice that a balancer is gone."""
-        await self.control("DELETE", balancer)
-
-    async def control(self, method: str, balancer: DeployedBalancer) -> None:
-        """Change the fabric's balancers."""
-        async with httpx.AsyncClient() as client:
-            url = f"http://{self.control_address}/balancers/{balancer.host}"
-            (await client.request(method, url)).raise_for_status()
-
-    async def count_runs(self, item_id: str) -> int:
-        """Return how often a report or confirmation was started, in all."""
-        count = 0
+    async def list_started_items(self) -> list[str]:
+        """Return the identifiers of all reports and confirmations that started."""
+        items: list[str] = []
         async with httpx.AsyncClient() as client:
             for server in self.servers.values():
                 url = f"http://{server.backend_address}/ledger"
                 records = (await client.get(url)).json()
-                count += sum(record["item_id"] == item_id for record in records)
-        return count
+                items += [record["item_id"] for record in records if record["item_id"]]
+        return items
 
     def create_caller(self) -> Http3Caller:
         """Return a new caller of the service."""
