--- a/packages/oleanderweir-agent/src/oleanderweir_agent/limits/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/limits/__init__.py
@@ -2,25 +2,19 @@
 
 from __future__ import annotations
 
-from oleanderweir_agent.limits.aimd_limit import AimdLimit
 from oleanderweir_agent.limits.cold_start_ramp import ColdStartRamp
 from oleanderweir_agent.limits.concurrency_limit import ConcurrencyLimit
 from oleanderweir_agent.limits.fixed_limit import FixedLimit
-from oleanderweir_agent.limits.gradient_limit import GradientLimit
 from oleanderweir_agent.limits.observed_slots_limit import ObservedSlotsLimit
-from oleanderweir_agent.limits.unlimited import Unlimited
 from oleanderweir_agent.limits.work_outcome import WorkOutcome
 from oleanderweir_agent.limits.work_result import WorkResult
 
 
 __all__ = [
-    "AimdLimit",
     "ColdStartRamp",
     "ConcurrencyLimit",
     "FixedLimit",
-    "GradientLimit",
     "ObservedSlotsLimit",
-    "Unlimited",
     "WorkOutcome",
     "WorkResult",
 ]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/__init__.py
@@ -11,12 +11,9 @@
 from oleanderweir_agent.load.load_table import REPORT_LIFETIME_S
 from oleanderweir_agent.load.load_table import LoadTable
 from oleanderweir_agent.load.peer_offer import PeerOffer
-from oleanderweir_agent.load.random_chooser import RandomChooser
 from oleanderweir_agent.load.relay_policy import RelayPolicy
 from oleanderweir_agent.load.report_result import ReportResult
-from oleanderweir_agent.load.round_robin_chooser import RoundRobinChooser
 from oleanderweir_agent.load.service_group import ServiceGroup
-from oleanderweir_agent.load.two_choices_chooser import TwoChoicesChooser
 
 
 __all__ = [
@@ -29,10 +26,7 @@
     "LoadReporter",
     "LoadTable",
     "PeerOffer",
-    "RandomChooser",
     "RelayPolicy",
     "ReportResult",
-    "RoundRobinChooser",
     "ServiceGroup",
-    "TwoChoicesChooser",
 ]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/__init__.py
@@ -9,7 +9,6 @@
 from oleanderweir_agent.queueing.permit import Permit
 from oleanderweir_agent.queueing.queue_forecast import QueueForecast
 from oleanderweir_agent.queueing.queue_policy import QueuePolicy
-from oleanderweir_agent.queueing.reserved_slots_policy import ReservedSlotsPolicy
 from oleanderweir_agent.queueing.route import Route
 from oleanderweir_agent.queueing.service_time_histogram import ServiceTimeHistogram
 from oleanderweir_agent.queueing.service_time_model import ServiceTimeModel
@@ -26,7 +25,6 @@
     "FifoPolicy",
     "Permit",
     "QueuePolicy",
-    "ReservedSlotsPolicy",
     "Route",
     "ServiceTimeHistogram",
     "ServiceTimeModel",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/shortest_expected_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/shortest_expected_policy.py
@@ -6,14 +6,13 @@
 
 import attrs
 
-from oleanderweir_agent.queueing.reserved_slots_policy import RESERVED_SHARE
-
 
 if TYPE_CHECKING:
     from oleanderweir_agent.queueing.waiting_request import WaitingRequest
 
 
 STRETCH = 4.0
+RESERVED_SHARE = 0.3
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/limits/aimd_limit.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/baselines/aimd_limit.py
@@ -8,11 +8,11 @@
 import attrs
 import trio
 
-from oleanderweir_agent.limits.work_result import WorkResult
+from oleanderweir_agent.limits import WorkResult
 
 
 if TYPE_CHECKING:
-    from oleanderweir_agent.limits.work_outcome import WorkOutcome
+    from oleanderweir_agent.limits import WorkOutcome
 
 
 DECREASE_FACTOR = 0.5
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/random_chooser.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/baselines/random_chooser.py
@@ -11,7 +11,7 @@
     import random
     from collections.abc import Sequence
 
-    from oleanderweir_agent.load.load_entry import LoadEntry
+    from oleanderweir_agent.load import LoadEntry
 
 
 @attrs.define(kw_only=True)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/reserved_slots_policy.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/baselines/reserved_slots_policy.py
@@ -8,7 +8,7 @@
 
 
 if TYPE_CHECKING:
-    from oleanderweir_agent.queueing.waiting_request import WaitingRequest
+    from oleanderweir_agent.queueing import WaitingRequest
 
 
 RESERVED_SHARE = 0.3
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/round_robin_chooser.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/baselines/round_robin_chooser.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from oleanderweir_agent.load.load_entry import LoadEntry
+    from oleanderweir_agent.load import LoadEntry
 
 
 @attrs.define(kw_only=True)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/limits/unlimited.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/baselines/unlimited.py
@@ -9,7 +9,7 @@
 
 
 if TYPE_CHECKING:
-    from oleanderweir_agent.limits.work_outcome import WorkOutcome
+    from oleanderweir_agent.limits import WorkOutcome
 
 
 @attrs.define(kw_only=True)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
@@ -8,11 +8,11 @@
 import attrs
 import trio
 
-from oleanderweir_agent.limits import AimdLimit
-from oleanderweir_agent.limits import GradientLimit
 from oleanderweir_agent.limits import ObservedSlotsLimit
-from oleanderweir_agent.limits import Unlimited
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.baselines import AimdLimit
+from oleanderweir_bench.experiments.baselines import GradientLimit
+from oleanderweir_bench.experiments.baselines import Unlimited
 from oleanderweir_bench.experiments.demand import Demand
 from oleanderweir_bench.experiments.job_end import JobEnd
 from oleanderweir_bench.experiments.policy_set import PolicySet
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
@@ -9,10 +9,10 @@
 import attrs
 import trio
 
-from oleanderweir_agent.load import RandomChooser
-from oleanderweir_agent.load import RoundRobinChooser
-from oleanderweir_agent.load import TwoChoicesChooser
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.baselines import RandomChooser
+from oleanderweir_bench.experiments.baselines import RoundRobinChooser
+from oleanderweir_bench.experiments.baselines import TwoChoicesChooser
 from oleanderweir_bench.experiments.demand import Demand
 from oleanderweir_bench.experiments.job_end import JobEnd
 from oleanderweir_bench.experiments.policy_set import PolicySet
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
@@ -7,8 +7,8 @@
 import attrs
 import trio
 
-from oleanderweir_agent.queueing import ReservedSlotsPolicy
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.baselines import ReservedSlotsPolicy
 from oleanderweir_bench.experiments.demand import Demand
 from oleanderweir_bench.experiments.job_end import JobEnd
 from oleanderweir_bench.experiments.policy_set import PolicySet
--- a/tests/oleanderweir_agent/limits/test_fixed_limit.py
+++ b/tests/oleanderweir_agent/limits/test_fixed_limit.py
@@ -3,8 +3,8 @@
 import pytest
 
 from oleanderweir_agent.limits import FixedLimit
-from oleanderweir_agent.limits import Unlimited
 from oleanderweir_agent.limits import WorkResult
+from oleanderweir_bench.experiments.baselines import Unlimited
 from tests.oleanderweir_agent.limits.limit_runs import run
 
 
--- a/tests/oleanderweir_agent/load/test_service_group.py
+++ b/tests/oleanderweir_agent/load/test_service_group.py
@@ -8,10 +8,10 @@
 
 from oleanderweir_agent.load import LeastWaitChooser
 from oleanderweir_agent.load import LoadTable
-from oleanderweir_agent.load import RandomChooser
-from oleanderweir_agent.load import RoundRobinChooser
 from oleanderweir_agent.load import ServiceGroup
-from oleanderweir_agent.load import TwoChoicesChooser
+from oleanderweir_bench.experiments.baselines import RandomChooser
+from oleanderweir_bench.experiments.baselines import RoundRobinChooser
+from oleanderweir_bench.experiments.baselines import TwoChoicesChooser
 from tests.oleanderweir_agent.load.load_tables import REPORT
 from tests.oleanderweir_agent.load.load_tables import make_table
 
--- a/tests/oleanderweir_agent/queueing/test_admission.py
+++ b/tests/oleanderweir_agent/queueing/test_admission.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 
-from oleanderweir_agent.limits import AimdLimit
+from oleanderweir_agent.limits import ObservedSlotsLimit
 from oleanderweir_agent.queueing import WorkRequest
 from oleanderweir_agent.verdicts import RejectionReason
 from oleanderweir_agent.verdicts import RequestRejectedError
@@ -65,7 +65,7 @@
     autojump_clock: MockClock,
 ) -> None:
     caller = make_caller(slots=2)
-    limiter = AimdLimit(ceiling=2)
+    limiter = ObservedSlotsLimit(ceiling=2)
     caller.admission.limiter = limiter
     limiter.paused_until = trio.current_time() + 1.0
 
--- a/tests/oleanderweir_agent/queueing/test_admission_machine.py
+++ b/tests/oleanderweir_agent/queueing/test_admission_machine.py
@@ -14,7 +14,7 @@
 from trio.testing import MockClock
 from trio.testing import wait_all_tasks_blocked
 
-from oleanderweir_agent.limits import AimdLimit
+from oleanderweir_agent.limits import ObservedSlotsLimit
 from oleanderweir_agent.limits import WorkResult
 from oleanderweir_agent.queueing import Admission
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
@@ -70,7 +70,7 @@
     async def main(self) -> None:
         self.admission = Admission(
             slots=SLOTS,
-            limiter=AimdLimit(ceiling=SLOTS),
+            limiter=ObservedSlotsLimit(ceiling=SLOTS),
             policy=ShortestExpectedPolicy(),
             max_waiting=4,
         )
--- a/tests/oleanderweir_agent/queueing/test_shortest_expected_policy.py
+++ b/tests/oleanderweir_agent/queueing/test_shortest_expected_policy.py
@@ -6,8 +6,8 @@
 import trio
 
 from oleanderweir_agent.queueing import FifoPolicy
-from oleanderweir_agent.queueing import ReservedSlotsPolicy
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.baselines import ReservedSlotsPolicy
 from tests.oleanderweir_agent.queueing.queue_caller import LONG_S
 from tests.oleanderweir_agent.queueing.queue_caller import make_caller
 
--- a/tests/oleanderweir_agent/limits/test_aimd_limit.py
+++ b/tests/oleanderweir_bench/experiments/baselines/test_aimd_limit.py
@@ -4,8 +4,8 @@
 
 import trio
 
-from oleanderweir_agent.limits import AimdLimit
 from oleanderweir_agent.limits import WorkResult
+from oleanderweir_bench.experiments.baselines import AimdLimit
 from tests.oleanderweir_agent.limits.limit_runs import run
 
 
--- a/tests/oleanderweir_agent/limits/test_limits.py
+++ b/tests/oleanderweir_bench/experiments/baselines/test_baseline_limits.py
@@ -5,9 +5,9 @@
 import pytest
 import trio
 
-from oleanderweir_agent.limits import AimdLimit
-from oleanderweir_agent.limits import GradientLimit
 from oleanderweir_agent.limits import WorkResult
+from oleanderweir_bench.experiments.baselines import AimdLimit
+from oleanderweir_bench.experiments.baselines import GradientLimit
 from tests.oleanderweir_agent.limits.limit_runs import run
 
 
--- a/tests/oleanderweir_agent/limits/test_gradient_limit.py
+++ b/tests/oleanderweir_bench/experiments/baselines/test_gradient_limit.py
@@ -2,8 +2,8 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir_agent.limits import GradientLimit
 from oleanderweir_agent.limits import WorkResult
+from oleanderweir_bench.experiments.baselines import GradientLimit
 from tests.oleanderweir_agent.limits.limit_runs import run
 
 
