--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/crest.py
@@ -8,15 +8,17 @@
 import attrs
 import trio
 
-from oleanderweir_agent.limits import AimdLimit
-from oleanderweir_agent.limits import GradientLimit
-from oleanderweir_agent.limits import Unlimited
+from oleanderweir_agent.limits import ObservedSlotsLimit
 from oleanderweir_agent.queueing import ShortestExpectedPolicy
+from oleanderweir_bench.experiments.baselines import AimdLimit
+from oleanderweir_bench.experiments.baselines import GradientLimit
+from oleanderweir_bench.experiments.baselines import Unlimited
 from oleanderweir_bench.experiments.demand import Demand
 from oleanderweir_bench.experiments.job_end import JobEnd
 from oleanderweir_bench.experiments.policy_set import PolicySet
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.simulated_backend_server import BACKLOG
 from oleanderweir_bench.experiments.simulated_service import SimulatedService
 from oleanderweir_bench.experiments.speeds import spread_speeds
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
@@ -59,6 +61,11 @@
     return GradientLimit(ceiling=slots)
 
 
+def make_observed_limit(slots: int) -> ConcurrencyLimit:
+    """Return the limit that follows the slots shown."""
+    return ObservedSlotsLimit(ceiling=slots)
+
+
 def make_no_limit(slots: int) -> ConcurrencyLimit:
     """Return no limit."""
     del slots
@@ -66,19 +73,17 @@
 
 
 CHOSEN = PolicySet(
-    name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()
+    name="observed slots, shortest expected",
+    make_limit=make_observed_limit,
+    queue_policy=ShortestExpectedPolicy(),
 )
 POLICIES = (
     PolicySet(name="no limit", make_limit=make_no_limit, is_limited=False),
     PolicySet(name="fixed, FIFO"),
     PolicySet(name="AIMD, FIFO", make_limit=make_aimd_limit),
     PolicySet(name="gradient, FIFO", make_limit=make_gradient_limit),
+    PolicySet(name="fixed, shortest expected", queue_policy=ShortestExpectedPolicy()),
     CHOSEN,
-    PolicySet(
-        name="AIMD, shortest expected",
-        make_limit=make_aimd_limit,
-        queue_policy=ShortestExpectedPolicy(),
-    ),
 )
 
 
@@ -94,13 +99,16 @@
 
     seed: int
     true_slots_share: float = 1.0
+    backlog: int = BACKLOG
+    calm_s: float = CALM_S
     crest_s: float = CREST_S
 
     def run(self) -> ResultTable:
         """Return a row for each size and set of policies."""
         table = ResultTable(
             title=f"Crest x{CREST_FACTOR:g} in {RISE_S:g} s, "
-            f"true slots {self.true_slots_share:.0%}, seed {self.seed}",
+            f"true slots {self.true_slots_share:.0%}, backlog {self.backlog}, "
+            f"seed {self.seed}",
             headings=HEADINGS,
         )
         for number, slots in SIZES:
@@ -117,8 +125,8 @@
             return await self.run_crest(number, slots, policies)
 
         service = run_in_virtual_time(run_crest, seed=self.seed)
-        begin = CALM_S + RISE_S * (1.0 / BASE_LOAD - 1.0) / (CREST_FACTOR - 1.0)
-        end = CALM_S + RISE_S + self.crest_s
+        begin = self.calm_s + RISE_S * (1.0 / BASE_LOAD - 1.0) / (CREST_FACTOR - 1.0)
+        end = self.calm_s + RISE_S + self.crest_s
         records = [
             record for record in service.records if begin <= record.job.arrived_at < end
         ]
@@ -156,13 +164,14 @@
             speeds=spread_speeds(number),
             slots=slots,
             true_slots=max(1, round(slots * self.true_slots_share)),
+            backlog=self.backlog,
             random=random.Random(source.random()),
         )
         base_rate = BASE_LOAD * service.capacity / WORK_S
 
         def rate(time_s: float) -> float:
-            risen = min(1.0, max(0.0, (time_s - CALM_S) / RISE_S))
-            if time_s >= CALM_S + RISE_S + self.crest_s:
+            risen = min(1.0, max(0.0, (time_s - self.calm_s) / RISE_S))
+            if time_s >= self.calm_s + RISE_S + self.crest_s:
                 risen = 0.0
             return base_rate * (1.0 + (CREST_FACTOR - 1.0) * risen)
 
@@ -177,10 +186,10 @@
             nursery.start_soon(service.exchange_reports)
             service.open_session()
             nursery.start_soon(self.open_sessions, service)
-            await demand.send_for(service, CALM_S + RISE_S + self.crest_s + 1.0)
+            await demand.send_for(service, self.calm_s + RISE_S + self.crest_s + 1.0)
             nursery.cancel_scope.cancel()
         return service
 
     async def open_sessions(self, service: SimulatedService) -> None:
         """Open the sessions during the first half of the calm."""
-        await service.open_sessions(SESSIONS, over_s=CALM_S / 2)
+        await service.open_sessions(SESSIONS, over_s=self.calm_s / 2)
