--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/exchange_table.py
@@ -0,0 +1,59 @@
+"""The requests of one session that are under way."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+from aioquic.h3.events import DataReceived
+from aioquic.h3.events import HeadersReceived
+
+from oleanderweir_bench.callers.exchange import Exchange
+
+
+if TYPE_CHECKING:
+    from aioquic.h3.events import H3Event
+
+    from oleanderweir_bench.callers.exceptions import CallerError
+
+
+@attrs.define(kw_only=True, eq=False)
+class ExchangeTable:
+    """Hands each part of an answer to the request on its stream."""
+
+    exchanges: dict[int, Exchange] = attrs.field(factory=dict)
+
+    def open(self, stream_id: int, started_at: float) -> Exchange:
+        """Note a request that starts on a stream."""
+        exchange = Exchange(stream_id=stream_id, started_at=started_at)
+        self.exchanges[stream_id] = exchange
+        return exchange
+
+    def forget(self, exchange: Exchange) -> None:
+        """Hand nothing more to a request."""
+        self.exchanges.pop(exchange.stream_id, None)
+
+    def reset(self, stream_id: int, reset_code: int) -> None:
+        """Note that the far side reset a stream."""
+        exchange = self.exchanges.get(stream_id)
+        if exchange is not None:
+            exchange.reset(reset_code)
+
+    def receive(self, event: H3Event) -> None:
+        """Hand a part of an answer to its request."""
+        if not isinstance(event, HeadersReceived | DataReceived):
+            return
+        exchange = self.exchanges.get(event.stream_id)
+        if exchange is None:
+            return
+        if isinstance(event, HeadersReceived):
+            exchange.receive_headers(event.headers)
+        else:
+            exchange.receive_data(event.data)
+        if event.stream_ended:
+            exchange.end()
+
+    def fail_all(self, error: CallerError) -> None:
+        """Note that no request gets more of its answer."""
+        for exchange in self.exchanges.values():
+            exchange.end(error)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
@@ -10,8 +10,6 @@
 from aioquic.h3.connection import H3_ALPN
 from aioquic.h3.connection import ErrorCode
 from aioquic.h3.connection import H3Connection
-from aioquic.h3.events import DataReceived
-from aioquic.h3.events import HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.events import ConnectionTerminated
 from aioquic.quic.events import HandshakeCompleted
@@ -22,7 +20,7 @@
 from oleanderweir_bench.callers.exceptions import CallerTimeoutError
 from oleanderweir_bench.callers.exceptions import SessionClosedError
 from oleanderweir_bench.callers.exceptions import SessionLeavingError
-from oleanderweir_bench.callers.exchange import Exchange
+from oleanderweir_bench.callers.exchange_table import ExchangeTable
 from oleanderweir_bench.callers.feed import Feed
 from oleanderweir_bench.callers.quic_session import QuicSession
 from oleanderweir_bench.callers.request_fields import make_request_fields
@@ -33,10 +31,10 @@
     from collections.abc import Mapping
     from types import TracebackType
 
-    from aioquic.h3.events import H3Event
     from aioquic.quic.events import QuicEvent
 
     from oleanderweir.net import SocketAddress
+    from oleanderweir_bench.callers.exchange import Exchange
     from oleanderweir_bench.callers.response import Response
 
 
@@ -79,7 +77,7 @@
         self.quic = self.session.quic
         self.http = H3Connection(self.quic)
         self.control_stream = ControlStreamReader()
-        self.exchanges: dict[int, Exchange] = {}
+        self.exchanges = ExchangeTable()
         self.handshake_s = math.nan
         self.goaway_received = trio.Event()
         self.connected = trio.Event()
@@ -187,8 +185,7 @@
         if self.goaway_received.is_set():
             raise SessionLeavingError("GOAWAY came; open another session")
         stream_id = self.quic.get_next_available_stream_id()
-        exchange = Exchange(stream_id=stream_id, started_at=self.now())
-        self.exchanges[stream_id] = exchange
+        exchange = self.exchanges.open(stream_id, self.now())
         fields = make_request_fields(
             method=method, path=path, authority=self.server_name, headers=headers
         )
@@ -200,7 +197,7 @@
 
     def cancel(self, exchange: Exchange) -> None:
         """Give up a request that is still running; do nothing to a finished one."""
-        self.exchanges.pop(exchange.stream_id, None)
+        self.exchanges.forget(exchange)
         if exchange.is_ended:
             return
         exchange.reset(ErrorCode.H3_REQUEST_CANCELLED)
@@ -212,7 +209,7 @@
         """Hand an event of the connection to the exchange it concerns."""
         self.handle_quic_event(event)
         for http_event in self.http.handle_event(event):
-            self.handle_http_event(http_event)
+            self.exchanges.receive(http_event)
 
     def handle_quic_event(self, event: QuicEvent) -> None:
         """Handle an event of the connection or of a stream as such."""
@@ -223,9 +220,7 @@
             if self.control_stream.goaway_stream_id is not None:
                 self.goaway_received.set()
         elif isinstance(event, StreamReset):
-            exchange = self.exchanges.get(event.stream_id)
-            if exchange is not None:
-                exchange.reset(event.error_code)
+            self.exchanges.reset(event.stream_id, event.error_code)
         elif isinstance(event, ConnectionTerminated):
             self.fail_exchanges(
                 SessionClosedError(
@@ -233,25 +228,10 @@
                 )
             )
 
-    def handle_http_event(self, event: H3Event) -> None:
-        """Hand a part of an answer to its exchange."""
-        if not isinstance(event, HeadersReceived | DataReceived):
-            return
-        exchange = self.exchanges.get(event.stream_id)
-        if exchange is None:
-            return
-        if isinstance(event, HeadersReceived):
-            exchange.receive_headers(event.headers)
-        else:
-            exchange.receive_data(event.data)
-        if event.stream_ended:
-            exchange.end()
-
     def fail_exchanges(self, error: SessionClosedError) -> None:
         """Note the connection's end and tell everyone who waits for it."""
         if self.close_error is None:
             self.close_error = error
         self.session.is_ended = True
         self.connected.set()
-        for exchange in self.exchanges.values():
-            exchange.end(error)
+        self.exchanges.fail_all(error)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -21,6 +21,7 @@
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
 from oleanderweir_bench.deployment.fabric_control import FabricControl
 from oleanderweir_bench.deployment.platform_operator import PlatformOperator
+from oleanderweir_bench.deployment.platform_processes import PlatformProcesses
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
 from oleanderweir_bench.keys import CertificateAuthority
 
@@ -35,7 +36,6 @@
     from oleanderweir_bench.processes import SupervisedProcess
 
 
-BENCH = "oleanderweir_bench"
 REGION = "central-chile"
 SECRET_BYTES = 32
 
@@ -59,6 +59,7 @@
         balancer_kind: BalancerKind = BalancerKind.ANCHORED,
     ) -> None:
         self.supervisor = supervisor
+        self.platform = PlatformProcesses(supervisor=supervisor)
         self.folder = folder
         self.slots = slots
         self.balancer_kind = balancer_kind
@@ -91,7 +92,11 @@
             await self.start_server(number + 1)
         for number in range(balancers):
             await self.start_balancer(number + 1)
-        await self.start_fabric()
+        await self.platform.start_fabric(
+            self.service.address,
+            self.fabric.address,
+            [balancer.host for balancer in self.balancers.values()],
+        )
         for server in self.servers.values():
             await self.wait_server(server)
         for balancer in self.balancers.values():
@@ -102,27 +107,9 @@
         entries = [self.make_entry(number + 1) for number in range(backend_servers)]
         text = self.tickets.write(services=[self.service], backend_servers=entries)
         (self.tickets_folder / "0001.json").write_text(text, encoding="utf-8")
-        process = await self.supervisor.start_module(
-            "configuration-service",
-            BENCH,
-            "configuration-service",
-            f"--address={self.configuration_address}",
-            f"--tickets={self.tickets_folder}",
-        )
-        await process.wait_port(self.configuration_address)
-
-    async def start_fabric(self) -> None:
-        """Start the fabric in front of the balancers of now."""
-        hosts = [f"--balancer={item.host}" for item in self.balancers.values()]
-        process = await self.supervisor.start_module(
-            "fabric",
-            BENCH,
-            "fabric",
-            f"--service={self.service.address}",
-            f"--control={self.fabric.address}",
-            *hosts,
+        await self.platform.start_configuration_service(
+            self.configuration_address, self.tickets_folder
         )
-        await process.wait_port(self.fabric.address)
 
     async def start_balancer(self, number: int) -> DeployedBalancer:
         """Start a balancer; the fabric does not spray over it yet."""
@@ -155,14 +142,8 @@
         host = entry.agent_address.host
         backend_address = self.plan.choose(host)
         admin_address = self.plan.choose(host)
-        backend_process = await self.supervisor.start_module(
-            entry.name,
-            BENCH,
-            "backend-server",
-            f"--address={backend_address}",
-            f"--service={self.service.name}",
-            f"--name={entry.name}",
-            f"--slots={entry.slots}",
+        backend_process = await self.platform.start_backend_server(
+            entry.name, self.service.name, backend_address, entry.slots
         )
         record = self.make_record(
             f"agent-{number}",
--- /dev/null
+++ b/tests/oleanderweir_bench/churn/test_churn_experiment.py
@@ -0,0 +1,132 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import TYPE_CHECKING
+from typing import Any
+
+import trio
+
+from oleanderweir.net import SocketAddress
+from oleanderweir_bench.callers import SessionClosedError
+from oleanderweir_bench.churn import ChurnExperiment
+from oleanderweir_bench.churn import ChurnSchedule
+from oleanderweir_bench.deployment import AddressPlan
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from oleanderweir.configuration import BackendServer
+
+
+class FakeDeployment:
+    """Notes what happens to it, with the time in seconds."""
+
+    def __init__(self) -> None:
+        self.steps: list[tuple[float, str]] = []
+        self.balancers = {
+            name: self.make(name) for name in ("balancer-1", "balancer-2")
+        }
+        self.fabric = SimpleNamespace(
+            add_balancer=self.note_async("spray over"),
+            remove_balancer=self.note_async("spray no more over"),
+        )
+
+    def note(self, step: str) -> None:
+        self.steps.append((trio.current_time(), step))
+
+    def note_async(self, step: str) -> Any:
+        async def note(subject: str) -> None:
+            self.note(f"{step} {subject}")
+
+        return note
+
+    def make(self, name: str) -> Any:
+        process = SimpleNamespace(
+            kill=lambda: self.note(f"kill {name}"),
+            freeze=lambda: self.note(f"freeze {name}"),
+            thaw=lambda: self.note(f"thaw {name}"),
+        )
+        return SimpleNamespace(name=name, host=name, process=process)
+
+    async def start_balancer(self, number: int) -> Any:
+        return self.make(f"balancer-{number}")
+
+    async def start_server(self, number: int) -> Any:
+        return SimpleNamespace(entry=self.make_entry(number))
+
+    async def wait_balancer(self, balancer: Any) -> None:
+        await trio.sleep(1.0)
+
+    async def wait_server(self, server: Any) -> None:
+        await trio.sleep(1.0)
+
+    async def publish(self, *, backend_servers: tuple[BackendServer, ...]) -> None:
+        for entry in backend_servers:
+            self.note(f"ticket {entry.name} draining={entry.is_draining}")
+
+    def make_entry(self, number: int) -> BackendServer:
+        return AddressPlan().backend_server("horaflujo", number, 4)
+
+    def create_caller(self) -> Any:
+        return RefusedCaller()
+
+
+class RefusedCaller:
+    """Gets no session."""
+
+    address = SocketAddress(host="192.0.2.1", port=443)
+
+    async def __aenter__(self) -> None:
+        raise SessionClosedError(error_code=0x10C, reason="refused")
+
+
+def create_experiment(deployment: Any) -> ChurnExperiment:
+    return ChurnExperiment(
+        deployment=deployment,
+        schedule=ChurnSchedule(),
+        sessions=2,
+        routing="anchored",
+        tell=lambda _: None,
+    )
+
+
+async def test_every_change_comes_at_its_time(autojump_clock: MockClock) -> None:
+    deployment = FakeDeployment()
+    await create_experiment(deployment).go_through_schedule()
+
+    assert deployment.steps == [
+        (3.0, "kill balancer-1"),
+        (4.0, "spray no more over balancer-1"),
+        (9.0, "spray over balancer-4"),
+        (12.0, "freeze balancer-2"),
+        (17.0, "thaw balancer-2"),
+        (20.0, "ticket horaflujo-5 draining=False"),
+        (26.0, "ticket horaflujo-1 draining=True"),
+    ]
+    assert trio.current_time() == 36.0
+
+
+async def test_a_session_that_does_not_open_is_broken(
+    autojump_clock: MockClock,
+) -> None:
+    experiment = create_experiment(FakeDeployment())
+    async with trio.open_nursery() as nursery:
+        for session in experiment.sessions:
+            nursery.start_soon(experiment.keep, session)
+        await experiment.wait_opened()
+
+    assert all(session.is_broken for session in experiment.sessions)
+
+
+async def test_a_silent_session_is_told_from_the_time_of_its_last_tick(
+    autojump_clock: MockClock,
+) -> None:
+    experiment = create_experiment(FakeDeployment())
+    silent, alive = experiment.sessions
+    silent.note("tick 1")
+    await trio.sleep(20.0)
+    alive.note("tick 1")
+    experiment.note_stalled()
+
+    assert (silent.error, alive.error) == ("no tick after 0 s", "")
