--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment.py
@@ -36,7 +36,7 @@
     """Return the text of a ticket that sets some services."""
     services = {
         name: {
-            "address": f"198.51.{number % 250}.{index % 250 + 1}:443",
+            "address": f"10.{number % 250}.{index // 250}.{index % 250 + 1}:443",
             "request_timeout_s": 10.0,
             "retry_ratio": 0.1,
             "feed_paths": ["/ticks", "/feed"],
@@ -117,7 +117,8 @@
         before = await self.fleet.usages()
         replaced, ready_s, is_ready, is_kept = await self.replace_half()
         replacement = await self.usage_since(before)
-        replacement_bytes = replacement.control_bytes_per_s * replacement.duration_s
+        surplus_bytes_per_s = replacement.control_bytes_per_s - rest.control_bytes_per_s
+        surplus_bytes = surplus_bytes_per_s * replacement.duration_s
         return ExperimentResult(
             node_count=self.plan.node_count,
             boot_s=boot_s,
@@ -135,7 +136,7 @@
             frozen_spread_s=frozen_spread_s,
             catch_up_s=catch_up_s,
             replaced=replaced,
-            replacement_bytes=replacement_bytes * self.plan.node_count / replaced,
+            replacement_bytes=surplus_bytes * self.plan.node_count / replaced,
             replaced_ready_s=ready_s,
             is_replacement_ready=is_ready,
             is_ticket_kept=is_kept,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment_result.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/spreading/experiment_result.py
@@ -17,7 +17,7 @@
     second count a waiting watch as one read in each second. ``frozen_spread_s`` holds
     the times to the last running node while ``frozen`` others are stopped, and
     ``catch_up_s`` the time that these need afterwards. ``replacement_bytes`` are the
-    control bytes of all nodes for each replaced one.
+    control bytes of all nodes for each replaced one, less what rest would have taken.
     """
 
     node_count: int
--- a/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
@@ -40,7 +40,7 @@
 
 
 FRAMING_BYTES = 120
-ENTRIES_PER_BATCH = 200
+ENTRIES_PER_BATCH = 50
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/oleanderweir/src/oleanderweir/spreading/repair_plan.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/repair_plan.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable
 
 
-BUCKETS_PER_REQUEST = 8
+BUCKETS_PER_REQUEST = 2
 REQUEST_TIMEOUT_S = 10.0
 
 
--- a/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
@@ -94,13 +94,23 @@
             )
         self.session.is_peer_ready = message.is_ready
         self.is_synchronized = False
-        if self.claimed:
+        if self.claimed or self._are_both_booting():
             return
         self.differing = deque(self._find_differing(message.digests, message.floor))
         # Peers that boot together begin at different buckets.
         self.differing.rotate(self.context.random.randrange(BUCKET_COUNT))
         self._request_next()
 
+    def _are_both_booting(self) -> bool:
+        """Whether a ready peer should be given its chance to send the state."""
+        if self.context.boot_gate.is_ready or self.session.is_peer_ready:
+            return False
+        age_s = trio.current_time() - self.context.started_at
+        if age_s >= self.context.settings.booting_peer_delay_s:
+            return False
+        REPAIRS_SKIPPED.labels(reason="both_booting").inc()
+        return True
+
     def _find_differing(self, digests: Sequence[int], floor: int) -> tuple[int, ...]:
         """Return the numbers of the buckets whose content differs."""
         if floor > self.context.digest().floor:
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreader.py
@@ -130,6 +130,7 @@
 
         Raise ``AddressInUseError`` when the own peer address can't be bound.
         """
+        self.context.started_at = trio.current_time()
         self.register.listeners.append(self._entries_in_force)
         try:
             async with (
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreading_context.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreading_context.py
@@ -29,7 +29,8 @@
     The state that the sessions of one process share.
 
     The register is changed through ``changing`` only, since its digest is kept.
-    ``changed_at`` is when the register changed last, in seconds of trio's clock.
+    ``changed_at`` is when the register changed last, ``started_at`` when spreading
+    began, in seconds of trio's clock.
     """
 
     register: TicketRegister
@@ -41,6 +42,7 @@
     codec: PeerMessageCodec = attrs.field(factory=PeerMessageCodec)
     repair_plan: RepairPlan = attrs.field(factory=RepairPlan)
     changed_at: float = float("-inf")
+    started_at: float = float("-inf")
     cached_digest: RegisterDigest | None = None
 
     def digest(self) -> RegisterDigest:
--- a/packages/oleanderweir/src/oleanderweir/spreading/spreading_settings.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/spreading_settings.py
@@ -38,3 +38,4 @@
     learned_lease_s: float = 120.0
     cold_start_peers: int = 16
     peer_boot_timeout_s: float = 5.0
+    booting_peer_delay_s: float = 3.0
--- a/tests/oleanderweir/spreading/cluster.py
+++ b/tests/oleanderweir/spreading/cluster.py
@@ -70,7 +70,14 @@
 
     def publish(self, *names: str) -> int:
         number = len(self.tickets) + 1
-        entries = tuple(make_entry(name, number) for name in names)
+        return self.add(number, *(make_entry(name, number) for name in names))
+
+    def remove(self, name: str) -> int:
+        number = len(self.tickets) + 1
+        key = EntryKey(kind=EntryKind.SERVICE, name=name)
+        return self.add(number, Entry(key=key, ticket=number, value=None))
+
+    def add(self, number: int, *entries: Entry) -> int:
         self.tickets.append(Ticket(number=number, entries=entries))
         self.published.set()
         self.published = trio.Event()
--- a/tests/oleanderweir/spreading/test_spreader.py
+++ b/tests/oleanderweir/spreading/test_spreader.py
@@ -7,6 +7,7 @@
 
 from oleanderweir.spreading import SpreadingSettings
 from tests.oleanderweir.spreading.cluster import Cluster
+from tests.oleanderweir.spreading.cluster import make_entry
 from tests.oleanderweir.spreading.cluster import make_record
 
 
@@ -198,3 +199,30 @@
         cluster.platform.publish(name)
     for number, name in enumerate(names):
         await cluster.wait_everywhere(name, number + 2, within_s=120)
+
+
+async def test_floor_of_one_process_reaches_all(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 8, zones=2)
+    ticket = cluster.platform.remove("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+    with cluster.nodes[0].spreader.context.changing() as register:
+        register.raise_floor(ticket + 1)
+    await trio.sleep(HEAL_S)
+    registers = [node.spreader.register for node in cluster.nodes.values()]
+    assert {register.floor for register in registers} == {ticket + 1}
+    assert len({register.digest() for register in registers}) == 1
+    assert cluster.nodes[5].ticket_of("a") == 0
+
+
+async def test_two_contents_of_one_ticket_end_alike_everywhere(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 8, zones=1)
+    for number, node in cluster.nodes.items():
+        with node.spreader.context.changing() as register:
+            register.merge([make_entry("c", 7, retry_ratio=0.1 + number % 2 / 10)])
+    await trio.sleep(HEAL_S)
+    digests = {n.spreader.register.digest() for n in cluster.nodes.values()}
+    assert len(digests) == 1
