Spare bucket digests while a peer boots, and test the loss of all readers

Cause: 104 of 208 real nodes replaced took 550 kB of control traffic each and 66 s until ready, on four processes. A ready peer compared every second with a booting one and got 2.4 kB of bucket digests each time, only to leave the repair to it. Now the booting side answers by its heartbeat, and the ready one keeps its usual interval.

--- a/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_session.py
@@ -185,7 +185,7 @@
         while True:
             self.reply(self.heartbeat())
             interval_s = settings.heartbeat_interval_s
-            if not self.repair.is_synchronized:
+            if not self.repair.is_synchronized and not self.repair.is_left_to_boot:
                 interval_s = settings.repair_interval_s
             await trio.sleep(interval_s * self.context.random.uniform(0.8, 1.0))
 
--- a/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
@@ -65,7 +65,7 @@
 
     def _answer(self, *, is_equal: bool) -> None:
         """Answer a heartbeat of the dialling side."""
-        if is_equal or self._is_settling():
+        if is_equal or self._is_settling() or self._is_peer_waiting():
             self.session.reply(self.session.heartbeat())
             return
         register = self.context.register
@@ -77,6 +77,10 @@
             )
         )
 
+    def _is_peer_waiting(self) -> bool:
+        """Whether the peer waits until this process has booted by itself."""
+        return self.session.is_peer_ready and not self.context.boot_gate.is_ready
+
     def _is_settling(self) -> bool:
         """Whether changes that pass just now explain a difference."""
         if not self.context.boot_gate.is_ready:
@@ -95,7 +99,7 @@
             )
         self.session.is_peer_ready = message.is_ready
         self.is_synchronized = False
-        if self.claimed or self._is_left_to_boot():
+        if self.claimed or self._is_skipped():
             return
         self.peer_digests = message.digests
         self.differing = deque(self._find_differing(message.digests, message.floor))
@@ -103,16 +107,20 @@
         self.differing.rotate(self.context.random.randrange(BUCKET_COUNT))
         self._request_next()
 
-    def _is_left_to_boot(self) -> bool:
+    @property
+    def is_left_to_boot(self) -> bool:
+        """Whether the peer boots, and fetches the state from ready ones itself."""
+        return self.context.boot_gate.is_ready and not self.session.is_peer_ready
+
+    def _is_skipped(self) -> bool:
         """Whether the difference is one that a boot will settle."""
-        is_ready = self.context.boot_gate.is_ready
-        if is_ready and not self.session.is_peer_ready:
-            # The peer fetches the state itself; offering it would send it twice.
+        if self.is_left_to_boot:
+            # Offering the state to the peer would send it twice.
             REPAIRS_SKIPPED.labels(reason="peer_booting").inc()
             return True
-        age_s = trio.current_time() - self.context.started_at
-        if is_ready or self.session.is_peer_ready:
+        if self.context.boot_gate.is_ready or self.session.is_peer_ready:
             return False
+        age_s = trio.current_time() - self.context.started_at
         if age_s >= self.context.settings.booting_peer_delay_s:
             return False
         # A ready peer should have its chance to send the state first.
--- a/tests/oleanderweir/spreading/test_spreader.py
+++ b/tests/oleanderweir/spreading/test_spreader.py
@@ -162,6 +162,20 @@
     await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
 
 
+async def test_reserves_read_when_all_readers_die_and_stay_listed(
+    autojump_clock: MockClock, cluster: Cluster
+) -> None:
+    await start_ready(cluster, 12, zones=1)
+    await trio.sleep(10)
+    for number, node in list(cluster.nodes.items()):
+        if node.spreader.follower.is_reader:
+            cluster.stop(number, is_listed=True)
+    assert len(cluster.nodes) == 9
+    await trio.sleep(10)
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_everywhere("a", ticket, within_s=TARGET_S)
+
+
 async def test_empty_list_leaves_the_last_list_in_use(
     autojump_clock: MockClock, cluster: Cluster
 ) -> None:
