--- a/packages/oleanderweir/src/oleanderweir/membership/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/membership/__init__.py
@@ -8,7 +8,7 @@
 from oleanderweir.membership.instance_state import InstanceState
 from oleanderweir.membership.learned_instance import LearnedInstance
 from oleanderweir.membership.membership import Membership
-from oleanderweir.membership.rendezvous import rank
+from oleanderweir.membership.rendezvous import first_ranked
 from oleanderweir.membership.rendezvous import ring_successor
 from oleanderweir.membership.rendezvous import ring_successors
 
@@ -20,7 +20,7 @@
     "InstanceState",
     "LearnedInstance",
     "Membership",
-    "rank",
+    "first_ranked",
     "ring_successor",
     "ring_successors",
 ]
--- a/packages/oleanderweir/src/oleanderweir/membership/rendezvous.py
+++ b/packages/oleanderweir/src/oleanderweir/membership/rendezvous.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import heapq
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -22,13 +23,13 @@
     return blake2b(data, digest_size=SCORE_LENGTH_BYTES).digest()
 
 
-def rank(names: Iterable[str], *, purpose: str) -> list[str]:
+def first_ranked(names: Iterable[str], *, purpose: str, count: int) -> list[str]:
     """
-    Return the names in rendezvous order for one purpose.
+    Return the first ``count`` names in rendezvous order for one purpose.
 
     A name that joins or leaves moves no other two names against each other.
     """
-    return sorted(names, key=lambda name: score(name, purpose=purpose))
+    return heapq.nsmallest(count, names, key=lambda name: score(name, purpose=purpose))
 
 
 def ring_successor(name: str, names: Iterable[str], *, purpose: str) -> str | None:
--- a/packages/oleanderweir/src/oleanderweir/spreading/peer_selection.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/peer_selection.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 import attrs
 
 from oleanderweir.membership import InstanceState
-from oleanderweir.membership import rank
+from oleanderweir.membership import first_ranked
 from oleanderweir.membership import ring_successors
 
 
@@ -36,6 +37,8 @@
     membership: Membership
     ring_count: int
     readers_per_zone: int
+    grouped: dict[str, set[str]] = attrs.field(init=False, factory=dict)
+    grouped_version: int = attrs.field(init=False, default=-1)
 
     def peers(self, *, unhelpful: frozenset[str] = frozenset()) -> set[str]:
         """
@@ -47,7 +50,9 @@
         zone = self._zone(self.own.availability_zone)
         suspected = {name for name in zone if self.membership.is_suspected(name)}
         answering = zone - suspected - unhelpful
-        chosen = self._successors(zone) | self._successors(answering)
+        chosen = self._successors(zone)
+        if answering != zone:
+            chosen |= self._successors(answering)
         readers = self.readers()
         if self.is_reader:
             ring = self._readers_of_all_zones() | set(readers)
@@ -89,31 +94,36 @@
         )
 
     def _ranked(self) -> list[str]:
-        """Return the answering instances of the own zone, first reader first."""
+        """Return the first answering instances of the own zone, as many as needed."""
         return self._rank_zone(self.own.availability_zone)
 
     def _rank_zone(self, zone: str) -> list[str]:
-        """Return the answering instances of a zone, first reader first."""
-        names = self._zone(zone) | (
-            {self.own.name} if zone == self.own.availability_zone else set()
+        """Return the readers of a zone and as many reserves, in order."""
+        names = self._zone(zone)
+        if zone == self.own.availability_zone:
+            names = names | {self.own.name}
+        answering = (name for name in names if not self.membership.is_suspected(name))
+        return first_ranked(
+            answering, purpose=f"reader/{zone}", count=2 * self.readers_per_zone
         )
-        answering = {name for name in names if not self.membership.is_suspected(name)}
-        return rank(answering, purpose=f"reader/{zone}")
 
     def _readers_of_all_zones(self) -> set[str]:
         """Return the readers of every availability zone."""
-        zones = {
-            record.availability_zone for record in self.membership.instances().values()
-        }
         readers: set[str] = set()
-        for zone in zones:
+        for zone in self._zones():
             readers.update(self._rank_zone(zone)[: self.readers_per_zone])
         return readers
 
     def _zone(self, zone: str) -> set[str]:
         """Return the names of the instances of a zone that stay."""
-        return {
-            record.name
-            for record in self.membership.instances().values()
-            if record.availability_zone == zone and record.state is InstanceState.LIVE
-        }
+        return self._zones().get(zone, set())
+
+    def _zones(self) -> dict[str, set[str]]:
+        """Return the names of the instances that stay, by availability zone."""
+        if self.grouped_version != self.membership.version:
+            self.grouped = defaultdict(set)
+            for record in self.membership.instances().values():
+                if record.state is InstanceState.LIVE:
+                    self.grouped[record.availability_zone].add(record.name)
+            self.grouped_version = self.membership.version
+        return self.grouped
