--- a/packages/oleanderweir/src/oleanderweir/membership/rendezvous.py
+++ b/packages/oleanderweir/src/oleanderweir/membership/rendezvous.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+import heapq
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -11,21 +13,23 @@
 
 
 SCORE_LENGTH_BYTES = 8
+SCORE_CACHE_ENTRIES = 32_768
 
 
+@functools.lru_cache(maxsize=SCORE_CACHE_ENTRIES)
 def score(name: str, *, purpose: str) -> bytes:
     """Return the position of a name for one purpose, the same in every process."""
     data = f"{purpose}\0{name}".encode()
     return blake2b(data, digest_size=SCORE_LENGTH_BYTES).digest()
 
 
-def rank(names: Iterable[str], *, purpose: str) -> list[str]:
+def first_ranked(names: Iterable[str], *, purpose: str, count: int) -> list[str]:
     """
-    Return the names in rendezvous order for one purpose.
+    Return the first ``count`` names in rendezvous order for one purpose.
 
     A name that joins or leaves moves no other two names against each other.
     """
-    return sorted(names, key=lambda name: score(name, purpose=purpose))
+    return heapq.nsmallest(count, names, key=lambda name: score(name, purpose=purpose))
 
 
 def ring_successor(name: str, names: Iterable[str], *, purpose: str) -> str | None:
--- a/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/session_repair.py
@@ -42,6 +42,7 @@
     session: PeerSession
     is_synchronized: bool = False
     differing: deque[int] = attrs.field(factory=deque)
+    peer_digests: tuple[int, ...] = ()
     claimed: tuple[int, ...] = ()
     requested: deque[int] = attrs.field(factory=deque)
 
@@ -64,7 +65,7 @@
 
     def _answer(self, *, is_equal: bool) -> None:
         """Answer a heartbeat of the dialling side."""
-        if is_equal or self._is_settling():
+        if is_equal or self._is_settling() or self._is_peer_waiting():
             self.session.reply(self.session.heartbeat())
             return
         register = self.context.register
@@ -76,6 +77,10 @@
             )
         )
 
+    def _is_peer_waiting(self) -> bool:
+        """Whether the peer waits until this process has booted by itself."""
+        return self.session.is_peer_ready and not self.context.boot_gate.is_ready
+
     def _is_settling(self) -> bool:
         """Whether changes that pass just now explain a difference."""
         if not self.context.boot_gate.is_ready:
@@ -94,13 +99,34 @@
             )
         self.session.is_peer_ready = message.is_ready
         self.is_synchronized = False
-        if self.claimed:
+        if self.claimed or self._is_skipped():
             return
+        self.peer_digests = message.digests
         self.differing = deque(self._find_differing(message.digests, message.floor))
         # Peers that boot together begin at different buckets.
         self.differing.rotate(self.context.random.randrange(BUCKET_COUNT))
         self._request_next()
 
+    @property
+    def is_left_to_boot(self) -> bool:
+        """Whether the peer boots, and fetches the state from ready ones itself."""
+        return self.context.boot_gate.is_ready and not self.session.is_peer_ready
+
+    def _is_skipped(self) -> bool:
+        """Whether the difference is one that a boot will settle."""
+        if self.is_left_to_boot:
+            # Offering the state to the peer would send it twice.
+            REPAIRS_SKIPPED.labels(reason="peer_booting").inc()
+            return True
+        if self.context.boot_gate.is_ready or self.session.is_peer_ready:
+            return False
+        age_s = trio.current_time() - self.context.started_at
+        if age_s >= self.context.settings.booting_peer_delay_s:
+            return False
+        # A ready peer should have its chance to send the state first.
+        REPAIRS_SKIPPED.labels(reason="both_booting").inc()
+        return True
+
     def _find_differing(self, digests: Sequence[int], floor: int) -> tuple[int, ...]:
         """Return the numbers of the buckets whose content differs."""
         if floor > self.context.digest().floor:
@@ -111,6 +137,13 @@
 
     def _request_next(self) -> None:
         """Ask for the next buckets, or compare again when none is left."""
+        own = self.context.register.bucket_digests()
+        # Other sessions may have fetched some of these meanwhile.
+        self.differing = deque(
+            bucket
+            for bucket in self.differing
+            if own[bucket] != self.peer_digests[bucket]
+        )
         self.claimed = self.context.repair_plan.claim(self.differing)
         for bucket in self.claimed:
             self.differing.remove(bucket)
