--- a/packages/oleanderweir-agent/src/oleanderweir_agent/backend/backend_exchange.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/backend_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import h11
@@ -19,6 +20,8 @@
 
 
 READ_CHUNK_BYTES = 64 * 1024
+MS_PER_S = 1000
+RESET_HEADERS = frozenset({b"request-id", b"request-timeout-ms"})
 HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
@@ -131,13 +134,16 @@
             fields.append((header.name, header.value))
     fields.insert(0, (b"host", authority))
     fields.append((b"request-id", request.request_id.encode("latin-1")))
+    if math.isfinite(request.deadline):
+        remaining_ms = max(0, int((request.deadline - trio.current_time()) * MS_PER_S))
+        fields.append((b"request-timeout-ms", str(remaining_ms).encode()))
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         fields.append((b"content-length", str(len(request.body)).encode()))
     return fields
 
 
 def _is_end_to_end(name: bytes) -> bool:
-    """Whether a field of the caller travels on; the request ID is set anew."""
-    if name.startswith(b":") or name == b"request-id":
+    """Whether a field of the caller travels on; some are set anew."""
+    if name.startswith(b":") or name in RESET_HEADERS:
         return False
     return name not in HOP_BY_HOP_HEADERS
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
@@ -14,7 +14,7 @@
 from oleanderweir_agent.drain import DrainWatcher
 from oleanderweir_agent.health.health_probe import HealthProbe
 from oleanderweir_agent.limits import ColdStartRamp
-from oleanderweir_agent.limits import FixedLimit
+from oleanderweir_agent.limits import ObservedSlotsLimit
 from oleanderweir_agent.load import LeastWaitChooser
 from oleanderweir_agent.load import LoadReporter
 from oleanderweir_agent.load import LoadTable
@@ -92,7 +92,7 @@
         )
         self.admission = Admission(
             slots=entry.slots,
-            limiter=FixedLimit(limit=entry.slots),
+            limiter=ObservedSlotsLimit(ceiling=entry.slots),
             policy=ShortestExpectedPolicy(),
             drain=self.drain,
             ramp=ColdStartRamp(),
