Leave a dead balancer with every unacknowledged burst, and try each one

Cause: a session moved to another balancer only when a probe timeout fired. Each tick puts the probe timer off, so once it had backed off beyond the interval of the ticks no probe fired, and a feed whose path was a dead balancer stood still: 1 of 300 sessions without a tick for 36 s in the churn experiment. And the turn among three or more balancers went to and fro between two of them. Ruled out: loss at the fabric (the agent sent every burst to the dead address). Now every burst during a probe takes the next balancer in order, and those that fell silent while others are heard are left out.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/balancer_registry.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/balancer_registry.py
@@ -6,6 +6,7 @@
 
 
 BALANCER_MEMORY_S = 60.0
+RECENT_S = 2.0
 MAX_BALANCERS = 64
 
 
@@ -27,10 +28,18 @@
             del self.heard_at[next(iter(self.heard_at))]
 
     def others(self, balancer: tuple[str, int]) -> list[tuple[str, int]]:
-        """Return the other balancers heard from lately, the latest first."""
-        oldest = trio.current_time() - BALANCER_MEMORY_S
-        return [
-            other
+        """
+        Return the other balancers heard from lately, the latest first.
+
+        Those that fell silent while the latest was still heard are left out.
+        """
+        others = [
+            (other, heard_at)
             for other, heard_at in reversed(self.heard_at.items())
-            if other != balancer and heard_at >= oldest
+            if other != balancer
         ]
+        if not others:
+            return []
+        latest = others[0][1]
+        oldest = max(latest - RECENT_S, trio.current_time() - BALANCER_MEMORY_S)
+        return [other for other, heard_at in others if heard_at >= oldest]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
@@ -102,7 +102,6 @@
         self.connection_ids: set[bytes] = set()
         self.requests: dict[int, IncomingRequest] = {}
         self.is_terminated = False
-        self.probe_count = 0
         self.wakeup = trio.Event()
         self.progress = trio.Event()
 
@@ -162,10 +161,10 @@
 
     def _transmit(self) -> None:
         """Send one burst through the balancer that last carried the flow."""
-        if self.quic.probe_count > self.probe_count:
-            self.return_path.note_probe()
-        self.probe_count = self.quic.probe_count
         datagrams = self.quic.datagrams_to_send(trio.current_time())
+        if datagrams and self.quic.probe_count > 0:
+            # Every burst counts, not every probe: new data puts the next probe off.
+            self.return_path.note_unacknowledged()
         for data, caller in datagrams:
             self.owner.send(
                 data=data,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/return_path.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/return_path.py
@@ -13,9 +13,9 @@
     """
     Chooses the balancer for the packets of one connection.
 
-    It is the one that last carried a packet of the caller. When a probe timeout
-    (RFC 9002, 6.2) finds an answer unacknowledged, that balancer may be dead or
-    frozen, so each probe takes another one in turn.
+    It is the one that last carried a packet of the caller. After a probe timeout
+    (RFC 9002, 6.2) that balancer may be dead or frozen, so each burst takes another
+    one in turn until the caller is heard again.
     """
 
     def __init__(
@@ -23,17 +23,15 @@
     ) -> None:
         self.registry = registry
         self.balancer = balancer
-        self.switches = 0
 
     def note_received(self, balancer: tuple[str, int]) -> None:
         """Take the balancer that carried the caller's latest packet."""
         self.balancer = balancer
-        self.switches = 0
 
-    def note_probe(self) -> None:
-        """Take another balancer, since the last burst was not acknowledged."""
-        others = self.registry.others(self.balancer)
+    def note_unacknowledged(self) -> None:
+        """Take the next balancer, since earlier bursts were not acknowledged."""
+        others = sorted(self.registry.others(self.balancer))
         if not others:
             return
-        self.balancer = others[self.switches % len(others)]
-        self.switches += 1
+        following = [other for other in others if other > self.balancer]
+        self.balancer = following[0] if following else others[0]
