--- a/packages/oleanderweir-agent/src/oleanderweir_agent/peers/messages/answer_head.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/messages/answer_head.py
@@ -2,13 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 import attrs
 
-
-if TYPE_CHECKING:
-    from oleanderweir_agent.requests.header import Header
+from oleanderweir_agent.requests.header import Header  # noqa: TC001
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_message_codec.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_message_codec.py
@@ -19,7 +19,8 @@
 
     def __init__(self) -> None:
         self.converter = make_converter()
-        self.numbers = {kind: number for number, kind in enumerate(MESSAGE_TYPES)}
+        self.kinds = dict(enumerate(MESSAGE_TYPES))
+        self.numbers = {kind: number for number, kind in self.kinds.items()}
 
     def encode(self, message: RelayMessage) -> bytes:
         """Return the bytes of a message."""
@@ -32,7 +33,7 @@
         """Read a message; raise ``InvalidRelayMessageError``."""
         try:
             number, fields = msgpack.unpackb(data)
-            kind = MESSAGE_TYPES[number]
+            kind = self.kinds[number]
             message: RelayMessage = self.converter.structure(fields, kind)
         except Exception as error:
             # The converter raises what the fields provoke; all mean one thing here.
--- /dev/null
+++ b/tests/oleanderweir_agent/peers/test_relay_message_codec.py
@@ -0,0 +1,80 @@
+from __future__ import annotations
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from oleanderweir_agent.peers.exceptions import InvalidRelayMessageError
+from oleanderweir_agent.peers.messages import AnswerEnd
+from oleanderweir_agent.peers.messages import AnswerHead
+from oleanderweir_agent.peers.messages import BodyPart
+from oleanderweir_agent.peers.messages import Offer
+from oleanderweir_agent.peers.messages import Refusal
+from oleanderweir_agent.peers.messages import RelayFailure
+from oleanderweir_agent.peers.messages import RelayMessage
+from oleanderweir_agent.peers.relay_message_codec import RelayMessageCodec
+from oleanderweir_agent.requests import Header
+
+
+HEADERS = (Header(name=b"x-name", value=b"\xff\x00"),)
+MESSAGES: list[RelayMessage] = [
+    Offer(
+        service="items",
+        request_id="r1",
+        method="POST",
+        path="/reports",
+        headers=HEADERS,
+        body_bytes=3,
+        timeout_s=1.5,
+        max_wait_s=None,
+        is_feed=False,
+    ),
+    Refusal(reason="draining", retry_after_s=None),
+    AnswerHead(status=200, headers=HEADERS),
+    BodyPart(data=b"\x00\xff"),
+    AnswerEnd(),
+    RelayFailure(reason="backend_lost"),
+]
+PLAIN_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers(-100, 100) | st.binary(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+@pytest.mark.parametrize(
+    "message", MESSAGES, ids=lambda message: type(message).__name__
+)
+def test_every_message_is_read_as_it_was_written(message: RelayMessage) -> None:
+    codec = RelayMessageCodec()
+
+    assert codec.decode(codec.encode(message)) == message
+
+
+@settings(max_examples=100)
+@given(st.binary(max_size=64))
+def test_any_bytes_are_a_message_or_the_coded_error(data: bytes) -> None:
+    try:
+        RelayMessageCodec().decode(data)
+    except InvalidRelayMessageError as error:
+        assert error.code == "invalid_relay_message"
+
+
+@settings(max_examples=100)
+@given(PLAIN_VALUES)
+def test_any_content_is_a_message_or_the_coded_error(content: object) -> None:
+    try:
+        RelayMessageCodec().decode(msgpack.packb(content))
+    except InvalidRelayMessageError as error:
+        assert error.code == "invalid_relay_message"
+
+
+@pytest.mark.parametrize("number", [-1, -2, 6, 99, None, "0"])
+def test_an_unknown_kind_is_refused(number: object) -> None:
+    with pytest.raises(InvalidRelayMessageError):
+        RelayMessageCodec().decode(msgpack.packb((number, {})))
