Refuse what is no HTTP, and answers that nobody can tell to be whole

Causes, found by reading: a request that h11 refuses to write ended in a bare reset; an answer framed by the end of its connection was passed on as whole although a backend server that dies ends it alike; a feed whose backend server is frozen was held for ever; an offer's body could exceed what it said; a deadline that passed before the start was refused without being counted. Now such a request gets 400 and 'not run', an answer needs a length or chunks, and a feed has five seconds to begin.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/backend/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/__init__.py
@@ -6,6 +6,7 @@
 from oleanderweir_agent.backend.backend_exchange import BackendExchange
 from oleanderweir_agent.backend.exceptions import BackendBrokenError
 from oleanderweir_agent.backend.exceptions import BackendUnreachableError
+from oleanderweir_agent.backend.exceptions import InvalidRequestError
 
 
 __all__ = [
@@ -13,4 +14,5 @@
     "BackendClient",
     "BackendExchange",
     "BackendUnreachableError",
+    "InvalidRequestError",
 ]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/backend/backend_exchange.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/backend_exchange.py
@@ -9,6 +9,7 @@
 import trio
 
 from oleanderweir_agent.backend.exceptions import BackendBrokenError
+from oleanderweir_agent.backend.exceptions import InvalidRequestError
 from oleanderweir_agent.requests import Header
 from oleanderweir_agent.requests import ResponseHead
 
@@ -19,6 +20,7 @@
     from oleanderweir_agent.requests import Request
 
 
+BODILESS_STATUSES = frozenset({204, 304})
 READ_CHUNK_BYTES = 64 * 1024
 MS_PER_S = 1000
 RESET_HEADERS = frozenset({b"request-id", b"request-timeout-ms"})
@@ -39,17 +41,11 @@
 
 
 class BackendExchange:
-    """
-    Sends a request and reads its answer.
-
-    ``is_sent`` turns true before the first byte is written: until then the request
-    did not run.
-    """
+    """Sends a request and reads its answer, once."""
 
     def __init__(self, *, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
-        self.is_sent = False
 
     async def __aenter__(self) -> BackendExchange:
         return self
@@ -58,17 +54,28 @@
         """Close the connection, which also cancels a request that still runs."""
         await trio.aclose_forcefully(self.stream)
 
-    async def send(self, request: Request) -> None:
+    def encode(self, request: Request) -> bytes:
+        """Return a request's bytes; raise ``InvalidRequestError`` if it has none."""
+        if request.method == "CONNECT":
+            raise InvalidRequestError("CONNECT is not served; send GET or POST")
+        try:
+            head = h11.Request(
+                method=request.method,
+                target=request.path,
+                headers=_request_fields(request),
+            )
+            parts: list[h11.Event] = [head]
+            if request.body:
+                parts.append(h11.Data(data=request.body))
+            parts.append(h11.EndOfMessage())
+            return b"".join(self.http.send(part) or b"" for part in parts)
+        except h11.LocalProtocolError as error:
+            raise InvalidRequestError(
+                f"the request is no valid HTTP ({error}); correct the caller"
+            ) from error
+
+    async def send(self, data: bytes) -> None:
         """Send a request; raise ``BackendBrokenError`` when the connection breaks."""
-        head = h11.Request(
-            method=request.method, target=request.path, headers=_request_fields(request)
-        )
-        parts: list[h11.Event] = [head]
-        if request.body:
-            parts.append(h11.Data(data=request.body))
-        parts.append(h11.EndOfMessage())
-        data = b"".join(self.http.send(part) or b"" for part in parts)
-        self.is_sent = True
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -81,6 +88,11 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise _broken()
+        if self._ends_by_closing(event):
+            raise BackendBrokenError(
+                "the answer has neither length nor chunks, so nobody can tell whether "
+                "it is whole; have the backend server send one of them"
+            )
         return ResponseHead(
             status=event.status_code,
             headers=tuple(
@@ -100,6 +112,16 @@
                 raise _broken()
             yield bytes(event.data)
 
+    def _ends_by_closing(self, response: h11.Response) -> bool:
+        """Whether only the closing of the connection would end the answer's body."""
+        if response.status_code in BODILESS_STATUSES or self.http.their_state in {
+            h11.DONE,
+            h11.MUST_CLOSE,
+        }:
+            return False
+        framing = {b"content-length", b"transfer-encoding"}
+        return framing.isdisjoint(name for name, _ in response.headers)
+
     async def _next_event(self) -> object:
         """Return the next part of the answer."""
         while True:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/backend/exceptions.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/backend/exceptions.py
@@ -13,6 +13,12 @@
     code: ClassVar[str] = "backend_unreachable"
 
 
+class InvalidRequestError(OleanderweirError):
+    """A caller's request can't be written as HTTP/1.1; nothing was sent."""
+
+    code: ClassVar[str] = "invalid_request"
+
+
 class BackendBrokenError(OleanderweirError):
     """The exchange broke after its first byte, so the request may have run."""
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/health/health_probe.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/health/health_probe.py
@@ -49,7 +49,7 @@
         with trio.move_on_after(PROBE_TIMEOUT_S):
             try:
                 async with await self.backend.connect() as exchange:
-                    await exchange.send(_make_request())
+                    await exchange.send(exchange.encode(_make_request()))
                     head = await exchange.read_head()
             except (BackendBrokenError, BackendUnreachableError):
                 return False
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_server.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/relay_server.py
@@ -75,6 +75,8 @@
             if not isinstance(message, BodyPart):
                 raise InvalidRelayMessageError("a body is cut short")
             body += message.data
+        if len(body) > offer.body_bytes:
+            raise InvalidRelayMessageError("a body is longer than its offer says")
         return bytes(body)
 
     async def _answer(self, relay: RelayStream, offer: Offer, body: bytes) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/local_runner.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/local_runner.py
@@ -9,6 +9,7 @@
 
 from oleanderweir_agent.backend import BackendBrokenError
 from oleanderweir_agent.backend import BackendUnreachableError
+from oleanderweir_agent.backend import InvalidRequestError
 from oleanderweir_agent.limits import WorkResult
 from oleanderweir_agent.verdicts import FailureReason
 from oleanderweir_agent.verdicts import RejectionReason
@@ -32,6 +33,7 @@
 
 
 SERVICE_UNAVAILABLE = 503
+FEED_HEAD_TIMEOUT_S = 5.0
 NOT_RUN_HEADER = b"request-not-run"
 RETRY_AFTER_HEADER = b"retry-after"
 
@@ -71,7 +73,7 @@
             with trio.move_on_at(request.deadline):
                 await self._run_admitted(request, responder, progress, permit)
                 return
-            raise _deadline_error(progress)
+            raise self._deadline_error(progress)
 
     async def _run_admitted(
         self,
@@ -108,10 +110,11 @@
                 RejectionReason.BACKEND_UNREACHABLE, error.message
             ) from error
         async with exchange:
+            data = self._encode(exchange, request)
             progress.advance(RequestStage.SENT)
             try:
-                await exchange.send(request)
-                head = await exchange.read_head()
+                await exchange.send(data)
+                head = await self._read_head(exchange, request)
                 self._check_shed(head, progress)
                 progress.advance(RequestStage.ANSWERING)
                 await self._pass_on(exchange, head, responder)
@@ -119,6 +122,25 @@
                 raise _broken_error(progress, error.message) from error
             progress.advance(RequestStage.ANSWERED)
 
+    def _encode(self, exchange: BackendExchange, request: Request) -> bytes:
+        """Return a request's bytes, or refuse it."""
+        try:
+            return exchange.encode(request)
+        except InvalidRequestError as error:
+            raise self._reject(RejectionReason.INVALID_REQUEST, error.message) from (
+                error
+            )
+
+    async def _read_head(
+        self, exchange: BackendExchange, request: Request
+    ) -> ResponseHead:
+        """Return the start of the answer; a feed, without a deadline, must begin."""
+        if not request.is_feed:
+            return await exchange.read_head()
+        with trio.move_on_after(FEED_HEAD_TIMEOUT_S):
+            return await exchange.read_head()
+        raise BackendBrokenError("the backend server did not begin the feed in time")
+
     async def _pass_on(
         self, exchange: BackendExchange, head: ResponseHead, responder: Responder
     ) -> None:
@@ -154,24 +176,23 @@
             reason=reason, message=message, retry_after_s=retry_after_s
         )
 
+    def _deadline_error(
+        self, progress: RequestProgress
+    ) -> RequestRejectedError | RequestFailedError:
+        """Return the error of a request whose deadline passed on the way."""
+        message = "the deadline passed; allow the request more time"
+        if progress.verdict is Verdict.NOT_RUN:
+            return self._reject(RejectionReason.DEADLINE_PAST, message)
+        return RequestFailedError(
+            reason=FailureReason.DEADLINE_EXCEEDED, message=message
+        )
+
 
 def _read_seconds(value: bytes | None) -> float | None:
     """Return a ``Retry-After`` in seconds; dates are not read."""
     return float(value) if value is not None and value.isdigit() else None
 
 
-def _deadline_error(
-    progress: RequestProgress,
-) -> RequestRejectedError | RequestFailedError:
-    """Return the error of a request whose deadline passed on the way."""
-    message = "the deadline passed; allow the request more time"
-    if progress.verdict is Verdict.NOT_RUN:
-        return RequestRejectedError(
-            reason=RejectionReason.DEADLINE_PAST, message=message
-        )
-    return RequestFailedError(reason=FailureReason.DEADLINE_EXCEEDED, message=message)
-
-
 def _broken_error(progress: RequestProgress, message: str) -> RequestFailedError:
     """Return the error of an exchange that broke off."""
     is_cut = progress.stage >= RequestStage.ANSWERING
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_service.py
@@ -25,6 +25,7 @@
     from oleanderweir_agent.verdicts import RequestMetrics
 
 
+BAD_REQUEST = 400
 BAD_GATEWAY = 502
 SERVICE_UNAVAILABLE = 503
 GATEWAY_TIMEOUT = 504
@@ -134,9 +135,9 @@
             Header(name=b"retry-after", value=str(retry_after_s).encode()),
             Header(name=b"request-not-run", value=error.reason.value.encode()),
         )
-        await responder.send_head(
-            ResponseHead(status=SERVICE_UNAVAILABLE, headers=headers)
-        )
+        is_invalid = error.reason is RejectionReason.INVALID_REQUEST
+        status = BAD_REQUEST if is_invalid else SERVICE_UNAVAILABLE
+        await responder.send_head(ResponseHead(status=status, headers=headers))
         await responder.finish()
 
     async def _fail(self, responder: Responder, error: RequestFailedError) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_reason.py
@@ -17,6 +17,7 @@
     DEADLINE_PAST = "deadline_past"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     DRAINING = "draining"
+    INVALID_REQUEST = "invalid_request"
     NO_PEER = "no_peer"
     PATIENCE_OVER = "patience_over"
     PEER_REFUSED = "peer_refused"
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_remedy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/rejection_remedy.py
@@ -15,6 +15,7 @@
     RejectionReason.DEADLINE_PAST: "the deadline was past on arrival; allow more time",
     RejectionReason.DEADLINE_UNREACHABLE: "the queue outlasts the deadline; retry",
     RejectionReason.DRAINING: "the backend server is leaving; open a new session",
+    RejectionReason.INVALID_REQUEST: "the request is no valid HTTP; correct the caller",
     RejectionReason.NO_PEER: "no peer could take the request; retry later",
     RejectionReason.PATIENCE_OVER: "no slot came free in time; offer it to a peer",
     RejectionReason.PEER_REFUSED: "the peers refused the request; retry later",
