Forget a caller's connection when it ends by its timer

Cause: tests of the endpoint in virtual time found two faults. A connection that ended by its closing or idle timer waited once more for a packet, with no timer left, so its task and its connection IDs stayed until a further packet came; at MAX_CONNECTIONS such remains would have closed the agent to new flows. And the limit of connections was checked against tasks that had run, so one batch of packets could pass it.

Ruled out: the tests' own clock (a wait of 600 s of virtual time changes nothing), and aioquic, whose timer ends with the connection as documented.

Before: 3 of the 28 tests in tests/oleanderweir_agent/quic failed (ended connection, abandoned handshake, limit within a batch). After: 28 of 28 pass.

Conclusion: the task leaves as soon as the step that ended the connection is done, and a connection counts from the packet that opened it.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/caller_connection.py
@@ -134,13 +134,18 @@
     async def run(self) -> None:
         """Drive the connection until it ends."""
         async with trio.open_nursery() as nursery:
+            self._step(nursery)
             while not self.is_terminated:
-                self._receive()
-                self._handle_events(nursery)
-                self._transmit()
                 await self._wait()
+                self._step(nursery)
             nursery.cancel_scope.cancel()
 
+    def _step(self, nursery: trio.Nursery) -> None:
+        """Take what came in, act on it, and send what is due."""
+        self._receive()
+        self._handle_events(nursery)
+        self._transmit()
+
     async def _wait(self) -> None:
         """Wait for a packet, for a request's output, or for the timer."""
         timer = self.quic.get_timer()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -265,12 +265,13 @@
         self.add_connection_id(token.retry_source_connection_id, connection)
         self.add_connection_id(quic.host_cid, connection)
         connection.deliver(envelope.datagram, unpack_pair(envelope.caller))
+        # Counted before its task runs, since a batch may hold more packets like it.
+        self.connections.add(connection)
+        self.metrics.sessions.inc()
         nursery.start_soon(self._run_connection, connection)
 
     async def _run_connection(self, connection: CallerConnection) -> None:
         """Run one connection, and forget its connection IDs afterwards."""
-        self.connections.add(connection)
-        self.metrics.sessions.inc()
         try:
             await connection.run()
         finally:
--- /dev/null
+++ b/tests/oleanderweir_agent/quic/endpoint_bench.py
@@ -0,0 +1,261 @@
+"""Agents' endpoints and a caller, joined in virtual time without sockets."""
+
+from __future__ import annotations
+
+import ssl
+from typing import TYPE_CHECKING
+
+import trio
+import trio.testing
+from aioquic.h3.connection import H3_ALPN
+from aioquic.h3.connection import H3Connection
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.events import ConnectionTerminated
+from aioquic.quic.events import QuicEvent
+from prometheus_client import CollectorRegistry
+
+from oleanderweir.configuration import Service
+from oleanderweir.connection_id import ConnectionIdCodec
+from oleanderweir.connection_id import InvalidConnectionIdError
+from oleanderweir.envelope import Envelope
+from oleanderweir.envelope import EnvelopeCodec
+from oleanderweir.keys import KeyPurpose
+from oleanderweir.net import Datagram
+from oleanderweir.net import SocketAddress
+from oleanderweir.net import UdpSocket
+from oleanderweir.net import pack_pair
+from oleanderweir.packets import LongHeader
+from oleanderweir.packets import has_long_header
+from oleanderweir_agent.metrics import AgentMetrics
+from oleanderweir_agent.quic import AgentChoice
+from oleanderweir_agent.quic import ConnectionIdIssuer
+from oleanderweir_agent.quic import PacketEndpoint
+from oleanderweir_agent.quic import RetryTokenCodec
+from oleanderweir_agent.requests import ResponseHead
+from tests.oleanderweir.helpers import make_key_ring
+from tests.oleanderweir_agent.quic.sans_io import AGENT
+from tests.oleanderweir_agent.quic.sans_io import CALLER
+from tests.oleanderweir_agent.quic.sans_io import make_server_configuration
+from tests.oleanderweir_balancer.fakes import FakeConfiguration
+
+
+if TYPE_CHECKING:
+    from aioquic.h3.events import H3Event
+
+    from oleanderweir_agent.drop_reason import DropReason
+    from oleanderweir_agent.requests import Request
+    from oleanderweir_agent.requests import Responder
+
+
+SERVICE = Service(name="horaflujo", address=SocketAddress.parse("192.0.2.1:443"))
+OTHER_SERVICE = SocketAddress.parse("192.0.2.2:443").packed
+BALANCER = ("127.0.0.1", 7001)
+OTHER_BALANCER = ("127.0.0.1", 7002)
+ROUNDS = 30
+ROUND_S = 0.01
+
+
+class MemorySocket(UdpSocket):
+    """Takes datagrams from a test, and keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sender, self.receiver = trio.open_memory_channel[Datagram](1000)
+        self.sent: list[Datagram] = []
+
+    async def receive_batch(self) -> list[Datagram]:
+        batch = [await self.receiver.receive()]
+        while self.receiver.statistics().current_buffer_used:
+            batch.append(self.receiver.receive_nowait())
+        return batch
+
+    def send_to(self, data: bytes, address: tuple[str, int]) -> bool:
+        self.sent.append(Datagram(data=data, source=address))
+        return True
+
+
+class FixedChooser:
+    """Names one agent."""
+
+    def __init__(self, choice: AgentChoice) -> None:
+        self.choice = choice
+
+    def choose(self) -> AgentChoice:
+        return self.choice
+
+
+class RecordingHandler:
+    """Answers 200, but for the path that waits until it is cancelled."""
+
+    def __init__(self) -> None:
+        self.handled: list[Request] = []
+        self.cancelled = 0
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        self.handled.append(request)
+        if request.path == "/wait":
+            try:
+                await trio.sleep_forever()
+            finally:
+                self.cancelled += 1
+        await responder.send_head(ResponseHead(status=200, headers=()))
+        await responder.finish()
+
+
+class AgentBench:
+    """One agent's endpoint behind a socket in memory."""
+
+    def __init__(
+        self, *, port: int = 4433, incarnation: int = 7, keys: str | None = None
+    ) -> None:
+        ring = make_key_ring(keys) if keys else make_key_ring()
+        self.address = SocketAddress(host="127.0.0.1", port=port)
+        self.to_agent = EnvelopeCodec(
+            key_ring=ring, purpose=KeyPurpose.ENVELOPE_TO_AGENT
+        )
+        self.from_agent = EnvelopeCodec(
+            key_ring=ring, purpose=KeyPurpose.ENVELOPE_TO_BALANCER
+        )
+        self.socket = MemorySocket()
+        self.handler = RecordingHandler()
+        self.answered_balancers: list[tuple[str, int]] = []
+        self.choice = AgentChoice(address=self.address, incarnation=incarnation)
+        self.chooser = FixedChooser(self.choice)
+        self.metrics = AgentMetrics(registry=CollectorRegistry())
+        self.tokens = RetryTokenCodec(key_ring=ring, clock_s=trio.current_time)
+        self.endpoint = PacketEndpoint(
+            socket=self.socket,
+            service_name=SERVICE.name,
+            configuration=FakeConfiguration(services=[SERVICE]),
+            quic_configuration=make_server_configuration(),
+            from_balancers=self.to_agent,
+            to_balancers=self.from_agent,
+            tokens=self.tokens,
+            issuer=ConnectionIdIssuer(
+                codec=ConnectionIdCodec(key_ring=ring),
+                agent_address=self.address,
+                incarnation=incarnation,
+            ),
+            chooser=self.chooser,
+            handler=self.handler,
+            metrics=self.metrics,
+        )
+
+    async def take(
+        self,
+        data: bytes,
+        *,
+        balancer: tuple[str, int] = BALANCER,
+        caller: tuple[str, int] = CALLER,
+        service: bytes = SERVICE.address.packed,
+    ) -> list[Envelope]:
+        """Give the agent one packet; return what it sends at once."""
+        self.deliver(data, balancer=balancer, caller=caller, service=service)
+        await trio.testing.wait_all_tasks_blocked()
+        return self.answers()
+
+    def deliver(
+        self,
+        data: bytes,
+        *,
+        balancer: tuple[str, int] = BALANCER,
+        caller: tuple[str, int] = CALLER,
+        service: bytes = SERVICE.address.packed,
+    ) -> None:
+        """Put one packet into the agent's socket."""
+        envelope = Envelope(service=service, caller=pack_pair(caller), datagram=data)
+        self.socket.sender.send_nowait(
+            Datagram(data=self.to_agent.encode(envelope), source=balancer)
+        )
+
+    def answers(self) -> list[Envelope]:
+        """Return what the agent has sent, once."""
+        sent, self.socket.sent = self.socket.sent, []
+        self.answered_balancers += [datagram.source for datagram in sent]
+        return [self.from_agent.decode(datagram.data) for datagram in sent]
+
+    def dropped(self, reason: DropReason) -> float:
+        value: float = self.metrics.dropped[reason]._value.get()
+        return value
+
+
+class CallerBench:
+    """A caller's session with one or more agents."""
+
+    def __init__(self) -> None:
+        self.quic = QuicConnection(
+            configuration=QuicConfiguration(
+                alpn_protocols=H3_ALPN, verify_mode=ssl.CERT_NONE
+            )
+        )
+        self.quic.connect(AGENT, trio.current_time())
+        self.h3 = H3Connection(self.quic)
+        self.codec = ConnectionIdCodec(key_ring=make_key_ring())
+        self.events: list[QuicEvent | H3Event] = []
+
+    @property
+    def is_terminated(self) -> bool:
+        return any(isinstance(event, ConnectionTerminated) for event in self.events)
+
+    def datagrams(self) -> list[bytes]:
+        """Return what the caller sends now."""
+        sent = self.quic.datagrams_to_send(trio.current_time())
+        return [data for data, _ in sent]
+
+    def receive(self, envelopes: list[Envelope]) -> None:
+        """Take packets, and note the events that they bring."""
+        for envelope in envelopes:
+            self.quic.receive_datagram(envelope.datagram, AGENT, trio.current_time())
+        event = self.quic.next_event()
+        while event is not None:
+            self.events.append(event)
+            self.events.extend(self.h3.handle_event(event))
+            event = self.quic.next_event()
+
+    def request(self, path: str = "/", *, body: bytes = b"") -> int:
+        """Begin a request; return its stream."""
+        stream_id: int = self.quic.get_next_available_stream_id()
+        fields = [
+            (b":method", b"POST" if body else b"GET"),
+            (b":scheme", b"https"),
+            (b":authority", b"test"),
+            (b":path", path.encode()),
+        ]
+        self.h3.send_headers(stream_id, fields, end_stream=not body)
+        if body:
+            self.h3.send_data(stream_id, body, end_stream=True)
+        return stream_id
+
+    async def exchange(
+        self, *agents: AgentBench, balancer: tuple[str, int] = BALANCER
+    ) -> None:
+        """Carry packets both ways for a while, with their timers."""
+        for _ in range(ROUNDS):
+            await trio.sleep(ROUND_S)
+            self.receive([each for agent in agents for each in agent.answers()])
+            self._run_timer()
+            for data in self.datagrams():
+                await self._carry(data, agents, balancer)
+
+    def _run_timer(self) -> None:
+        now = trio.current_time()
+        timer = self.quic.get_timer()
+        if timer is not None and timer <= now:
+            self.quic.handle_timer(now)
+
+    async def _carry(
+        self, data: bytes, agents: tuple[AgentBench, ...], balancer: tuple[str, int]
+    ) -> None:
+        """Bring a packet to the agent that it names, else to the first."""
+        agent = self._agent_for(data, agents)
+        self.receive(await agent.take(data, balancer=balancer))
+
+    def _agent_for(self, data: bytes, agents: tuple[AgentBench, ...]) -> AgentBench:
+        destination = data[1:21]
+        if has_long_header(data):
+            destination = LongHeader.parse(data).destination_connection_id
+        try:
+            named = self.codec.decode(destination).agent
+        except InvalidConnectionIdError:
+            return agents[0]
+        return next(each for each in agents if each.address.packed == named)
