--- a/tests/oleanderweir_agent/quic/test_caller_connection.py
+++ b/tests/oleanderweir_agent/quic/test_caller_connection.py
@@ -2,81 +2,128 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
+import trio.testing
+from aioquic.h3.events import HeadersReceived
 
-from oleanderweir.configuration import Service
-from oleanderweir.net import SocketAddress
-from oleanderweir_agent.quic.balancer_registry import BalancerRegistry
-from oleanderweir_agent.quic.caller_connection import CallerConnection
-from oleanderweir_agent.quic.return_path import ReturnPath
-from tests.oleanderweir_agent.quic.sans_io import JoinedConnections
+from oleanderweir_agent.quic.incoming_request import MAX_BODY_BYTES
+from tests.oleanderweir_agent.quic.endpoint_bench import BALANCER
+from tests.oleanderweir_agent.quic.endpoint_bench import OTHER_BALANCER
+from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
+from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
 
 
 if TYPE_CHECKING:
-    from oleanderweir_agent.requests import Request
-    from oleanderweir_agent.requests import Responder
+    from trio.testing import MockClock
 
 
-DEAD = ("127.0.0.2", 1000)
-LIVE = ("127.0.0.3", 1000)
-TICKS = 20
-# By then the probe timer has backed off beyond the interval of the ticks.
-FIRST_LATE_TICK = 14
+H3_REQUEST_CANCELLED = 0x10C
+EXCHANGES_OF_A_LARGE_BODY = 40
 
 
-class RecordingOwner:
-    def __init__(self) -> None:
-        self.balancers: list[tuple[str, int]] = []
+@pytest.fixture
+def agent(nursery: trio.Nursery) -> AgentBench:
+    bench = AgentBench()
+    nursery.start_soon(bench.endpoint.run)
+    return bench
 
-    def add_connection_id(self, connection_id: bytes, owner: CallerConnection) -> None:
-        pass
 
-    def remove_connection_id(self, connection_id: bytes) -> None:
-        pass
+def statuses(caller: CallerBench) -> list[bytes]:
+    return [
+        dict(event.headers)[b":status"]
+        for event in caller.events
+        if isinstance(event, HeadersReceived)
+    ]
 
-    def send(
-        self,
-        *,
-        data: bytes,
-        caller: tuple[str, int],
-        service: bytes,
-        balancer: tuple[str, int],
-    ) -> None:
-        self.balancers.append(balancer)
 
+async def test_request_is_answered(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+
+    caller.request("/departures")
+    await caller.exchange(agent)
+
+    assert [request.path for request in agent.handler.handled] == ["/departures"]
+    assert statuses(caller) == [b"200"]
+
+
+async def test_request_that_the_caller_gives_up_is_cancelled(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+    stream_id = caller.request("/wait")
+    await caller.exchange(agent)
+    (connection,) = agent.endpoint.connections
+
+    caller.quic.stop_stream(stream_id, H3_REQUEST_CANCELLED)
+    await caller.exchange(agent)
+
+    assert agent.handler.cancelled == 1
+    assert connection.requests == {}
+
+
+async def test_end_of_the_session_cancels_its_requests(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+    caller.request("/wait")
+    await caller.exchange(agent)
+
+    caller.quic.close()
+    await caller.exchange(agent)
+    await trio.sleep(60)
 
-class NoHandler:
-    async def handle(self, request: Request, responder: Responder) -> None:
-        raise NotImplementedError
+    assert agent.handler.cancelled == 1
+    assert agent.endpoint.by_connection_id == {}
 
 
-async def test_unacknowledged_ticks_take_both_balancers_although_they_put_probes_off(
-    autojump_clock: trio.testing.MockClock,
+async def test_too_large_body_is_refused(
+    agent: AgentBench, autojump_clock: MockClock
 ) -> None:
-    joined = JoinedConnections()
-    # The connection was set up in its own time; bring trio's time behind it.
-    await trio.sleep(joined.now)
-    registry = BalancerRegistry()
-    registry.note(LIVE)
-    registry.note(DEAD)
-    owner = RecordingOwner()
-    connection = CallerConnection(
-        quic=joined.server,
-        service=Service(name="horaflujo", address=SocketAddress.parse("192.0.2.1:443")),
-        return_path=ReturnPath(registry=registry, balancer=DEAD),
-        owner=owner,
-        handler=NoHandler(),
-    )
-    stream_id = joined.server.get_next_available_stream_id()
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(connection.run)
-        for number in range(TICKS):
-            if number == FIRST_LATE_TICK:
-                owner.balancers.clear()
-            joined.server.send_stream_data(stream_id, b"tick\n")
-            connection.wake()
-            await trio.sleep(1.0)
-        nursery.cancel_scope.cancel()
-
-    assert set(owner.balancers) == {DEAD, LIVE}
+    caller = CallerBench()
+    await caller.exchange(agent)
+
+    caller.request("/departures", body=bytes(MAX_BODY_BYTES + 1))
+    for _ in range(EXCHANGES_OF_A_LARGE_BODY):
+        await caller.exchange(agent)
+
+    assert statuses(caller) == [b"413"]
+    assert agent.handler.handled == []
+
+
+async def test_answer_takes_another_balancer_after_a_probe_timeout(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    await CallerBench().exchange(agent, balancer=OTHER_BALANCER)
+    caller = CallerBench()
+    await caller.exchange(agent, balancer=BALANCER)
+    caller.request()
+    for packet in caller.datagrams():
+        await agent.take(packet, balancer=BALANCER)
+    assert agent.answered_balancers[-1] == BALANCER
+
+    await trio.sleep(2)
+    agent.answers()
+
+    assert OTHER_BALANCER in agent.answered_balancers[-2:]
+
+
+async def test_drain_asks_the_caller_to_move(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+    agent.answers()
+
+    agent.endpoint.send_goaway()
+    await trio.testing.wait_all_tasks_blocked()
+
+    assert len(agent.answers()) == 1
+    caller.request()
+    await caller.exchange(agent)
+    assert statuses(caller) == [b"200"]
