--- a/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_experiment.py
@@ -10,6 +10,7 @@
 import trio
 
 from oleanderweir_bench.callers import CallerError
+from oleanderweir_bench.callers import SessionLeavingError
 from oleanderweir_bench.churn.churn_result import ChurnResult
 from oleanderweir_bench.churn.feed_session import FeedSession
 from oleanderweir_bench.churn.session_opener import SessionOpener
@@ -28,6 +29,7 @@
 BACKEND_SERVERS = 4
 OPENING_AT_ONCE = 10
 OPENING_TIMEOUT_S = 120.0
+OK_STATUS = 200
 
 
 class ChurnExperiment:
@@ -165,13 +167,31 @@
         await self.probing.wait()
         share = session.number / len(self.sessions)
         await trio.sleep(share * self.schedule.probe_spread_s)
-        body = json.dumps({"id": f"report-{session.number}"}).encode()
-        timeout_s = self.schedule.probe_timeout_s
         try:
-            await caller.request("POST", "/reports", body=body, timeout_s=timeout_s)
+            await self.post_report(session, caller)
+        except SessionLeavingError:
+            await self.move_and_post(session)
+        except CallerError as error:
+            session.probe_error = str(error)
+
+    async def move_and_post(self, session: FeedSession) -> None:
+        """Post the report on another session, as GOAWAY asks; the feed goes on."""
+        session.has_moved = True
+        try:
+            async with self.deployment.create_caller() as caller:
+                await self.post_report(session, caller)
         except CallerError as error:
             session.probe_error = str(error)
 
+    async def post_report(self, session: FeedSession, caller: Http3Caller) -> None:
+        """Post the report of a session; anything but 200 counts against it."""
+        body = json.dumps({"id": f"report-{session.number}"}).encode()
+        response = await caller.request(
+            "POST", "/reports", body=body, timeout_s=self.schedule.probe_timeout_s
+        )
+        if response.status != OK_STATUS:
+            session.probe_error = f"status {response.status}"
+
     def note_stalled(self) -> None:
         """Note the sessions whose feed has gone silent."""
         now = trio.current_time()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_report.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_report.py
@@ -20,6 +20,7 @@
     "broken": "broken sessions",
     "broken_feeds": "- feed ended or stalled",
     "unanswered_probes": "- no answer to the report at the end",
+    "moved_sessions": "reports posted on another session after GOAWAY",
     "missing_ticks": "missing ticks",
     "doubled_ticks": "doubled ticks",
     "doubled_runs": "reports started twice",
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_result.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/churn_result.py
@@ -35,6 +35,7 @@
     broken: int
     broken_feeds: int
     unanswered_probes: int
+    moved_sessions: int
     missing_ticks: int
     doubled_ticks: int
     doubled_runs: int
@@ -69,6 +70,7 @@
             broken=sum(session.is_broken for session in sessions),
             broken_feeds=sum(bool(session.error) for session in sessions),
             unanswered_probes=sum(bool(session.probe_error) for session in sessions),
+            moved_sessions=sum(session.has_moved for session in sessions),
             missing_ticks=sum(session.missing for session in sessions),
             doubled_ticks=sum(session.doubled for session in sessions),
             doubled_runs=doubled_runs,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/churn/feed_session.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/churn/feed_session.py
@@ -26,6 +26,7 @@
     ``last_tick`` is the number of the newest tick. ``longest_gap_s`` is the longest
     time between two ticks. ``error`` tells what ended the feed, ``probe_error`` why the
     request at the end had no answer; both are empty for a session that is whole.
+    ``has_moved`` tells that the request went to another session after a GOAWAY.
     """
 
     number: int
@@ -36,6 +37,7 @@
     last_tick_at: float = -math.inf
     error: str = ""
     probe_error: str = ""
+    has_moved: bool = False
     opened: trio.Event = attrs.field(factory=trio.Event)
 
     async def follow(self, feed: Feed) -> None:
--- /dev/null
+++ b/tests/oleanderweir_agent/peers/test_grpc_relay_connector.py
@@ -0,0 +1,91 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio_asyncio
+
+from oleanderweir.spreading import GrpcPeerTransport
+from oleanderweir.spreading import PeerCredentials
+from oleanderweir.spreading import PeerUnavailableError
+from oleanderweir.spreading import StreamService
+from oleanderweir_agent.peers.grpc_relay_connector import RELAY_METHOD
+from oleanderweir_agent.peers.grpc_relay_connector import GrpcRelayConnector
+from oleanderweir_bench.keys import CertificateAuthority
+from tests.oleanderweir.helpers_admin import find_free_address
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from oleanderweir.spreading import PeerStream
+
+
+async def echo(stream: PeerStream) -> None:
+    while True:
+        await stream.send(b"echo " + await stream.receive())
+
+
+async def ignore(stream: PeerStream) -> None:
+    del stream
+
+
+def make_credentials(folder: Path) -> PeerCredentials:
+    authority = CertificateAuthority()
+    files = authority.write(folder, "instance")
+    return PeerCredentials(
+        certificate_path=str(files.certificate),
+        key_path=str(files.private_key),
+        authority_path=str(authority.write_authority(folder)),
+    )
+
+
+async def test_offers_share_one_channel_and_end_apart(tmp_path: Path) -> None:
+    address = find_free_address()
+    credentials = make_credentials(tmp_path)
+    transport = GrpcPeerTransport(
+        bind_address=address,
+        credentials=credentials,
+        other_services=[StreamService(method=RELAY_METHOD, handler=echo)],
+    )
+    async with trio_asyncio.open_loop(), transport.serve(ignore):
+        connector = GrpcRelayConnector(credentials=credentials)
+        async with connector.connect(address) as first:
+            async with connector.connect(address) as second:
+                await second.send(b"two")
+                await first.send(b"one")
+                answers = [await first.receive(), await second.receive()]
+            await first.send(b"three")
+            answers.append(await first.receive())
+        connector.close()
+
+    assert answers == [b"echo one", b"echo two", b"echo three"]
+    assert len(connector.channels) == 1
+
+
+async def test_an_absent_peer_is_unavailable(tmp_path: Path) -> None:
+    connector = GrpcRelayConnector(credentials=make_credentials(tmp_path))
+
+    async with trio_asyncio.open_loop():
+        with pytest.raises(PeerUnavailableError):
+            async with connector.connect(find_free_address()):
+                raise AssertionError
+        connector.close()
+
+
+async def test_a_peer_of_another_authority_is_unavailable(tmp_path: Path) -> None:
+    own, foreign = tmp_path / "own", tmp_path / "foreign"
+    own.mkdir()
+    foreign.mkdir()
+    address = find_free_address()
+    transport = GrpcPeerTransport(
+        bind_address=address,
+        credentials=make_credentials(foreign),
+        other_services=[StreamService(method=RELAY_METHOD, handler=echo)],
+    )
+    async with trio_asyncio.open_loop(), transport.serve(ignore):
+        connector = GrpcRelayConnector(credentials=make_credentials(own))
+        with pytest.raises(PeerUnavailableError):
+            async with connector.connect(address):
+                raise AssertionError
+        connector.close()
