Let a shutdown wait for relayed requests and for the last bytes

Cause: the departure experiment ended an agent by SIGTERM and saw exit code 1. Now the agent waits for open requests, then for acknowledgements, and closes channels inside their loop. Ruled out: the drain period, which was not reached.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -34,6 +34,8 @@
     from oleanderweir_agent.verdicts import RequestMetrics
 
 
+FLUSH_TIMEOUT_S = 3.0
+CLOSE_DELAY_S = 0.1
 SESSION_IDLE_TIMEOUT_S = 60.0
 MAX_STREAM_DATA_BYTES = 1024 * 1024
 
@@ -99,19 +101,33 @@
             async with trio_asyncio.open_loop(), trio.open_nursery() as nursery:
                 await nursery.start(self.control_plane.run)
                 task_status.started()
-                self.host = self._make_host(await self._wait_own_entry())
-                await self.host.run()
+                await self._run_host()
         finally:
-            self.connector.close()
             self.packet_socket.close()
             self.load_socket.close()
 
+    async def _run_host(self) -> None:
+        """Serve once a ticket names the backend server beside this agent."""
+        try:
+            self.host = self._make_host(await self._wait_own_entry())
+            await self.host.run()
+        finally:
+            # The channels belong to the loop, which is closed next.
+            self.connector.close()
+
     async def drain(self) -> None:
         """Take no new work; return once nothing is left to finish."""
         if self.host is None:
             return
         self.host.drain.begin(drain_period_s=math.inf, is_final=True)
         await self.host.drain.wait_finished()
+        # What was relayed runs at peers, so the drain does not know of it.
+        await self.host.endpoint.wait_answered()
+        # The last answers are written by now, but callers may not have them yet.
+        with trio.move_on_after(FLUSH_TIMEOUT_S):
+            await self.host.endpoint.flush()
+        self.host.endpoint.close_connections(reason="shutting down")
+        await trio.sleep(CLOSE_DELAY_S)
 
     def _own_entry(self) -> BackendServer | None:
         """Return the entry in force of the backend server beside this agent."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/host_connection.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/host_connection.py
@@ -70,6 +70,11 @@
         """How many probe timeouts passed since the caller last acknowledged."""
         return self._loss._pto_count
 
+    @property
+    def is_flushed(self) -> bool:
+        """Whether the caller has acknowledged every byte of every stream."""
+        return not any(stream.sender._buffer for stream in self._streams.values())
+
     def unsent_bytes(self, stream_id: int) -> int:
         """Return how many bytes of a stream wait to be sent or acknowledged."""
         stream = self._streams.get(stream_id)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -44,6 +44,7 @@
 
 
 MAX_CONNECTIONS = 20_000
+FLUSH_CHECK_INTERVAL_S = 0.02
 SHORT_HEADER_ID_START = 1
 SHORT_HEADER_ID_END = SHORT_HEADER_ID_START + CONNECTION_ID_LENGTH_BYTES
 
@@ -98,6 +99,16 @@
         for connection in self.connections:
             connection.send_goaway()
 
+    async def wait_answered(self) -> None:
+        """Return when no request of a caller is open, here or at a peer."""
+        while any(connection.requests for connection in self.connections):
+            await trio.sleep(FLUSH_CHECK_INTERVAL_S)
+
+    async def flush(self) -> None:
+        """Return when callers have acknowledged all that was sent to them."""
+        while not all(connection.quic.is_flushed for connection in self.connections):
+            await trio.sleep(FLUSH_CHECK_INTERVAL_S)
+
     def close_connections(self, *, reason: str) -> None:
         """Close every connection in order."""
         for connection in self.connections:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/sessions/session_cost_experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/sessions/session_cost_experiment.py
@@ -93,9 +93,12 @@
 
     async def _measure(self, sessions: int) -> SessionCost:
         """Return the use of the processes over some seconds."""
+        started_at = trio.current_time()
         before = await self._read_all()
         await trio.sleep(MEASURE_S)
         after = await self._read_all()
+        # A busy bench wakes up late, so the window is longer than asked for.
+        window_s = trio.current_time() - started_at
         balancers, agents = (
             [(early, late) for early, late in zip(first, second, strict=True)]
             for first, second in zip(before, after, strict=True)
@@ -104,8 +107,8 @@
             sessions=sessions,
             balancer_memory_bytes=mean_memory(balancers),
             agent_memory_bytes=mean_memory(agents),
-            balancer_cpu_share=mean_cpu_share(balancers),
-            agent_cpu_share=mean_cpu_share(agents),
+            balancer_cpu_share=mean_cpu_share(balancers, window_s),
+            agent_cpu_share=mean_cpu_share(agents, window_s),
         )
 
     async def _read_all(self) -> tuple[list[Usage], list[Usage]]:
@@ -139,7 +142,7 @@
     return sum(late.memory_bytes for _, late in pairs) / len(pairs)
 
 
-def mean_cpu_share(pairs: Sequence[tuple[Usage, Usage]]) -> float:
+def mean_cpu_share(pairs: Sequence[tuple[Usage, Usage]], window_s: float) -> float:
     """Return the mean share of a core between both readings."""
     spent_s = sum(late.cpu_s - early.cpu_s for early, late in pairs)
-    return spent_s / len(pairs) / MEASURE_S
+    return spent_s / len(pairs) / window_s
--- a/tests/oleanderweir_agent/quic/test_caller_connection.py
+++ b/tests/oleanderweir_agent/quic/test_caller_connection.py
@@ -127,3 +127,22 @@
     caller.request()
     await caller.exchange(agent)
     assert statuses(caller) == [b"200"]
+
+
+async def test_a_request_that_runs_keeps_the_endpoint_from_being_answered(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+    stream_id = caller.request("/wait")
+    await caller.exchange(agent)
+    with trio.move_on_after(5) as open_request:
+        await agent.endpoint.wait_answered()
+
+    caller.quic.stop_stream(stream_id, H3_REQUEST_CANCELLED)
+    await caller.exchange(agent)
+    with trio.move_on_after(5) as no_request:
+        await agent.endpoint.wait_answered()
+
+    assert open_request.cancelled_caught
+    assert not no_request.cancelled_caught
--- a/tests/oleanderweir_agent/quic/test_host_connection.py
+++ b/tests/oleanderweir_agent/quic/test_host_connection.py
@@ -122,3 +122,15 @@
         event = joined.client.next_event()
     ends = [data.endswith(GOAWAY_AFTER_FIRST_REQUEST) for data in received.values()]
     assert ends.count(True) == 1
+
+
+def test_a_connection_is_flushed_once_all_is_acknowledged() -> None:
+    joined = JoinedConnections()
+    stream_id = joined.server.get_next_available_stream_id()
+    joined.server.send_stream_data(stream_id, bytes(5000), end_stream=True)
+
+    before = joined.server.is_flushed
+    joined.exchange()
+
+    assert not before
+    assert joined.server.is_flushed
