--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -6,7 +6,6 @@
 
 import trio
 from aioquic.buffer import Buffer
-from aioquic.quic.packet import encode_quic_retry
 from aioquic.quic.packet import encode_quic_version_negotiation
 from aioquic.quic.packet import pull_quic_header
 
@@ -24,7 +23,7 @@
 from oleanderweir_agent.quic.caller_connection import CallerConnection
 from oleanderweir_agent.quic.exceptions import InvalidRetryTokenError
 from oleanderweir_agent.quic.host_connection import HostConnection
-from oleanderweir_agent.quic.retry_token import RetryToken
+from oleanderweir_agent.quic.retry_handshake import RetryHandshake
 from oleanderweir_agent.quic.return_path import ReturnPath
 
 
@@ -39,6 +38,7 @@
     from oleanderweir_agent.metrics import AgentMetrics
     from oleanderweir_agent.quic.agent_choice import AgentChooser
     from oleanderweir_agent.quic.connection_id_issuer import ConnectionIdIssuer
+    from oleanderweir_agent.quic.retry_token import RetryToken
     from oleanderweir_agent.quic.retry_token_codec import RetryTokenCodec
     from oleanderweir_agent.requests import RequestHandler
 
@@ -78,9 +78,13 @@
         self.quic_configuration = quic_configuration
         self.from_balancers = from_balancers
         self.to_balancers = to_balancers
-        self.tokens = tokens
+        self.retry = RetryHandshake(
+            version=quic_configuration.supported_versions[0],
+            tokens=tokens,
+            issuer=issuer,
+            chooser=chooser,
+        )
         self.issuer = issuer
-        self.chooser = chooser
         self.handler = handler
         self.metrics = metrics
         self.balancers = BalancerRegistry()
@@ -196,12 +200,11 @@
             self._drop(DropReason.INVALID_PACKET)
             return
         if not header.token:
-            self._send_retry(
-                envelope, balancer, header.source_cid, header.destination_cid
-            )
+            self.metrics.retries_sent.inc()
+            self._answer(self.retry.make_packet(header, envelope), envelope, balancer)
             return
         try:
-            token = self._check_token(header.token, header.destination_cid, envelope)
+            token = self.retry.check_token(header, envelope)
         except InvalidRetryTokenError:
             self._drop(DropReason.INVALID_RETRY_TOKEN)
             return
@@ -210,46 +213,6 @@
             return
         self._start_connection(token, service, envelope, balancer, nursery)
 
-    def _send_retry(
-        self,
-        envelope: Envelope,
-        balancer: tuple[str, int],
-        source_cid: bytes,
-        destination_cid: bytes,
-    ) -> None:
-        """Name the agent that shall serve a new flow (RFC 9000, 8.1.2)."""
-        choice = self.chooser.choose()
-        retry_cid = self.issuer.issue_for(
-            choice.address.packed, choice.incarnation, envelope.service
-        )
-        token = RetryToken(
-            caller=envelope.caller,
-            service=envelope.service,
-            original_destination_connection_id=destination_cid,
-            retry_source_connection_id=retry_cid,
-            issued_at_ms=self.tokens.now_ms(),
-        )
-        packet = encode_quic_retry(
-            version=self.quic_configuration.supported_versions[0],
-            source_cid=retry_cid,
-            destination_cid=source_cid,
-            original_destination_cid=destination_cid,
-            retry_token=self.tokens.encode(token),
-        )
-        self.metrics.retries_sent.inc()
-        self._answer(packet, envelope, balancer)
-
-    def _check_token(
-        self, data: bytes, destination_cid: bytes, envelope: Envelope
-    ) -> RetryToken:
-        """Read a token; raise ``InvalidRetryTokenError`` unless it fits the packet."""
-        token = self.tokens.decode(data)
-        if token.caller != envelope.caller or token.service != envelope.service:
-            raise InvalidRetryTokenError("the token was given to another caller")
-        if token.retry_source_connection_id != destination_cid:
-            raise InvalidRetryTokenError("the token belongs to another connection ID")
-        return token
-
     def _start_connection(
         self,
         token: RetryToken,
--- a/packages/oleanderweir/src/oleanderweir/spreading/instance_lister.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/instance_lister.py
@@ -85,7 +85,9 @@
             records = await source.read_instances()
         except OleanderweirError as error:
             INSTANCE_LIST_READS.labels(outcome=error.code).inc()
-            logger.warning("the instance list can't be read: %s", error)
+            logger.warning(
+                "the instance list can't be read: %s", error, extra={"code": error.code}
+            )
             return False
         is_taken = self.membership.update(records, availability_zone=availability_zone)
         INSTANCE_LIST_READS.labels(outcome="ok" if is_taken else "empty").inc()
--- a/packages/oleanderweir/src/oleanderweir/spreading/service_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/spreading/service_follower.py
@@ -132,7 +132,11 @@
     def _note_failure(self, error: OleanderweirError) -> None:
         """Count a failed read; while booting, peers may have to suffice."""
         SERVICE_READS.labels(kind="any", outcome=error.code).inc()
-        logger.warning("the configuration service can't be read: %s", error)
+        logger.warning(
+            "the configuration service can't be read: %s",
+            error,
+            extra={"code": error.code},
+        )
         if self.cursor is None:
             self.context.boot_gate.record(
                 BootSource.CONFIGURATION_SERVICE, BootOutcome.UNAVAILABLE
