--- /dev/null
+++ b/tests/oleanderweir_agent/quic/test_stream_responder.py
@@ -0,0 +1,111 @@
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+from aioquic.h3.events import DataReceived
+
+from oleanderweir_agent.quic.stream_responder import MAX_UNSENT_BYTES
+from oleanderweir_agent.quic.stream_responder import StreamResponder
+from oleanderweir_agent.requests import ResponseHead
+from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
+from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+
+
+if TYPE_CHECKING:
+    from trio.testing import MockClock
+
+    from oleanderweir_agent.requests import Request
+    from oleanderweir_agent.requests import Responder
+
+
+PART_BYTES = 64 * 1024
+LARGE_PARTS = 32
+FRAME_HEADER_BYTES = 8
+MAX_EXCHANGES = 400
+
+
+class NamingHandler:
+    """Answers with the path; ``/first`` late, ``/large`` in many parts."""
+
+    def __init__(self) -> None:
+        self.most_unsent = 0
+
+    async def handle(self, request: Request, responder: Responder) -> None:
+        if request.path == "/first":
+            await trio.sleep(0.2)
+        await responder.send_head(ResponseHead(status=200, headers=()))
+        if request.path == "/large":
+            for number in range(LARGE_PARTS):
+                await responder.send_data(bytes([number]) * PART_BYTES)
+                assert isinstance(responder, StreamResponder)
+                quic = responder.connection.quic
+                unsent = quic.unsent_bytes(responder.stream_id)
+                self.most_unsent = max(self.most_unsent, unsent)
+        else:
+            await responder.send_data(request.path.encode())
+        await responder.finish()
+
+
+@pytest.fixture
+def agent(nursery: trio.Nursery) -> AgentBench:
+    bench = AgentBench()
+    bench.endpoint.handler = NamingHandler()
+    nursery.start_soon(bench.endpoint.run)
+    return bench
+
+
+def bodies(caller: CallerBench) -> dict[int, bytes]:
+    received: defaultdict[int, bytes] = defaultdict(bytes)
+    for event in caller.events:
+        if isinstance(event, DataReceived):
+            received[event.stream_id] += event.data
+    return dict(received)
+
+
+def has_ended(caller: CallerBench, stream_id: int) -> bool:
+    return any(
+        isinstance(event, DataReceived)
+        and event.stream_id == stream_id
+        and event.stream_ended
+        for event in caller.events
+    )
+
+
+async def test_crossed_answers_reach_their_own_requests(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    caller = CallerBench()
+    await caller.exchange(agent)
+
+    first = caller.request("/first")
+    second = caller.request("/second")
+    await caller.exchange(agent)
+    await caller.exchange(agent)
+
+    assert bodies(caller) == {first: b"/first", second: b"/second"}
+    ends = [e.stream_id for e in caller.events if isinstance(e, DataReceived)]
+    assert ends.index(second) < ends.index(first)
+
+
+async def test_a_large_answer_comes_whole_and_in_order_and_waits_for_its_reader(
+    agent: AgentBench, autojump_clock: MockClock
+) -> None:
+    handler = agent.endpoint.handler
+    assert isinstance(handler, NamingHandler)
+    caller = CallerBench()
+    await caller.exchange(agent)
+
+    stream_id = caller.request("/large")
+    for _ in range(MAX_EXCHANGES):
+        await caller.exchange(agent)
+        if has_ended(caller, stream_id):
+            break
+
+    expected = b"".join(bytes([n]) * PART_BYTES for n in range(LARGE_PARTS))
+    assert bodies(caller)[stream_id] == expected
+    assert has_ended(caller, stream_id)
+    bound = MAX_UNSENT_BYTES + PART_BYTES + FRAME_HEADER_BYTES
+    assert MAX_UNSENT_BYTES <= handler.most_unsent <= bound
