Look the own backend server up by name, and keep one list of idempotent methods

Read again: the agent searched all backend servers of all services for its own at every change and readiness check, although the register's view has an index by name; the interface lacked it. It is there now, with the same answer, a removed service included. The list of idempotent methods stood twice, and the property that used one copy had no caller; the retry policy's copy stays.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -131,17 +131,16 @@
 
     def _own_entry(self) -> BackendServer | None:
         """Return the entry in force of the backend server beside this agent."""
-        for service in self.configuration.services():
-            for server in self.configuration.backend_servers(service.name):
-                if server.name == self.backend_server_name:
-                    return server
-        return None
+        entry = self.configuration.backend_server(self.backend_server_name)
+        if entry is None or self.configuration.service(entry.service) is None:
+            return None
+        return entry
 
     async def _wait_own_entry(self) -> BackendServer:
         """Wait until a ticket names the backend server beside this agent."""
         while True:
             entry = self._own_entry()
-            if entry is not None and self.configuration.service(entry.service):
+            if entry is not None:
                 return entry
             await self.configuration.wait_changed()
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request.py
@@ -11,9 +11,6 @@
     from oleanderweir_agent.requests.header import Header
 
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
-
-
 @attrs.frozen(kw_only=True)
 class Request:
     """
@@ -31,8 +28,3 @@
     arrived_at: float
     deadline: float
     is_feed: bool = False
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Whether the request may run twice (RFC 9110, 9.2.2)."""
-        return self.method in IDEMPOTENT_METHODS
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/forwarding/one_server_configuration.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/forwarding/one_server_configuration.py
@@ -40,6 +40,10 @@
         """Return the one service for its name."""
         return self.only_service if name == self.only_service.name else None
 
+    def backend_server(self, name: str) -> BackendServer | None:
+        """Return the one backend server for its name."""
+        return self.only_server if name == self.only_server.name else None
+
     def backend_servers(self, service: str) -> Sequence[BackendServer]:
         """Return the one backend server."""
         return [self.only_server] if service == self.only_service.name else []
--- a/packages/oleanderweir/src/oleanderweir/configuration/configuration_view.py
+++ b/packages/oleanderweir/src/oleanderweir/configuration/configuration_view.py
@@ -26,6 +26,9 @@
     def service(self, name: str) -> Service | None:
         """Return the service of that name."""
 
+    def backend_server(self, name: str) -> BackendServer | None:
+        """Return the backend server of that name."""
+
     def backend_servers(self, service: str) -> Sequence[BackendServer]:
         """Return the backend servers of a service, ordered by name."""
 
--- a/tests/oleanderweir_balancer/fakes.py
+++ b/tests/oleanderweir_balancer/fakes.py
@@ -50,6 +50,10 @@
     def service(self, name: str) -> Service | None:
         return next((each for each in self.all_services if each.name == name), None)
 
+    def backend_server(self, name: str) -> BackendServer | None:
+        servers = self.all_backend_servers
+        return next((each for each in servers if each.name == name), None)
+
     def backend_servers(self, service: str) -> Sequence[BackendServer]:
         return [each for each in self.all_backend_servers if each.service == service]
 
