--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -0,0 +1,18 @@
+"""Forwarding of packets between balancers, callers and one backend server."""
+
+from __future__ import annotations
+
+from oleanderweir_agent.forwarding.flow_table import FlowTable
+from oleanderweir_agent.forwarding.load_meter import LoadMeter
+from oleanderweir_agent.forwarding.opening_gate import OpeningGate
+from oleanderweir_agent.forwarding.packet_agent import PacketAgent
+from oleanderweir_agent.forwarding.packet_agent_settings import PacketAgentSettings
+
+
+__all__ = [
+    "FlowTable",
+    "LoadMeter",
+    "OpeningGate",
+    "PacketAgent",
+    "PacketAgentSettings",
+]
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -0,0 +1,69 @@
+"""The agent as a process: its sockets, its timers, its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import Topic
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import Message
+    from oleanderweir_agent.forwarding.packet_agent import PacketAgent
+
+
+TICK_S = 0.05
+EXPIRY_INTERVAL_S = 1.0
+# How long the agent stays after its backend server ended, for the last packets.
+LINGER_S = 0.3
+
+
+class AgentProgram:
+    """Serves a ``PacketAgent``."""
+
+    def __init__(self, *, agent: PacketAgent, backend_socket: UdpSocket) -> None:
+        self.agent = agent
+        self.backend_socket = backend_socket
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process serves its backend server."""
+        return True
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Receive packets of the backend server until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._expire)
+            task_status.started()
+
+    def on_message(self, host: str, message: Message) -> None:
+        """Take a message of a balancer in."""
+        self.agent.on_message(host, message)
+
+    def on_state_change(self, topic: Topic) -> None:
+        """Take a change of the published state in."""
+        del topic
+        self.agent.on_state_change()
+
+    async def drain(self) -> None:
+        """Stay for the last packets; the backend server has ended before."""
+        await trio.sleep(LINGER_S)
+
+    async def _receive(self) -> None:
+        while True:
+            for datagram in await self.backend_socket.receive_batch():
+                self.agent.on_backend_packet(datagram.data)
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_S)
+            self.agent.on_tick()
+
+    async def _expire(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_INTERVAL_S)
+            self.agent.expire()
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -0,0 +1,80 @@
+"""The flows of one backend server, as its agent saw them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import FlowKey
+
+
+# A flow that ended is remembered for the last packets of its caller.
+ENDED_LEASE_S = 5.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class HeldFlow:
+    """
+    A flow that the backend server opened or may open.
+
+    ``balancer`` is the host that sent its last packet. ``is_answered`` once the
+    backend server sent a packet of it, ``is_confirmed`` once the caller sent one that
+    isn't an opening. ``requested_at`` is when the request in progress began, None
+    while there is none. Times are in trio's seconds.
+    """
+
+    key: FlowKey
+    balancer: str
+    used_at: float
+    opening: bytes | None = None
+    opened_at: float = 0.0
+    is_answered: bool = False
+    is_confirmed: bool = False
+    requested_at: float | None = None
+    busy_at_request: int = 0
+    caller_ended: bool = False
+    backend_ended: bool = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether both ends closed the flow."""
+        return self.caller_ended and self.backend_ended
+
+
+class FlowTable:
+    """Flows by key."""
+
+    def __init__(self, *, idle_s: float) -> None:
+        self.idle_s = idle_s
+        self.flows: dict[FlowKey, HeldFlow] = {}
+
+    def get(self, key: FlowKey) -> HeldFlow | None:
+        """Return a flow, if it is known."""
+        return self.flows.get(key)
+
+    def ensure(self, key: FlowKey, *, balancer: str, now: float) -> HeldFlow:
+        """Return a flow, noted anew if it wasn't known."""
+        flow = self.flows.get(key)
+        if flow is None:
+            flow = HeldFlow(key=key, balancer=balancer, used_at=now)
+            self.flows[key] = flow
+        flow.used_at = now
+        return flow
+
+    def forget(self, key: FlowKey) -> HeldFlow | None:
+        """Drop a flow; return it."""
+        return self.flows.pop(key, None)
+
+    def expire(self, *, now: float) -> list[HeldFlow]:
+        """Drop and return flows that ended or were idle for too long."""
+        over = [flow for flow in self.flows.values() if self._is_over(flow, now)]
+        for flow in over:
+            del self.flows[flow.key]
+        return over
+
+    def _is_over(self, flow: HeldFlow, now: float) -> bool:
+        idle_s = ENDED_LEASE_S if flow.is_ended else self.idle_s
+        return now - flow.used_at > idle_s
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -0,0 +1,99 @@
+"""
+How busy a backend server is, from the packets that pass.
+
+Only directions, lengths and times count: a request begins with the first payload of
+its caller and is answered with the first payload of the backend server after it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.peering.messages import LoadReport
+
+
+if TYPE_CHECKING:
+    from oleanderweir_agent.forwarding.flow_table import HeldFlow
+
+
+# Share of a new sample in the mean time of a request.
+SERVICE_GAIN = 0.1
+# Time over which the mean of requests in progress is taken.
+BUSY_MEAN_S = 3.0
+
+
+class LoadMeter:
+    """Counts requests in progress, and measures their times. Times are in seconds."""
+
+    def __init__(self, *, slots: int, now: float) -> None:
+        self.slots = slots
+        self.busy = 0
+        self.busy_mean = 0.0
+        self.mean_at = now
+        self.service_s = 0.0
+        self.flows = 0
+        # Since when the backend server owes a packet, None while it doesn't.
+        self.owed_since: float | None = None
+
+    def note_delivered(self, *, now: float) -> None:
+        """Note a packet that the backend server should react to."""
+        if self.owed_since is None:
+            self.owed_since = now
+
+    def note_sign_of_life(self) -> None:
+        """Note that the backend server sent any packet."""
+        self.owed_since = None
+
+    def note_request(self, flow: HeldFlow, *, now: float) -> None:
+        """Payload of a caller went to the backend server."""
+        if flow.requested_at is not None:
+            return
+        self._advance(now)
+        self.busy += 1
+        flow.requested_at = now
+        flow.busy_at_request = self.busy
+
+    def note_answer(self, flow: HeldFlow, *, now: float) -> None:
+        """Payload of the backend server went to the caller."""
+        if flow.requested_at is None:
+            return
+        elapsed_s = now - flow.requested_at
+        # Requests beyond the slots waited for others; their time is shared out.
+        sample = elapsed_s / max(1.0, flow.busy_at_request / self.slots)
+        if self.service_s == 0.0:
+            self.service_s = sample
+        self.service_s += SERVICE_GAIN * (sample - self.service_s)
+        self.drop_request(flow, now=now)
+
+    def drop_request(self, flow: HeldFlow, *, now: float) -> None:
+        """Note that the request of a flow is over, answered or not."""
+        if flow.requested_at is None:
+            return
+        self._advance(now)
+        flow.requested_at = None
+        self.busy -= 1
+
+    def silent_s(self, *, now: float) -> float:
+        """Return how long the backend server has owed a sign of life."""
+        return 0.0 if self.owed_since is None else now - self.owed_since
+
+    def report(
+        self, *, service: str, flows: int, is_accepting: bool, now: float
+    ) -> LoadReport:
+        """Return what balancers should know."""
+        self._advance(now)
+        return LoadReport(
+            service=service,
+            busy=self.busy,
+            flows=flows,
+            busy_mean=round(self.busy_mean, 2),
+            service_ms=round(self.service_s * 1000, 1),
+            silent_ms=int(self.silent_s(now=now) * 1000),
+            is_accepting=is_accepting,
+        )
+
+    def _advance(self, now: float) -> None:
+        """Move the mean of requests in progress on to now."""
+        share = min(1.0, max(0.0, now - self.mean_at) / BUSY_MEAN_S)
+        self.busy_mean += share * (self.busy - self.busy_mean)
+        self.mean_at = now
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -0,0 +1,325 @@
+"""The agent of one backend server: knows which flows it holds."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.flows import caller_host
+from oleanderweir.flows import describe_flow
+from oleanderweir.peering import encode_message
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.flow_table import FlowTable
+from oleanderweir_agent.forwarding.load_meter import LoadMeter
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.flows import PacketCodec
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering import Members
+    from oleanderweir.peering.messages import Message
+    from oleanderweir_agent.forwarding.flow_table import HeldFlow
+    from oleanderweir_agent.forwarding.opening_gate import OpeningGate
+    from oleanderweir_agent.forwarding.packet_agent_settings import PacketAgentSettings
+
+
+logger = logging.getLogger(__name__)
+
+# A backend server that answers no opening packet for this long is passed over.
+OPENING_TIMEOUT_S = 0.06
+# After a refused opening packet the balancers are told that there is no room.
+FULL_PAUSE_S = 0.1
+# A backend server that owes a sign of life for this long takes no new flows.
+SILENCE_LIMIT_S = 0.5
+# How long a flow that the backend server gave back is known not to be held.
+ABSENCE_LEASE_S = 5.0
+REPORT_INTERVAL_S = 0.1
+# Reports without a change; below the silence that balancers bear.
+REPORT_KEEPALIVE_S = 0.3
+DEFAULT_SLOTS = 4
+
+
+class PacketAgent:
+    """
+    Passes packets to its backend server, and the backend server's to callers.
+
+    It sees every packet of the backend server, so it is the authority on the flows
+    that are held there. An agent that started after its backend server doesn't know
+    the older flows: it hands a packet over, and the backend server gives back what
+    it doesn't hold.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PacketAgentSettings,
+        codec: PacketCodec,
+        register: StateRegister,
+        members: Members,
+        gate: OpeningGate,
+        peer_socket: UdpSocket,
+        backend_socket: UdpSocket,
+    ) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.register = register
+        self.members = members
+        self.gate = gate
+        self.peer_socket = peer_socket
+        self.backend_socket = backend_socket
+        self.table = FlowTable(idle_s=settings.flow_ttl_s)
+        self.meter = LoadMeter(slots=DEFAULT_SLOTS, now=trio.current_time())
+        # Balancers that wait to hear whether the backend server holds a flow.
+        self.finders: dict[FlowKey, str] = {}
+        # Flows that the backend server gave back, and when.
+        self.absent: dict[FlowKey, float] = {}
+        self.full_until = float("-inf")
+        self.lifetime = 0
+        self.last_report: bytes = b""
+        self.reported_at = float("-inf")
+
+    # Packets from balancers
+
+    def on_message(self, host: str, message: Message) -> None:
+        """Take in what a balancer says."""
+        if not isinstance(message, Delivery):
+            return
+        packet = self.codec.decode_from_caller(message.data)
+        if packet is None:
+            return
+        now = trio.current_time()
+        if packet.is_opening:
+            self._open(host, packet, version=message.version, now=now)
+        else:
+            self._continue(host, packet, message, now=now)
+
+    def _open(self, host: str, packet: Packet, *, version: int, now: float) -> None:
+        """Check an opening packet, and hand it to the backend server."""
+        known = self.table.get(packet.key)
+        if known is not None and known.is_confirmed:
+            # A late copy; its flow is open and needs no other answer.
+            return
+        reason = self.gate.check(packet.key, version=version)
+        if reason is None and self.meter.silent_s(now=now) > SILENCE_LIMIT_S:
+            reason = ReturnReason.FULL
+        if reason is not None:
+            self._give_back(host, packet.data, reason, packet.key)
+            return
+        self.absent.pop(packet.key, None)
+        flow = self.table.ensure(packet.key, balancer=host, now=now)
+        flow.balancer = host
+        flow.opening = packet.data
+        flow.opened_at = now
+        self.meter.note_delivered(now=now)
+        self._hand_over(packet.data)
+
+    def _continue(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
+        """Hand a packet over if the backend server holds its flow, or may hold it."""
+        flow = self.table.get(packet.key)
+        if flow is not None:
+            self._note_from_caller(host, flow, packet, now=now)
+            self._hand_over(packet.data)
+            if message.purpose is DeliveryPurpose.FIND:
+                self._claim(host, packet.key)
+            return
+        if self._is_absent(packet.key, now) or not self.gate.allows_route(
+            packet.key, version=message.version
+        ):
+            self._give_back(host, packet.data, ReturnReason.NOT_HELD, packet.key)
+            return
+        self.finders[packet.key] = host
+        self._hand_over(packet.data)
+
+    def _note_from_caller(
+        self, host: str, flow: HeldFlow, packet: Packet, *, now: float
+    ) -> None:
+        """Keep the state of a flow up to date with a packet of its caller."""
+        flow.used_at = now
+        flow.balancer = host
+        flow.is_confirmed = True
+        flow.opening = None
+        if packet.payload_bytes:
+            self.meter.note_delivered(now=now)
+            self.meter.note_request(flow, now=now)
+        if packet.is_reset:
+            self.meter.drop_request(flow, now=now)
+            flow.caller_ended = flow.backend_ended = True
+        elif packet.is_final:
+            flow.caller_ended = True
+
+    def _is_absent(self, key: FlowKey, now: float) -> bool:
+        """Whether the backend server gave a packet of the flow back lately."""
+        since = self.absent.get(key)
+        return since is not None and now - since < ABSENCE_LEASE_S
+
+    # Packets from the backend server
+
+    def on_backend_packet(self, data: bytes) -> None:
+        """Pass one datagram of the backend server on, or take it back."""
+        packet = self.codec.decode_from_backend_server(data)
+        if packet is None:
+            return
+        now = trio.current_time()
+        self.meter.note_sign_of_life()
+        if packet.is_returned:
+            self._take_back(packet, now=now)
+            return
+        caller = (caller_host(packet.key), self.settings.caller_port)
+        self.backend_socket.send_to(data, caller)
+        self._note_from_backend(packet, now=now)
+
+    def _note_from_backend(self, packet: Packet, *, now: float) -> None:
+        """Keep the state of a flow up to date with a packet of the backend server."""
+        finder = self.finders.pop(packet.key, None)
+        flow = self.table.ensure(packet.key, balancer=finder or "", now=now)
+        flow.is_answered = True
+        if finder is not None:
+            self._claim(finder, packet.key)
+        if packet.payload_bytes:
+            self.meter.note_answer(flow, now=now)
+        if packet.is_reset:
+            self.meter.drop_request(flow, now=now)
+            flow.caller_ended = flow.backend_ended = True
+        elif packet.is_final:
+            flow.backend_ended = True
+
+    def _take_back(self, packet: Packet, *, now: float) -> None:
+        """Decide about a packet that the backend server gave back."""
+        key = packet.key
+        data = self.codec.restore(packet)
+        flow = self.table.get(key)
+        finder = self.finders.pop(key, None)
+        if packet.is_opening:
+            if flow is not None and flow.is_answered:
+                return
+            self.full_until = now + FULL_PAUSE_S
+            self._drop(key, now=now)
+            if flow is not None:
+                self._give_back(flow.balancer, data, ReturnReason.FULL, key)
+            return
+        self.absent[key] = now
+        self._drop(key, now=now)
+        if flow is not None and flow.is_confirmed and flow.is_ended:
+            return
+        host = finder or (flow.balancer if flow is not None else "")
+        if host:
+            self._give_back(host, data, ReturnReason.NOT_HELD, key)
+
+    def _drop(self, key: FlowKey, *, now: float) -> None:
+        flow = self.table.forget(key)
+        if flow is not None:
+            self.meter.drop_request(flow, now=now)
+
+    # What happens with time
+
+    def on_tick(self) -> None:
+        """Give unanswered opening packets back, report the load, forget the old."""
+        now = trio.current_time()
+        self._give_back_unanswered(now)
+        self._report(now)
+
+    def expire(self) -> None:
+        """Forget what is over."""
+        now = trio.current_time()
+        for flow in self.table.expire(now=now):
+            self.meter.drop_request(flow, now=now)
+        limit = now - ABSENCE_LEASE_S
+        self.absent = {k: since for k, since in self.absent.items() if since > limit}
+        if len(self.finders) > len(self.table.flows) + 1024:
+            self.finders.clear()
+
+    def on_state_change(self) -> None:
+        """Take the published record of the backend server in."""
+        record = self.gate.find_record()
+        if record is None:
+            return
+        self.meter.slots = record.slots
+        if self.lifetime not in (0, record.started_at_ms):
+            self._lose_flows(record.started_at_ms)
+        self.lifetime = record.started_at_ms
+
+    def _lose_flows(self, started_at_ms: int) -> None:
+        """Forget the flows of an earlier start of the backend server."""
+        now = trio.current_time()
+        logger.warning(
+            "the backend server started anew",
+            extra={
+                "code": "backend_restarted",
+                "started_at_ms": started_at_ms,
+                "flows": len(self.table.flows),
+            },
+        )
+        for key in [k for k, f in self.table.flows.items() if f.requested_at]:
+            self._drop(key, now=now)
+
+    def _give_back_unanswered(self, now: float) -> None:
+        """Give opening packets back that the backend server stays silent on."""
+        limit = now - OPENING_TIMEOUT_S
+        for flow in list(self.table.flows.values()):
+            if flow.opening is None or flow.is_answered or flow.opened_at > limit:
+                continue
+            self._give_back(
+                flow.balancer, flow.opening, ReturnReason.UNANSWERED, flow.key
+            )
+            self._drop(flow.key, now=now)
+
+    def _report(self, now: float) -> None:
+        """Tell the balancers of the load when it changed, and from time to time."""
+        report = self.meter.report(
+            service=self.settings.service,
+            flows=len(self.table.flows),
+            is_accepting=self._is_accepting(now),
+            now=now,
+        )
+        message = encode_message(report)
+        is_due = now - self.reported_at >= REPORT_KEEPALIVE_S
+        if message == self.last_report and not is_due:
+            return
+        self.last_report = message
+        self.reported_at = now
+        for host in self.members.hosts(PeerRole.BALANCER):
+            self.peer_socket.send_to(message, (host, self.settings.peer_port))
+
+    def _is_accepting(self, now: float) -> bool:
+        if now < self.full_until or self.meter.silent_s(now=now) > SILENCE_LIMIT_S:
+            return False
+        record = self.gate.find_record()
+        return record is None or record.state.value == "ready"
+
+    # Sending
+
+    def _hand_over(self, data: bytes) -> None:
+        self.backend_socket.send_to(data, self.settings.backend_address.pair)
+
+    def _claim(self, host: str, key: FlowKey) -> None:
+        message = encode_message(OwnerNotice(key=key))
+        self.peer_socket.send_to(message, (host, self.settings.peer_port))
+
+    def _give_back(
+        self, host: str, data: bytes, reason: ReturnReason, key: FlowKey
+    ) -> None:
+        message = encode_message(ReturnedPacket(reason=reason, data=data))
+        self.peer_socket.send_to(message, (host, self.settings.peer_port))
+        logger.info(
+            "packet given back",
+            extra={
+                "code": "packet_given_back",
+                "reason_code": reason.name,
+                "flow": describe_flow(key),
+                "balancer": host,
+                "version": self.register.version,
+                "busy": self.meter.busy,
+            },
+        )
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/__init__.py
@@ -0,0 +1,22 @@
+"""Forwarding of packets whose flows are owned by backend servers."""
+
+from __future__ import annotations
+
+from oleanderweir_balancer.forwarding.flow_cache import FlowCache
+from oleanderweir_balancer.forwarding.lookup import Lookup
+from oleanderweir_balancer.forwarding.lookup_table import LookupTable
+from oleanderweir_balancer.forwarding.packet_balancer import PacketBalancer
+from oleanderweir_balancer.forwarding.packet_balancer_settings import (
+    PacketBalancerSettings,
+)
+from oleanderweir_balancer.forwarding.placement import Placement
+
+
+__all__ = [
+    "FlowCache",
+    "Lookup",
+    "LookupTable",
+    "PacketBalancer",
+    "PacketBalancerSettings",
+    "Placement",
+]
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
@@ -0,0 +1,37 @@
+"""What a balancer believes of the load of one agent."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.peering.messages import LoadReport
+
+
+# An agent that reported nothing for this long is avoided; several reports.
+SILENCE_S = 0.7
+# A backend server that owes a sign of life for this long is avoided.
+BACKEND_SILENCE_MS = 500
+
+
+@attrs.define(kw_only=True, eq=False)
+class AgentLoad:
+    """
+    The last report of an agent, with what was placed there since.
+
+    ``placed_at`` are the times of the flows that this balancer opened there and that
+    no report counts yet; all times are in trio's seconds.
+    """
+
+    report: LoadReport
+    reported_at: float
+    placed: int = 0
+
+    def is_silent(self, now: float) -> bool:
+        """Whether the agent, or the backend server behind it, seems gone."""
+        if now - self.reported_at > SILENCE_S:
+            return True
+        return self.report.silent_ms > BACKEND_SILENCE_MS
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -0,0 +1,77 @@
+"""The balancer as a process: its socket for callers, its timers, its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.net import UdpSocket
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import Topic
+    from oleanderweir.net import SocketAddress
+    from oleanderweir.peering.messages import Message
+    from oleanderweir_balancer.forwarding.packet_balancer import PacketBalancer
+
+
+EXPIRY_INTERVAL_S = 1.0
+# A stopping process ends once no caller's packet came for this long.
+QUIET_S = 0.4
+# Routers take a process off after two probes that failed, half a second apart.
+ROUTER_DELAY_S = 1.6
+# Left of the grace for the end of the process itself.
+GRACE_MARGIN_S = 0.7
+
+
+class BalancerProgram:
+    """Serves a ``PacketBalancer``."""
+
+    def __init__(
+        self, *, balancer: PacketBalancer, packet_address: SocketAddress, grace_s: float
+    ) -> None:
+        self.balancer = balancer
+        self.packet_address = packet_address
+        self.grace_s = grace_s
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether routers may send packets here."""
+        return self.balancer.is_ready
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        """Receive packets of callers until cancelled."""
+        socket = UdpSocket(bind_address=self.packet_address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive, socket)
+            nursery.start_soon(self._expire)
+            task_status.started()
+
+    def on_message(self, host: str, message: Message) -> None:
+        """Take a message of an agent in."""
+        self.balancer.on_message(host, message)
+
+    def on_state_change(self, topic: Topic) -> None:
+        """Take a change of the published state in."""
+        self.balancer.on_state_change(topic)
+
+    async def drain(self) -> None:
+        """Forward until routers have moved on, or the grace is nearly over."""
+        with trio.move_on_after(self.grace_s - GRACE_MARGIN_S):
+            await trio.sleep(ROUTER_DELAY_S)
+            while self._quiet_s() < QUIET_S:
+                await trio.sleep(QUIET_S - self._quiet_s())
+
+    def _quiet_s(self) -> float:
+        return trio.current_time() - self.balancer.last_caller_packet_at
+
+    async def _receive(self, socket: UdpSocket) -> None:
+        while True:
+            for datagram in await socket.receive_batch():
+                self.balancer.on_caller_packet(datagram.data)
+
+    async def _expire(self) -> None:
+        while True:
+            await trio.sleep(EXPIRY_INTERVAL_S)
+            self.balancer.expire()
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup.py
@@ -0,0 +1,35 @@
+"""The search for the owner of one flow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+
+
+@attrs.define(kw_only=True, eq=False)
+class Lookup:
+    """
+    A flow whose owner this balancer asks for.
+
+    ``held`` are packets that wait for the answer, ``denied`` the agents that said
+    that their backend server doesn't hold the flow. Times are in trio's seconds.
+    ``is_closed`` once the caller was told that the flow is gone.
+    """
+
+    key: FlowKey
+    started_at: float
+    asked_at: float
+    held: list[Packet] = attrs.field(factory=list)
+    asked: set[str] = attrs.field(factory=set)
+    denied: set[str] = attrs.field(factory=set)
+    is_closed: bool = False
+
+    def is_denied_by(self, agents: set[str]) -> bool:
+        """Whether every one of these agents denied to hold the flow."""
+        return bool(agents) and agents <= self.denied
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup_table.py
@@ -0,0 +1,60 @@
+"""The searches that run."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir_balancer.forwarding.lookup import Lookup
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+
+
+# One sender's window of packets.
+MAX_HELD_PACKETS = 16
+# Bounds the memory of searches; each is one flow that nobody answered for.
+MAX_LOOKUPS = 4096
+# An unanswered search is repeated with the caller's next packet after this time.
+REPEAT_S = 0.1
+# A caller gives up within a few seconds; later packets start a new search.
+LOOKUP_LEASE_S = 3.0
+
+
+class LookupTable:
+    """Holds the packets of flows whose owner is being asked for, within bounds."""
+
+    def __init__(self) -> None:
+        self.lookups: dict[FlowKey, Lookup] = {}
+
+    def open(self, key: FlowKey, *, now: float) -> Lookup | None:
+        """Return the search of a flow, started if need be; nothing when full."""
+        lookup = self.lookups.get(key)
+        if lookup is None and len(self.lookups) < MAX_LOOKUPS:
+            lookup = Lookup(key=key, started_at=now, asked_at=float("-inf"))
+            self.lookups[key] = lookup
+        return lookup
+
+    def hold(self, lookup: Lookup, packet: Packet) -> bool:
+        """Keep a packet until the owner is known; return whether there was room."""
+        if len(lookup.held) >= MAX_HELD_PACKETS:
+            return False
+        lookup.held.append(packet)
+        return True
+
+    def is_due(self, lookup: Lookup, *, now: float) -> bool:
+        """Whether the agents should be asked now."""
+        return now - lookup.asked_at >= REPEAT_S
+
+    def close(self, key: FlowKey) -> Lookup | None:
+        """End the search of a flow; return it."""
+        return self.lookups.pop(key, None)
+
+    def expire(self, *, now: float) -> list[Lookup]:
+        """End and return the searches that nobody answered in time."""
+        limit = now - LOOKUP_LEASE_S
+        over = [it for it in self.lookups.values() if it.started_at < limit]
+        for lookup in over:
+            del self.lookups[lookup.key]
+        return over
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -0,0 +1,97 @@
+"""
+The choice of a backend server for a new flow.
+
+Answers the load of many balancers that each see the fleet a little late, backend
+servers of differing speed, and long flows beside flows of one request.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.desired_state import BackendState
+from oleanderweir_balancer.forwarding.agent_load import AgentLoad
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Collection
+    from collections.abc import Iterable
+
+    from oleanderweir.desired_state import BackendRecord
+    from oleanderweir.peering.messages import LoadReport
+
+
+# Work that is in progress weighs whole; the mean of it tells what the open flows of
+# a backend server will ask for soon.
+MEAN_WEIGHT = 1.0
+# Mean time of a request before the first measurement, in milliseconds.
+DEFAULT_SERVICE_MS = 50.0
+# How much slower a backend server is taken to be right after its start.
+COLD_FACTOR = 1.6
+# Added for a backend server of another availability zone, as a share of one request.
+ZONE_PENALTY = 0.05
+
+
+class Placement:
+    """Picks the backend server with the least expected time for one more request."""
+
+    def __init__(self, *, availability_zone: str, random_source: random.Random) -> None:
+        self.availability_zone = availability_zone
+        self.random_source = random_source
+        self.loads: dict[str, AgentLoad] = {}
+
+    def note_report(self, host: str, report: LoadReport, *, now: float) -> None:
+        """Take an agent's report in."""
+        self.loads[host] = AgentLoad(report=report, reported_at=now)
+
+    def forget_absent(self, hosts: Collection[str]) -> None:
+        """Drop the loads of agents that are gone."""
+        for host in [host for host in self.loads if host not in hosts]:
+            del self.loads[host]
+
+    def choose(
+        self,
+        candidates: Iterable[BackendRecord],
+        *,
+        excluding: Collection[str],
+        now: float,
+    ) -> BackendRecord | None:
+        """Return the backend server for a new flow, or nothing if none takes it."""
+        ready = [
+            record
+            for record in candidates
+            if record.state is BackendState.READY and record.host not in excluding
+        ]
+        usable = [record for record in ready if self._is_usable(record, now)] or ready
+        if not usable:
+            return None
+        chosen = min(usable, key=self._cost)
+        load = self.loads.get(chosen.host)
+        if load is not None:
+            load.placed += 1
+        return chosen
+
+    def _is_usable(self, record: BackendRecord, now: float) -> bool:
+        """Whether a backend server seems to answer and to take new flows."""
+        load = self.loads.get(record.host)
+        if load is None:
+            return True
+        return load.report.is_accepting and not load.is_silent(now)
+
+    def _cost(self, record: BackendRecord) -> float:
+        """Return the expected time of one more request there, in milliseconds."""
+        load = self.loads.get(record.host)
+        service_ms = DEFAULT_SERVICE_MS
+        work = 0.0
+        if load is not None:
+            service_ms = load.report.service_ms or DEFAULT_SERVICE_MS
+            work = load.report.busy + load.placed
+            work += MEAN_WEIGHT * load.report.busy_mean
+        if record.cold_s > 0:
+            service_ms *= COLD_FACTOR
+        if record.availability_zone != self.availability_zone:
+            work += ZONE_PENALTY
+        # The draw parts equal costs, so that balancers don't all pick the same one.
+        work += self.random_source.random() * 0.5
+        return service_ms * (1 + work / record.slots)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -0,0 +1,42 @@
+"""What operators and backend servers publish, and how this process follows it."""
+
+from __future__ import annotations
+
+from oleanderweir.desired_state.backend_record import BackendRecord
+from oleanderweir.desired_state.backend_state import BackendState
+from oleanderweir.desired_state.desired_state import DesiredState
+from oleanderweir.desired_state.exceptions import HistoryLostError
+from oleanderweir.desired_state.exceptions import InvalidDocumentError
+from oleanderweir.desired_state.exceptions import SourceBusyError
+from oleanderweir.desired_state.exceptions import SourceUnavailableError
+from oleanderweir.desired_state.route import Route
+from oleanderweir.desired_state.route import ServiceShare
+from oleanderweir.desired_state.state_decoder import StateDecoder
+from oleanderweir.desired_state.state_follower import StateFollower
+from oleanderweir.desired_state.state_register import StateRegister
+from oleanderweir.desired_state.state_source import StateSource
+from oleanderweir.desired_state.topic import Change
+from oleanderweir.desired_state.topic import Changes
+from oleanderweir.desired_state.topic import Listing
+from oleanderweir.desired_state.topic import Topic
+
+
+__all__ = [
+    "BackendRecord",
+    "BackendState",
+    "Change",
+    "Changes",
+    "DesiredState",
+    "HistoryLostError",
+    "InvalidDocumentError",
+    "Listing",
+    "Route",
+    "ServiceShare",
+    "SourceBusyError",
+    "SourceUnavailableError",
+    "StateDecoder",
+    "StateFollower",
+    "StateRegister",
+    "StateSource",
+    "Topic",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -0,0 +1,107 @@
+"""Keeps a topic of the register up to date from the source."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.desired_state.exceptions import HistoryLostError
+from oleanderweir.desired_state.exceptions import SourceUnavailableError
+
+
+if TYPE_CHECKING:
+    import random
+
+    from oleanderweir.desired_state.state_register import StateRegister
+    from oleanderweir.desired_state.state_source import StateSource
+    from oleanderweir.desired_state.topic import Topic
+
+
+logger = logging.getLogger(__name__)
+
+# How long one watch may wait; shorter than the source's own bound of 30 s.
+WATCH_WAIT_S = 20.0
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+
+
+class StateFollower:
+    """
+    Lists a topic once, then watches it; lists it again when its history is lost.
+
+    Failed calls are repeated after a time that doubles up to ``MAX_RETRY_S``, with
+    jitter. ``is_connected`` tells whether the last call succeeded, ``confirmed_at``
+    when (trio's seconds, negative infinity before the first).
+    """
+
+    def __init__(
+        self,
+        *,
+        topic: Topic,
+        source: StateSource,
+        register: StateRegister,
+        random_source: random.Random,
+    ) -> None:
+        self.topic = topic
+        self.source = source
+        self.register = register
+        self.random_source = random_source
+        self.is_connected = False
+        self.confirmed_at = float("-inf")
+        self.lost_at = float("-inf")
+        self.must_list = True
+        self.retry_s = FIRST_RETRY_S
+
+    async def run(self) -> None:
+        """Follow the topic until cancelled."""
+        while True:
+            try:
+                await self._step()
+            except HistoryLostError:
+                self.must_list = True
+            except SourceUnavailableError as error:
+                await self._wait_after(error)
+
+    async def _step(self) -> None:
+        """Make one call and take what it brings."""
+        if self.must_list:
+            listing = await self.source.list(self.topic)
+            self.register.apply_listing(listing, origin="source")
+            self.must_list = False
+        else:
+            changes = await self.source.watch(
+                self.topic,
+                after=self.register.revision(self.topic),
+                wait_s=WATCH_WAIT_S,
+            )
+            self.register.apply_changes(changes, origin="source")
+        self._note_success()
+
+    def _note_success(self) -> None:
+        self.confirmed_at = trio.current_time()
+        self.retry_s = FIRST_RETRY_S
+        if self.is_connected:
+            return
+        self.is_connected = True
+        logger.info(
+            "the source answers",
+            extra={"code": "source_regained", "topic": self.topic.value},
+        )
+
+    async def _wait_after(self, error: SourceUnavailableError) -> None:
+        """Log a lost source once, then wait before the next call."""
+        if self.is_connected or self.lost_at == float("-inf"):
+            logger.warning(
+                "the source doesn't answer",
+                extra={
+                    "code": error.code,
+                    "topic": self.topic.value,
+                    "reason": error.message,
+                },
+            )
+        self.lost_at = trio.current_time()
+        self.is_connected = False
+        await trio.sleep(self.retry_s * self.random_source.uniform(0.5, 1.0))
+        self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -0,0 +1,164 @@
+"""The newest published state that this process knows."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.desired_state.exceptions import InvalidDocumentError
+from oleanderweir.desired_state.topic import Change
+from oleanderweir.desired_state.topic import Listing
+from oleanderweir.desired_state.topic import Topic
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir.desired_state.backend_record import BackendRecord
+    from oleanderweir.desired_state.desired_state import DesiredState
+    from oleanderweir.desired_state.state_decoder import StateDecoder
+    from oleanderweir.desired_state.topic import Changes
+
+
+logger = logging.getLogger(__name__)
+
+
+@attrs.define(kw_only=True, eq=False)
+class TopicState:
+    """
+    The documents of one topic as of ``revision``; 0 before the first list.
+
+    ``changed_revision`` is that of the newest change among them.
+    """
+
+    revision: int = 0
+    changed_revision: int = 0
+    documents: dict[str, Change] = attrs.field(factory=dict)
+
+
+class StateRegister:
+    """
+    Keeps one state for each topic; what is older than it changes nothing.
+
+    The source has one counter for all writes, so a list or change of a higher
+    revision holds everything that a lower one held. ``on_change`` runs after each
+    change of a topic. ``desired`` is kept when a newer document can't be read.
+    """
+
+    def __init__(
+        self, *, decoder: StateDecoder, on_change: Callable[[Topic], None]
+    ) -> None:
+        self.decoder = decoder
+        self.on_change = on_change
+        self.topics = {topic: TopicState() for topic in Topic}
+        self.desired: DesiredState | None = None
+        self.backends: dict[str, BackendRecord] = {}
+        # When a backend server was removed, in trio's seconds, by host.
+        self.removed_at: dict[str, float] = {}
+
+    def revision(self, topic: Topic) -> int:
+        """Return the revision up to which a topic is known."""
+        return self.topics[topic].revision
+
+    def changed_revision(self, topic: Topic) -> int:
+        """Return the revision of the newest change that is known of a topic."""
+        return self.topics[topic].changed_revision
+
+    @property
+    def version(self) -> int:
+        """The version of the desired state in force, 0 while there is none."""
+        return 0 if self.desired is None else self.desired.version
+
+    def export(self, topic: Topic) -> Listing:
+        """Return a topic as a list that another process can take."""
+        state = self.topics[topic]
+        return Listing(
+            topic=topic,
+            revision=state.revision,
+            documents=tuple(state.documents.values()),
+        )
+
+    def apply_listing(self, listing: Listing, *, origin: str) -> None:
+        """Take a whole topic, unless a newer one is known."""
+        state = self.topics[listing.topic]
+        if listing.revision < state.revision:
+            return
+        documents = {change.name: change for change in listing.documents}
+        is_new = documents != state.documents
+        for name in state.documents.keys() - documents.keys():
+            self._forget(listing.topic, name)
+        for name, change in documents.items():
+            if state.documents.get(name) != change:
+                self._read(listing.topic, change)
+        state.documents = documents
+        state.revision = listing.revision
+        newest = max((change.revision for change in listing.documents), default=0)
+        state.changed_revision = max(state.changed_revision, newest)
+        if is_new:
+            self._note(listing.topic, origin)
+
+    def apply_changes(self, changes: Changes, *, origin: str) -> None:
+        """Take the changes that are newer than what is known."""
+        state = self.topics[changes.topic]
+        is_new = False
+        for change in changes.changes:
+            if change.revision <= state.revision:
+                continue
+            is_new = True
+            state.changed_revision = change.revision
+            if change.document is None:
+                state.documents.pop(change.name, None)
+                self._forget(changes.topic, change.name)
+                continue
+            state.documents[change.name] = change
+            self._read(changes.topic, change)
+        state.revision = max(state.revision, changes.revision)
+        if is_new:
+            self._note(changes.topic, origin)
+
+    def _note(self, topic: Topic, origin: str) -> None:
+        """Log and pass on that a topic changed."""
+        logger.info(
+            "published state changed",
+            extra={
+                "code": "state_changed",
+                "topic": topic.value,
+                "revision": self.topics[topic].revision,
+                "version": self.version,
+                "origin": origin,
+            },
+        )
+        self.on_change(topic)
+
+    def _forget(self, topic: Topic, name: str) -> None:
+        """Drop a backend server whose document is gone; routes stay."""
+        if topic is Topic.BACKEND_SERVERS:
+            record = self.backends.pop(name, None)
+            if record is not None:
+                self.removed_at[record.host] = trio.current_time()
+
+    def _read(self, topic: Topic, change: Change) -> None:
+        """Decode one document; one that can't be read names nothing to use."""
+        document = change.document or b""
+        try:
+            if topic is Topic.BACKEND_SERVERS:
+                self.backends.pop(change.name, None)
+                record = self.decoder.decode_backend_server(change.name, document)
+                self.backends[change.name] = record
+                return
+            desired = self.decoder.decode_desired_state(document)
+        except InvalidDocumentError as error:
+            logger.warning(
+                "a published document can't be read",
+                extra={
+                    "code": error.code,
+                    "document": change.name,
+                    "reason": str(error),
+                },
+            )
+            return
+        if desired.version > self.version:
+            self.desired = desired
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_source.py
@@ -0,0 +1,26 @@
+"""Where the published state is read."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state.topic import Changes
+    from oleanderweir.desired_state.topic import Listing
+    from oleanderweir.desired_state.topic import Topic
+
+
+class StateSource(Protocol):
+    """
+    A store that can be listed and watched, and that nobody here writes.
+
+    Both calls raise ``SourceUnavailableError``; ``watch`` also ``HistoryLostError``.
+    """
+
+    async def list(self, topic: Topic) -> Listing:
+        """Return all documents of a topic."""
+
+    async def watch(self, topic: Topic, *, after: int, wait_s: float) -> Changes:
+        """Return what changed after a revision, as soon as something did."""
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/event_log/__init__.py
@@ -0,0 +1,18 @@
+"""Decisions as lines of JSON, and counters of the same decisions."""
+
+from __future__ import annotations
+
+from oleanderweir.event_log.code_limit import CodeLimit
+from oleanderweir.event_log.configure import configure_event_log
+from oleanderweir.event_log.event_counters import EventCounters
+from oleanderweir.event_log.json_line_formatter import JsonLineFormatter
+from oleanderweir.event_log.line_writer import LineWriter
+
+
+__all__ = [
+    "CodeLimit",
+    "EventCounters",
+    "JsonLineFormatter",
+    "LineWriter",
+    "configure_event_log",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/event_log/code_limit.py
@@ -0,0 +1,48 @@
+"""Bounds the volume of the log."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import Counter
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+# Lines of one code in one second. Rare decisions stay whole, common ones are sampled.
+MAX_LINES_PER_CODE = 20
+WINDOW_S = 1.0
+
+
+class CodeLimit(logging.Filter):
+    """
+    Passes the first lines of each code in each second and counts the others.
+
+    The count of a window stands in ``left_out`` of the next line of that code.
+    ``clock`` returns seconds that never go back.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+        super().__init__()
+        self.clock = clock
+        self.window_started_at = float("-inf")
+        self.passed: Counter[str] = Counter()
+        self.left_out: Counter[str] = Counter()
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Return whether to write a record."""
+        now = self.clock()
+        if now - self.window_started_at >= WINDOW_S:
+            self.window_started_at = now
+            self.passed.clear()
+        code = getattr(record, "code", record.name)
+        if self.passed[code] >= MAX_LINES_PER_CODE:
+            self.left_out[code] += 1
+            return False
+        self.passed[code] += 1
+        if self.left_out[code]:
+            record.left_out = self.left_out.pop(code)
+        return True
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/event_log/configure.py
@@ -0,0 +1,26 @@
+"""Sets the event log of a process up."""
+
+from __future__ import annotations
+
+import logging
+
+from oleanderweir.event_log.code_limit import CodeLimit
+from oleanderweir.event_log.event_counters import EventCounters
+from oleanderweir.event_log.json_line_formatter import JsonLineFormatter
+from oleanderweir.event_log.line_writer import LineWriter
+
+
+def configure_event_log(
+    *, instance: str, availability_zone: str, descriptor: int
+) -> EventCounters:
+    """Write bounded JSON lines to ``descriptor``; return the counters."""
+    writer = LineWriter(descriptor=descriptor)
+    writer.setFormatter(
+        JsonLineFormatter(instance=instance, availability_zone=availability_zone)
+    )
+    writer.addFilter(CodeLimit())
+    counters = EventCounters()
+    root = logging.getLogger()
+    root.handlers = [counters, writer]
+    root.setLevel(logging.INFO)
+    return counters
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/flows/__init__.py
@@ -0,0 +1,22 @@
+"""Flows of packets whose bytes only their two ends read and write."""
+
+from __future__ import annotations
+
+from oleanderweir.flows.flow_key import FlowKey
+from oleanderweir.flows.flow_key import caller_host
+from oleanderweir.flows.flow_key import describe_flow
+from oleanderweir.flows.flow_key import make_flow_key
+from oleanderweir.flows.flow_key import route_address
+from oleanderweir.flows.packet import Packet
+from oleanderweir.flows.packet_codec import PacketCodec
+
+
+__all__ = [
+    "FlowKey",
+    "Packet",
+    "PacketCodec",
+    "caller_host",
+    "describe_flow",
+    "make_flow_key",
+    "route_address",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/__init__.py
@@ -0,0 +1,10 @@
+"""What the packet-forwarding balancer and agent share as processes."""
+
+from __future__ import annotations
+
+from oleanderweir.packet_process.packet_program import PacketProgram
+from oleanderweir.packet_process.process_addresses import ProcessAddresses
+from oleanderweir.packet_process.process_runtime import ProcessRuntime
+
+
+__all__ = ["PacketProgram", "ProcessAddresses", "ProcessRuntime"]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
@@ -0,0 +1,48 @@
+"""The counters of a process in the text format of Prometheus."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import generate_latest
+from prometheus_client.core import CounterMetricFamily
+
+from oleanderweir.http_responder import HttpAnswer
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.core import Metric
+
+    from oleanderweir.event_log import EventCounters
+
+
+class EventCollector:
+    """Hands the counters of decisions to the metrics library."""
+
+    def __init__(self, *, counters: EventCounters) -> None:
+        self.counters = counters
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield one counter with a sample for each code and reason."""
+        family = CounterMetricFamily(
+            "oleanderweir_events",
+            "Decisions by code and reason, those left out of the log included.",
+            labels=["code", "reason"],
+        )
+        for (code, reason), count in sorted(self.counters.counts.items()):
+            family.add_metric([code, reason], count)
+        yield family
+
+
+def make_metrics_page(counters: EventCounters) -> HttpAnswer:
+    """Return the page."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(EventCollector(counters=counters))
+    return HttpAnswer(
+        status=200,
+        body=generate_latest(registry),
+        content_type="text/plain; version=0.0.4; charset=utf-8",
+    )
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/__init__.py
@@ -0,0 +1,26 @@
+"""Datagrams and state between balancers and agents."""
+
+from __future__ import annotations
+
+from oleanderweir.peering.exceptions import InvalidMessageError
+from oleanderweir.peering.exceptions import PeerUnavailableError
+from oleanderweir.peering.greeter import Greeter
+from oleanderweir.peering.members import Member
+from oleanderweir.peering.members import Members
+from oleanderweir.peering.message_codec import decode_message
+from oleanderweir.peering.message_codec import encode_message
+from oleanderweir.peering.state_exchange import StateClient
+from oleanderweir.peering.state_exchange import StateServer
+
+
+__all__ = [
+    "Greeter",
+    "InvalidMessageError",
+    "Member",
+    "Members",
+    "PeerUnavailableError",
+    "StateClient",
+    "StateServer",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -0,0 +1,79 @@
+"""The other processes that were heard lately."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.peering.messages import PeerRole
+
+
+if TYPE_CHECKING:
+    from oleanderweir.peering.messages import Greeting
+
+
+# A member that was silent for this long is forgotten; six greetings.
+MEMBER_LEASE_S = 6.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Member:
+    """A process that greeted, with what it last told; times in trio's seconds."""
+
+    host: str
+    greeting: Greeting
+    heard_at: float
+
+
+class Members:
+    """
+    Keeps who greeted, and hosts that others named and nobody heard yet.
+
+    Hosts that were only named are greeted once each round until they answer or
+    ``MEMBER_LEASE_S`` is over.
+    """
+
+    def __init__(self, *, own_host: str) -> None:
+        self.own_host = own_host
+        self.members: dict[str, Member] = {}
+        self.named: dict[str, float] = {}
+
+    def note(self, host: str, greeting: Greeting) -> None:
+        """Take a greeting in."""
+        now = trio.current_time()
+        self.members[host] = Member(host=host, greeting=greeting, heard_at=now)
+        self.named.pop(host, None)
+        for other in (*greeting.balancers, *greeting.agents):
+            self.name(other)
+
+    def name(self, host: str) -> None:
+        """Note a host that should be greeted."""
+        if host != self.own_host and host not in self.members:
+            self.named.setdefault(host, trio.current_time())
+
+    def expire(self) -> None:
+        """Forget who was silent for too long."""
+        limit = trio.current_time() - MEMBER_LEASE_S
+        for host in [h for h, m in self.members.items() if m.heard_at < limit]:
+            del self.members[host]
+        for host in [h for h, since in self.named.items() if since < limit]:
+            del self.named[host]
+
+    def hosts(self, role: PeerRole) -> list[str]:
+        """Return the hosts of one role that were heard lately."""
+        return [
+            host
+            for host, member in self.members.items()
+            if member.greeting.role is role
+        ]
+
+    def agents_of(self, service: str) -> list[str]:
+        """Return the hosts of the agents that said they serve a service."""
+        return [
+            host
+            for host, member in self.members.items()
+            if member.greeting.role is PeerRole.AGENT
+            and member.greeting.service == service
+        ]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -0,0 +1,50 @@
+"""The form of messages in datagrams."""
+
+from __future__ import annotations
+
+import attrs
+import msgpack
+
+from oleanderweir.peering.exceptions import InvalidMessageError
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import Greeting
+from oleanderweir.peering.messages import LoadReport
+from oleanderweir.peering.messages import Message
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import ReturnedPacket
+
+
+# The first element of each datagram; never given to another type.
+TYPES: dict[int, type[Message]] = {
+    1: Delivery,
+    2: ReturnedPacket,
+    3: OwnerNotice,
+    4: LoadReport,
+    5: Greeting,
+}
+CODES = {message_type: code for code, message_type in TYPES.items()}
+FIELDS = {
+    message_type: tuple(field.name for field in attrs.fields(message_type))
+    for message_type in CODES
+}
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the datagram of a message: its type, then its fields in order."""
+    message_type = type(message)
+    values = [getattr(message, name) for name in FIELDS[message_type]]
+    packed: bytes = msgpack.packb([CODES[message_type], *values])
+    return packed
+
+
+def decode_message(datagram: bytes) -> Message:
+    """Return the message of a datagram; raise ``InvalidMessageError``."""
+    try:
+        code, *values = msgpack.unpackb(datagram)
+        message_type = TYPES[code]
+        return message_type(**dict(zip(FIELDS[message_type], values, strict=True)))
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        raise InvalidMessageError(
+            "a datagram on the peer port is no message; check that all processes "
+            "run the same version"
+        ) from error
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
@@ -0,0 +1,27 @@
+"""What balancers and agents tell each other."""
+
+from __future__ import annotations
+
+from oleanderweir.peering.messages.delivery import Delivery
+from oleanderweir.peering.messages.delivery import DeliveryPurpose
+from oleanderweir.peering.messages.greeting import Greeting
+from oleanderweir.peering.messages.greeting import PeerRole
+from oleanderweir.peering.messages.load_report import LoadReport
+from oleanderweir.peering.messages.owner_notice import OwnerNotice
+from oleanderweir.peering.messages.returned_packet import ReturnedPacket
+from oleanderweir.peering.messages.returned_packet import ReturnReason
+
+
+Message = Delivery | Greeting | LoadReport | OwnerNotice | ReturnedPacket
+
+__all__ = [
+    "Delivery",
+    "DeliveryPurpose",
+    "Greeting",
+    "LoadReport",
+    "Message",
+    "OwnerNotice",
+    "PeerRole",
+    "ReturnReason",
+    "ReturnedPacket",
+]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -0,0 +1,28 @@
+"""A packet for a backend server."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class DeliveryPurpose(enum.IntEnum):
+    """Why a balancer sends a packet to an agent."""
+
+    OPEN = 1  # the opening packet of a flow that was placed there
+    CONTINUE = 2  # a packet of a flow that is held there
+    FIND = 3  # a packet of a flow whose owner the balancer doesn't know
+
+
+@attrs.frozen(kw_only=True)
+class Delivery:
+    """
+    A packet from a balancer to an agent.
+
+    ``version`` is that of the desired state by which the balancer decided.
+    """
+
+    purpose: DeliveryPurpose = attrs.field(converter=DeliveryPurpose)
+    version: int
+    data: bytes
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/greeting.py
@@ -0,0 +1,35 @@
+"""How instances find each other."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class PeerRole(enum.IntEnum):
+    """What an instance runs."""
+
+    BALANCER = 1
+    AGENT = 2
+
+
+@attrs.frozen(kw_only=True)
+class Greeting:
+    """
+    A sign of life that also tells what the sender knows.
+
+    ``desired_revision`` and ``backends_revision`` are those of the newest change that
+    the sender knows of each topic: who is behind asks it for the rest. ``balancers``
+    and ``agents`` are the hosts that the sender heard lately. ``wants_answer`` asks
+    for a greeting back.
+    """
+
+    role: PeerRole = attrs.field(converter=PeerRole)
+    availability_zone: str
+    service: str
+    desired_revision: int
+    backends_revision: int
+    balancers: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
+    agents: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
+    wants_answer: bool
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -0,0 +1,26 @@
+"""A packet that an agent could not deliver."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class ReturnReason(enum.IntEnum):
+    """Why a packet comes back; in none of these cases has a request run."""
+
+    FULL = 1  # the backend server turned the opening packet away
+    DRAINING = 2  # the backend server takes no new flows
+    NO_ROUTE = 3  # the route doesn't allow the agent's service
+    NOT_HELD = 4  # the backend server doesn't hold the flow
+    LOST = 5  # the flow was held by an earlier start of the backend server
+    UNANSWERED = 6  # the backend server stayed silent on the opening packet
+
+
+@attrs.frozen(kw_only=True)
+class ReturnedPacket:
+    """A packet from an agent back to the balancer that sent it."""
+
+    reason: ReturnReason = attrs.field(converter=ReturnReason)
+    data: bytes
--- /dev/null
+++ b/tests/oleanderweir/desired_state/fakes.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from oleanderweir.desired_state import BackendRecord
+from oleanderweir.desired_state import BackendState
+from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import DesiredState
+from oleanderweir.desired_state import InvalidDocumentError
+from oleanderweir.desired_state import Listing
+from oleanderweir.desired_state import Route
+from oleanderweir.desired_state import ServiceShare
+from oleanderweir.desired_state import StateRegister
+from oleanderweir.desired_state import Topic
+from tests.oleanderweir.flows.fakes import make_route_address
+
+
+class FakeDecoder:
+    """Reads the documents that ``desired_document`` and ``backend_document`` make."""
+
+    def decode_desired_state(self, document: bytes) -> DesiredState:
+        fields = _load(document)
+        routes = [
+            make_route(number, service) for number, service in fields["routes"].items()
+        ]
+        return DesiredState(
+            version=fields["version"],
+            routes={route.address: route for route in routes},
+            idle_timeout_s=15.0,
+        )
+
+    def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
+        fields = _load(document)
+        return make_record(
+            name,
+            service=fields["service"],
+            host=fields["host"],
+            state=BackendState(fields["state"]),
+            started_at_ms=fields["started_at_ms"],
+        )
+
+
+def _load(document: bytes) -> Any:
+    try:
+        return json.loads(document)
+    except ValueError as error:
+        raise InvalidDocumentError("no document") from error
+
+
+def make_route(number: int | str, service: str) -> Route:
+    return Route(
+        name=f"route-{number}",
+        address=make_route_address(int(number)),
+        shares=(ServiceShare(service=service, weight=1),),
+        timeout_s=2.0,
+        target_latency_s=0.25,
+        priority=1,
+    )
+
+
+def make_record(
+    identifier: str,
+    *,
+    service: str = "feed",
+    host: str = "10.0.0.1",
+    state: BackendState = BackendState.READY,
+    started_at_ms: int = 1000,
+    slots: int = 4,
+    availability_zone: str = "a",
+) -> BackendRecord:
+    return BackendRecord(
+        identifier=identifier,
+        service=service,
+        host=host,
+        port=8080,
+        availability_zone=availability_zone,
+        slots=slots,
+        state=state,
+        cold_s=0.0,
+        started_at_ms=started_at_ms,
+    )
+
+
+def desired_document(version: int, routes: dict[int, str]) -> bytes:
+    return json.dumps({"version": version, "routes": routes}).encode()
+
+
+def backend_document(
+    *,
+    host: str,
+    service: str = "feed",
+    state: str = "ready",
+    started_at_ms: int = 1000,
+) -> bytes:
+    fields = {
+        "service": service,
+        "host": host,
+        "state": state,
+        "started_at_ms": started_at_ms,
+    }
+    return json.dumps(fields).encode()
+
+
+def make_register() -> StateRegister:
+    return StateRegister(decoder=FakeDecoder(), on_change=lambda topic: None)
+
+
+def publish(
+    register: StateRegister,
+    *,
+    version: int = 1,
+    routes: dict[int, str] | None = None,
+    backends: dict[str, bytes] | None = None,
+    revision: int = 10,
+) -> None:
+    """Give a register one list of each topic."""
+    desired = desired_document(version, routes or {1: "feed"})
+    register.apply_listing(
+        Listing(
+            topic=Topic.DESIRED_STATE,
+            revision=revision,
+            documents=(Change(name="desired", revision=revision, document=desired),),
+        ),
+        origin="test",
+    )
+    documents = backends or {}
+    register.apply_listing(
+        Listing(
+            topic=Topic.BACKEND_SERVERS,
+            revision=revision,
+            documents=tuple(
+                Change(name=name, revision=revision, document=document)
+                for name, document in documents.items()
+            ),
+        ),
+        origin="test",
+    )
--- /dev/null
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -0,0 +1,65 @@
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from oleanderweir.flows import FlowKey
+from oleanderweir.peering import InvalidMessageError
+from oleanderweir.peering import decode_message
+from oleanderweir.peering import encode_message
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import Greeting
+from oleanderweir.peering.messages import LoadReport
+from oleanderweir.peering.messages import Message
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import ReturnReason
+
+
+MESSAGES: list[Message] = [
+    Delivery(purpose=DeliveryPurpose.FIND, version=3, data=b"packet"),
+    ReturnedPacket(reason=ReturnReason.DRAINING, data=b"packet"),
+    OwnerNotice(key=FlowKey(b"123456789012")),
+    LoadReport(
+        service="feed",
+        busy=2,
+        flows=30,
+        busy_mean=1.5,
+        service_ms=50.5,
+        silent_ms=0,
+        is_accepting=True,
+    ),
+    Greeting(
+        role=PeerRole.AGENT,
+        availability_zone="a",
+        service="feed",
+        desired_revision=4,
+        backends_revision=5,
+        balancers=("10.0.0.1",),
+        agents=(),
+        wants_answer=True,
+    ),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda it: type(it).__name__)
+def test_messages_round_trip(message: Message) -> None:
+    assert decode_message(encode_message(message)) == message
+
+
+@given(st.binary(max_size=64))
+def test_any_other_datagram_is_a_message_or_is_refused(datagram: bytes) -> None:
+    with contextlib.suppress(InvalidMessageError):
+        assert isinstance(decode_message(datagram), Message)
+
+
+def test_a_refused_datagram_has_a_code() -> None:
+    with pytest.raises(InvalidMessageError, match="same version") as refusal:
+        decode_message(b"no message")
+
+    assert refusal.value.code == "invalid_peer_message"
--- /dev/null
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -0,0 +1,99 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import cast
+
+import trio
+
+from oleanderweir.net import SocketAddress
+from oleanderweir.peering import Members
+from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import Greeting
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir_agent.forwarding import OpeningGate
+from oleanderweir_agent.forwarding import PacketAgent
+from oleanderweir_agent.forwarding import PacketAgentSettings
+from tests.oleanderweir.desired_state.fakes import make_register
+from tests.oleanderweir.flows.fakes import FakePacketCodec
+from tests.oleanderweir.flows.fakes import FakeSocket
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import Message
+
+
+BALANCER = "10.0.9.1"
+CALLER_PORT = 8172
+PEER_PORT = 7720
+BACKEND = SocketAddress(host="10.0.0.1", port=8080)
+
+
+class AgentBench:
+    """An agent whose datagrams stay in lists. Needs a running trio."""
+
+    def __init__(self) -> None:
+        self.peer_socket = FakeSocket()
+        self.backend_socket = FakeSocket()
+        self.register = make_register()
+        self.members = Members(own_host=BACKEND.host)
+        self.agent = PacketAgent(
+            settings=PacketAgentSettings(
+                service="feed",
+                backend_address=BACKEND,
+                caller_port=CALLER_PORT,
+                peer_port=PEER_PORT,
+                flow_ttl_s=60.0,
+            ),
+            codec=FakePacketCodec(),
+            register=self.register,
+            members=self.members,
+            gate=OpeningGate(
+                register=self.register,
+                service="feed",
+                host=BACKEND.host,
+                port=BACKEND.port,
+            ),
+            peer_socket=cast("UdpSocket", self.peer_socket),
+            backend_socket=cast("UdpSocket", self.backend_socket),
+        )
+        self.members.note(BALANCER, make_greeting(PeerRole.BALANCER))
+
+    def deliver(
+        self, purpose: DeliveryPurpose, data: bytes, *, version: int = 0
+    ) -> None:
+        message = Delivery(purpose=purpose, version=version, data=data)
+        self.agent.on_message(BALANCER, message)
+
+    def to_backend(self) -> list[bytes]:
+        """Return what reached the backend server since the last call."""
+        return self.backend_socket.take_sent_to(BACKEND.port)
+
+    def to_callers(self) -> list[bytes]:
+        """Return what went to callers since the last call."""
+        return self.backend_socket.take_sent_to(CALLER_PORT)
+
+    def to_balancers(self) -> list[Message]:
+        """Return what went to balancers since the last call."""
+        return [decode_message(data) for data, _ in self.peer_socket.take()]
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass with the agent's ticks."""
+        for _ in range(round(seconds / 0.05)):
+            await trio.sleep(0.05)
+            self.agent.on_tick()
+
+
+def make_greeting(role: PeerRole, *, service: str = "") -> Greeting:
+    return Greeting(
+        role=role,
+        availability_zone="a",
+        service=service,
+        desired_revision=0,
+        backends_revision=0,
+        balancers=(),
+        agents=(),
+        wants_answer=False,
+    )
--- /dev/null
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -0,0 +1,145 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import LoadReport
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.desired_state.fakes import publish
+from tests.oleanderweir.flows.fakes import encode_packet
+from tests.oleanderweir.flows.fakes import make_key
+from tests.oleanderweir_agent.forwarding.bench import AgentBench
+
+
+if TYPE_CHECKING:
+    import trio.testing
+
+
+KEY = make_key(1)
+OPENING = encode_packet(KEY, is_opening=True)
+OPENED = encode_packet(KEY, is_opening=True, is_acknowledging=True, sequence=5)
+REQUEST = encode_packet(KEY, payload_bytes=900, acknowledged=6)
+ANSWER = encode_packet(KEY, payload_bytes=600, is_acknowledging=True)
+
+
+def returned(**fields: object) -> bytes:
+    return encode_packet(KEY, is_returned=True, **fields)  # type: ignore[arg-type]
+
+
+async def test_packets_pass_in_both_directions() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=1)
+    bench.agent.on_backend_packet(OPENED)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST, version=1)
+    bench.agent.on_backend_packet(ANSWER)
+
+    assert bench.to_backend() == [OPENING, REQUEST]
+    assert bench.to_callers() == [OPENED, ANSWER]
+
+
+async def test_a_draining_backend_server_gets_no_opening_packet() -> None:
+    bench = AgentBench()
+    draining = backend_document(host="10.0.0.1", state="draining")
+    publish(bench.register, backends={"b1": draining})
+
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=1)
+
+    assert bench.to_backend() == []
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.DRAINING, data=OPENING)
+    ]
+
+
+async def test_a_route_of_another_service_gets_no_opening_packet() -> None:
+    bench = AgentBench()
+    publish(bench.register, version=5, routes={1: "archive"})
+
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=5)
+
+    assert bench.to_backend() == []
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.NO_ROUTE, data=OPENING)
+    ]
+
+
+async def test_a_balancer_with_a_newer_state_is_believed_about_routes() -> None:
+    bench = AgentBench()
+    publish(bench.register, version=5, routes={1: "archive"})
+
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=6)
+
+    assert bench.to_backend() == [OPENING]
+
+
+async def test_an_unknown_flow_is_tried_at_the_backend_server() -> None:
+    bench = AgentBench()
+
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+    assert bench.to_backend() == [REQUEST]
+    assert bench.to_balancers() == []
+
+    bench.agent.on_backend_packet(ANSWER)
+    assert bench.to_balancers() == [OwnerNotice(key=KEY)]
+
+
+async def test_a_flow_that_the_backend_server_gave_back_is_denied() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+    bench.to_backend()
+
+    bench.agent.on_backend_packet(returned(payload_bytes=900, acknowledged=6))
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    assert bench.to_balancers() == [denial]
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+    assert bench.to_backend() == []
+    assert bench.to_balancers() == [denial]
+
+
+async def test_an_opening_packet_that_was_turned_away_goes_back() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+
+    bench.agent.on_backend_packet(returned(is_opening=True))
+
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.FULL, data=OPENING)
+    ]
+
+
+async def test_an_unanswered_opening_packet_goes_back(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+
+    await bench.pass_time(0.15)
+
+    messages = bench.to_balancers()
+    assert ReturnedPacket(reason=ReturnReason.UNANSWERED, data=OPENING) in messages
+
+
+async def test_reports_count_requests_in_progress(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+    await bench.pass_time(0.1)
+    reports = [it for it in bench.to_balancers() if isinstance(it, LoadReport)]
+    assert reports[-1].busy == 1
+
+    bench.agent.on_backend_packet(ANSWER)
+    await bench.pass_time(0.1)
+
+    reports = [it for it in bench.to_balancers() if isinstance(it, LoadReport)]
+    assert reports[-1].busy == 0
+    assert reports[-1].service_ms == 100.0
--- /dev/null
+++ b/tests/oleanderweir_balancer/forwarding/bench.py
@@ -0,0 +1,87 @@
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import cast
+
+from oleanderweir.peering import Members
+from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import LoadReport
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir_balancer.forwarding import PacketBalancer
+from oleanderweir_balancer.forwarding import PacketBalancerSettings
+from oleanderweir_balancer.forwarding import Placement
+from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.desired_state.fakes import make_register
+from tests.oleanderweir.desired_state.fakes import publish
+from tests.oleanderweir.flows.fakes import FakePacketCodec
+from tests.oleanderweir.flows.fakes import FakeSocket
+
+
+if TYPE_CHECKING:
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import ReturnReason
+
+
+CALLER_PORT = 8172
+PEER_PORT = 7720
+
+
+class BalancerBench:
+    """A balancer whose datagrams stay in a list."""
+
+    def __init__(self, *, hosts: tuple[str, ...] = ("10.0.0.1", "10.0.0.2")) -> None:
+        self.socket = FakeSocket()
+        self.register = make_register()
+        self.members = Members(own_host="10.0.9.9")
+        self.placement = Placement(
+            availability_zone="a", random_source=random.Random(1)
+        )
+        self.balancer = PacketBalancer(
+            settings=PacketBalancerSettings(
+                caller_port=CALLER_PORT, peer_port=PEER_PORT, flow_ttl_s=60.0
+            ),
+            codec=FakePacketCodec(),
+            register=self.register,
+            members=self.members,
+            placement=self.placement,
+            peer_socket=cast("UdpSocket", self.socket),
+        )
+        self.hosts = hosts
+
+    def publish(self, **arguments: object) -> None:
+        backends = {
+            f"b{number}": backend_document(host=host)
+            for number, host in enumerate(self.hosts)
+        }
+        publish(self.register, **{"backends": backends, **arguments})  # type: ignore[arg-type]
+
+    def report(self, host: str, *, busy: int = 0, silent_ms: int = 0) -> None:
+        message = LoadReport(
+            service="feed",
+            busy=busy,
+            flows=busy,
+            busy_mean=float(busy),
+            service_ms=50.0,
+            silent_ms=silent_ms,
+            is_accepting=True,
+        )
+        self.balancer.on_message(host, message)
+
+    def give_back(self, host: str, reason: ReturnReason, data: bytes) -> None:
+        self.balancer.on_message(host, ReturnedPacket(reason=reason, data=data))
+
+    def deliveries(self) -> list[tuple[str, Delivery]]:
+        """Return what went to agents since the last call."""
+        found = []
+        for data, (host, port) in self.socket.take():
+            if port == PEER_PORT:
+                message = decode_message(data)
+                assert isinstance(message, Delivery)
+                found.append((host, message))
+        return found
+
+    def resets(self) -> list[tuple[bytes, tuple[str, int]]]:
+        """Return what went to callers since the last call."""
+        return [it for it in self.socket.take() if it[1][1] == CALLER_PORT]
