Ask former services for open flows, and bind sockets before loading libraries

Ruled out: lost state at the agents (the denying ones were of the other service). Now services that the route ever led to are asked, then all, before a reset. Tests of balancer and agent failed first.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -25,11 +25,11 @@
 class LoadMeter:
     """Counts requests in progress, and measures their times. Times are in seconds."""
 
-    def __init__(self, *, slots: int, now: float) -> None:
+    def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.busy = 0
         self.busy_mean = 0.0
-        self.mean_at = now
+        self.mean_at = float("-inf")
         self.service_s = 0.0
         self.flows = 0
         # Since when the backend server owes a packet, None while it doesn't.
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -78,7 +78,7 @@
         self.peer_socket = peer_socket
         self.backend_socket = backend_socket
         self.table = FlowTable(idle_s=settings.flow_ttl_s)
-        self.meter = LoadMeter(slots=DEFAULT_SLOTS, now=trio.current_time())
+        self.meter = LoadMeter(slots=DEFAULT_SLOTS)
         # Balancers that wait to hear whether the backend server holds a flow.
         self.finders: dict[FlowKey, str] = {}
         # Flows that the backend server gave back, and when.
@@ -134,9 +134,13 @@
             if message.purpose is DeliveryPurpose.FIND:
                 self._claim(host, packet.key)
             return
-        if self._is_absent(packet.key, now) or not self.gate.allows_route(
-            packet.key, version=message.version
-        ):
+        # Only a search may try a flow here whose route leads to another service: it
+        # can be one that was opened before the route moved.
+        is_foreign = (
+            message.purpose is not DeliveryPurpose.FIND
+            and not self.gate.allows_route(packet.key, version=message.version)
+        )
+        if is_foreign or self._is_absent(packet.key, now):
             self._give_back(host, packet.data, ReturnReason.NOT_HELD, packet.key)
             return
         self.finders[packet.key] = host
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
@@ -19,16 +19,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class AgentLoad:
-    """
-    The last report of an agent, with what was placed there since.
-
-    ``placed_at`` are the times of the flows that this balancer opened there and that
-    no report counts yet; all times are in trio's seconds.
-    """
+    """The last report of an agent; ``reported_at`` is in trio's seconds."""
 
     report: LoadReport
     reported_at: float
-    placed: int = 0
 
     def is_silent(self, now: float) -> bool:
         """Whether the agent, or the backend server behind it, seems gone."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -6,12 +6,10 @@
 
 import trio
 
-from oleanderweir.net import UdpSocket
-
 
 if TYPE_CHECKING:
     from oleanderweir.desired_state import Topic
-    from oleanderweir.net import SocketAddress
+    from oleanderweir.net import UdpSocket
     from oleanderweir.peering.messages import Message
     from oleanderweir_balancer.forwarding.packet_balancer import PacketBalancer
 
@@ -29,10 +27,10 @@
     """Serves a ``PacketBalancer``."""
 
     def __init__(
-        self, *, balancer: PacketBalancer, packet_address: SocketAddress, grace_s: float
+        self, *, balancer: PacketBalancer, packet_socket: UdpSocket, grace_s: float
     ) -> None:
         self.balancer = balancer
-        self.packet_address = packet_address
+        self.packet_socket = packet_socket
         self.grace_s = grace_s
 
     @property
@@ -42,9 +40,8 @@
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Receive packets of callers until cancelled."""
-        socket = UdpSocket(bind_address=self.packet_address)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive, socket)
+            nursery.start_soon(self._receive)
             nursery.start_soon(self._expire)
             task_status.started()
 
@@ -66,9 +63,9 @@
     def _quiet_s(self) -> float:
         return trio.current_time() - self.balancer.last_caller_packet_at
 
-    async def _receive(self, socket: UdpSocket) -> None:
+    async def _receive(self) -> None:
         while True:
-            for datagram in await socket.receive_batch():
+            for datagram in await self.packet_socket.receive_batch():
                 self.balancer.on_caller_packet(datagram.data)
 
     async def _expire(self) -> None:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup.py
@@ -19,7 +19,8 @@
 
     ``held`` are packets that wait for the answer, ``denied`` the agents that said
     that their backend server doesn't hold the flow. Times are in trio's seconds.
-    ``is_closed`` once the caller was told that the flow is gone.
+    ``is_wide`` once agents of services beyond the route's own are asked, ``is_closed``
+    once the caller was told that the flow is gone.
     """
 
     key: FlowKey
@@ -28,6 +29,7 @@
     held: list[Packet] = attrs.field(factory=list)
     asked: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
+    is_wide: bool = False
     is_closed: bool = False
 
     def is_denied_by(self, agents: set[str]) -> bool:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -33,6 +33,7 @@
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering import Members
     from oleanderweir.peering.messages import Message
+    from oleanderweir_balancer.forwarding.lookup import Lookup
     from oleanderweir_balancer.forwarding.packet_balancer_settings import (
         PacketBalancerSettings,
     )
@@ -193,31 +194,38 @@
         if lookup.is_closed:
             self._reset(packet, reason="flow_not_held")
             return
-        agents = self._possible_owners(packet.key)
-        if not agents:
-            self.lookups.hold(lookup, packet)
-            return
-        if not self.lookups.is_due(lookup, now=now):
+        agents = self._possible_owners(lookup)
+        if not agents or not self.lookups.is_due(lookup, now=now):
             self.lookups.hold(lookup, packet)
             return
+        self._ask(lookup, packet, agents, now=now)
+
+    def _ask(
+        self, lookup: Lookup, packet: Packet, agents: set[str], *, now: float
+    ) -> None:
+        """Send a packet to the agents whose backend servers may hold its flow."""
         lookup.asked_at = now
         lookup.asked |= agents
         for host in sorted(agents - lookup.denied):
             self._deliver(host, packet, DeliveryPurpose.FIND)
         self._log("flow_lookup", packet.key, asked=len(agents))
 
-    def _possible_owners(self, key: FlowKey) -> set[str]:
-        """Return the agents whose backend servers may hold a flow."""
-        desired = self.register.desired
-        route = None if desired is None else desired.routes.get(route_address(key))
-        if route is None:
-            agents = {r.host for r in self.register.backends.values()}
-            return agents | set(self.members.hosts(PeerRole.AGENT))
+    def _possible_owners(self, lookup: Lookup) -> set[str]:
+        """
+        Return the agents whose backend servers may hold a flow.
+
+        A flow stays where it is when its route moves to another service, so those
+        that the route once led to are asked too, and in the end all.
+        """
         hosts: set[str] = set()
-        for share in route.shares:
-            hosts.update(r.host for r in self._backends_of(share.service))
-            hosts.update(self.members.agents_of(share.service))
-        return hosts
+        if not lookup.is_wide:
+            for service in self.register.services_of(route_address(lookup.key)):
+                hosts.update(r.host for r in self._backends_of(service))
+                hosts.update(self.members.agents_of(service))
+        if hosts:
+            return hosts
+        agents = {r.host for r in self.register.backends.values()}
+        return agents | set(self.members.hosts(PeerRole.AGENT))
 
     def _note_owner(self, host: str, notice: OwnerNotice, *, now: float) -> None:
         """Send what waited for the owner of a flow."""
@@ -278,8 +286,14 @@
         if not lookup.asked:
             self._find(packet, now=now)
             return
-        if not lookup.is_denied_by(self._possible_owners(packet.key)):
+        if not lookup.is_denied_by(self._possible_owners(lookup)):
             return
+        if not lookup.is_wide:
+            lookup.is_wide = True
+            others = self._possible_owners(lookup)
+            if not lookup.is_denied_by(others):
+                self._ask(lookup, packet, others, now=now)
+                return
         lookup.is_closed = True
         self._reset(packet, reason="flow_not_held")
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from oleanderweir.desired_state import BackendState
@@ -40,10 +41,13 @@
         self.availability_zone = availability_zone
         self.random_source = random_source
         self.loads: dict[str, AgentLoad] = {}
+        # New flows placed at each agent since its last report.
+        self.unreported: Counter[str] = Counter()
 
     def note_report(self, host: str, report: LoadReport, *, now: float) -> None:
         """Take an agent's report in."""
         self.loads[host] = AgentLoad(report=report, reported_at=now)
+        self.unreported.pop(host, None)
 
     def forget_absent(self, hosts: Collection[str]) -> None:
         """Drop the loads of agents that are gone."""
@@ -67,9 +71,7 @@
         if not usable:
             return None
         chosen = min(usable, key=self._cost)
-        load = self.loads.get(chosen.host)
-        if load is not None:
-            load.placed += 1
+        self.unreported[chosen.host] += 1
         return chosen
 
     def _is_usable(self, record: BackendRecord, now: float) -> bool:
@@ -83,11 +85,10 @@
         """Return the expected time of one more request there, in milliseconds."""
         load = self.loads.get(record.host)
         service_ms = DEFAULT_SERVICE_MS
-        work = 0.0
+        work = float(self.unreported[record.host])
         if load is not None:
             service_ms = load.report.service_ms or DEFAULT_SERVICE_MS
-            work = load.report.busy + load.placed
-            work += MEAN_WEIGHT * load.report.busy_mean
+            work += load.report.busy + MEAN_WEIGHT * load.report.busy_mean
         if record.cold_s > 0:
             service_ms *= COLD_FACTOR
         if record.availability_zone != self.availability_zone:
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -56,6 +56,8 @@
         self.topics = {topic: TopicState() for topic in Topic}
         self.desired: DesiredState | None = None
         self.backends: dict[str, BackendRecord] = {}
+        # Every service that a route's address led to since the process started.
+        self.past_services: dict[bytes, set[str]] = {}
         # When a backend server was removed, in trio's seconds, by host.
         self.removed_at: dict[str, float] = {}
 
@@ -72,6 +74,10 @@
         """The version of the desired state in force, 0 while there is none."""
         return 0 if self.desired is None else self.desired.version
 
+    def services_of(self, address: bytes) -> set[str]:
+        """Return the services that a route leads to, or led to in this process."""
+        return self.past_services.get(address, set())
+
     def export(self, topic: Topic) -> Listing:
         """Return a topic as a list that another process can take."""
         state = self.topics[topic]
@@ -162,3 +168,6 @@
             return
         if desired.version > self.version:
             self.desired = desired
+            for route in desired.routes.values():
+                services = self.past_services.setdefault(route.address, set())
+                services.update(share.service for share in route.shares)
--- a/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
+++ b/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
@@ -9,6 +9,7 @@
 import attrs
 import trio
 
+from oleanderweir.early_start import bind_udp_early
 from oleanderweir.net.exceptions import AddressInUseError
 
 
@@ -18,7 +19,6 @@
 
 MAX_DATAGRAM_BYTES = 65535
 BATCH_LIMIT = 64
-BUFFER_BYTES = 4 * 1024 * 1024
 PORT = struct.Struct("!H")
 
 
@@ -35,19 +35,17 @@
     A bound, non-blocking UDP socket.
 
     A send that would block drops the datagram, as a network may; callers of
-    ``send_to`` learn of it by the return value and count it.
+    ``send_to`` learn of it by the return value and count it. ``raw`` is the socket of
+    a process that bound it before it loaded its libraries.
     """
 
-    def __init__(self, *, bind_address: SocketAddress) -> None:
+    def __init__(
+        self, *, bind_address: SocketAddress, raw: socket.socket | None = None
+    ) -> None:
         self.bind_address = bind_address
-        self.raw = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.raw.setblocking(False)
-        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
-        self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
         try:
-            self.raw.bind(bind_address.pair)
+            self.raw = raw or bind_udp_early(str(bind_address))
         except OSError as error:
-            self.raw.close()
             raise AddressInUseError(
                 f"UDP {bind_address} can't be bound ({error.strerror}); "
                 "stop what holds it or choose another address"
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -103,6 +103,27 @@
     assert bench.to_balancers() == [denial]
 
 
+async def test_an_open_flow_is_tried_though_its_route_left_the_service() -> None:
+    bench = AgentBench()
+    publish(bench.register, version=5, routes={1: "archive"})
+
+    bench.deliver(DeliveryPurpose.FIND, REQUEST, version=5)
+
+    assert bench.to_backend() == [REQUEST]
+
+
+async def test_an_unknown_flow_of_another_service_is_not_tried_unasked() -> None:
+    bench = AgentBench()
+    publish(bench.register, version=5, routes={1: "archive"})
+
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST, version=5)
+
+    assert bench.to_backend() == []
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    ]
+
+
 async def test_an_opening_packet_that_was_turned_away_goes_back() -> None:
     bench = AgentBench()
     bench.deliver(DeliveryPurpose.OPEN, OPENING)
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -6,6 +6,7 @@
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.flows.fakes import FakePacketCodec
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir.flows.fakes import make_key
@@ -14,6 +15,10 @@
 
 KEY = make_key(1)
 OPENING = encode_packet(KEY, is_opening=True)
+MIXED = {
+    "b1": backend_document(host="10.0.0.1", service="feed"),
+    "b2": backend_document(host="10.0.0.3", service="archive"),
+}
 REQUEST = encode_packet(KEY, payload_bytes=900, acknowledged=77)
 
 
@@ -104,6 +109,29 @@
     assert packet.sequence == 77
 
 
+async def test_a_flow_is_asked_for_at_the_service_that_its_route_left() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.publish(version=2, revision=20, routes={1: "archive"}, backends=MIXED)
+
+    bench.balancer.on_caller_packet(REQUEST)
+
+    assert {host for host, _ in bench.deliveries()} == {"10.0.0.1", "10.0.0.3"}
+
+
+async def test_a_flow_is_reset_only_after_agents_of_all_services_denied_it() -> None:
+    bench = BalancerBench()
+    bench.publish(routes={1: "archive"}, backends=MIXED)
+    bench.balancer.on_caller_packet(REQUEST)
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.3"]
+
+    bench.give_back("10.0.0.3", ReturnReason.NOT_HELD, REQUEST)
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.1"]
+
+    bench.give_back("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
 async def test_a_refused_opening_packet_goes_to_another_backend_server() -> None:
     bench = BalancerBench()
     bench.publish()
