Let requests wait at the agent, in order of what can still be in time

Cause: after a loss of all power the callers' requests return at once; backend servers queue them first come, first served and shed beyond their queue, so that all are late and tries are used up. Now an agent gives its backend server as many requests as it has slots and one, and keeps the others by priority and by when they are wanted.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -9,10 +9,13 @@
 
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
 
 
 # A flow that ended is remembered for the last packets of its caller.
 ENDED_LEASE_S = 5.0
+# Sequence numbers of packets have 32 bits and wrap.
+SEQUENCE_MODULUS = 2**32
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -23,7 +26,9 @@
     ``balancer`` is the host that sent its last packet. ``is_answered`` once the
     backend server sent a packet of it, ``is_confirmed`` once the caller sent one that
     isn't an opening. ``requested_at`` is when the request in progress began, None
-    while there is none. Times are in trio's seconds.
+    while there is none, and ``request_expires_at`` when its caller gives up at the
+    latest. ``received_up_to`` is the sequence number after the caller's last new byte.
+    Times are in trio's seconds.
     """
 
     key: FlowKey
@@ -34,10 +39,22 @@
     is_answered: bool = False
     is_confirmed: bool = False
     requested_at: float | None = None
+    request_expires_at: float = 0.0
     busy_at_request: int = 0
+    received_up_to: int | None = None
     caller_ended: bool = False
     backend_ended: bool = False
 
+    def takes_new_bytes(self, packet: Packet) -> bool:
+        """Note the payload of a caller; return whether any of it is new."""
+        end = (packet.sequence + packet.payload_bytes) % SEQUENCE_MODULUS
+        if self.received_up_to is not None:
+            ahead = (end - self.received_up_to) % SEQUENCE_MODULUS
+            if not 0 < ahead < SEQUENCE_MODULUS // 2:
+                return False
+        self.received_up_to = end
+        return True
+
     @property
     def is_ended(self) -> bool:
         """Whether both ends closed the flow."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -18,6 +18,8 @@
 
 # Share of a new sample in the mean time of a request.
 SERVICE_GAIN = 0.1
+# Requests beyond the slots, so that a slot never waits for this process.
+SPARE_REQUESTS = 1
 # Time over which the mean of requests in progress is taken.
 BUSY_MEAN_S = 3.0
 
@@ -35,6 +37,11 @@
         # Since when the backend server owes a packet, None while it doesn't.
         self.owed_since: float | None = None
 
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether one more request would run at once, or be the next to run."""
+        return self.busy < self.slots + SPARE_REQUESTS
+
     def note_delivered(self, *, now: float) -> None:
         """Note a packet that the backend server should react to."""
         if self.owed_since is None:
@@ -78,13 +85,13 @@
         return 0.0 if self.owed_since is None else now - self.owed_since
 
     def report(
-        self, *, service: str, flows: int, is_accepting: bool, now: float
+        self, *, service: str, flows: int, waiting: int, is_accepting: bool, now: float
     ) -> LoadReport:
         """Return what balancers should know."""
         self._advance(now)
         return LoadReport(
             service=service,
-            busy=self.busy,
+            busy=self.busy + waiting,
             flows=flows,
             busy_mean=round(self.busy_mean, 2),
             service_ms=round(self.service_s * 1000, 1),
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_gate.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_gate.py
@@ -33,11 +33,14 @@
         self.port = port
 
     def find_record(self) -> BackendRecord | None:
-        """Return the published record of the backend server beside this process."""
-        for record in self.register.backends.values():
-            if record.host == self.host and record.port == self.port:
-                return record
-        return None
+        """Return the newest record of the backend server beside this process."""
+        records = [
+            record
+            for record in self.register.backends.values()
+            if record.host == self.host and record.port == self.port
+        ]
+        # The record of an earlier start stays published for some seconds.
+        return max(records, key=lambda record: record.started_at_ms, default=None)
 
     def check(self, key: FlowKey, *, version: int) -> ReturnReason | None:
         """Return why a new flow may not come here, or nothing if it may."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.flows import caller_host
 from oleanderweir.flows import describe_flow
+from oleanderweir.flows import route_address
 from oleanderweir.peering import encode_message
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
@@ -18,9 +19,12 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
+from oleanderweir_agent.forwarding.request_queue import RequestQueue
+from oleanderweir_agent.forwarding.waiting_request import WaitingRequest
 
 
 if TYPE_CHECKING:
+    from oleanderweir.desired_state import Route
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
@@ -47,6 +51,8 @@
 # Reports without a change; below the silence that balancers bear.
 REPORT_KEEPALIVE_S = 0.3
 DEFAULT_SLOTS = 4
+# How long a request of no known route may hold a slot without an answer.
+REQUEST_LEASE_S = 5.0
 
 
 class PacketAgent:
@@ -79,6 +85,7 @@
         self.backend_socket = backend_socket
         self.table = FlowTable(idle_s=settings.flow_ttl_s)
         self.meter = LoadMeter(slots=DEFAULT_SLOTS)
+        self.queue = RequestQueue()
         # Balancers that wait to hear whether the backend server holds a flow.
         self.finders: dict[FlowKey, str] = {}
         # Flows that the backend server gave back, and when.
@@ -130,7 +137,7 @@
         flow = self.table.get(packet.key)
         if flow is not None:
             self._note_from_caller(host, flow, packet, now=now)
-            self._hand_over(packet.data)
+            self._pass_on(flow, packet, now=now)
             if message.purpose is DeliveryPurpose.FIND:
                 self._claim(host, packet.key)
             return
@@ -154,15 +161,81 @@
         flow.balancer = host
         flow.is_confirmed = True
         flow.opening = None
-        if packet.payload_bytes:
-            self.meter.note_delivered(now=now)
-            self.meter.note_request(flow, now=now)
         if packet.is_reset:
+            self.queue.remove(flow.key)
             self.meter.drop_request(flow, now=now)
             flow.caller_ended = flow.backend_ended = True
         elif packet.is_final:
+            self.meter.drop_request(flow, now=now)
             flow.caller_ended = True
 
+    def _pass_on(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
+        """Hand a packet over, or let its request wait for a free slot."""
+        is_new = packet.payload_bytes > 0 and flow.takes_new_bytes(packet)
+        if not packet.payload_bytes:
+            # The end of a flow stays behind the request that waits on it.
+            is_kept = packet.is_final and self.queue.append(flow.key, packet.data)
+            if not is_kept:
+                self._hand_over(packet.data)
+        elif self.queue.append(flow.key, packet.data):
+            return
+        elif flow.requested_at is not None or not is_new:
+            self.meter.note_delivered(now=now)
+            self._hand_over(packet.data)
+        elif self.meter.has_free_slot or not self._let_wait(flow, packet, now=now):
+            self._start_request(flow, [packet.data], now=now)
+
+    def _let_wait(self, flow: HeldFlow, packet: Packet, *, now: float) -> bool:
+        """Let a request wait; return whether it does."""
+        route = self._find_route(flow.key)
+        if route is None:
+            return False
+        request = WaitingRequest(
+            key=flow.key,
+            packets=[packet.data],
+            arrived_at=now,
+            wanted_at=now + route.target_latency_s,
+            useless_at=now + route.timeout_s,
+            priority=route.priority,
+        )
+        return self.queue.add(request)
+
+    def _find_route(self, key: FlowKey) -> Route | None:
+        desired = self.register.desired
+        return None if desired is None else desired.routes.get(route_address(key))
+
+    def _start_request(
+        self, flow: HeldFlow, packets: list[bytes], *, now: float
+    ) -> None:
+        """Give a request to the backend server."""
+        self.meter.note_delivered(now=now)
+        self.meter.note_request(flow, now=now)
+        route = self._find_route(flow.key)
+        timeout_s = REQUEST_LEASE_S if route is None else route.timeout_s
+        flow.request_expires_at = now + timeout_s
+        logger.info(
+            "request started",
+            extra={
+                "code": "request_started",
+                "flow": describe_flow(flow.key),
+                "busy": self.meter.busy,
+                "slots": self.meter.slots,
+                "waiting": len(self.queue),
+            },
+        )
+        for data in packets:
+            self._hand_over(data)
+
+    def _start_waiting(self, now: float) -> None:
+        """Give waiting requests the slots that are free."""
+        while self.queue and self.meter.has_free_slot:
+            request = self.queue.take_next(now=now, service_s=self.meter.service_s)
+            if request is None:
+                return
+            flow = self.table.get(request.key)
+            if flow is not None:
+                self._start_request(flow, request.packets, now=now)
+
     def _is_absent(self, key: FlowKey, now: float) -> bool:
         """Whether the backend server gave a packet of the flow back lately."""
         since = self.absent.get(key)
@@ -192,12 +265,29 @@
         if finder is not None:
             self._claim(finder, packet.key)
         if packet.payload_bytes:
-            self.meter.note_answer(flow, now=now)
+            self._note_answer(flow, now=now)
         if packet.is_reset:
+            self._log_reset(flow, now=now)
             self.meter.drop_request(flow, now=now)
             flow.caller_ended = flow.backend_ended = True
         elif packet.is_final:
             flow.backend_ended = True
+        self._start_waiting(now)
+
+    def _note_answer(self, flow: HeldFlow, *, now: float) -> None:
+        """Note the first payload of an answer."""
+        if flow.requested_at is None:
+            return
+        logger.info(
+            "request answered",
+            extra={
+                "code": "request_answered",
+                "flow": describe_flow(flow.key),
+                "took_ms": round((now - flow.requested_at) * 1000, 1),
+                "busy": self.meter.busy,
+            },
+        )
+        self.meter.note_answer(flow, now=now)
 
     def _take_back(self, packet: Packet, *, now: float) -> None:
         """Decide about a packet that the backend server gave back."""
@@ -222,6 +312,7 @@
             self._give_back(host, data, ReturnReason.NOT_HELD, key)
 
     def _drop(self, key: FlowKey, *, now: float) -> None:
+        self.queue.remove(key)
         flow = self.table.forget(key)
         if flow is not None:
             self.meter.drop_request(flow, now=now)
@@ -232,6 +323,8 @@
         """Give unanswered opening packets back, report the load, forget the old."""
         now = trio.current_time()
         self._give_back_unanswered(now)
+        self._drop_useless(now)
+        self._start_waiting(now)
         self._report(now)
 
     def expire(self) -> None:
@@ -279,11 +372,29 @@
             )
             self._drop(flow.key, now=now)
 
+    def _drop_useless(self, now: float) -> None:
+        """Forget requests whose callers gave up, before and after their start."""
+        for request in self.queue.take_useless(now=now):
+            logger.info(
+                "a request waited for longer than its caller does",
+                extra={
+                    "code": "request_expired",
+                    "flow": describe_flow(request.key),
+                    "busy": self.meter.busy,
+                    "slots": self.meter.slots,
+                    "waiting": len(self.queue),
+                },
+            )
+        for flow in self.table.flows.values():
+            if flow.requested_at is not None and flow.request_expires_at < now:
+                self.meter.drop_request(flow, now=now)
+
     def _report(self, now: float) -> None:
         """Tell the balancers of the load when it changed, and from time to time."""
         report = self.meter.report(
             service=self.settings.service,
             flows=len(self.table.flows),
+            waiting=len(self.queue),
             is_accepting=self._is_accepting(now),
             now=now,
         )
@@ -311,6 +422,19 @@
         message = encode_message(OwnerNotice(key=key))
         self.peer_socket.send_to(message, (host, self.settings.peer_port))
 
+    def _log_reset(self, flow: HeldFlow, *, now: float) -> None:
+        logger.info(
+            "the backend server reset a flow",
+            extra={
+                "code": "backend_reset",
+                "flow": describe_flow(flow.key),
+                "is_confirmed": flow.is_confirmed,
+                "age_s": round(now - flow.opened_at, 3),
+                "busy": self.meter.busy,
+                "flows": len(self.table.flows),
+            },
+        )
+
     def _give_back(
         self, host: str, data: bytes, reason: ReturnReason, key: FlowKey
     ) -> None:
--- a/packages/oleanderweir/src/oleanderweir/event_log/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/event_log/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from oleanderweir.event_log.code_limit import MAX_LINES_PER_CODE
 from oleanderweir.event_log.code_limit import CodeLimit
 from oleanderweir.event_log.configure import configure_event_log
 from oleanderweir.event_log.event_counters import EventCounters
@@ -10,6 +11,7 @@
 
 
 __all__ = [
+    "MAX_LINES_PER_CODE",
     "CodeLimit",
     "EventCounters",
     "JsonLineFormatter",
--- a/packages/oleanderweir/src/oleanderweir/event_log/code_limit.py
+++ b/packages/oleanderweir/src/oleanderweir/event_log/code_limit.py
@@ -25,8 +25,14 @@
     ``clock`` returns seconds that never go back.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        *,
+        max_lines: int = MAX_LINES_PER_CODE,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         super().__init__()
+        self.max_lines = max_lines
         self.clock = clock
         self.window_started_at = float("-inf")
         self.passed: Counter[str] = Counter()
@@ -39,7 +45,7 @@
             self.window_started_at = now
             self.passed.clear()
         code = getattr(record, "code", record.name)
-        if self.passed[code] >= MAX_LINES_PER_CODE:
+        if self.passed[code] >= self.max_lines:
             self.left_out[code] += 1
             return False
         self.passed[code] += 1
--- a/packages/oleanderweir/src/oleanderweir/event_log/configure.py
+++ b/packages/oleanderweir/src/oleanderweir/event_log/configure.py
@@ -11,14 +11,18 @@
 
 
 def configure_event_log(
-    *, instance: str, availability_zone: str, descriptor: int
+    *, instance: str, availability_zone: str, descriptor: int, max_lines: int
 ) -> EventCounters:
-    """Write bounded JSON lines to ``descriptor``; return the counters."""
+    """
+    Write JSON lines to ``descriptor``, ``max_lines`` a second of each code at most.
+
+    Return the counters.
+    """
     writer = LineWriter(descriptor=descriptor)
     writer.setFormatter(
         JsonLineFormatter(instance=instance, availability_zone=availability_zone)
     )
-    writer.addFilter(CodeLimit())
+    writer.addFilter(CodeLimit(max_lines=max_lines))
     counters = EventCounters()
     root = logging.getLogger()
     root.handlers = [counters, writer]
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -164,3 +164,103 @@
     reports = [it for it in bench.to_balancers() if isinstance(it, LoadReport)]
     assert reports[-1].busy == 0
     assert reports[-1].service_ms == 100.0
+
+
+def open_flow(bench: AgentBench, number: int) -> None:
+    key = make_key(number)
+    bench.deliver(DeliveryPurpose.OPEN, encode_packet(key, is_opening=True))
+    bench.agent.on_backend_packet(
+        encode_packet(key, is_opening=True, is_acknowledging=True)
+    )
+
+
+def request(number: int, *, sequence: int = 1) -> bytes:
+    return encode_packet(make_key(number), payload_bytes=900, sequence=sequence)
+
+
+def answer(number: int) -> bytes:
+    return encode_packet(make_key(number), payload_bytes=600, is_acknowledging=True)
+
+
+async def test_requests_beyond_the_slots_wait_for_an_answer() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    bench.agent.on_state_change()
+    for number in range(1, 8):
+        open_flow(bench, number)
+    bench.to_backend()
+
+    for number in range(1, 8):
+        bench.deliver(DeliveryPurpose.CONTINUE, request(number), version=1)
+
+    # Four slots and one request that is the next to run.
+    assert len(bench.to_backend()) == 5
+    bench.agent.on_backend_packet(answer(1))
+    assert bench.to_backend() == [request(6)]
+
+
+async def test_a_copy_of_an_answered_request_holds_no_slot() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+    bench.agent.on_backend_packet(answer(1))
+    bench.to_backend()
+
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+
+    assert bench.agent.meter.busy == 0
+    assert bench.to_backend() == [request(1)]
+
+
+async def test_a_second_request_of_a_flow_counts_again() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+    bench.agent.on_backend_packet(answer(1))
+
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1, sequence=901), version=1)
+
+    assert bench.agent.meter.busy == 1
+
+
+async def test_a_request_whose_caller_ended_the_flow_holds_no_slot() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+
+    ending = encode_packet(make_key(1), is_final=True, sequence=901)
+    bench.deliver(DeliveryPurpose.CONTINUE, ending, version=1)
+
+    assert bench.agent.meter.busy == 0
+
+
+async def test_a_request_without_an_answer_frees_its_slot_after_its_timeout(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+
+    await bench.pass_time(2.1)
+
+    assert bench.agent.meter.busy == 0
+
+
+async def test_the_newest_start_of_the_backend_server_counts() -> None:
+    bench = AgentBench()
+    old = backend_document(host="10.0.0.1", started_at_ms=1000)
+    publish(bench.register, backends={"b1": old})
+    bench.agent.on_state_change()
+    open_flow(bench, 1)
+    new = backend_document(host="10.0.0.1", started_at_ms=2000)
+    publish(bench.register, backends={"b1": old, "b2": new}, revision=11)
+    bench.agent.on_state_change()
+
+    publish(bench.register, backends={"b2": new, "b1": old}, revision=12)
+    bench.agent.on_state_change()
+
+    assert bench.agent.lifetime == 2000
