Let the silence of a backend server end by itself, and place by open flows

Now only opening packets count, which are answered at once, and silence is tried again after 1 s. Placing counts open flows by the work that flows of the service ask for, so that a burst without reports spreads evenly.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -85,6 +85,12 @@
         """Drop a flow; return it."""
         return self.flows.pop(key, None)
 
+    def count_open(self) -> int:
+        """Return the number of flows that the backend server opened and still holds."""
+        return sum(
+            flow.is_answered and not flow.is_ended for flow in self.flows.values()
+        )
+
     def expire(self, *, now: float) -> list[HeldFlow]:
         """Drop and return flows that ended or were idle for too long."""
         over = [flow for flow in self.flows.values() if self._is_over(flow, now)]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -20,6 +20,10 @@
 SERVICE_GAIN = 0.1
 # Requests beyond the slots, so that a slot never waits for this process.
 SPARE_REQUESTS = 1
+# A backend server that owes a sign of life for this long takes no new flows.
+SILENCE_LIMIT_S = 0.5
+# After this much more it is tried again.
+SILENCE_RETRY_S = 1.0
 # Time over which the mean of requests in progress is taken.
 BUSY_MEAN_S = 3.0
 
@@ -34,7 +38,7 @@
         self.mean_at = float("-inf")
         self.service_s = 0.0
         self.flows = 0
-        # Since when the backend server owes a packet, None while it doesn't.
+        # Since when the backend server owes the answer to an opening packet.
         self.owed_since: float | None = None
 
     @property
@@ -42,8 +46,8 @@
         """Whether one more request would run at once, or be the next to run."""
         return self.busy < self.slots + SPARE_REQUESTS
 
-    def note_delivered(self, *, now: float) -> None:
-        """Note a packet that the backend server should react to."""
+    def note_opening(self, *, now: float) -> None:
+        """Note an opening packet, which the backend server reacts to at once."""
         if self.owed_since is None:
             self.owed_since = now
 
@@ -80,9 +84,20 @@
         flow.requested_at = None
         self.busy -= 1
 
-    def silent_s(self, *, now: float) -> float:
-        """Return how long the backend server has owed a sign of life."""
-        return 0.0 if self.owed_since is None else now - self.owed_since
+    def is_silent(self, *, now: float) -> bool:
+        """
+        Whether the backend server seems gone.
+
+        After ``SILENCE_RETRY_S`` it is taken as back until the next opening packet
+        stays without an answer: nothing else would ever end its silence.
+        """
+        if self.owed_since is None:
+            return False
+        silent_s = now - self.owed_since
+        if silent_s > SILENCE_LIMIT_S + SILENCE_RETRY_S:
+            self.owed_since = None
+            return False
+        return silent_s > SILENCE_LIMIT_S
 
     def report(
         self, *, service: str, flows: int, waiting: int, is_accepting: bool, now: float
@@ -95,7 +110,6 @@
             flows=flows,
             busy_mean=round(self.busy_mean, 2),
             service_ms=round(self.service_s * 1000, 1),
-            silent_ms=int(self.silent_s(now=now) * 1000),
             is_accepting=is_accepting,
         )
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -43,8 +43,6 @@
 OPENING_TIMEOUT_S = 0.06
 # After a refused opening packet the balancers are told that there is no room.
 FULL_PAUSE_S = 0.1
-# A backend server that owes a sign of life for this long takes no new flows.
-SILENCE_LIMIT_S = 0.5
 # How long a flow that the backend server gave back is known not to be held.
 ABSENCE_LEASE_S = 5.0
 REPORT_INTERVAL_S = 0.1
@@ -88,6 +86,8 @@
         self.queue = RequestQueue()
         # Balancers that wait to hear whether the backend server holds a flow.
         self.finders: dict[FlowKey, str] = {}
+        # Flows whose opening packet the backend server hasn't answered.
+        self.openings: dict[FlowKey, HeldFlow] = {}
         # Flows that the backend server gave back, and when.
         self.absent: dict[FlowKey, float] = {}
         self.full_until = float("-inf")
@@ -117,7 +117,7 @@
             # A late copy; its flow is open and needs no other answer.
             return
         reason = self.gate.check(packet.key, version=version)
-        if reason is None and self.meter.silent_s(now=now) > SILENCE_LIMIT_S:
+        if reason is None and self.meter.is_silent(now=now):
             reason = ReturnReason.FULL
         if reason is not None:
             self._give_back(host, packet.data, reason, packet.key)
@@ -127,7 +127,8 @@
         flow.balancer = host
         flow.opening = packet.data
         flow.opened_at = now
-        self.meter.note_delivered(now=now)
+        self.openings[flow.key] = flow
+        self.meter.note_opening(now=now)
         self._hand_over(packet.data)
 
     def _continue(
@@ -180,7 +181,6 @@
         elif self.queue.append(flow.key, packet.data):
             return
         elif flow.requested_at is not None or not is_new:
-            self.meter.note_delivered(now=now)
             self._hand_over(packet.data)
         elif self.meter.has_free_slot or not self._let_wait(flow, packet, now=now):
             self._start_request(flow, [packet.data], now=now)
@@ -208,7 +208,6 @@
         self, flow: HeldFlow, packets: list[bytes], *, now: float
     ) -> None:
         """Give a request to the backend server."""
-        self.meter.note_delivered(now=now)
         self.meter.note_request(flow, now=now)
         route = self._find_route(flow.key)
         timeout_s = REQUEST_LEASE_S if route is None else route.timeout_s
@@ -313,6 +312,7 @@
 
     def _drop(self, key: FlowKey, *, now: float) -> None:
         self.queue.remove(key)
+        self.openings.pop(key, None)
         flow = self.table.forget(key)
         if flow is not None:
             self.meter.drop_request(flow, now=now)
@@ -364,7 +364,9 @@
     def _give_back_unanswered(self, now: float) -> None:
         """Give opening packets back that the backend server stays silent on."""
         limit = now - OPENING_TIMEOUT_S
-        for flow in list(self.table.flows.values()):
+        for flow in list(self.openings.values()):
+            if flow.opening is None or flow.is_answered:
+                del self.openings[flow.key]
             if flow.opening is None or flow.is_answered or flow.opened_at > limit:
                 continue
             self._give_back(
@@ -393,7 +395,7 @@
         """Tell the balancers of the load when it changed, and from time to time."""
         report = self.meter.report(
             service=self.settings.service,
-            flows=len(self.table.flows),
+            flows=self.table.count_open(),
             waiting=len(self.queue),
             is_accepting=self._is_accepting(now),
             now=now,
@@ -408,7 +410,7 @@
             self.peer_socket.send_to(message, (host, self.settings.peer_port))
 
     def _is_accepting(self, now: float) -> bool:
-        if now < self.full_until or self.meter.silent_s(now=now) > SILENCE_LIMIT_S:
+        if now < self.full_until or self.meter.is_silent(now=now):
             return False
         record = self.gate.find_record()
         return record is None or record.state.value == "ready"
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
@@ -13,8 +13,6 @@
 
 # An agent that reported nothing for this long is avoided; several reports.
 SILENCE_S = 0.7
-# A backend server that owes a sign of life for this long is avoided.
-BACKEND_SILENCE_MS = 500
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -25,7 +23,5 @@
     reported_at: float
 
     def is_silent(self, now: float) -> bool:
-        """Whether the agent, or the backend server behind it, seems gone."""
-        if now - self.reported_at > SILENCE_S:
-            return True
-        return self.report.silent_ms > BACKEND_SILENCE_MS
+        """Whether the agent seems gone."""
+        return now - self.reported_at > SILENCE_S
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -23,9 +23,12 @@
     from oleanderweir.peering.messages import LoadReport
 
 
-# Work that is in progress weighs whole; the mean of it tells what the open flows of
-# a backend server will ask for soon.
-MEAN_WEIGHT = 1.0
+# The share of a request that an open flow asks for at any moment, while no backend
+# server of the service has been seen at work.
+DEFAULT_FLOW_WORK = 0.05
+# Bounds of that share as measured, so that few flows don't mislead.
+MIN_FLOW_WORK = 0.02
+MAX_FLOW_WORK = 0.5
 # Mean time of a request before the first measurement, in milliseconds.
 DEFAULT_SERVICE_MS = 50.0
 # How much slower a backend server is taken to be right after its start.
@@ -70,7 +73,8 @@
         usable = [record for record in ready if self._is_usable(record, now)] or ready
         if not usable:
             return None
-        chosen = min(usable, key=self._cost)
+        flow_work = self._flow_work(usable)
+        chosen = min(usable, key=lambda record: self._cost(record, flow_work))
         self.unreported[chosen.host] += 1
         return chosen
 
@@ -81,14 +85,28 @@
             return True
         return load.report.is_accepting and not load.is_silent(now)
 
-    def _cost(self, record: BackendRecord) -> float:
+    def _flow_work(self, records: Collection[BackendRecord]) -> float:
+        """Return the requests in progress per open flow of these backend servers."""
+        reports = [
+            self.loads[record.host].report
+            for record in records
+            if record.host in self.loads
+        ]
+        flows = sum(report.flows for report in reports)
+        if not flows:
+            return DEFAULT_FLOW_WORK
+        busy = sum(report.busy_mean for report in reports)
+        return min(MAX_FLOW_WORK, max(MIN_FLOW_WORK, busy / flows))
+
+    def _cost(self, record: BackendRecord, flow_work: float) -> float:
         """Return the expected time of one more request there, in milliseconds."""
         load = self.loads.get(record.host)
         service_ms = DEFAULT_SERVICE_MS
-        work = float(self.unreported[record.host])
+        placed = self.unreported[record.host]
+        work = placed * (1 + flow_work)
         if load is not None:
             service_ms = load.report.service_ms or DEFAULT_SERVICE_MS
-            work += load.report.busy + MEAN_WEIGHT * load.report.busy_mean
+            work += load.report.busy + flow_work * load.report.flows
         if record.cold_s > 0:
             service_ms *= COLD_FACTOR
         if record.availability_zone != self.availability_zone:
--- a/packages/oleanderweir/src/oleanderweir/http_responder/http_responder.py
+++ b/packages/oleanderweir/src/oleanderweir/http_responder/http_responder.py
@@ -31,7 +31,7 @@
     def __init__(self, *, answers: Mapping[str, Callable[[], HttpAnswer]]) -> None:
         self.answers = answers
 
-    async def serve(self, stream: trio.SocketStream) -> None:
+    async def serve(self, stream: trio.abc.Stream) -> None:
         """Answer the requests of one connection until it ends."""
         connection = h11.Connection(h11.SERVER)
         try:
@@ -46,14 +46,15 @@
         await trio.aclose_forcefully(stream)
 
     async def _answer_one(
-        self, connection: h11.Connection, stream: trio.SocketStream
+        self, connection: h11.Connection, stream: trio.abc.Stream
     ) -> bool:
         """Answer one request; return whether another may follow."""
         request: h11.Request | None = None
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await stream.receive_some(CHUNK_BYTES))
+                data = await stream.receive_some(CHUNK_BYTES)
+                connection.receive_data(bytes(data))
             elif isinstance(event, h11.Request):
                 request = event
             elif isinstance(event, h11.EndOfMessage) and request is not None:
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/load_report.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/load_report.py
@@ -12,7 +12,7 @@
 
     ``busy`` counts requests in progress, queued ones included, ``flows`` open flows.
     ``service_ms`` is the mean time of a request lately, ``busy_mean`` the mean of
-    ``busy``. ``silent_ms`` is how long the backend server has owed a sign of life.
+    ``busy``. ``is_accepting`` unless the backend server drains, is full or silent.
     """
 
     service: str
@@ -20,5 +20,4 @@
     flows: int
     busy_mean: float
     service_ms: float
-    silent_ms: int
     is_accepting: bool
--- /dev/null
+++ b/tests/oleanderweir/event_log/test_code_limit.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import logging
+
+from oleanderweir.event_log import CodeLimit
+
+
+class FakeClock:
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def make_record(code: str) -> logging.LogRecord:
+    record = logging.makeLogRecord({"msg": "message", "levelno": logging.INFO})
+    record.code = code
+    return record
+
+
+def test_a_common_code_is_bounded_and_a_rare_one_stays_whole() -> None:
+    limit = CodeLimit(max_lines=3, clock=FakeClock())
+
+    common = [limit.filter(make_record("common")) for _ in range(10)]
+
+    assert common == [True] * 3 + [False] * 7
+    assert limit.filter(make_record("rare"))
+
+
+def test_the_next_line_of_a_code_tells_how_many_were_left_out() -> None:
+    clock = FakeClock()
+    limit = CodeLimit(max_lines=1, clock=clock)
+    for _ in range(5):
+        limit.filter(make_record("common"))
+
+    clock.now = 1.0
+    record = make_record("common")
+
+    assert limit.filter(record)
+    assert record.__dict__["left_out"] == 4
--- /dev/null
+++ b/tests/oleanderweir_balancer/forwarding/test_placement.py
@@ -0,0 +1,146 @@
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from oleanderweir.desired_state import BackendState
+from oleanderweir.peering.messages import LoadReport
+from oleanderweir_balancer.forwarding import Placement
+from tests.oleanderweir.desired_state.fakes import make_record
+
+
+RECORDS = [make_record(f"b{n}", host=f"10.0.0.{n}") for n in range(1, 5)]
+
+
+def make_placement(seed: int = 1) -> Placement:
+    return Placement(availability_zone="a", random_source=random.Random(seed))
+
+
+def make_report(
+    *,
+    busy: int = 0,
+    flows: int = 0,
+    busy_mean: float = 0.0,
+    service_ms: float = 50.0,
+    is_accepting: bool = True,
+) -> LoadReport:
+    return LoadReport(
+        service="feed",
+        busy=busy,
+        flows=flows,
+        busy_mean=busy_mean,
+        service_ms=service_ms,
+        is_accepting=is_accepting,
+    )
+
+
+def place(placement: Placement, count: int, *, now: float = 0.0) -> Counter[str]:
+    chosen = Counter[str]()
+    for _ in range(count):
+        record = placement.choose(RECORDS, excluding=(), now=now)
+        assert record is not None
+        chosen[record.host] += 1
+    return chosen
+
+
+def test_a_burst_without_any_report_is_spread_evenly() -> None:
+    chosen = place(make_placement(), 100)
+
+    assert max(chosen.values()) - min(chosen.values()) <= 6
+
+
+def test_a_burst_between_two_reports_is_spread_evenly() -> None:
+    placement = make_placement()
+    for record in RECORDS:
+        placement.note_report(record.host, make_report(), now=0.0)
+
+    chosen = place(placement, 100)
+
+    assert max(chosen.values()) - min(chosen.values()) <= 6
+
+
+def test_flows_that_will_ask_later_count_as_load() -> None:
+    placement = make_placement()
+    for number, record in enumerate(RECORDS):
+        report = make_report(flows=200 if number == 0 else 100, busy_mean=4.0)
+        placement.note_report(record.host, report, now=0.0)
+
+    # A hundred more flows ask for about three requests more at any moment.
+    assert place(placement, 8)[RECORDS[0].host] == 0
+
+
+def test_a_backend_server_half_as_fast_gets_about_half_as_much() -> None:
+    placement = make_placement()
+    for number, record in enumerate(RECORDS):
+        report = make_report(service_ms=100.0 if number == 0 else 50.0)
+        placement.note_report(record.host, report, now=0.0)
+
+    chosen = place(placement, 200)
+
+    others = (200 - chosen[RECORDS[0].host]) / 3
+    assert 0.35 <= chosen[RECORDS[0].host] / others <= 0.6
+
+
+def test_backend_servers_that_do_not_accept_or_stay_silent_get_nothing() -> None:
+    placement = make_placement()
+    reports = [
+        make_report(is_accepting=False),
+        make_report(is_accepting=False),
+        make_report(),
+        make_report(),
+    ]
+    for record, report in zip(RECORDS, reports, strict=True):
+        placement.note_report(record.host, report, now=0.0)
+
+    assert set(place(placement, 20)) == {"10.0.0.3", "10.0.0.4"}
+
+
+def test_when_all_seem_gone_the_published_ones_are_tried() -> None:
+    placement = make_placement()
+    for record in RECORDS:
+        placement.note_report(record.host, make_report(is_accepting=False), now=0.0)
+
+    assert sum(place(placement, 4).values()) == 4
+
+
+def test_draining_and_excluded_backend_servers_are_never_chosen() -> None:
+    records = [
+        make_record("b1", host="10.0.0.1", state=BackendState.DRAINING),
+        make_record("b2", host="10.0.0.2"),
+    ]
+
+    placement = make_placement()
+
+    assert placement.choose(records, excluding={"10.0.0.2"}, now=0.0) is None
+
+
+def replay_many_balancers(*, by_load: bool) -> float:
+    """
+    Return the busiest share over the mean when six balancers place a burst.
+
+    Each sees reports 50 ms late; 240 flows come within 100 ms and each asks at once.
+    """
+    placements = [make_placement(seed) for seed in range(6)]
+    placed = Counter[str]()
+    reported = Counter[str]()
+    for step in range(240):
+        if step % 120 == 0:
+            reported = Counter(placed)
+            for placement in placements:
+                for record in RECORDS:
+                    report = make_report(
+                        busy=reported[record.host], flows=reported[record.host]
+                    )
+                    placement.note_report(record.host, report, now=0.0)
+        if by_load:
+            chosen = placements[step % 6].choose(RECORDS, excluding=(), now=0.0)
+        else:
+            chosen = random.Random(step).choice(RECORDS)
+        assert chosen is not None
+        placed[chosen.host] += 1
+    return max(placed.values()) / (240 / len(RECORDS))
+
+
+def test_many_balancers_spread_a_burst_better_than_by_chance() -> None:
+    assert replay_many_balancers(by_load=True) < replay_many_balancers(by_load=False)
+    assert replay_many_balancers(by_load=True) < 1.15
