Notice a crashed backend server by its silence on opening packets

Ruled out: counting any unanswered packet (a long request, or the last acknowledgements of an answer, get no reaction from a live one). A flow that the backend server held and gives back is reset at once.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -25,10 +25,11 @@
 
     ``balancer`` is the host that sent its last packet. ``is_answered`` once the
     backend server sent a packet of it, ``is_confirmed`` once the caller sent one that
-    isn't an opening. ``requested_at`` is when the request in progress began, None
-    while there is none, and ``request_expires_at`` when its caller gives up at the
-    latest. ``received_up_to`` is the sequence number after the caller's last new byte.
-    Times are in trio's seconds.
+    isn't an opening, ``is_established`` once the backend server reacted to that.
+    ``requested_at`` is when the request in progress began, None while there is none,
+    and ``request_expires_at`` when its caller gives up at the latest.
+    ``received_up_to`` is the sequence number after the caller's last new byte. Times
+    are in trio's seconds.
     """
 
     key: FlowKey
@@ -38,6 +39,7 @@
     opened_at: float = 0.0
     is_answered: bool = False
     is_confirmed: bool = False
+    is_established: bool = False
     requested_at: float | None = None
     request_expires_at: float = 0.0
     busy_at_request: int = 0
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -20,10 +20,6 @@
 SERVICE_GAIN = 0.1
 # Requests beyond the slots, so that a slot never waits for this process.
 SPARE_REQUESTS = 1
-# A backend server that owes a sign of life for this long takes no new flows.
-SILENCE_LIMIT_S = 0.5
-# After this much more it is tried again.
-SILENCE_RETRY_S = 1.0
 # Time over which the mean of requests in progress is taken.
 BUSY_MEAN_S = 3.0
 
@@ -38,23 +34,12 @@
         self.mean_at = float("-inf")
         self.service_s = 0.0
         self.flows = 0
-        # Since when the backend server owes the answer to an opening packet.
-        self.owed_since: float | None = None
 
     @property
     def has_free_slot(self) -> bool:
         """Whether one more request would run at once, or be the next to run."""
         return self.busy < self.slots + SPARE_REQUESTS
 
-    def note_opening(self, *, now: float) -> None:
-        """Note an opening packet, which the backend server reacts to at once."""
-        if self.owed_since is None:
-            self.owed_since = now
-
-    def note_sign_of_life(self) -> None:
-        """Note that the backend server sent any packet."""
-        self.owed_since = None
-
     def note_request(self, flow: HeldFlow, *, now: float) -> None:
         """Payload of a caller went to the backend server."""
         if flow.requested_at is not None:
@@ -84,21 +69,6 @@
         flow.requested_at = None
         self.busy -= 1
 
-    def is_silent(self, *, now: float) -> bool:
-        """
-        Whether the backend server seems gone.
-
-        After ``SILENCE_RETRY_S`` it is taken as back until the next opening packet
-        stays without an answer: nothing else would ever end its silence.
-        """
-        if self.owed_since is None:
-            return False
-        silent_s = now - self.owed_since
-        if silent_s > SILENCE_LIMIT_S + SILENCE_RETRY_S:
-            self.owed_since = None
-            return False
-        return silent_s > SILENCE_LIMIT_S
-
     def report(
         self, *, service: str, flows: int, waiting: int, is_accepting: bool, now: float
     ) -> LoadReport:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -17,9 +17,11 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
 from oleanderweir_agent.forwarding.request_queue import RequestQueue
+from oleanderweir_agent.forwarding.search import Search
 from oleanderweir_agent.forwarding.waiting_request import WaitingRequest
 
 
@@ -45,7 +47,6 @@
 FULL_PAUSE_S = 0.1
 # How long a flow that the backend server gave back is known not to be held.
 ABSENCE_LEASE_S = 5.0
-REPORT_INTERVAL_S = 0.1
 # Reports without a change; below the silence that balancers bear.
 REPORT_KEEPALIVE_S = 0.3
 DEFAULT_SLOTS = 4
@@ -84,8 +85,9 @@
         self.table = FlowTable(idle_s=settings.flow_ttl_s)
         self.meter = LoadMeter(slots=DEFAULT_SLOTS)
         self.queue = RequestQueue()
+        self.liveness = BackendLiveness()
         # Balancers that wait to hear whether the backend server holds a flow.
-        self.finders: dict[FlowKey, str] = {}
+        self.searches: dict[FlowKey, Search] = {}
         # Flows whose opening packet the backend server hasn't answered.
         self.openings: dict[FlowKey, HeldFlow] = {}
         # Flows that the backend server gave back, and when.
@@ -117,7 +119,7 @@
             # A late copy; its flow is open and needs no other answer.
             return
         reason = self.gate.check(packet.key, version=version)
-        if reason is None and self.meter.is_silent(now=now):
+        if reason is None and not self.liveness.is_worth_trying(now=now):
             reason = ReturnReason.FULL
         if reason is not None:
             self._give_back(host, packet.data, reason, packet.key)
@@ -128,7 +130,7 @@
         flow.opening = packet.data
         flow.opened_at = now
         self.openings[flow.key] = flow
-        self.meter.note_opening(now=now)
+        self.liveness.note_opening(now=now)
         self._hand_over(packet.data)
 
     def _continue(
@@ -136,6 +138,10 @@
     ) -> None:
         """Hand a packet over if the backend server holds its flow, or may hold it."""
         flow = self.table.get(packet.key)
+        if flow is not None and self.liveness.is_gone(now=now):
+            self._drop(packet.key, now=now)
+            self._give_back(host, packet.data, ReturnReason.LOST, packet.key)
+            return
         if flow is not None:
             self._note_from_caller(host, flow, packet, now=now)
             self._pass_on(flow, packet, now=now)
@@ -151,7 +157,9 @@
         if is_foreign or self._is_absent(packet.key, now):
             self._give_back(host, packet.data, ReturnReason.NOT_HELD, packet.key)
             return
-        self.finders[packet.key] = host
+        self.searches[packet.key] = Search(
+            balancer=host, data=packet.data, asked_at=now
+        )
         self._hand_over(packet.data)
 
     def _note_from_caller(
@@ -248,7 +256,7 @@
         if packet is None:
             return
         now = trio.current_time()
-        self.meter.note_sign_of_life()
+        self.liveness.note_heard()
         if packet.is_returned:
             self._take_back(packet, now=now)
             return
@@ -258,11 +266,13 @@
 
     def _note_from_backend(self, packet: Packet, *, now: float) -> None:
         """Keep the state of a flow up to date with a packet of the backend server."""
-        finder = self.finders.pop(packet.key, None)
-        flow = self.table.ensure(packet.key, balancer=finder or "", now=now)
+        search = self.searches.pop(packet.key, None)
+        host = "" if search is None else search.balancer
+        flow = self.table.ensure(packet.key, balancer=host, now=now)
         flow.is_answered = True
-        if finder is not None:
-            self._claim(finder, packet.key)
+        flow.is_established = flow.is_established or flow.is_confirmed or bool(host)
+        if host:
+            self._claim(host, packet.key)
         if packet.payload_bytes:
             self._note_answer(flow, now=now)
         if packet.is_reset:
@@ -293,7 +303,7 @@
         key = packet.key
         data = self.codec.restore(packet)
         flow = self.table.get(key)
-        finder = self.finders.pop(key, None)
+        search = self.searches.pop(key, None)
         if packet.is_opening:
             if flow is not None and flow.is_answered:
                 return
@@ -304,11 +314,12 @@
             return
         self.absent[key] = now
         self._drop(key, now=now)
-        if flow is not None and flow.is_confirmed and flow.is_ended:
-            return
-        host = finder or (flow.balancer if flow is not None else "")
-        if host:
-            self._give_back(host, data, ReturnReason.NOT_HELD, key)
+        if search is not None:
+            self._give_back(search.balancer, data, ReturnReason.NOT_HELD, key)
+        elif flow is not None and not (flow.is_confirmed and flow.is_ended):
+            # A backend server that held the flow and denies it was started anew.
+            reason = ReturnReason.LOST if flow.is_established else ReturnReason.NOT_HELD
+            self._give_back(flow.balancer, data, reason, key)
 
     def _drop(self, key: FlowKey, *, now: float) -> None:
         self.queue.remove(key)
@@ -322,7 +333,9 @@
     def on_tick(self) -> None:
         """Give unanswered opening packets back, report the load, forget the old."""
         now = trio.current_time()
+        self.liveness.note_tick(now=now)
         self._give_back_unanswered(now)
+        self._deny_searches(now)
         self._drop_useless(now)
         self._start_waiting(now)
         self._report(now)
@@ -334,8 +347,9 @@
             self.meter.drop_request(flow, now=now)
         limit = now - ABSENCE_LEASE_S
         self.absent = {k: since for k, since in self.absent.items() if since > limit}
-        if len(self.finders) > len(self.table.flows) + 1024:
-            self.finders.clear()
+        self.searches = {
+            k: it for k, it in self.searches.items() if it.asked_at > limit
+        }
 
     def on_state_change(self) -> None:
         """Take the published record of the backend server in."""
@@ -374,6 +388,14 @@
             )
             self._drop(flow.key, now=now)
 
+    def _deny_searches(self, now: float) -> None:
+        """Answer searches that a backend server which is gone never will."""
+        if not self.liveness.is_gone(now=now):
+            return
+        for key, search in self.searches.items():
+            self._give_back(search.balancer, search.data, ReturnReason.NOT_HELD, key)
+        self.searches.clear()
+
     def _drop_useless(self, now: float) -> None:
         """Forget requests whose callers gave up, before and after their start."""
         for request in self.queue.take_useless(now=now):
@@ -410,7 +432,7 @@
             self.peer_socket.send_to(message, (host, self.settings.peer_port))
 
     def _is_accepting(self, now: float) -> bool:
-        if now < self.full_until or self.meter.is_silent(now=now):
+        if now < self.full_until or not self.liveness.is_worth_trying(now=now):
             return False
         record = self.gate.find_record()
         return record is None or record.state.value == "ready"
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search.py
@@ -0,0 +1,19 @@
+"""A balancer's question whether a flow is held here."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Search:
+    """
+    A packet that was handed to the backend server to find out who holds its flow.
+
+    ``balancer`` is the host that waits for the answer; ``asked_at`` is in trio's
+    seconds.
+    """
+
+    balancer: str
+    data: bytes
+    asked_at: float
--- /dev/null
+++ b/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
@@ -0,0 +1,48 @@
+from __future__ import annotations
+
+from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+
+
+def make_liveness(*, openings: int) -> BackendLiveness:
+    liveness = BackendLiveness()
+    liveness.note_tick(now=0.0)
+    for _ in range(openings):
+        liveness.note_opening(now=0.0)
+    return liveness
+
+
+def test_a_backend_server_that_answers_no_opening_is_gone() -> None:
+    liveness = make_liveness(openings=2)
+
+    assert not liveness.is_gone(now=0.4)
+    assert liveness.is_gone(now=0.6)
+
+
+def test_one_lost_opening_packet_is_no_proof() -> None:
+    assert not make_liveness(openings=1).is_gone(now=5.0)
+
+
+def test_any_packet_shows_that_it_lives() -> None:
+    liveness = make_liveness(openings=2)
+
+    liveness.note_heard()
+
+    assert not liveness.is_gone(now=0.6)
+
+
+def test_a_pause_of_the_process_is_no_proof() -> None:
+    liveness = make_liveness(openings=2)
+
+    liveness.note_tick(now=3.0)
+
+    assert not liveness.is_gone(now=3.0)
+
+
+def test_what_is_gone_is_tried_again_from_time_to_time() -> None:
+    liveness = make_liveness(openings=2)
+
+    tried = [liveness.is_worth_trying(now=0.1 * step) for step in range(31)]
+
+    assert not tried[10]
+    assert tried[16]
+    assert not tried[25]
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -264,3 +264,84 @@
     bench.agent.on_state_change()
 
     assert bench.agent.lifetime == 2000
+
+
+async def test_a_flow_that_its_backend_server_held_and_gave_back_is_lost() -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    bench.to_balancers()
+
+    again = request(1, sequence=901)
+    bench.deliver(DeliveryPurpose.CONTINUE, again)
+    bench.agent.on_backend_packet(
+        encode_packet(make_key(1), is_returned=True, payload_bytes=900, sequence=901)
+    )
+
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.LOST, data=again)
+    ]
+
+
+async def lose_backend_server(bench: AgentBench) -> None:
+    """Let opening packets stay without an answer until it is clear."""
+    for number in (101, 102, 103):
+        opening = encode_packet(make_key(number), is_opening=True)
+        bench.deliver(DeliveryPurpose.OPEN, opening)
+        await bench.pass_time(0.3)
+    bench.to_balancers()
+
+
+async def test_a_search_is_denied_when_the_backend_server_is_gone(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    await lose_backend_server(bench)
+
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+    await bench.pass_time(0.1)
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    assert denial in bench.to_balancers()
+
+
+async def test_a_search_is_not_denied_while_nothing_shows_a_crash(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+
+    await bench.pass_time(2.0)
+
+    assert not [it for it in bench.to_balancers() if isinstance(it, ReturnedPacket)]
+
+
+async def test_flows_of_a_backend_server_that_is_gone_are_given_up(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    await lose_backend_server(bench)
+
+    again = request(1, sequence=901)
+    bench.deliver(DeliveryPurpose.CONTINUE, again)
+
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.LOST, data=again)
+    ]
+
+
+async def test_a_long_request_alone_does_not_make_a_backend_server_seem_gone(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+
+    await bench.pass_time(1.5)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+
+    assert bench.to_backend()[-1] == request(1)
