--- a/packages/oleanderweir/src/oleanderweir/console/commands/explain.py
+++ b/packages/oleanderweir/src/oleanderweir/console/commands/explain.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
