Count a found request once, and let no copy of it wait

Cause: after all processes were killed the backend servers still hold flows and requests. Now a search with payload holds one slot until its answer, and what the backend server acknowledged need not wait. Tests failed first.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -50,13 +50,23 @@
     def takes_new_bytes(self, packet: Packet) -> bool:
         """Note the payload of a caller; return whether any of it is new."""
         end = (packet.sequence + packet.payload_bytes) % SEQUENCE_MODULUS
-        if self.received_up_to is not None:
-            ahead = (end - self.received_up_to) % SEQUENCE_MODULUS
-            if not 0 < ahead < SEQUENCE_MODULUS // 2:
-                return False
+        if self.has_received(end):
+            return False
         self.received_up_to = end
         return True
 
+    def note_acknowledged(self, sequence: int) -> None:
+        """Note up to where the backend server has the caller's bytes."""
+        if not self.has_received(sequence):
+            self.received_up_to = sequence
+
+    def has_received(self, sequence: int) -> bool:
+        """Whether all bytes before a sequence number came before."""
+        if self.received_up_to is None:
+            return False
+        ahead = (sequence - self.received_up_to) % SEQUENCE_MODULUS
+        return not 0 < ahead < SEQUENCE_MODULUS // 2
+
     @property
     def is_ended(self) -> bool:
         """Whether both ends closed the flow."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -147,7 +147,12 @@
             self.links.give_back(host, packet.key, packet.data, ReturnReason.NOT_HELD)
             return
         self.searches[packet.key] = Search(
-            balancer=host, data=packet.data, asked_at=now
+            balancer=host,
+            data=packet.data,
+            asked_at=now,
+            ends_before=(
+                packet.sequence + packet.payload_bytes if packet.payload_bytes else None
+            ),
         )
         self.links.hand_over(packet.data)
 
@@ -192,8 +197,11 @@
         flow = self.table.ensure(packet.key, balancer=host, now=now)
         flow.is_answered = True
         flow.is_established = flow.is_established or flow.is_confirmed or bool(host)
-        if host:
+        if search is not None:
             self.links.claim(host, packet.key)
+            self.requests.note_found(flow, search, now=now)
+        if packet.is_acknowledging:
+            self.requests.note_acknowledged(flow, packet.acknowledged)
         if packet.payload_bytes:
             self.requests.note_answer(flow, now=now)
         if packet.is_reset:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -21,6 +21,7 @@
     from oleanderweir.flows import Packet
     from oleanderweir_agent.forwarding.agent_links import AgentLinks
     from oleanderweir_agent.forwarding.flow_table import HeldFlow
+    from oleanderweir_agent.forwarding.search import Search
 
 
 logger = logging.getLogger(__name__)
@@ -58,6 +59,20 @@
         elif self.meter.has_free_slot or not self._let_wait(flow, packet, now=now):
             self._start(flow, [packet.data], now=now)
 
+    def note_found(self, flow: HeldFlow, search: Search, *, now: float) -> None:
+        """Note the request that a search brought to the backend server."""
+        if search.ends_before is None:
+            return
+        flow.note_acknowledged(search.ends_before)
+        self._begin(flow, now=now)
+
+    def note_acknowledged(self, flow: HeldFlow, sequence: int) -> None:
+        """Note which bytes the backend server has: a copy of them need not wait."""
+        request = self.queue.requests.get(flow.key)
+        if request is not None and request.is_covered_by(sequence):
+            self.queue.remove(flow.key)
+        flow.note_acknowledged(sequence)
+
     def note_answer(self, flow: HeldFlow, *, now: float) -> None:
         """Note payload of the backend server: the request of the flow is answered."""
         if flow.requested_at is None:
@@ -124,6 +139,7 @@
         request = WaitingRequest(
             key=flow.key,
             packets=[packet.data],
+            ends_before=packet.sequence + packet.payload_bytes,
             arrived_at=now,
             wanted_at=now + route.target_latency_s,
             useless_at=now + route.timeout_s,
@@ -133,10 +149,7 @@
 
     def _start(self, flow: HeldFlow, packets: list[bytes], *, now: float) -> None:
         """Give a request to the backend server."""
-        self.meter.note_request(flow, now=now)
-        route = self._find_route(flow.key)
-        timeout_s = REQUEST_LEASE_S if route is None else route.timeout_s
-        flow.request_expires_at = now + timeout_s
+        self._begin(flow, now=now)
         logger.info(
             "request started",
             extra={
@@ -151,6 +164,13 @@
         for data in packets:
             self.links.hand_over(data)
 
+    def _begin(self, flow: HeldFlow, *, now: float) -> None:
+        """Count the request of a flow as in progress until its caller gives up."""
+        self.meter.note_request(flow, now=now)
+        route = self._find_route(flow.key)
+        timeout_s = REQUEST_LEASE_S if route is None else route.timeout_s
+        flow.request_expires_at = now + timeout_s
+
     def _find_route(self, key: FlowKey) -> Route | None:
         desired = self.register.desired
         return None if desired is None else desired.routes.get(route_address(key))
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search.py
@@ -11,9 +11,10 @@
     A packet that was handed to the backend server to find out who holds its flow.
 
     ``balancer`` is the host that waits for the answer; ``asked_at`` is in trio's
-    seconds.
+    seconds. ``ends_before`` is the sequence number after its payload, if it has any.
     """
 
     balancer: str
     data: bytes
     asked_at: float
+    ends_before: int | None
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/waiting_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/waiting_request.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from oleanderweir_agent.forwarding.flow_table import SEQUENCE_MODULUS
+
 
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
@@ -16,13 +18,19 @@
     """
     The packets of a request that its backend server has no slot for yet.
 
-    ``wanted_at`` is when its answer is wanted, ``useless_at`` when its caller gives up
+    ``ends_before`` is the sequence number after its first packet. ``wanted_at`` is when its answer is wanted, ``useless_at`` when its caller gives up
     at the latest; both in trio's seconds. ``priority`` 0 goes first.
     """
 
     key: FlowKey
     packets: list[bytes]
+    ends_before: int
     arrived_at: float
     wanted_at: float
     useless_at: float
     priority: int
+
+    def is_covered_by(self, sequence: int) -> bool:
+        """Whether a receiver that has all bytes before ``sequence`` has the first."""
+        behind = (sequence - self.ends_before) % SEQUENCE_MODULUS
+        return behind < SEQUENCE_MODULUS // 2
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -345,3 +345,36 @@
     bench.deliver(DeliveryPurpose.CONTINUE, request(1))
 
     assert bench.to_backend()[-1] == request(1)
+
+
+def acknowledge(number: int, *, up_to: int) -> bytes:
+    return encode_packet(make_key(number), is_acknowledging=True, acknowledged=up_to)
+
+
+async def test_a_found_request_holds_one_slot_until_it_is_answered() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    meter = bench.agent.requests.meter
+    bench.deliver(DeliveryPurpose.FIND, request(1), version=1)
+    bench.agent.on_backend_packet(acknowledge(1, up_to=901))
+    assert meter.busy == 1
+
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1), version=1)
+    assert meter.busy == 1
+
+    bench.agent.on_backend_packet(answer(1))
+    assert meter.busy == 0
+
+
+async def test_a_copy_of_what_the_backend_server_has_does_not_wait() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    for number in range(1, 8):
+        open_flow(bench, number)
+        bench.deliver(DeliveryPurpose.CONTINUE, request(number), version=1)
+    assert len(bench.agent.requests.queue) == 2
+
+    # The backend server had the request of flow 7 from before the agent's start.
+    bench.agent.on_backend_packet(acknowledge(7, up_to=901))
+
+    assert len(bench.agent.requests.queue) == 1
--- a/tests/oleanderweir_agent/forwarding/test_request_queue.py
+++ b/tests/oleanderweir_agent/forwarding/test_request_queue.py
@@ -17,6 +17,7 @@
     return WaitingRequest(
         key=make_key(number),
         packets=[b"request"],
+        ends_before=0,
         arrived_at=arrived_at,
         wanted_at=arrived_at + TARGET_S,
         useless_at=arrived_at + TIMEOUT_S,
