--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_reporter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_reporter.py
@@ -15,6 +15,9 @@
 
 # Reports without a change; below the silence that balancers bear.
 KEEPALIVE_S = 0.3
+# Reports of the whole fleet that one balancer gets in a second; about a fortieth of
+# the smallest one's processor.
+MAX_REPORTS_A_SECOND = 200.0
 
 
 class LoadReporter:
@@ -26,8 +29,12 @@
         self.last: LoadReport | None = None
         self.reported_at = float("-inf")
 
+    def is_due(self, *, fleet_size: int, now: float) -> bool:
+        """Whether a report may go out in a fleet of so many backend servers."""
+        return now - self.reported_at >= fleet_size / MAX_REPORTS_A_SECOND
+
     def offer(self, report: LoadReport, *, now: float) -> None:
-        """Send a report if it is due."""
+        """Send a report if it tells anything new, or the last one is old."""
         if report == self.last and now - self.reported_at < KEEPALIVE_S:
             return
         self.last = report
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_gate.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_gate.py
@@ -31,20 +31,22 @@
         self.service = service
         self.host = host
         self.port = port
+        self.record: BackendRecord | None = None
 
-    def find_record(self) -> BackendRecord | None:
-        """Return the newest record of the backend server beside this process."""
+    def take_record(self) -> BackendRecord | None:
+        """Take in the newest record of the backend server beside this process."""
         records = [
             record
             for record in self.register.backends.values()
             if record.host == self.host and record.port == self.port
         ]
         # The record of an earlier start stays published for some seconds.
-        return max(records, key=lambda record: record.started_at_ms, default=None)
+        self.record = max(records, key=lambda it: it.started_at_ms, default=None)
+        return self.record
 
     def check(self, key: FlowKey, *, version: int) -> ReturnReason | None:
         """Return why a new flow may not come here, or nothing if it may."""
-        record = self.find_record()
+        record = self.record
         if record is not None and record.state is BackendState.DRAINING:
             return ReturnReason.DRAINING
         if not self.allows_route(key, version=version):
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -257,6 +257,11 @@
         self._deny_searches(now)
         self.requests.drop_useless(self.table.flows.values(), now=now)
         self.requests.start_waiting(self.table.flows, now=now)
+        if self.reporter.is_due(fleet_size=len(self.register.backends), now=now):
+            self._report(now)
+
+    def _report(self, now: float) -> None:
+        """Offer the balancers a report of the load."""
         report = self.requests.meter.report(
             service=self.service,
             flows=self.table.count_open(),
@@ -281,7 +286,7 @@
 
     def on_state_change(self) -> None:
         """Take the published record of the backend server in."""
-        record = self.gate.find_record()
+        record = self.gate.take_record()
         if record is None:
             return
         self.requests.meter.slots = record.slots
@@ -334,7 +339,7 @@
     def _is_accepting(self, now: float) -> bool:
         if now < self.full_until or not self.liveness.is_worth_trying(now=now):
             return False
-        record = self.gate.find_record()
+        record = self.gate.record
         return record is None or record.state is BackendState.READY
 
     def _log_reset(self, flow: HeldFlow, *, now: float) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/waiting_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/waiting_request.py
@@ -18,8 +18,9 @@
     """
     The packets of a request that its backend server has no slot for yet.
 
-    ``ends_before`` is the sequence number after its first packet. ``wanted_at`` is when its answer is wanted, ``useless_at`` when its caller gives up
-    at the latest; both in trio's seconds. ``priority`` 0 goes first.
+    ``ends_before`` is the sequence number after its first packet. ``wanted_at`` is
+    when its answer is wanted, ``useless_at`` when its caller gives up at the latest;
+    both in trio's seconds. ``priority`` 0 goes first.
     """
 
     key: FlowKey
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
@@ -12,7 +12,7 @@
 
 
 # An agent that reported nothing for this long is avoided; several reports.
-SILENCE_S = 0.7
+SILENCE_S = 1.0
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -23,7 +23,6 @@
 
 
 if TYPE_CHECKING:
-    from oleanderweir.desired_state import BackendRecord
     from oleanderweir.desired_state import Route
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.desired_state import Topic
@@ -157,7 +156,7 @@
         key = packet.key
         excluded = self.refusals.get(key, set())
         service = route.choose_service(int.from_bytes(key[:6], "big") * 2654435761 >> 8)
-        candidates = self._backends_of(service)
+        candidates = self.register.backends_of(service)
         record = self.placement.choose(candidates, excluding=excluded, now=now)
         if record is None:
             self._reset(packet, reason="no_backend_server")
@@ -179,9 +178,6 @@
         load = self.placement.loads.get(host)
         return load is None or not load.is_silent(now)
 
-    def _backends_of(self, service: str) -> list[BackendRecord]:
-        return [r for r in self.register.backends.values() if r.service == service]
-
     # Packets of flows whose owner isn't known
 
     def _find(self, packet: Packet, *, now: float) -> None:
@@ -220,7 +216,7 @@
         hosts: set[str] = set()
         if not lookup.is_wide:
             for service in self.register.services_of(route_address(lookup.key)):
-                hosts.update(r.host for r in self._backends_of(service))
+                hosts.update(r.host for r in self.register.backends_of(service))
                 hosts.update(self.members.agents_of(service))
         if hosts:
             return hosts
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -26,6 +26,9 @@
 # The share of a request that an open flow asks for at any moment, while no backend
 # server of the service has been seen at work.
 DEFAULT_FLOW_WORK = 0.05
+# Backend servers that one choice compares; in a larger fleet a sample of them, so that
+# balancers with the same view don't all pick the one that looks idle.
+MAX_COMPARED = 8
 # Bounds of that share as measured, so that few flows don't mislead.
 MIN_FLOW_WORK = 0.02
 MAX_FLOW_WORK = 0.5
@@ -73,6 +76,8 @@
         usable = [record for record in ready if self._is_usable(record, now)] or ready
         if not usable:
             return None
+        if len(usable) > MAX_COMPARED:
+            usable = self.random_source.sample(usable, MAX_COMPARED)
         flow_work = self._flow_work(usable)
         chosen = min(usable, key=lambda record: self._cost(record, flow_work))
         self.unreported[chosen.host] += 1
--- a/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -9,6 +9,7 @@
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
 from oleanderweir.desired_state.exceptions import SourceBusyError
 from oleanderweir.desired_state.exceptions import SourceUnavailableError
+from oleanderweir.desired_state.reader_status import ReaderStatus
 from oleanderweir.desired_state.route import Route
 from oleanderweir.desired_state.route import ServiceShare
 from oleanderweir.desired_state.state_decoder import StateDecoder
@@ -30,6 +31,7 @@
     "HistoryLostError",
     "InvalidDocumentError",
     "Listing",
+    "ReaderStatus",
     "Route",
     "ServiceShare",
     "SourceBusyError",
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -13,9 +13,12 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
+    from oleanderweir.desired_state.reader_status import ReaderStatus
     from oleanderweir.desired_state.state_register import StateRegister
     from oleanderweir.desired_state.state_source import StateSource
+    from oleanderweir.desired_state.topic import Changes
     from oleanderweir.desired_state.topic import Topic
 
 
@@ -25,6 +28,8 @@
 WATCH_WAIT_S = 20.0
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
+# How often a process that need not read looks whether it should.
+IDLE_CHECK_S = 0.25
 
 
 class StateFollower:
@@ -32,8 +37,9 @@
     Lists a topic once, then watches it; lists it again when its history is lost.
 
     Failed calls are repeated after a time that doubles up to ``MAX_RETRY_S``, with
-    jitter. ``is_connected`` tells whether the last call succeeded, ``confirmed_at``
-    when (trio's seconds, negative infinity before the first).
+    jitter. After the first list it only reads while ``status`` says that it should.
+    ``on_changes`` gets what a watch brought, and the revision of the newest change
+    that was known before.
     """
 
     def __init__(
@@ -42,15 +48,17 @@
         topic: Topic,
         source: StateSource,
         register: StateRegister,
+        status: ReaderStatus,
+        on_changes: Callable[[Changes, int], None],
         random_source: random.Random,
     ) -> None:
         self.topic = topic
         self.source = source
         self.register = register
         self.random_source = random_source
-        self.is_connected = False
-        self.confirmed_at = float("-inf")
-        self.lost_at = float("-inf")
+        self.status = status
+        self.on_changes = on_changes
+        self.is_logged_lost = False
         self.must_list = True
         self.retry_s = FIRST_RETRY_S
 
@@ -66,6 +74,10 @@
 
     async def _step(self) -> None:
         """Make one call and take what it brings."""
+        if not self.status.should_read and not self.must_list:
+            self.status.is_connected = False
+            await trio.sleep(IDLE_CHECK_S)
+            return
         if self.must_list:
             listing = await self.source.list(self.topic)
             self.register.apply_listing(listing, origin="source")
@@ -76,15 +88,17 @@
                 after=self.register.revision(self.topic),
                 wait_s=WATCH_WAIT_S,
             )
+            base = self.register.changed_revision(self.topic)
             self.register.apply_changes(changes, origin="source")
+            self.on_changes(changes, base)
         self._note_success()
 
     def _note_success(self) -> None:
-        self.confirmed_at = trio.current_time()
         self.retry_s = FIRST_RETRY_S
-        if self.is_connected:
+        self.status.is_connected = True
+        if not self.is_logged_lost:
             return
-        self.is_connected = True
+        self.is_logged_lost = False
         logger.info(
             "the source answers",
             extra={"code": "source_regained", "topic": self.topic.value},
@@ -92,7 +106,7 @@
 
     async def _wait_after(self, error: SourceUnavailableError) -> None:
         """Log a lost source once, then wait before the next call."""
-        if self.is_connected or self.lost_at == float("-inf"):
+        if not self.is_logged_lost:
             logger.warning(
                 "the source doesn't answer",
                 extra={
@@ -101,7 +115,7 @@
                     "reason": error.message,
                 },
             )
-        self.lost_at = trio.current_time()
-        self.is_connected = False
+        self.is_logged_lost = True
+        self.status.is_connected = False
         await trio.sleep(self.retry_s * self.random_source.uniform(0.5, 1.0))
         self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -56,6 +56,8 @@
         self.topics = {topic: TopicState() for topic in Topic}
         self.desired: DesiredState | None = None
         self.backends: dict[str, BackendRecord] = {}
+        # Made anew when it is asked for after a change.
+        self.by_service: dict[str, list[BackendRecord]] | None = None
         # Every service that a route's address led to since the process started.
         self.past_services: dict[bytes, set[str]] = {}
         # When a backend server was removed, in trio's seconds, by host.
@@ -78,6 +80,14 @@
         """Return the services that a route leads to, or led to in this process."""
         return self.past_services.get(address, set())
 
+    def backends_of(self, service: str) -> list[BackendRecord]:
+        """Return the published backend servers of a service."""
+        if self.by_service is None:
+            self.by_service = {}
+            for record in self.backends.values():
+                self.by_service.setdefault(record.service, []).append(record)
+        return self.by_service.get(service, [])
+
     def export(self, topic: Topic) -> Listing:
         """Return a topic as a list that another process can take."""
         state = self.topics[topic]
@@ -127,6 +137,7 @@
 
     def _note(self, topic: Topic, origin: str) -> None:
         """Log and pass on that a topic changed."""
+        self.by_service = None
         logger.info(
             "published state changed",
             extra={
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from oleanderweir.desired_state import ReaderStatus
 from oleanderweir.desired_state import StateFollower
 from oleanderweir.desired_state import Topic
 from oleanderweir.http_responder import HttpAnswer
@@ -18,6 +19,7 @@
 from oleanderweir.peering import StateServer
 from oleanderweir.peering import decode_message
 from oleanderweir.peering.messages import Greeting
+from oleanderweir.peering.messages import StateUpdate
 
 
 if TYPE_CHECKING:
@@ -26,6 +28,7 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
+    from oleanderweir.desired_state import Changes
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.desired_state import StateSource
     from oleanderweir.event_log import EventCounters
@@ -76,14 +79,21 @@
         self.greeter = greeter
         self.counters = counters
         self.read_seeds = read_seeds
+        # Every process reads the desired state itself; a few read the backend servers.
+        statuses = {
+            Topic.DESIRED_STATE: ReaderStatus(),
+            Topic.BACKEND_SERVERS: greeter.status,
+        }
         self.followers = [
             StateFollower(
                 topic=topic,
                 source=source,
                 register=register,
+                status=status,
+                on_changes=self._pass_changes_on,
                 random_source=random_source,
             )
-            for topic in Topic
+            for topic, status in statuses.items()
         ]
         self.program: PacketProgram | None = None
         self.is_stopping = False
@@ -115,6 +125,9 @@
         if self.program is not None:
             self.program.on_state_change(topic)
 
+    def _pass_changes_on(self, changes: Changes, base: int) -> None:
+        self.greeter.pass_on(changes, base=base)
+
     # Sockets
 
     async def _listen(self, nursery: trio.Nursery) -> None:
@@ -163,7 +176,10 @@
             return
         if isinstance(message, Greeting):
             self.greeter.take(host, message, self.nursery)
+        elif isinstance(message, StateUpdate):
+            self.greeter.take_update(host, message, self.nursery)
         else:
+            self.greeter.members.note_alive(host)
             self.program.on_message(host, message)
 
     def _answer_readiness(self) -> HttpAnswer:
--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -1,4 +1,4 @@
-"""Tells the other processes of this one, and fetches state that they have."""
+"""Tells the other processes of this one, and keeps the published state in step."""
 
 from __future__ import annotations
 
@@ -7,17 +7,22 @@
 
 import trio
 
+from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Topic
 from oleanderweir.peering.exceptions import PeerUnavailableError
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import Greeting
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.messages import StateUpdate
+from oleanderweir.peering.reader_choice import is_reader
 
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+    from oleanderweir.desired_state import ReaderStatus
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.members import Members
@@ -30,12 +35,11 @@
 GREETING_INTERVAL_S = 1.0
 # While nobody was heard, as after a loss of all power.
 LONELY_INTERVAL_S = 0.1
-# Others that one greeting names, so that it fits a datagram.
+# Others that one answer names, so that it fits a datagram.
 MAX_NAMED_HOSTS = 24
-# Members that are greeted each round; a larger fleet is greeted in turn.
-MAX_GREETED = 48
-# How far the source's state may be ahead before a peer is asked; the own watch is
-# usually faster.
+# Strangers that are greeted each round; others wait for the next.
+MAX_STRANGERS = 48
+# How far a peer may be ahead before it is asked; the own watch is usually faster.
 FETCH_DELAY_S = 0.15
 
 
@@ -43,8 +47,11 @@
     """
     Greets members, seeds and hosts of published backend servers.
 
-    Who greets and is ahead is asked for its state, unless the own watch brings it
-    within ``FETCH_DELAY_S``.
+    Balancers greet every process that they know, so that each agent knows whom to
+    report its load to; agents greet only seeds and strangers. Who greets and is ahead
+    is asked for its state, unless it comes within ``FETCH_DELAY_S`` by itself. Changes
+    of the backend servers are passed on by the few processes that read them at the
+    source.
     """
 
     def __init__(
@@ -59,6 +66,7 @@
         members: Members,
         register: StateRegister,
         client: StateClient,
+        status: ReaderStatus,
         random_source: random.Random,
     ) -> None:
         self.role = role
@@ -70,13 +78,28 @@
         self.members = members
         self.register = register
         self.client = client
+        self.status = status
         self.random_source = random_source
         self.fetching: set[Topic] = set()
 
+    def choose_reader(self) -> None:
+        """Decide whether this process follows the backend servers at the source."""
+        readers = [
+            host
+            for host, member in self.members.members.items()
+            if member.greeting.reads_source
+        ]
+        if self.role is PeerRole.AGENT:
+            # Only balancers keep in touch with all; an agent reads for itself alone.
+            self.status.should_read = not readers
+        else:
+            self.status.should_read = is_reader(self.members.own_host, readers)
+
     async def run(self) -> None:
         """Greet until cancelled."""
         while True:
             self.members.expire()
+            self.choose_reader()
             self._greet_all()
             is_lonely = not self.members.hosts(PeerRole.AGENT)
             await trio.sleep(LONELY_INTERVAL_S if is_lonely else GREETING_INTERVAL_S)
@@ -86,17 +109,48 @@
         is_new = host not in self.members.members
         self.members.note(host, greeting)
         if greeting.wants_answer or is_new:
-            self.greet(host, wants_answer=False)
+            self._greet(host, wants_answer=False, names=True)
         ahead = {
             Topic.DESIRED_STATE: greeting.desired_revision,
             Topic.BACKEND_SERVERS: greeting.backends_revision,
         }
         for topic, revision in ahead.items():
-            if revision > self.register.revision(topic) and topic not in self.fetching:
-                self.fetching.add(topic)
-                nursery.start_soon(self._fetch, host, topic, revision)
+            self._ask_if_behind(host, topic, revision, nursery)
+
+    def take_update(
+        self, host: str, update: StateUpdate, nursery: trio.Nursery
+    ) -> None:
+        """Apply a change that a reader passed on, or ask it for all."""
+        topic = Topic.BACKEND_SERVERS
+        if update.base > self.register.revision(topic):
+            self._ask_if_behind(host, topic, update.revision, nursery)
+            return
+        change = Change(
+            name=update.name, revision=update.revision, document=update.document
+        )
+        changes = Changes(topic=topic, revision=update.revision, changes=(change,))
+        self.register.apply_changes(changes, origin=host)
+
+    def pass_on(self, changes: Changes, *, base: int) -> None:
+        """Tell every member of changes that the source told."""
+        if changes.topic is not Topic.BACKEND_SERVERS:
+            return
+        for change in changes.changes:
+            if change.revision <= base:
+                continue
+            message = encode_message(
+                StateUpdate(
+                    base=base,
+                    revision=change.revision,
+                    name=change.name,
+                    document=change.document,
+                )
+            )
+            base = change.revision
+            for host in self.members.members:
+                self.socket.send_to(message, (host, self.port))
 
-    def greet(self, host: str, *, wants_answer: bool) -> None:
+    def _greet(self, host: str, *, wants_answer: bool, names: bool) -> None:
         """Send one greeting."""
         message = Greeting(
             role=self.role,
@@ -104,26 +158,26 @@
             service=self.service,
             desired_revision=self.register.changed_revision(Topic.DESIRED_STATE),
             backends_revision=self.register.changed_revision(Topic.BACKEND_SERVERS),
-            balancers=self._sample(PeerRole.BALANCER),
-            agents=self._sample(PeerRole.AGENT),
+            balancers=self._sample(PeerRole.BALANCER) if names else (),
+            agents=self._sample(PeerRole.AGENT) if names else (),
             wants_answer=wants_answer,
+            reads_source=self.status.is_connected and self.status.should_read,
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
     def _greet_all(self) -> None:
-        """Greet seeds, members and published hosts; strangers must answer."""
-        known = list(self.members.members)
+        """Greet whom this role keeps in touch with; strangers must answer."""
+        known = self.members.members
         strangers = {*self.seeds, *self.members.named}
         if self.role is PeerRole.BALANCER:
             strangers.update(r.host for r in self.register.backends.values())
         strangers.difference_update(known)
         strangers.discard(self.members.own_host)
-        for host in sorted(strangers)[:MAX_GREETED]:
-            self.greet(host, wants_answer=True)
-        if len(known) > MAX_GREETED:
-            known = self.random_source.sample(known, MAX_GREETED)
-        for host in known:
-            self.greet(host, wants_answer=False)
+        for host in sorted(strangers)[:MAX_STRANGERS]:
+            self._greet(host, wants_answer=True, names=False)
+        if self.role is PeerRole.BALANCER:
+            for host in known:
+                self._greet(host, wants_answer=False, names=False)
 
     def _sample(self, role: PeerRole) -> tuple[str, ...]:
         hosts = self.members.hosts(role)
@@ -131,6 +185,13 @@
             hosts = self.random_source.sample(hosts, MAX_NAMED_HOSTS)
         return tuple(hosts)
 
+    def _ask_if_behind(
+        self, host: str, topic: Topic, revision: int, nursery: trio.Nursery
+    ) -> None:
+        if revision > self.register.revision(topic) and topic not in self.fetching:
+            self.fetching.add(topic)
+            nursery.start_soon(self._fetch, host, topic, revision)
+
     async def _fetch(self, host: str, topic: Topic, revision: int) -> None:
         """Ask a peer for a topic, unless the source brings it first."""
         try:
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -48,6 +48,12 @@
         for other in (*greeting.balancers, *greeting.agents):
             self.name(other)
 
+    def note_alive(self, host: str) -> None:
+        """Note any other sign of life of a member."""
+        member = self.members.get(host)
+        if member is not None:
+            member.heard_at = trio.current_time()
+
     def name(self, host: str) -> None:
         """Note a host that should be greeted."""
         if host != self.own_host and host not in self.members:
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -12,6 +12,7 @@
 from oleanderweir.peering.messages import Message
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import StateUpdate
 
 
 # The first element of each datagram; never given to another type.
@@ -21,6 +22,7 @@
     3: OwnerNotice,
     4: LoadReport,
     5: Greeting,
+    6: StateUpdate,
 }
 CODES = {message_type: code for code, message_type in TYPES.items()}
 FIELDS = {
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
@@ -10,9 +10,10 @@
 from oleanderweir.peering.messages.owner_notice import OwnerNotice
 from oleanderweir.peering.messages.returned_packet import ReturnedPacket
 from oleanderweir.peering.messages.returned_packet import ReturnReason
+from oleanderweir.peering.messages.state_update import StateUpdate
 
 
-Message = Delivery | Greeting | LoadReport | OwnerNotice | ReturnedPacket
+Message = Delivery | Greeting | LoadReport | OwnerNotice | ReturnedPacket | StateUpdate
 
 __all__ = [
     "Delivery",
@@ -24,4 +25,5 @@
     "PeerRole",
     "ReturnReason",
     "ReturnedPacket",
+    "StateUpdate",
 ]
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/greeting.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/greeting.py
@@ -21,8 +21,9 @@
 
     ``desired_revision`` and ``backends_revision`` are those of the newest change that
     the sender knows of each topic: who is behind asks it for the rest. ``balancers``
-    and ``agents`` are the hosts that the sender heard lately. ``wants_answer`` asks
-    for a greeting back.
+    and ``agents`` are hosts that the sender heard lately, in answers only.
+    ``wants_answer`` asks for a greeting back. ``reads_source`` tells that the sender
+    follows the backend servers at their source and passes changes on.
     """
 
     role: PeerRole = attrs.field(converter=PeerRole)
@@ -33,3 +34,4 @@
     balancers: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
     agents: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
     wants_answer: bool
+    reads_source: bool
--- a/tests/oleanderweir/peering/test_message_codec.py
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -42,6 +42,7 @@
         balancers=("10.0.0.1",),
         agents=(),
         wants_answer=True,
+        reads_source=False,
     ),
 ]
 
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -62,6 +62,7 @@
                 backend_socket=cast("UdpSocket", self.backend_socket),
             ),
         )
+        self.register.on_change = lambda topic: self.agent.on_state_change()
         self.members.note(BALANCER, make_greeting(PeerRole.BALANCER))
 
     def deliver(
@@ -99,4 +100,5 @@
         balancers=(),
         agents=(),
         wants_answer=False,
+        reads_source=False,
     )
