--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -0,0 +1,33 @@
+"""
+The packet path in virtual time: callers, routers, balancers, agents, backend servers.
+
+Balancers and agents are the product's own; everything around them is emulated, so a
+newcomer sees the path work, and a test replays a failure, without any installation.
+"""
+
+from __future__ import annotations
+
+from oleanderweir_bench.packet_path.emulated_backend import EmulatedBackendServer
+from oleanderweir_bench.packet_path.emulated_caller import EmulatedCaller
+from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+from oleanderweir_bench.packet_path.emulated_codec import encode_packet
+from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
+from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
+from oleanderweir_bench.packet_path.scenarios import SCENARIOS
+from oleanderweir_bench.packet_path.scenarios import run_scenario
+from oleanderweir_bench.packet_path.site_result import SiteResult
+from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
+
+
+__all__ = [
+    "SCENARIOS",
+    "EmulatedBackendServer",
+    "EmulatedCaller",
+    "EmulatedPacketCodec",
+    "EmulatedRouter",
+    "EmulatedSite",
+    "SiteResult",
+    "VirtualNetwork",
+    "encode_packet",
+    "run_scenario",
+]
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -0,0 +1,182 @@
+"""A backend server that answers packets."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir_bench.packet_path.emulated_codec import encode_packet
+
+
+if TYPE_CHECKING:
+    import random
+
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+    from oleanderweir_bench.packet_path.site_result import SiteResult
+    from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
+
+
+ANSWER_BYTES = 600
+# Sequence numbers of two backend servers lie further apart than a flow is long.
+SEQUENCE_SPACING = 1 << 20
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServedFlow:
+    """One flow: its own first sequence number, and the requests up to here."""
+
+    sequence: int
+    received_up_to: int = 0
+    is_open: bool = False
+    is_answered: bool = True
+
+
+class EmulatedBackendServer:
+    """
+    Runs ``slots`` requests at once and queues the others, first come, first served.
+
+    It gives packets of flows that it doesn't hold back to its agent.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        host: str,
+        port: int,
+        agent: tuple[str, int],
+        slots: int,
+        service_s: float,
+        network: VirtualNetwork,
+        codec: EmulatedPacketCodec,
+        result: SiteResult,
+        random_source: random.Random,
+    ) -> None:
+        self.service = service
+        self.host = host
+        self.port = port
+        self.agent = agent
+        self.slots = slots
+        self.service_s = service_s
+        self.network = network
+        self.codec = codec
+        self.result = result
+        self.random_source = random_source
+        self.flows: dict[FlowKey, ServedFlow] = {}
+        self.waiting: deque[FlowKey] = deque()
+        self.busy = 0
+        self.runs: set[tuple[FlowKey, int]] = set()
+        self.starts = 0
+        self.start()
+
+    def start(self) -> None:
+        """Start, or start again with no flows."""
+        self.starts += 1
+        self.flows = {}
+        self.waiting.clear()
+        self.busy = 0
+        self.network.listen((self.host, self.port), self.take)
+
+    def stop(self) -> None:
+        """Crash: nothing answers any more, and all flows are gone."""
+        self.network.silence((self.host, self.port))
+        self.flows = {}
+
+    def take(self, source: str, data: bytes) -> None:
+        """Take one datagram of the agent."""
+        del source
+        packet = self.codec.decode_from_caller(data)
+        if packet is None:
+            return
+        if packet.is_opening:
+            self._open(packet)
+            return
+        flow = self.flows.get(packet.key)
+        if flow is None or not self._is_own(flow, packet):
+            self._give_back(packet)
+            return
+        flow.is_open = True
+        if packet.is_reset:
+            del self.flows[packet.key]
+        elif packet.payload_bytes:
+            self._take_payload(flow, packet)
+
+    def _open(self, packet: Packet) -> None:
+        flow = self.flows.get(packet.key)
+        if flow is None:
+            sequence = self.random_source.randrange(1, 1 << 11) * SEQUENCE_SPACING
+            flow = ServedFlow(sequence=sequence, received_up_to=packet.sequence + 1)
+            self.flows[packet.key] = flow
+        self._send(packet.key, flow, is_opening=True)
+
+    def _is_own(self, flow: ServedFlow, packet: Packet) -> bool:
+        """Whether a caller's packet acknowledges this backend server's opening."""
+        return 0 <= packet.acknowledged - flow.sequence < SEQUENCE_SPACING
+
+    def _take_payload(self, flow: ServedFlow, packet: Packet) -> None:
+        end = packet.sequence + packet.payload_bytes
+        if end <= flow.received_up_to:
+            # A copy: acknowledge it, and repeat the answer if there is one.
+            answer = ANSWER_BYTES if flow.is_answered else 0
+            self._send(packet.key, flow, payload_bytes=answer)
+            return
+        flow.received_up_to = end
+        flow.is_answered = False
+        self.waiting.append(packet.key)
+        self._start_next()
+
+    def _start_next(self) -> None:
+        while self.waiting and self.busy < self.slots:
+            key = self.waiting.popleft()
+            self.busy += 1
+            self.network.nursery.start_soon(self._run, key, self.starts)
+
+    async def _run(self, key: FlowKey, start: int) -> None:
+        flow = self.flows.get(key)
+        if flow is not None:
+            run = (key, flow.received_up_to)
+            self.result.repeated_runs += run in self.runs
+            self.runs.add(run)
+        await trio.sleep(self.service_s * self.random_source.uniform(0.6, 1.4))
+        if start != self.starts:
+            return
+        self.busy -= 1
+        if flow is not None and self.flows.get(key) is flow:
+            flow.is_answered = True
+            self._send(key, flow, payload_bytes=ANSWER_BYTES)
+        self._start_next()
+
+    def _send(
+        self,
+        key: FlowKey,
+        flow: ServedFlow,
+        *,
+        is_opening: bool = False,
+        payload_bytes: int = 0,
+    ) -> None:
+        data = encode_packet(
+            key,
+            is_opening=is_opening,
+            is_acknowledging=True,
+            sequence=flow.sequence,
+            acknowledged=flow.received_up_to,
+            payload_bytes=payload_bytes,
+        )
+        self.network.send(self.host, data, self.agent)
+
+    def _give_back(self, packet: Packet) -> None:
+        data = encode_packet(
+            packet.key,
+            is_acknowledging=packet.is_acknowledging,
+            is_final=packet.is_final,
+            is_returned=True,
+            sequence=packet.sequence,
+            acknowledged=packet.acknowledged,
+            payload_bytes=packet.payload_bytes,
+        )
+        self.network.send(self.host, data, self.agent)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -0,0 +1,199 @@
+"""A caller that sends requests over flows."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.flows import make_flow_key
+from oleanderweir_bench.packet_path.emulated_codec import encode_packet
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+    from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
+    from oleanderweir_bench.packet_path.site_result import SiteResult
+    from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
+
+
+REQUEST_BYTES = 900
+# When copies of an opening packet are sent, and when the caller gives the flow up.
+OPENING_TIMES_S = (0.0, 0.2, 0.6)
+OPENING_TIMEOUT_S = 1.4
+FIRST_RETRANSMISSION_S = 0.2
+MAX_RETRANSMISSION_S = 1.6
+TARGET_S = 0.25
+DEADLINE_S = 2.0
+PAUSE_S = 0.5
+
+
+class EmulatedCaller:
+    """
+    Keeps one flow open and sends a request after each pause.
+
+    A flow that was reset is replaced within the time of the request.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        route: bytes,
+        port: int,
+        balancer_port: int,
+        network: VirtualNetwork,
+        router: EmulatedRouter,
+        codec: EmulatedPacketCodec,
+        result: SiteResult,
+        holds_flow: Callable[[FlowKey], bool],
+        random_source: random.Random,
+    ) -> None:
+        self.host = host
+        self.route = route
+        self.balancer_port = balancer_port
+        self.network = network
+        self.router = router
+        self.codec = codec
+        self.result = result
+        self.holds_flow = holds_flow
+        self.random_source = random_source
+        self.caller_port = 1024
+        self.key: FlowKey | None = None
+        self.sequence = 0
+        self.peer_sequence: int | None = None
+        self.is_reset = False
+        self.is_answered = False
+        self.changed = trio.Event()
+        network.listen((host, port), self.take)
+
+    def take(self, source: str, data: bytes) -> None:
+        """Take one datagram."""
+        del source
+        packet = self.codec.decode_from_caller(data)
+        if packet is None or packet.key != self.key:
+            return
+        if packet.is_reset:
+            self._note_reset()
+        elif packet.is_opening and self.peer_sequence is None:
+            self.peer_sequence = packet.sequence
+        elif packet.payload_bytes and self._is_from_peer(packet):
+            self.is_answered = True
+        self._wake()
+
+    async def run(self, until: float) -> None:
+        """Send requests until a moment of trio's time."""
+        await trio.sleep(self.random_source.uniform(0, PAUSE_S))
+        while trio.current_time() < until:
+            await self._request()
+            await trio.sleep(self.random_source.uniform(0.5, 1.5) * PAUSE_S)
+
+    async def _request(self) -> None:
+        started_at = trio.current_time()
+        with trio.move_on_after(DEADLINE_S):
+            while not await self._try_once():
+                pass
+            took_s = trio.current_time() - started_at
+            if took_s <= TARGET_S:
+                self.result.in_time += 1
+            else:
+                self.result.late += 1
+            return
+        self.result.failed += 1
+        self.key = None
+
+    async def _try_once(self) -> bool:
+        """Send the request over the open flow or a new one; return whether it ended."""
+        if self.key is None and not await self._open():
+            return False
+        self.is_answered = False
+        wait_s = FIRST_RETRANSMISSION_S
+        while not self.is_answered:
+            if self._has_lost_flow():
+                return False
+            self._send(payload_bytes=REQUEST_BYTES)
+            await self._wait(wait_s)
+            wait_s = min(wait_s * 2, MAX_RETRANSMISSION_S)
+        self.sequence += REQUEST_BYTES
+        self._send()
+        return True
+
+    async def _open(self) -> bool:
+        """Open a flow; return whether that succeeded."""
+        self.caller_port += 1
+        packed = bytes(int(part) for part in self.host.split("."))
+        caller = packed + self.caller_port.to_bytes(2, "big")
+        self.key = make_flow_key(caller=caller, route=self.route)
+        self.sequence = self.random_source.randrange(1 << 30)
+        self.peer_sequence = None
+        self.is_reset = False
+        started_at = trio.current_time()
+        ends = [*OPENING_TIMES_S[1:], OPENING_TIMEOUT_S]
+        for copies, end_s in enumerate(ends):
+            self._send(is_opening=True, copies=copies)
+            while self._is_opening() and trio.current_time() < started_at + end_s:
+                await self._wait(started_at + end_s - trio.current_time())
+            if not self._is_opening():
+                break
+        if not self._is_open():
+            self.key = None
+            return False
+        self.sequence += 1
+        self._send()
+        return True
+
+    def _has_lost_flow(self) -> bool:
+        """Whether the flow was reset; a new one is opened then."""
+        if self.is_reset:
+            self.key = None
+        return self.is_reset
+
+    def _is_open(self) -> bool:
+        return self.peer_sequence is not None
+
+    def _is_opening(self) -> bool:
+        return self.peer_sequence is None and not self.is_reset
+
+    def _is_from_peer(self, packet: Packet) -> bool:
+        return packet.sequence == self.peer_sequence
+
+    def _note_reset(self) -> None:
+        if self.key is not None and self.peer_sequence is not None:
+            self.result.false_resets += self.holds_flow(self.key)
+        self.is_reset = True
+
+    def _send(
+        self, *, is_opening: bool = False, copies: int = 0, payload_bytes: int = 0
+    ) -> None:
+        if self.key is None:
+            return
+        balancer = self.router.choose(self.key)
+        if balancer is None:
+            return
+        data = encode_packet(
+            self.key,
+            is_opening=is_opening,
+            is_acknowledging=not is_opening,
+            sequence=self.sequence,
+            acknowledged=copies if is_opening else (self.peer_sequence or 0) + 1,
+            payload_bytes=payload_bytes,
+        )
+        self.network.send(self.host, data, (balancer, self.balancer_port))
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait until anything arrives, at most for so long."""
+        with trio.move_on_after(seconds):
+            while not (self.is_answered or self.is_reset):
+                before = self.peer_sequence
+                await self.changed.wait()
+                if self.peer_sequence != before:
+                    return
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
@@ -0,0 +1,80 @@
+"""Packets as lists of their fields, in place of any platform's format."""
+
+from __future__ import annotations
+
+import msgpack
+
+from oleanderweir.flows import FlowKey
+from oleanderweir.flows import Packet
+
+
+FIELDS = (
+    "is_opening",
+    "is_acknowledging",
+    "is_final",
+    "is_reset",
+    "is_returned",
+    "sequence",
+    "acknowledged",
+    "payload_bytes",
+)
+
+
+class EmulatedPacketCodec:
+    """A ``PacketCodec``; both directions look alike."""
+
+    def decode_from_caller(self, data: bytes) -> Packet | None:
+        """Return the packet of a datagram, or nothing if it is none."""
+        try:
+            key, *values = msgpack.unpackb(data)
+        except (ValueError, TypeError, msgpack.UnpackException):
+            return None
+        fields = dict(zip(FIELDS, values, strict=True))
+        return Packet(data=data, key=FlowKey(key), **fields)
+
+    def decode_from_backend_server(self, data: bytes) -> Packet | None:
+        """Return the packet of a datagram, or nothing if it is none."""
+        return self.decode_from_caller(data)
+
+    def restore(self, packet: Packet) -> bytes:
+        """Return a packet that was given back as the caller had sent it."""
+        return encode_packet(
+            packet.key,
+            is_opening=packet.is_opening,
+            is_acknowledging=packet.is_acknowledging,
+            is_final=packet.is_final,
+            sequence=packet.sequence,
+            acknowledged=packet.acknowledged,
+            payload_bytes=packet.payload_bytes,
+        )
+
+    def make_reset(self, key: FlowKey, *, sequence: int) -> bytes:
+        """Return a reset of a flow."""
+        return encode_packet(key, is_reset=True, sequence=sequence)
+
+
+def encode_packet(
+    key: FlowKey,
+    *,
+    is_opening: bool = False,
+    is_acknowledging: bool = False,
+    is_final: bool = False,
+    is_reset: bool = False,
+    is_returned: bool = False,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    payload_bytes: int = 0,
+) -> bytes:
+    """Return the datagram of a packet."""
+    values = (
+        is_opening,
+        is_acknowledging,
+        is_final,
+        is_reset,
+        is_returned,
+        sequence,
+        acknowledged,
+        payload_bytes,
+    )
+    data: bytes = msgpack.packb([key, *values])
+    return data
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
@@ -0,0 +1,106 @@
+"""What goes wrong on an emulated site."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
+from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from oleanderweir_bench.packet_path.site_result import SiteResult
+
+
+CALLERS = 60
+PLAY_S = 12.0
+# Requests in progress at the end are given their time.
+SETTLE_S = 3.0
+
+
+async def stay_calm(site: EmulatedSite) -> None:
+    """Let nothing happen."""
+    del site
+
+
+async def move_flows(site: EmulatedSite) -> None:
+    """Take balancers out of rotation and back, one after the other."""
+    for host in list(site.balancer_hosts):
+        await trio.sleep(1.0)
+        site.router.hosts.remove(host)
+        await trio.sleep(1.0)
+        site.router.hosts.append(host)
+
+
+async def kill_balancers(site: EmulatedSite) -> None:
+    """Kill each balancer in turn; routers notice after a second."""
+    for host in list(site.balancer_hosts):
+        site.stop_balancer(host, is_routed=True)
+        await trio.sleep(1.0)
+        site.router.hosts.remove(host)
+        await trio.sleep(1.0)
+        site.start_balancer(host)
+
+
+async def kill_everything(site: EmulatedSite) -> None:
+    """Kill all processes; the backend servers keep their flows."""
+    await trio.sleep(3.0)
+    for host in site.balancer_hosts:
+        site.stop_balancer(host, is_routed=True)
+    for host in site.agent_hosts:
+        site.stop_agent(host)
+    await trio.sleep(1.5)
+    for host in site.agent_hosts:
+        site.start_agent(host)
+    await trio.sleep(0.5)
+    for host in site.balancer_hosts:
+        site.start_balancer(host)
+
+
+async def crash_backends(site: EmulatedSite) -> None:
+    """Crash one backend server for good and start another one anew."""
+    await trio.sleep(3.0)
+    first, second, *_ = site.agent_hosts
+    site.servers[first].stop()
+    await trio.sleep(2.0)
+    site.servers[second].stop()
+    site.servers[second].start()
+
+
+async def drain_backends(site: EmulatedSite) -> None:
+    """Let two backend servers drain."""
+    for host in site.agent_hosts[:2]:
+        await trio.sleep(2.0)
+        site.drain(host)
+
+
+SCENARIOS: dict[str, Callable[[EmulatedSite], Awaitable[None]]] = {
+    "calm": stay_calm,
+    "crash-backends": crash_backends,
+    "drain": drain_backends,
+    "kill-balancers": kill_balancers,
+    "kill-everything": kill_everything,
+    "move-flows": move_flows,
+}
+
+
+def run_scenario(
+    name: str, *, seed: int, is_steady: bool = True, callers: int = CALLERS
+) -> SiteResult:
+    """Play a scenario in virtual time; return what callers saw."""
+
+    async def play() -> SiteResult:
+        async with trio.open_nursery() as nursery:
+            site = EmulatedSite(nursery=nursery, seed=seed, is_steady=is_steady)
+            site.start_callers(callers, until=trio.current_time() + PLAY_S)
+            nursery.start_soon(SCENARIOS[name], site)
+            await trio.sleep(PLAY_S + SETTLE_S)
+            nursery.cancel_scope.cancel()
+        return site.result
+
+    return run_in_virtual_time(play, seed=seed)
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -0,0 +1,61 @@
+"""Datagrams between emulated hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+
+# One way between any two hosts.
+DELAY_S = 0.001
+
+
+Listener = Callable[[str, bytes], None]
+
+
+class VirtualNetwork:
+    """
+    Hands each datagram to the host that listens, after a delay.
+
+    Datagrams to hosts that don't listen, or that are cut off, are lost.
+    """
+
+    def __init__(self, *, nursery: trio.Nursery) -> None:
+        self.nursery = nursery
+        self.listeners: dict[tuple[str, int], Listener] = {}
+
+    def listen(
+        self, address: tuple[str, int], take: Callable[[str, bytes], None]
+    ) -> None:
+        """Hand datagrams for an address to ``take``, with the sender's host."""
+        self.listeners[address] = take
+
+    def silence(self, address: tuple[str, int]) -> None:
+        """Lose what comes for an address from now on."""
+        self.listeners.pop(address, None)
+
+    def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram from a host."""
+        self.nursery.start_soon(self._deliver, source, data, address)
+
+    async def _deliver(
+        self, source: str, data: bytes, address: tuple[str, int]
+    ) -> None:
+        await trio.sleep(DELAY_S)
+        take = self.listeners.get(address)
+        if take is not None:
+            take(source, data)
+
+
+class VirtualSocket:
+    """The sending side of one host's socket."""
+
+    def __init__(self, *, network: VirtualNetwork, host: str) -> None:
+        self.network = network
+        self.host = host
+
+    def send_to(self, data: bytes, address: tuple[str, int]) -> bool:
+        """Send a datagram; the emulated system always takes it."""
+        self.network.send(self.host, data, address)
+        return True
--- a/tests/oleanderweir/flows/fakes.py
+++ b/tests/oleanderweir/flows/fakes.py
@@ -1,78 +1,18 @@
 from __future__ import annotations
 
-import msgpack
-
 from oleanderweir.flows import FlowKey
-from oleanderweir.flows import Packet
 from oleanderweir.flows import make_flow_key
+from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+from oleanderweir_bench.packet_path.emulated_codec import encode_packet
 
 
-FIELDS = (
-    "is_opening",
-    "is_acknowledging",
-    "is_final",
-    "is_reset",
-    "is_returned",
-    "sequence",
-    "acknowledged",
-    "payload_bytes",
-)
-
-
-class FakePacketCodec:
-    """Packets as lists of their fields, in place of any wire format."""
-
-    def decode_from_caller(self, data: bytes) -> Packet | None:
-        try:
-            key, *values = msgpack.unpackb(data)
-        except (ValueError, TypeError, msgpack.UnpackException):
-            return None
-        return Packet(
-            data=data, key=FlowKey(key), **dict(zip(FIELDS, values, strict=True))
-        )
-
-    def decode_from_backend_server(self, data: bytes) -> Packet | None:
-        return self.decode_from_caller(data)
-
-    def restore(self, packet: Packet) -> bytes:
-        return encode_packet(
-            packet.key,
-            is_opening=packet.is_opening,
-            is_acknowledging=packet.is_acknowledging,
-            is_final=packet.is_final,
-            sequence=packet.sequence,
-            acknowledged=packet.acknowledged,
-            payload_bytes=packet.payload_bytes,
-        )
-
-    def make_reset(self, key: FlowKey, *, sequence: int) -> bytes:
-        return encode_packet(key, is_reset=True, sequence=sequence)
-
-
-def encode_packet(
-    key: FlowKey,
-    *,
-    is_opening: bool = False,
-    is_acknowledging: bool = False,
-    is_final: bool = False,
-    is_reset: bool = False,
-    is_returned: bool = False,
-    sequence: int = 0,
-    acknowledged: int = 0,
-    payload_bytes: int = 0,
-) -> bytes:
-    values = (
-        is_opening,
-        is_acknowledging,
-        is_final,
-        is_reset,
-        is_returned,
-        sequence,
-        acknowledged,
-        payload_bytes,
-    )
-    data: bytes = msgpack.packb([key, *values])
-    return data
+__all__ = [
+    "EmulatedPacketCodec",
+    "FakeSocket",
+    "encode_packet",
+    "make_key",
+    "make_route_address",
+]
 
 
 def make_key(number: int = 1, *, route: int = 1) -> FlowKey:
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -17,7 +17,7 @@
 from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
 from tests.oleanderweir.desired_state.fakes import make_register
-from tests.oleanderweir.flows.fakes import FakePacketCodec
+from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import FakeSocket
 
 
@@ -43,7 +43,7 @@
         self.agent = PacketAgent(
             service="feed",
             flow_ttl_s=60.0,
-            codec=FakePacketCodec(),
+            codec=EmulatedPacketCodec(),
             register=self.register,
             members=self.members,
             gate=OpeningGate(
--- a/tests/oleanderweir_balancer/forwarding/bench.py
+++ b/tests/oleanderweir_balancer/forwarding/bench.py
@@ -15,7 +15,7 @@
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import publish
-from tests.oleanderweir.flows.fakes import FakePacketCodec
+from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import FakeSocket
 
 
@@ -42,7 +42,7 @@
             settings=PacketBalancerSettings(
                 caller_port=CALLER_PORT, peer_port=PEER_PORT, flow_ttl_s=60.0
             ),
-            codec=FakePacketCodec(),
+            codec=EmulatedPacketCodec(),
             register=self.register,
             members=self.members,
             placement=self.placement,
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -8,7 +8,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.agent_load import SILENCE_S
 from tests.oleanderweir.desired_state.fakes import backend_document
-from tests.oleanderweir.flows.fakes import FakePacketCodec
+from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir.flows.fakes import make_key
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
@@ -49,7 +49,7 @@
     )
 
     [(data, (host, _))] = bench.resets()
-    packet = FakePacketCodec().decode_from_caller(data)
+    packet = EmulatedPacketCodec().decode_from_caller(data)
     assert packet is not None
     assert packet.is_reset
     assert host == "100.64.0.1"
@@ -105,7 +105,7 @@
 
     bench.give_back("10.0.0.2", ReturnReason.NOT_HELD, REQUEST)
     [(data, _)] = bench.resets()
-    packet = FakePacketCodec().decode_from_caller(data)
+    packet = EmulatedPacketCodec().decode_from_caller(data)
     assert packet is not None
     assert packet.sequence == 77
 
--- /dev/null
+++ b/tests/oleanderweir_bench/packet_path/test_scenarios.py
@@ -0,0 +1,37 @@
+from __future__ import annotations
+
+import pytest
+
+from oleanderweir_bench.packet_path import SCENARIOS
+from oleanderweir_bench.packet_path import run_scenario
+
+
+CALLERS = 15
+
+
+@pytest.mark.parametrize("name", sorted(SCENARIOS))
+@pytest.mark.parametrize("is_steady", [True, False], ids=["steady", "mod"])
+def test_no_promise_is_broken(name: str, is_steady: bool) -> None:
+    result = run_scenario(name, seed=7, is_steady=is_steady, callers=CALLERS)
+
+    assert result.asked > 100
+    assert result.broken == 0
+
+
+@pytest.mark.parametrize("name", ["calm", "drain", "move-flows"])
+def test_planned_changes_make_no_request_late(name: str) -> None:
+    result = run_scenario(name, seed=3, callers=CALLERS)
+
+    assert result.failed == 0
+    assert result.late == 0
+
+
+def test_killed_balancers_make_no_request_fail() -> None:
+    assert run_scenario("kill-balancers", seed=3, callers=CALLERS).failed == 0
+
+
+def test_a_scenario_repeats_itself_for_one_seed() -> None:
+    first = run_scenario("kill-everything", seed=5, callers=CALLERS)
+    second = run_scenario("kill-everything", seed=5, callers=CALLERS)
+
+    assert first == second
