--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup_table.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup_table.py
@@ -47,6 +47,10 @@
         """Whether the agents should be asked now."""
         return now - lookup.asked_at >= REPEAT_S
 
+    def never_asked(self) -> list[Lookup]:
+        """Return the searches that hold packets and that no agent was asked for."""
+        return [it for it in self.lookups.values() if it.held and not it.asked]
+
     def close(self, key: FlowKey) -> Lookup | None:
         """End the search of a flow; return it."""
         return self.lookups.pop(key, None)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.flows import caller_host
 from oleanderweir.flows import describe_flow
 from oleanderweir.flows import route_address
@@ -25,7 +26,6 @@
 if TYPE_CHECKING:
     from oleanderweir.desired_state import Route
     from oleanderweir.desired_state import StateRegister
-    from oleanderweir.desired_state import Topic
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
     from oleanderweir.flows import PacketCodec
@@ -116,6 +116,7 @@
     def on_state_change(self, topic: Topic) -> None:
         """Forward what waited for the first state."""
         del topic
+        self._ask_for_held()
         if not self.is_ready or not self.waiting:
             return
         waiting, self.waiting = self.waiting, []
@@ -138,7 +139,7 @@
 
     def _open(self, packet: Packet, *, now: float) -> None:
         """Place a new flow, or send a copy of its opening packet where it went."""
-        if self.register.desired is None:
+        if self.register.desired is None or not self._knows_backends():
             self._wait(packet)
             return
         route = self.register.desired.routes.get(route_address(packet.key))
@@ -206,6 +207,18 @@
             self._deliver(host, packet, DeliveryPurpose.FIND)
         self._log("flow_lookup", packet.key, asked=len(agents))
 
+    def _ask_for_held(self) -> None:
+        """Ask for flows whose packets came before any agent was known."""
+        now = trio.current_time()
+        for lookup in self.lookups.never_asked():
+            agents = self._possible_owners(lookup)
+            if agents:
+                self._ask(lookup, lookup.held.pop(0), agents, now=now)
+
+    def _knows_backends(self) -> bool:
+        """Whether the published backend servers were read at all."""
+        return self.register.revision(Topic.BACKEND_SERVERS) > 0
+
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
         Return the agents whose backend servers may hold a flow.
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -15,6 +15,7 @@
 from oleanderweir.desired_state import Route
 from oleanderweir.desired_state import ServiceShare
 from oleanderweir.desired_state import StateRegister
+from oleanderweir.desired_state import Topic
 from oleanderweir.net import SocketAddress
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
@@ -262,6 +263,7 @@
     def _publish(self, register: StateRegister) -> None:
         register.backends = {it.identifier: it for it in self.records.values()}
         register.by_service = None
+        register.topics[Topic.BACKEND_SERVERS].revision += 1
 
     def _create_members(self, host: str) -> Members:
         members = Members(own_host=host)
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -3,6 +3,7 @@
 import trio
 import trio.testing
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnReason
@@ -192,3 +193,30 @@
     bench.balancer.on_caller_packet(encode_packet(KEY, is_opening=True, acknowledged=1))
 
     assert [host for host, _ in bench.deliveries()] == [other]
+
+
+async def test_an_open_flow_is_asked_for_as_soon_as_agents_are_known() -> None:
+    bench = BalancerBench()
+    bench.balancer.on_caller_packet(REQUEST)
+    assert bench.deliveries() == []
+
+    bench.publish()
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+
+    assert {host for host, _ in bench.deliveries()} == {"10.0.0.1", "10.0.0.2"}
+
+
+async def test_a_new_flow_waits_until_backend_servers_were_read() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    backends = bench.register.topics[Topic.BACKEND_SERVERS]
+    backends.revision = 0
+    bench.register.backends.clear()
+    bench.register.by_service = None
+
+    bench.balancer.on_caller_packet(OPENING)
+
+    assert bench.resets() == []
+    bench.publish(revision=20)
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+    assert len(bench.deliveries()) == 1
