--- a/packages/oleanderweir/src/oleanderweir/event_log/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/event_log/__init__.py
@@ -5,6 +5,7 @@
 from oleanderweir.event_log.code_limit import MAX_LINES_PER_CODE
 from oleanderweir.event_log.code_limit import CodeLimit
 from oleanderweir.event_log.configure import configure_event_log
+from oleanderweir.event_log.event_counters import BUCKETS_S
 from oleanderweir.event_log.event_counters import EventCounters
 from oleanderweir.event_log.flow_story import StoryLine
 from oleanderweir.event_log.flow_story import tell_flow_story
@@ -13,6 +14,7 @@
 
 
 __all__ = [
+    "BUCKETS_S",
     "MAX_LINES_PER_CODE",
     "CodeLimit",
     "EventCounters",
--- a/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
@@ -7,7 +7,9 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import HistogramMetricFamily
 
+from oleanderweir.event_log import BUCKETS_S
 from oleanderweir.http_responder import HttpAnswer
 
 
@@ -35,6 +37,23 @@
         for (code, reason), count in sorted(self.counters.counts.items()):
             family.add_metric([code, reason], count)
         yield family
+        yield self._collect_latency()
+
+    def _collect_latency(self) -> Metric:
+        """Return the histogram of request latencies."""
+        total = 0
+        buckets = []
+        for bound in BUCKETS_S:
+            total += self.counters.durations[bound]
+            buckets.append((str(bound), total))
+        total += self.counters.durations[float("inf")]
+        buckets.append(("+Inf", total))
+        return HistogramMetricFamily(
+            "oleanderweir_request_seconds",
+            "Time from a request's start at the backend server to its answer.",
+            buckets=buckets,
+            sum_value=self.counters.duration_sum_s,
+        )
 
 
 def make_metrics_page(counters: EventCounters) -> HttpAnswer:
