Split the packet balancer, and give two types names of their own

Looking owners up and sending stand in modules of their own; LoadReporter and WaitingRequest named two types each.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/waiting_request.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/held_request.py
@@ -14,7 +14,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class WaitingRequest:
+class HeldRequest:
     """
     The packets of a request that its backend server has no slot for yet.
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -15,7 +15,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.flow_table import FlowTable
-from oleanderweir_agent.forwarding.load_reporter import LoadReporter
+from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 from oleanderweir_agent.forwarding.search import Search
 
@@ -70,7 +70,7 @@
         self.links = links
         self.table = FlowTable(idle_s=flow_ttl_s)
         self.requests = RequestDispatcher(register=register, links=links)
-        self.reporter = LoadReporter(members=members, links=links)
+        self.reporter = ReportSender(members=members, links=links)
         self.liveness = BackendLiveness()
         # Balancers that wait to hear whether the backend server holds a flow.
         self.searches: dict[FlowKey, Search] = {}
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_reporter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/report_sender.py
@@ -20,7 +20,7 @@
 MAX_REPORTS_A_SECOND = 200.0
 
 
-class LoadReporter:
+class ReportSender:
     """Sends a report when it differs from the last one, and from time to time."""
 
     def __init__(self, *, members: Members, links: AgentLinks) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -7,9 +7,9 @@
 
 from oleanderweir.flows import describe_flow
 from oleanderweir.flows import route_address
+from oleanderweir_agent.forwarding.held_request import HeldRequest
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
 from oleanderweir_agent.forwarding.request_queue import RequestQueue
-from oleanderweir_agent.forwarding.waiting_request import WaitingRequest
 
 
 if TYPE_CHECKING:
@@ -136,7 +136,7 @@
         route = self._find_route(flow.key)
         if route is None:
             return False
-        request = WaitingRequest(
+        request = HeldRequest(
             key=flow.key,
             packets=[packet.data],
             ends_before=packet.sequence + packet.payload_bytes,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_queue.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_queue.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
-    from oleanderweir_agent.forwarding.waiting_request import WaitingRequest
+    from oleanderweir_agent.forwarding.held_request import HeldRequest
 
 
 # Packets of one request that are kept: a sender's whole window.
@@ -28,12 +28,12 @@
     """Requests by flow; a flow has one request in progress at a time."""
 
     def __init__(self) -> None:
-        self.requests: dict[FlowKey, WaitingRequest] = {}
+        self.requests: dict[FlowKey, HeldRequest] = {}
 
     def __len__(self) -> int:
         return len(self.requests)
 
-    def add(self, request: WaitingRequest) -> bool:
+    def add(self, request: HeldRequest) -> bool:
         """Let a request wait; return whether there is room."""
         if len(self.requests) >= MAX_WAITING:
             return False
@@ -49,11 +49,11 @@
             request.packets.append(packet)
         return True
 
-    def remove(self, key: FlowKey) -> WaitingRequest | None:
+    def remove(self, key: FlowKey) -> HeldRequest | None:
         """Take a request out, whatever its turn."""
         return self.requests.pop(key, None)
 
-    def take_next(self, *, now: float, service_s: float) -> WaitingRequest | None:
+    def take_next(self, *, now: float, service_s: float) -> HeldRequest | None:
         """Take out the request whose turn it is; ``service_s`` is the time of one."""
         if not self.requests:
             return None
@@ -67,7 +67,7 @@
             )
         return self.requests.pop(chosen.key)
 
-    def take_useless(self, *, now: float) -> list[WaitingRequest]:
+    def take_useless(self, *, now: float) -> list[HeldRequest]:
         """Take out the requests whose callers have given up."""
         over = [r for r in self.requests.values() if r.useless_at <= now]
         for request in over:
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_links.py
@@ -0,0 +1,70 @@
+"""What a balancer sends, and what it logs about flows."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from oleanderweir.flows import caller_host
+from oleanderweir.flows import describe_flow
+from oleanderweir.peering import encode_message
+from oleanderweir.peering.messages import Delivery
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.flows import PacketCodec
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import DeliveryPurpose
+    from oleanderweir_balancer.forwarding.packet_balancer_settings import (
+        PacketBalancerSettings,
+    )
+
+
+logger = logging.getLogger(__name__)
+
+
+class BalancerLinks:
+    """The ways from the balancer to agents and callers."""
+
+    def __init__(
+        self,
+        *,
+        settings: PacketBalancerSettings,
+        codec: PacketCodec,
+        register: StateRegister,
+        socket: UdpSocket,
+    ) -> None:
+        self.settings = settings
+        self.codec = codec
+        self.register = register
+        self.socket = socket
+
+    def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
+        """Send a packet to an agent."""
+        message = Delivery(
+            purpose=purpose, version=self.register.version, data=packet.data
+        )
+        self.socket.send_to(encode_message(message), (host, self.settings.peer_port))
+
+    def reset(self, packet: Packet, *, reason: str) -> None:
+        """Tell the caller that its flow isn't open."""
+        sequence = 0 if packet.is_opening else packet.acknowledged
+        data = self.codec.make_reset(packet.key, sequence=sequence)
+        caller = (caller_host(packet.key), self.settings.caller_port)
+        self.socket.send_to(data, caller)
+        self.log("flow_reset", packet.key, reason=reason)
+
+    def log(self, code: str, key: FlowKey, **inputs: object) -> None:
+        """Log a decision about a flow, with its inputs."""
+        logger.info(
+            code.replace("_", " "),
+            extra={
+                "code": code,
+                "flow": describe_flow(key),
+                "version": self.register.version,
+                **inputs,
+            },
+        )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
@@ -13,15 +13,10 @@
 
 @attrs.define(kw_only=True, eq=False)
 class CachedFlow:
-    """
-    The agent of a flow; ``is_opening`` until a packet other than the opening came.
-
-    ``used_at`` is in trio's seconds.
-    """
+    """The agent of a flow; ``used_at`` is in trio's seconds."""
 
     agent: str
     used_at: float
-    is_opening: bool
 
 
 class FlowCache:
@@ -31,9 +26,9 @@
         self.idle_s = idle_s
         self.flows: dict[FlowKey, CachedFlow] = {}
 
-    def put(self, key: FlowKey, agent: str, *, now: float, is_opening: bool) -> None:
+    def put(self, key: FlowKey, agent: str, *, now: float) -> None:
         """Note the agent of a flow."""
-        self.flows[key] = CachedFlow(agent=agent, used_at=now, is_opening=is_opening)
+        self.flows[key] = CachedFlow(agent=agent, used_at=now)
 
     def get(self, key: FlowKey, *, now: float) -> CachedFlow | None:
         """Return the entry of a flow, and keep it from expiring."""
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/owner_finder.py
@@ -0,0 +1,136 @@
+"""Finds out which agent's backend server holds a flow."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.flows import route_address
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir_balancer.forwarding.lookup_table import LookupTable
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.peering import Members
+    from oleanderweir_balancer.forwarding.balancer_links import BalancerLinks
+    from oleanderweir_balancer.forwarding.lookup import Lookup
+
+
+class OwnerFinder:
+    """
+    Asks agents for flows that the balancer's cache lacks.
+
+    A flow is reset only when every agent that may hold it denied: first those of the
+    services that its route leads or led to, then all.
+    """
+
+    def __init__(
+        self, *, register: StateRegister, members: Members, links: BalancerLinks
+    ) -> None:
+        self.register = register
+        self.members = members
+        self.links = links
+        self.lookups = LookupTable()
+
+    def find(self, packet: Packet, *, now: float) -> None:
+        """Ask for the owner of a packet's flow, or let the packet wait for it."""
+        if packet.is_reset:
+            return
+        lookup = self.lookups.open(packet.key, now=now)
+        if lookup is None:
+            return
+        if lookup.is_closed:
+            self.links.reset(packet, reason="flow_not_held")
+            return
+        agents = self._possible_owners(lookup)
+        if not agents or not self.lookups.is_due(lookup, now=now):
+            self.lookups.hold(lookup, packet)
+        elif lookup.is_denied_by(agents):
+            # Whoever did not answer is published no more.
+            self._widen_or_close(lookup, packet, now=now)
+        else:
+            self._ask(lookup, packet, agents, now=now)
+
+    def note_owner(self, host: str, key: FlowKey, *, now: float) -> None:
+        """Send what waited for the owner of a flow."""
+        lookup = self.lookups.close(key)
+        if lookup is None:
+            return
+        for packet in lookup.held:
+            self.links.deliver(host, packet, DeliveryPurpose.CONTINUE)
+        self.links.log(
+            "flow_found",
+            key,
+            agent=host,
+            held=len(lookup.held),
+            took_ms=round((now - lookup.started_at) * 1000, 1),
+        )
+
+    def note_denial(self, host: str, packet: Packet, *, now: float) -> None:
+        """Reset a flow that every possible owner denied to hold."""
+        lookup = self.lookups.open(packet.key, now=now)
+        if lookup is None or lookup.is_closed:
+            return
+        lookup.denied.add(host)
+        if not lookup.asked:
+            self.find(packet, now=now)
+        elif lookup.is_denied_by(self._possible_owners(lookup)):
+            self._widen_or_close(lookup, packet, now=now)
+
+    def ask_for_held(self, *, now: float) -> None:
+        """Ask for flows whose packets came before any agent was known."""
+        for lookup in self.lookups.never_asked():
+            agents = self._possible_owners(lookup)
+            if agents:
+                self._ask(lookup, lookup.held.pop(0), agents, now=now)
+
+    def expire(self, *, now: float) -> None:
+        """End searches that nobody answered."""
+        for lookup in self.lookups.expire(now=now):
+            if not lookup.is_closed:
+                self.links.log(
+                    "lookup_unanswered",
+                    lookup.key,
+                    asked=sorted(lookup.asked - lookup.denied),
+                )
+
+    def _ask(
+        self, lookup: Lookup, packet: Packet, agents: set[str], *, now: float
+    ) -> None:
+        """Send a packet to the agents whose backend servers may hold its flow."""
+        lookup.asked_at = now
+        lookup.asked |= agents
+        for host in sorted(agents - lookup.denied):
+            self.links.deliver(host, packet, DeliveryPurpose.FIND)
+        self.links.log("flow_lookup", packet.key, asked=len(agents))
+
+    def _widen_or_close(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
+        """Ask the agents of all services; reset the flow if all of them denied."""
+        if not lookup.is_wide:
+            lookup.is_wide = True
+            others = self._possible_owners(lookup)
+            if not lookup.is_denied_by(others):
+                self._ask(lookup, packet, others, now=now)
+                return
+        lookup.is_closed = True
+        self.links.reset(packet, reason="flow_not_held")
+
+    def _possible_owners(self, lookup: Lookup) -> set[str]:
+        """
+        Return the agents whose backend servers may hold a flow.
+
+        A flow stays where it is when its route moves to another service, so those
+        that the route once led to are asked too, and in the end all.
+        """
+        hosts: set[str] = set()
+        if not lookup.is_wide:
+            for service in self.register.services_of(route_address(lookup.key)):
+                hosts.update(r.host for r in self.register.backends_of(service))
+                hosts.update(self.members.agents_of(service))
+        if hosts:
+            return hosts
+        agents = {r.host for r in self.register.backends.values()}
+        return agents | set(self.members.hosts(PeerRole.AGENT))
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer_settings.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer_settings.py
@@ -8,7 +8,7 @@
 @attrs.frozen(kw_only=True)
 class PacketBalancerSettings:
     """
-    Ports of the other ends, and how long a flow may be remembered.
+    Ports of the other ends.
 
     ``caller_port`` is the port of every caller for packets that come to it,
     ``peer_port`` that of every process of the system for its peers.
@@ -16,4 +16,3 @@
 
     caller_port: int
     peer_port: int
-    flow_ttl_s: float
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -25,6 +25,7 @@
 from oleanderweir_agent.forwarding import OpeningGate
 from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
+from oleanderweir_balancer.forwarding import BalancerLinks
 from oleanderweir_balancer.forwarding import PacketBalancer
 from oleanderweir_balancer.forwarding import PacketBalancerSettings
 from oleanderweir_balancer.forwarding import Placement
@@ -100,9 +101,7 @@
         """Start a balancer with an empty cache, and put it into rotation."""
         register = self._create_register(host)
         balancer = PacketBalancer(
-            settings=PacketBalancerSettings(
-                caller_port=CALLER_PORT, peer_port=PEER_PORT, flow_ttl_s=FLOW_TTL_S
-            ),
+            flow_ttl_s=FLOW_TTL_S,
             codec=self.codec,
             register=register,
             members=self._create_members(host),
@@ -110,7 +109,14 @@
                 availability_zone="a",
                 random_source=random.Random(self.random_source.random()),
             ),
-            peer_socket=self._create_socket(host),
+            links=BalancerLinks(
+                settings=PacketBalancerSettings(
+                    caller_port=CALLER_PORT, peer_port=PEER_PORT
+                ),
+                codec=self.codec,
+                register=register,
+                socket=self._create_socket(host),
+            ),
         )
         self.network.listen(
             (host, CALLER_PORT), lambda _, data: balancer.on_caller_packet(data)
--- a/tests/oleanderweir_agent/forwarding/test_request_queue.py
+++ b/tests/oleanderweir_agent/forwarding/test_request_queue.py
@@ -2,8 +2,8 @@
 
 import heapq
 
+from oleanderweir_agent.forwarding.held_request import HeldRequest
 from oleanderweir_agent.forwarding.request_queue import RequestQueue
-from oleanderweir_agent.forwarding.waiting_request import WaitingRequest
 from tests.oleanderweir.flows.fakes import make_key
 
 
@@ -13,8 +13,8 @@
 
 def make_request(
     number: int, *, arrived_at: float = 0.0, priority: int = 1
-) -> WaitingRequest:
-    return WaitingRequest(
+) -> HeldRequest:
+    return HeldRequest(
         key=make_key(number),
         packets=[b"request"],
         ends_before=0,
@@ -97,7 +97,7 @@
     arrivals = [(0.0, number) for number in range(120)]
     arrivals += [(0.025 * number, 120 + number) for number in range(1, 81)]
     waiting = RequestQueue()
-    first_come: list[WaitingRequest] = []
+    first_come: list[HeldRequest] = []
     slots = [0.0] * 5
     in_time = 0
     while arrivals or first_come or len(waiting):
--- a/tests/oleanderweir_balancer/forwarding/bench.py
+++ b/tests/oleanderweir_balancer/forwarding/bench.py
@@ -9,6 +9,7 @@
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir_balancer.forwarding import BalancerLinks
 from oleanderweir_balancer.forwarding import PacketBalancer
 from oleanderweir_balancer.forwarding import PacketBalancerSettings
 from oleanderweir_balancer.forwarding import Placement
@@ -39,14 +40,19 @@
             availability_zone="a", random_source=random.Random(1)
         )
         self.balancer = PacketBalancer(
-            settings=PacketBalancerSettings(
-                caller_port=CALLER_PORT, peer_port=PEER_PORT, flow_ttl_s=60.0
-            ),
+            flow_ttl_s=60.0,
             codec=EmulatedPacketCodec(),
             register=self.register,
             members=self.members,
             placement=self.placement,
-            peer_socket=cast("UdpSocket", self.socket),
+            links=BalancerLinks(
+                settings=PacketBalancerSettings(
+                    caller_port=CALLER_PORT, peer_port=PEER_PORT
+                ),
+                codec=EmulatedPacketCodec(),
+                register=self.register,
+                socket=cast("UdpSocket", self.socket),
+            ),
         )
         self.hosts = hosts
 
