Let one agent ask the others for a flow in a large fleet

Above 16 possible owners the balancer now asks one agent, another one at each try, which asks the rest and answers once: the cost of a miss on a balancer no longer grows with the fleet.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_links.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_links.py
@@ -8,6 +8,7 @@
 from oleanderweir.flows import caller_host
 from oleanderweir.flows import describe_flow
 from oleanderweir.peering import encode_message
+from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
     from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import DeliveryPurpose
     from oleanderweir.peering.messages import Message
     from oleanderweir.peering.messages import ReturnReason
     from oleanderweir_agent.forwarding.packet_agent_settings import PacketAgentSettings
@@ -57,6 +59,10 @@
         """Tell a balancer that the backend server holds a flow."""
         self.tell(host, OwnerNotice(key=key))
 
+    def forward(self, host: str, data: bytes, *, purpose: DeliveryPurpose) -> None:
+        """Send a caller's packet to another agent."""
+        self.tell(host, Delivery(purpose=purpose, version=0, data=data))
+
     def give_back(
         self, host: str, key: FlowKey, data: bytes, reason: ReturnReason
     ) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -12,12 +12,15 @@
 from oleanderweir.flows import describe_flow
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 from oleanderweir_agent.forwarding.search import Search
+from oleanderweir_agent.forwarding.search_service import SearchService
 
 
 if TYPE_CHECKING:
@@ -72,6 +75,9 @@
         self.requests = RequestDispatcher(register=register, links=links)
         self.reporter = ReportSender(members=members, links=links)
         self.liveness = BackendLiveness()
+        self.search_service = SearchService(
+            codec=codec, register=register, members=members, links=links
+        )
         # Balancers that wait to hear whether the backend server holds a flow.
         self.searches: dict[FlowKey, Search] = {}
         # Flows whose opening packet the backend server hasn't answered.
@@ -85,14 +91,23 @@
 
     def on_message(self, host: str, message: Message) -> None:
         """Take in what a balancer says."""
-        if not isinstance(message, Delivery):
-            return
+        if isinstance(message, OwnerNotice):
+            self.search_service.on_owner(host, message)
+        elif isinstance(message, ReturnedPacket):
+            self.search_service.on_denial(host, message)
+        elif isinstance(message, Delivery):
+            self._take_delivery(host, message)
+
+    def _take_delivery(self, host: str, message: Delivery) -> None:
+        """Take a caller's packet in."""
         packet = self.codec.decode_from_caller(message.data)
         if packet is None:
             return
         now = trio.current_time()
         if packet.is_opening:
             self._open(host, packet, version=message.version, now=now)
+        elif message.purpose is DeliveryPurpose.SEARCH:
+            self.search_service.search(host, packet)
         else:
             self._continue(host, packet, message, now=now)
 
@@ -281,6 +296,7 @@
     def expire(self) -> None:
         """Forget what is over."""
         now = trio.current_time()
+        self.search_service.expire(now=now)
         for flow in self.table.expire(now=now):
             self.requests.drop(flow, now=now)
         limit = now - ABSENCE_LEASE_S
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search_service.py
@@ -0,0 +1,95 @@
+"""Searches that the agent makes for balancers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.flows import describe_flow
+from oleanderweir.lookups import OwnerFinder
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import ReturnReason
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.flows import PacketCodec
+    from oleanderweir.peering import Members
+    from oleanderweir.peering.messages import DeliveryPurpose
+    from oleanderweir_agent.forwarding.agent_links import AgentLinks
+
+
+logger = logging.getLogger(__name__)
+
+
+class SearchService:
+    """
+    Asks all agents that may hold a flow, and tells who asked of the outcome.
+
+    A balancer in a large fleet hands its searches here, to a different agent for each
+    flow. It is a ``FinderLinks`` of its own finder.
+    """
+
+    def __init__(
+        self,
+        *,
+        codec: PacketCodec,
+        register: StateRegister,
+        members: Members,
+        links: AgentLinks,
+    ) -> None:
+        self.codec = codec
+        self.links = links
+        self.finder = OwnerFinder(
+            register=register, members=members, links=self, delegates=False
+        )
+        # Balancers that wait for the owner of a flow.
+        self.askers: dict[FlowKey, set[str]] = {}
+
+    def search(self, host: str, packet: Packet) -> None:
+        """Search the owner of a packet's flow for a balancer."""
+        self.askers.setdefault(packet.key, set()).add(host)
+        self.finder.find(packet, now=trio.current_time())
+
+    def on_owner(self, host: str, notice: OwnerNotice) -> None:
+        """Take the claim of another agent in."""
+        self.finder.note_owner(host, notice.key, now=trio.current_time())
+
+    def on_denial(self, host: str, returned: ReturnedPacket) -> None:
+        """Take the denial of another agent in."""
+        packet = self.codec.decode_from_caller(returned.data)
+        if packet is not None and packet.key in self.askers:
+            self.finder.note_denial(host, packet, now=trio.current_time())
+
+    def expire(self, *, now: float) -> None:
+        """Forget searches that are over."""
+        self.finder.expire(now=now)
+        running = self.finder.lookups.lookups
+        self.askers = {k: hosts for k, hosts in self.askers.items() if k in running}
+
+    def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
+        """Send a packet to another agent, or to this one."""
+        self.links.forward(host, packet.data, purpose=purpose)
+
+    def note_found(self, key: FlowKey, host: str) -> None:
+        """Tell the balancers that asked who holds the flow."""
+        for asker in self.askers.pop(key, ()):
+            self.links.tell(asker, OwnerNotice(key=key, host=host))
+
+    def note_held_nowhere(self, packet: Packet) -> None:
+        """Tell the balancers that asked that nobody holds the flow."""
+        for asker in self.askers.pop(packet.key, ()):
+            message = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=packet.data)
+            self.links.tell(asker, message)
+
+    def log(self, code: str, key: FlowKey, **inputs: object) -> None:
+        """Log a decision about a flow, with its inputs."""
+        logger.info(
+            code.replace("_", " "),
+            extra={"code": code, "flow": describe_flow(key), **inputs},
+        )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/__init__.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/__init__.py
@@ -4,9 +4,6 @@
 
 from oleanderweir_balancer.forwarding.balancer_links import BalancerLinks
 from oleanderweir_balancer.forwarding.flow_cache import FlowCache
-from oleanderweir_balancer.forwarding.lookup import Lookup
-from oleanderweir_balancer.forwarding.lookup_table import LookupTable
-from oleanderweir_balancer.forwarding.owner_finder import OwnerFinder
 from oleanderweir_balancer.forwarding.packet_balancer import PacketBalancer
 from oleanderweir_balancer.forwarding.packet_balancer_settings import (
     PacketBalancerSettings,
@@ -17,9 +14,6 @@
 __all__ = [
     "BalancerLinks",
     "FlowCache",
-    "Lookup",
-    "LookupTable",
-    "OwnerFinder",
     "PacketBalancer",
     "PacketBalancerSettings",
     "Placement",
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_links.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_links.py
@@ -57,6 +57,13 @@
         self.socket.send_to(data, caller)
         self.log("flow_reset", packet.key, reason=reason)
 
+    def note_found(self, key: FlowKey, host: str) -> None:
+        """Nobody else waits for the owner of a flow."""
+
+    def note_held_nowhere(self, packet: Packet) -> None:
+        """Reset a flow that nobody holds."""
+        self.reset(packet, reason="flow_not_held")
+
     def log(self, code: str, key: FlowKey, **inputs: object) -> None:
         """Log a decision about a flow, with its inputs."""
         logger.info(
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -8,13 +8,13 @@
 
 from oleanderweir.desired_state import Topic
 from oleanderweir.flows import route_address
+from oleanderweir.lookups import OwnerFinder
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.flow_cache import FlowCache
-from oleanderweir_balancer.forwarding.owner_finder import OwnerFinder
 
 
 if TYPE_CHECKING:
@@ -65,7 +65,9 @@
         self.placement = placement
         self.links = links
         self.cache = FlowCache(idle_s=flow_ttl_s)
-        self.finder = OwnerFinder(register=register, members=members, links=links)
+        self.finder = OwnerFinder(
+            register=register, members=members, links=links, delegates=True
+        )
         self.waiting: list[Packet] = []
         # Agents that gave an opening packet back, by flow.
         self.refusals: dict[FlowKey, set[str]] = {}
@@ -98,8 +100,9 @@
         if isinstance(message, LoadReport):
             self.placement.note_report(host, message, now=now)
         elif isinstance(message, OwnerNotice):
-            self.cache.put(message.key, host, now=now)
-            self.finder.note_owner(host, message.key, now=now)
+            owner = message.host or host
+            self.cache.put(message.key, owner, now=now)
+            self.finder.note_owner(owner, message.key, now=now)
         elif isinstance(message, ReturnedPacket):
             self._take_back(host, message, now=now)
 
@@ -186,6 +189,8 @@
         self.links.log("packet_returned", packet.key, agent=host, reason=reason.name)
         if packet.is_opening:
             self._open_elsewhere(host, packet, now=now)
+        elif reason is ReturnReason.HELD_NOWHERE:
+            self.finder.note_held_nowhere(packet, now=now)
         elif reason is ReturnReason.LOST:
             self.links.reset(packet, reason="flow_lost")
         elif flow is not None and flow.agent != host:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
@@ -90,13 +90,20 @@
 
 
 def run_scenario(
-    name: str, *, seed: int, is_steady: bool = True, callers: int = CALLERS
+    name: str,
+    *,
+    seed: int,
+    is_steady: bool = True,
+    callers: int = CALLERS,
+    backends: int = 4,
 ) -> SiteResult:
     """Play a scenario in virtual time; return what callers saw."""
 
     async def play() -> SiteResult:
         async with trio.open_nursery() as nursery:
-            site = EmulatedSite(nursery=nursery, seed=seed, is_steady=is_steady)
+            site = EmulatedSite(
+                nursery=nursery, seed=seed, is_steady=is_steady, backends=backends
+            )
             site.start_callers(callers, until=trio.current_time() + PLAY_S)
             nursery.start_soon(SCENARIOS[name], site)
             await trio.sleep(PLAY_S + SETTLE_S)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -18,7 +18,8 @@
     A flow whose owner this balancer asks for.
 
     ``held`` are packets that wait for the answer, ``denied`` the agents that said
-    that their backend server doesn't hold the flow. Times are in trio's seconds.
+    that their backend server doesn't hold the flow, ``tries`` counts agents that were
+    asked to ask all others. Times are in trio's seconds.
     ``is_wide`` once agents of services beyond the route's own are asked, ``is_closed``
     once the caller was told that the flow is gone.
     """
@@ -29,6 +30,7 @@
     held: list[Packet] = attrs.field(factory=list)
     asked: set[str] = attrs.field(factory=set)
     denied: set[str] = attrs.field(factory=set)
+    tries: int = 0
     is_wide: bool = False
     is_closed: bool = False
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir_balancer.forwarding.lookup import Lookup
+from oleanderweir.lookups.lookup import Lookup
 
 
 if TYPE_CHECKING:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -5,18 +5,22 @@
 from typing import TYPE_CHECKING
 
 from oleanderweir.flows import route_address
+from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import PeerRole
-from oleanderweir_balancer.forwarding.lookup_table import LookupTable
 
 
 if TYPE_CHECKING:
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
+    from oleanderweir.lookups.finder_links import FinderLinks
+    from oleanderweir.lookups.lookup import Lookup
     from oleanderweir.peering import Members
-    from oleanderweir_balancer.forwarding.balancer_links import BalancerLinks
-    from oleanderweir_balancer.forwarding.lookup import Lookup
+
+
+# Agents that a balancer asks by itself.
+MAX_DIRECT_QUESTIONS = 16
 
 
 class OwnerFinder:
@@ -24,15 +28,23 @@
     Asks agents for flows that the balancer's cache lacks.
 
     A flow is reset only when every agent that may hold it denied: first those of the
-    services that its route leads or led to, then all.
+    services that its route leads or led to, then all. With ``delegates``, one agent is
+    asked to ask the others when there are many: agents have the processors for it, and
+    the cost of a search on a small balancer doesn't grow with the fleet.
     """
 
     def __init__(
-        self, *, register: StateRegister, members: Members, links: BalancerLinks
+        self,
+        *,
+        register: StateRegister,
+        members: Members,
+        links: FinderLinks,
+        delegates: bool,
     ) -> None:
         self.register = register
         self.members = members
         self.links = links
+        self.delegates = delegates
         self.lookups = LookupTable()
 
     def find(self, packet: Packet, *, now: float) -> None:
@@ -43,7 +55,7 @@
         if lookup is None:
             return
         if lookup.is_closed:
-            self.links.reset(packet, reason="flow_not_held")
+            self.links.note_held_nowhere(packet)
             return
         agents = self._possible_owners(lookup)
         if not agents or not self.lookups.is_due(lookup, now=now):
@@ -56,6 +68,7 @@
 
     def note_owner(self, host: str, key: FlowKey, *, now: float) -> None:
         """Send what waited for the owner of a flow."""
+        self.links.note_found(key, host)
         lookup = self.lookups.close(key)
         if lookup is None:
             return
@@ -80,6 +93,13 @@
         elif lookup.is_denied_by(self._possible_owners(lookup)):
             self._widen_or_close(lookup, packet, now=now)
 
+    def note_held_nowhere(self, packet: Packet, *, now: float) -> None:
+        """Take it from the agent that searched that nobody holds a flow."""
+        lookup = self.lookups.open(packet.key, now=now)
+        if lookup is not None and not lookup.is_closed:
+            lookup.is_closed = True
+            self.links.note_held_nowhere(packet)
+
     def ask_for_held(self, *, now: float) -> None:
         """Ask for flows whose packets came before any agent was known."""
         for lookup in self.lookups.never_asked():
@@ -103,10 +123,22 @@
         """Send a packet to the agents whose backend servers may hold its flow."""
         lookup.asked_at = now
         lookup.asked |= agents
+        if self.delegates and len(agents) > MAX_DIRECT_QUESTIONS:
+            delegate = self._choose_delegate(lookup, agents)
+            self.links.deliver(delegate, packet, DeliveryPurpose.SEARCH)
+            self.links.log("flow_lookup", packet.key, asked=1, delegate=delegate)
+            return
         for host in sorted(agents - lookup.denied):
             self.links.deliver(host, packet, DeliveryPurpose.FIND)
         self.links.log("flow_lookup", packet.key, asked=len(agents))
 
+    def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
+        """Return the agent that asks all others, another one at each try."""
+        ranked = sorted(agents)
+        start = int.from_bytes(lookup.key[:6], "big")
+        lookup.tries += 1
+        return ranked[(start + lookup.tries) % len(ranked)]
+
     def _widen_or_close(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Ask the agents of all services; reset the flow if all of them denied."""
         if not lookup.is_wide:
@@ -116,7 +148,7 @@
                 self._ask(lookup, packet, others, now=now)
                 return
         lookup.is_closed = True
-        self.links.reset(packet, reason="flow_not_held")
+        self.links.note_held_nowhere(packet)
 
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -8,11 +8,12 @@
 
 
 class DeliveryPurpose(enum.IntEnum):
-    """Why a balancer sends a packet to an agent."""
+    """Why a packet is sent to an agent."""
 
     OPEN = 1  # the opening packet of a flow that was placed there
     CONTINUE = 2  # a packet of a flow that is held there
-    FIND = 3  # a packet of a flow whose owner the balancer doesn't know
+    FIND = 3  # a packet of a flow whose owner the sender doesn't know
+    SEARCH = 4  # the same; the agent is to ask the others too
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/owner_notice.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/owner_notice.py
@@ -9,6 +9,11 @@
 
 @attrs.frozen(kw_only=True)
 class OwnerNotice:
-    """The sender's backend server holds the flow ``key``."""
+    """
+    The backend server at ``host`` holds the flow ``key``.
+
+    ``host`` is empty in the words of its own agent.
+    """
 
     key: FlowKey
+    host: str = ""
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -15,6 +15,7 @@
     NO_ROUTE = 3  # the route doesn't allow the agent's service
     NOT_HELD = 4  # the backend server doesn't hold the flow
     LOST = 5  # the flow was held by an earlier start of the backend server
+    HELD_NOWHERE = 7  # the agent asked all others, and none holds the flow
     UNANSWERED = 6  # the backend server stayed silent on the opening packet
 
 
--- /dev/null
+++ b/tests/oleanderweir_agent/forwarding/test_search_service.py
@@ -0,0 +1,62 @@
+from __future__ import annotations
+
+from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import OwnerNotice
+from oleanderweir.peering.messages import ReturnedPacket
+from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.desired_state.fakes import publish
+from tests.oleanderweir.flows.fakes import encode_packet
+from tests.oleanderweir.flows.fakes import make_key
+from tests.oleanderweir_agent.forwarding.bench import AgentBench
+
+
+KEY = make_key(1)
+REQUEST = encode_packet(KEY, payload_bytes=900, acknowledged=6)
+HOSTS = ("10.0.0.1", "10.0.0.2", "10.0.0.3")
+
+
+def make_bench() -> AgentBench:
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in HOSTS}
+    publish(bench.register, backends=backends)
+    return bench
+
+
+async def test_a_search_asks_every_agent_that_may_hold_the_flow() -> None:
+    bench = make_bench()
+
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST)
+
+    asked = {address[0] for _, address in bench.peer_socket.sent}
+    assert asked == set(HOSTS)
+    for message in bench.to_balancers():
+        assert isinstance(message, Delivery)
+        assert message.purpose is DeliveryPurpose.FIND
+
+
+async def test_the_balancer_is_told_who_holds_the_flow() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST)
+    bench.to_balancers()
+
+    bench.agent.on_message("10.0.0.3", OwnerNotice(key=KEY))
+
+    assert bench.to_balancers() == [OwnerNotice(key=KEY, host="10.0.0.3")]
+
+
+async def test_the_balancer_is_told_once_that_nobody_holds_the_flow() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST)
+    bench.to_balancers()
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+
+    for host in HOSTS[:2]:
+        bench.agent.on_message(host, denial)
+    assert bench.to_balancers() == []
+    bench.agent.on_message(HOSTS[2], denial)
+
+    assert bench.to_balancers() == [
+        ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+    ]
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -237,3 +237,42 @@
     bench.balancer.on_caller_packet(REQUEST)
 
     assert len(bench.resets()) == 1
+
+
+async def test_in_a_large_fleet_one_agent_is_asked_to_ask_the_others() -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 41)))
+    bench.publish()
+
+    bench.balancer.on_caller_packet(REQUEST)
+
+    [(delegate, message)] = bench.deliveries()
+    assert message.purpose is DeliveryPurpose.SEARCH
+    bench.balancer.on_message(delegate, OwnerNotice(key=KEY, host="10.0.0.7"))
+    bench.balancer.on_caller_packet(REQUEST)
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.7"]
+
+
+async def test_a_flow_that_nobody_in_a_large_fleet_holds_is_reset() -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 41)))
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(delegate, _)] = bench.deliveries()
+
+    bench.give_back(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert len(bench.resets()) == 1
+
+
+async def test_a_delegate_that_stays_silent_is_replaced(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 41)))
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(first, _)] = bench.deliveries()
+    await trio.sleep(0.2)
+
+    bench.balancer.on_caller_packet(REQUEST)
+
+    [(second, _)] = bench.deliveries()
+    assert second != first
