Scale the wait for load reports with the fleet

Agents of a fleet of 200 report once a second, which balancers would have taken as silence; interval, keepalive and silence now come from one module.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -291,7 +291,7 @@
             is_accepting=self._is_accepting(now),
             now=now,
         )
-        self.reporter.offer(report, now=now)
+        self.reporter.offer(report, fleet_size=len(self.register.backends), now=now)
 
     def expire(self) -> None:
         """Forget what is over."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/report_sender.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/report_sender.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.report_interval import keepalive_s
+from oleanderweir.peering.report_interval import report_interval_s
 
 
 if TYPE_CHECKING:
@@ -13,13 +15,6 @@
     from oleanderweir_agent.forwarding.agent_links import AgentLinks
 
 
-# Reports without a change; below the silence that balancers bear.
-KEEPALIVE_S = 0.3
-# Reports of the whole fleet that one balancer gets in a second; about a fortieth of
-# the smallest one's processor.
-MAX_REPORTS_A_SECOND = 200.0
-
-
 class ReportSender:
     """Sends a report when it differs from the last one, and from time to time."""
 
@@ -31,11 +26,11 @@
 
     def is_due(self, *, fleet_size: int, now: float) -> bool:
         """Whether a report may go out in a fleet of so many backend servers."""
-        return now - self.reported_at >= fleet_size / MAX_REPORTS_A_SECOND
+        return now - self.reported_at >= report_interval_s(fleet_size)
 
-    def offer(self, report: LoadReport, *, now: float) -> None:
+    def offer(self, report: LoadReport, *, fleet_size: int, now: float) -> None:
         """Send a report if it tells anything new, or the last one is old."""
-        if report == self.last and now - self.reported_at < KEEPALIVE_S:
+        if report == self.last and now - self.reported_at < keepalive_s(fleet_size):
             return
         self.last = report
         self.reported_at = now
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/agent_load.py
@@ -11,10 +11,6 @@
     from oleanderweir.peering.messages import LoadReport
 
 
-# An agent that reported nothing for this long is avoided; several reports.
-SILENCE_S = 1.0
-
-
 @attrs.define(kw_only=True, eq=False)
 class AgentLoad:
     """The last report of an agent; ``reported_at`` is in trio's seconds."""
@@ -22,6 +18,6 @@
     report: LoadReport
     reported_at: float
 
-    def is_silent(self, now: float) -> bool:
-        """Whether the agent seems gone."""
-        return now - self.reported_at > SILENCE_S
+    def is_silent(self, *, limit_s: float, now: float) -> bool:
+        """Whether the agent seems gone, having reported nothing for ``limit_s``."""
+        return now - self.reported_at > limit_s
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -109,6 +109,7 @@
     def on_state_change(self, topic: Topic) -> None:
         """Forward what waited for the first state."""
         del topic
+        self.placement.note_fleet_size(len(self.register.backends))
         self.finder.ask_for_held(now=trio.current_time())
         if not self.is_ready or not self.waiting:
             return
@@ -136,7 +137,7 @@
             self.links.reset(packet, reason="no_route")
             return
         flow = self.cache.get(packet.key, now=now)
-        if flow is not None and self._still_takes(flow.agent, now):
+        if flow is not None and not self.placement.is_silent(flow.agent, now=now):
             self.links.deliver(flow.agent, packet, DeliveryPurpose.OPEN)
             return
         self._place(packet, route, now=now)
@@ -164,11 +165,6 @@
             excluded=len(excluded),
         )
 
-    def _still_takes(self, host: str, now: float) -> bool:
-        """Whether an agent that was chosen can still be expected to answer."""
-        load = self.placement.loads.get(host)
-        return load is None or not load.is_silent(now)
-
     def _knows_backends(self) -> bool:
         """Whether the published backend servers were read at all."""
         return self.register.revision(Topic.BACKEND_SERVERS) > 0
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -11,6 +11,8 @@
 from typing import TYPE_CHECKING
 
 from oleanderweir.desired_state import BackendState
+from oleanderweir.peering.report_interval import MIN_SILENCE_S
+from oleanderweir.peering.report_interval import silence_s
 from oleanderweir_balancer.forwarding.agent_load import AgentLoad
 
 
@@ -47,6 +49,8 @@
         self.availability_zone = availability_zone
         self.random_source = random_source
         self.loads: dict[str, AgentLoad] = {}
+        # How long an agent may report nothing.
+        self.silence_s = MIN_SILENCE_S
         # New flows placed at each agent since its last report.
         self.unreported: Counter[str] = Counter()
 
@@ -88,7 +92,16 @@
         load = self.loads.get(record.host)
         if load is None:
             return True
-        return load.report.is_accepting and not load.is_silent(now)
+        return load.report.is_accepting and not self.is_silent(record.host, now=now)
+
+    def is_silent(self, host: str, *, now: float) -> bool:
+        """Whether an agent that reported before seems gone."""
+        load = self.loads.get(host)
+        return load is not None and load.is_silent(limit_s=self.silence_s, now=now)
+
+    def note_fleet_size(self, size: int) -> None:
+        """Wait for reports as long as agents of a fleet of this size take."""
+        self.silence_s = silence_s(size)
 
     def _flow_work(self, records: Collection[BackendRecord]) -> float:
         """Return the requests in progress per open flow of these backend servers."""
