--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -31,8 +31,8 @@
 
 logger = logging.getLogger(__name__)
 
-# A sixth of the lease of a member.
-GREETING_INTERVAL_S = 1.0
+# Below a third of the lease of a member, and of the time for a new desired state.
+GREETING_INTERVAL_S = 2.0
 # While nobody was heard, as after a loss of all power.
 LONELY_INTERVAL_S = 0.1
 # Others that one answer names, so that it fits a datagram.
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -14,8 +14,8 @@
     from oleanderweir.peering.messages import Greeting
 
 
-# A member that was silent for this long is forgotten; six greetings.
-MEMBER_LEASE_S = 6.0
+# A member that was silent for this long is forgotten; three greetings.
+MEMBER_LEASE_S = 7.0
 
 
 @attrs.define(kw_only=True, eq=False)
