--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -121,9 +121,10 @@
                 )
 
     def on_state_change(self, topic: Topic) -> None:
-        """Pass a change of the published state on."""
+        """Pass a change of the published state on, and greet who is new in it."""
         if self.program is not None:
             self.program.on_state_change(topic)
+            self.greeter.greet_strangers()
 
     def _pass_changes_on(self, changes: Changes, base: int) -> None:
         self.greeter.pass_on(changes, base=base)
--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -33,8 +33,10 @@
 
 # Below a third of the lease of a member, and of the time for a new desired state.
 GREETING_INTERVAL_S = 2.0
-# While nobody was heard, as after a loss of all power.
-LONELY_INTERVAL_S = 0.1
+# Between greetings of strangers while a process is new or hears nobody.
+EAGER_INTERVAL_S = 0.1
+# How long a process is new: the others start within this time after a loss of power.
+EAGER_S = 3.0
 # Others that one answer names, so that it fits a datagram.
 MAX_NAMED_HOSTS = 24
 # Strangers that are greeted each round; others wait for the next.
@@ -81,6 +83,7 @@
         self.status = status
         self.random_source = random_source
         self.fetching: set[Topic] = set()
+        self.started_at = float("-inf")
 
     def choose_reader(self) -> None:
         """Decide whether this process follows the backend servers at the source."""
@@ -97,12 +100,27 @@
 
     async def run(self) -> None:
         """Greet until cancelled."""
+        self.started_at = trio.current_time()
         while True:
             self.members.expire()
             self.choose_reader()
-            self._greet_all()
-            is_lonely = not self.members.hosts(PeerRole.AGENT)
-            await trio.sleep(LONELY_INTERVAL_S if is_lonely else GREETING_INTERVAL_S)
+            self.greet_strangers()
+            self._greet_known()
+            await self._sleep_until_next_round()
+
+    async def _sleep_until_next_round(self) -> None:
+        """Wait a round; go on greeting strangers while the process is new or alone."""
+        next_at = trio.current_time() + GREETING_INTERVAL_S
+        while trio.current_time() < next_at:
+            await trio.sleep(
+                EAGER_INTERVAL_S if self._is_eager() else GREETING_INTERVAL_S
+            )
+            self.greet_strangers()
+
+    def _is_eager(self) -> bool:
+        """Whether others may be greeting strangers too, as after a loss of all power."""
+        age_s = trio.current_time() - self.started_at
+        return age_s < EAGER_S or not self.members.members
 
     def take(self, host: str, greeting: Greeting, nursery: trio.Nursery) -> None:
         """Take a greeting in; answer it and ask for newer state where due."""
@@ -175,8 +193,11 @@
         strangers.discard(self.members.own_host)
         for host in sorted(strangers)[:MAX_STRANGERS]:
             self._greet(host, wants_answer=True, names=False)
+
+    def _greet_known(self) -> None:
+        """Greet the members, if this role keeps in touch with them."""
         if self.role is PeerRole.BALANCER:
-            for host in known:
+            for host in self.members.members:
                 self._greet(host, wants_answer=False, names=False)
 
     def _sample(self, role: PeerRole) -> tuple[str, ...]:
--- a/tests/oleanderweir/peering/test_greeter.py
+++ b/tests/oleanderweir/peering/test_greeter.py
@@ -166,3 +166,23 @@
     bench.greeter.choose_reader()
 
     assert not bench.status.should_read
+
+
+async def test_published_agents_hear_of_a_new_balancer_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = GreeterBench()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(bench.greeter.run)
+        await trio.sleep(0.5)
+        bench.members.note("10.0.0.5", make_greeting(role=PeerRole.AGENT))
+        backends = {
+            "b1": backend_document(host="10.0.0.5"),
+            "b2": backend_document(host="10.0.0.6"),
+        }
+        publish(bench.register, backends=backends, revision=10)
+        bench.socket.take()
+        await trio.sleep(0.25)
+        nursery.cancel_scope.cancel()
+
+    assert "10.0.0.6" in {address[0] for _, address in bench.socket.take()}
