--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -118,7 +118,7 @@
             self.greet_strangers()
 
     def _is_eager(self) -> bool:
-        """Whether others may be greeting strangers too, as after a loss of all power."""
+        """Whether others may be starting too, as after a loss of all power."""
         age_s = trio.current_time() - self.started_at
         return age_s < EAGER_S or not self.members.members
 
@@ -183,13 +183,12 @@
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
-    def _greet_all(self) -> None:
-        """Greet whom this role keeps in touch with; strangers must answer."""
-        known = self.members.members
+    def greet_strangers(self) -> None:
+        """Greet seeds and published hosts that weren't heard yet; they must answer."""
         strangers = {*self.seeds, *self.members.named}
         if self.role is PeerRole.BALANCER:
             strangers.update(r.host for r in self.register.backends.values())
-        strangers.difference_update(known)
+        strangers.difference_update(self.members.members)
         strangers.discard(self.members.own_host)
         for host in sorted(strangers)[:MAX_STRANGERS]:
             self._greet(host, wants_answer=True, names=False)
--- a/tests/oleanderweir/peering/test_greeter.py
+++ b/tests/oleanderweir/peering/test_greeter.py
@@ -176,6 +176,7 @@
         nursery.start_soon(bench.greeter.run)
         await trio.sleep(0.5)
         bench.members.note("10.0.0.5", make_greeting(role=PeerRole.AGENT))
+        await trio.sleep(0.3)
         backends = {
             "b1": backend_document(host="10.0.0.5"),
             "b2": backend_document(host="10.0.0.6"),
