Refuse unreadable settings and documents without ending the process

A settings file that couldn't be read at a reload, an entry with an infinite number, a route with an impossible port or a deeply nested document ended the process.

--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -13,6 +13,7 @@
 from oleanderweir.desired_state import ReaderStatus
 from oleanderweir.desired_state import StateFollower
 from oleanderweir.desired_state import Topic
+from oleanderweir.exceptions import OleanderweirError
 from oleanderweir.http_responder import HttpAnswer
 from oleanderweir.http_responder import HttpResponder
 from oleanderweir.peering import InvalidMessageError
@@ -201,7 +202,7 @@
             name = signal.Signals(number).name
             logger.info("signal came", extra={"code": "signal", "signal": name})
             if number == signal.SIGHUP:
-                self._reload()
+                self.reload()
             elif self.is_stopping:
                 self._end()
             else:
@@ -226,13 +227,13 @@
         """Read the settings again from time to time, since no signal may come."""
         while True:
             await trio.sleep(RELOAD_INTERVAL_S)
-            self._reload()
+            self.reload()
 
-    def _reload(self) -> None:
+    def reload(self) -> None:
         """Take new seeds from the settings."""
         try:
             seeds = self.read_seeds()
-        except (OSError, ValueError) as error:
+        except OleanderweirError as error:
             logger.warning(
                 "the settings can't be read; the old ones stay",
                 extra={"code": "reload_failed", "reason": repr(error)},
--- a/tests/oleanderweir_platform/test_settings.py
+++ b/tests/oleanderweir_platform/test_settings.py
@@ -80,3 +80,9 @@
     result = CliRunner().invoke(main, ["check", str(file)])
 
     assert result.exit_code == 0, result.output
+
+
+@pytest.mark.parametrize("seeds", [[7], "10.1.0.10:8166", {"a": 1}])
+def test_seeds_of_another_type_are_named(seeds: object) -> None:
+    with pytest.raises(InvalidSettingsError, match="field Seeds"):
+        decode_settings({**make_fields(), "Seeds": seeds})
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -67,6 +67,10 @@
         ("State", "asleep"),
         ("Concurrency", "many"),
         ("ColdRemainingMs", None),
+        ("Concurrency", float("inf")),
+        ("born", float("inf")),
+        ("State", ["ready"]),
+        ("Address", 7),
     ],
 )
 def test_an_entry_of_another_writer_names_no_backend_server(
@@ -78,7 +82,7 @@
         StoreDecoder().decode_backend_server("servers/i-1", document)
 
 
-@pytest.mark.parametrize("document", [b"\xff\x00", b"[]", b"7"])
+@pytest.mark.parametrize("document", [b"\xff\x00", b"[]", b"7", b"[" * 100_000])
 def test_bytes_that_are_no_entry_are_refused(document: bytes) -> None:
     with pytest.raises(InvalidDocumentError):
         StoreDecoder().decode_backend_server("servers/i-1", document)
@@ -102,3 +106,11 @@
 
     with pytest.raises(InvalidDocumentError, match="publish it again"):
         StoreDecoder().decode_desired_state(json.dumps(fields).encode())
+
+
+def test_a_route_with_an_impossible_port_is_refused() -> None:
+    fields = make_desired()
+    fields["Routes"][0]["Prefix"] = "/99999/"
+
+    with pytest.raises(InvalidDocumentError, match="publish it again"):
+        StoreDecoder().decode_desired_state(json.dumps(fields).encode())
