--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -39,7 +39,7 @@
 # How much slower a backend server is taken to be right after its start.
 COLD_FACTOR = 1.6
 # Added for a backend server of another availability zone, as a share of one request.
-ZONE_PENALTY = 0.3
+ZONE_PENALTY = 0.05
 
 
 class Placement:
