Pass new flows on from crowded agents, and take the silent ones to be as busy as the rest

The hosts that got them were those that balancers greet last, so that no load report of theirs was known yet and they looked idle.

A backend server without a report now counts as busy as the mean of the others. An agent where as many requests wait as it has slots gives a new flow back with its load; the third agent has to take it. Replayed in tests of the placement, the balancer and the agent.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -29,6 +29,7 @@
     from oleanderweir.flows import Packet
     from oleanderweir.flows import PacketCodec
     from oleanderweir.peering import Members
+    from oleanderweir.peering.messages import LoadReport
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding.agent_links import AgentLinks
     from oleanderweir_agent.forwarding.flow_table import HeldFlow
@@ -105,21 +106,28 @@
             return
         now = trio.current_time()
         if packet.is_opening:
-            self._open(host, packet, version=message.version, now=now)
+            self._open(host, packet, message, now=now)
         elif message.purpose is DeliveryPurpose.SEARCH:
             self.search_service.search(host, packet)
         else:
             self._continue(host, packet, message, now=now)
 
-    def _open(self, host: str, packet: Packet, *, version: int, now: float) -> None:
+    def _open(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
         """Check an opening packet, and hand it to the backend server."""
         known = self.table.get(packet.key)
         if known is not None and known.is_confirmed:
             # A late copy; its flow is open and needs no other answer.
             return
-        reason = self.gate.check(packet.key, version=version)
+        reason = self.gate.check(packet.key, version=message.version)
         if reason is None and not self.liveness.is_worth_trying(now=now):
             reason = ReturnReason.FULL
+        is_first = known is None and message.purpose is DeliveryPurpose.OPEN
+        if reason is None and is_first and self.requests.is_crowded:
+            reason = ReturnReason.BUSY
+            # The balancer chose by an older report.
+            self.links.tell(host, self._make_report(now))
         if reason is not None:
             self.links.give_back(host, packet.key, packet.data, reason)
             return
@@ -285,14 +293,17 @@
 
     def _report(self, now: float) -> None:
         """Offer the balancers a report of the load."""
-        report = self.requests.meter.report(
+        fleet_size = len(self.register.backends)
+        self.reporter.offer(self._make_report(now), fleet_size=fleet_size, now=now)
+
+    def _make_report(self, now: float) -> LoadReport:
+        return self.requests.meter.report(
             service=self.service,
             flows=self.table.count_open(),
             waiting=len(self.requests.queue),
             is_accepting=self._is_accepting(now),
             now=now,
         )
-        self.reporter.offer(report, fleet_size=len(self.register.backends), now=now)
 
     def expire(self) -> None:
         """Forget what is over."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -46,6 +46,17 @@
         self.meter = LoadMeter(slots=DEFAULT_SLOTS)
         self.queue = RequestQueue()
 
+    @property
+    def is_crowded(self) -> bool:
+        """
+        Whether a new request would wait for longer than others take to run.
+
+        Answers the load of balancers that chose by reports of before a burst: their
+        flows move on to a backend server with a free slot, and none gets a long queue
+        while others are idle.
+        """
+        return len(self.queue) >= self.meter.slots
+
     def pass_on(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
         """Hand a caller's packet over, or let its request wait for a free slot."""
         if not packet.payload_bytes:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -15,9 +15,11 @@
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.flow_cache import FlowCache
+from oleanderweir_balancer.forwarding.opening_tries import OpeningTries
 
 
 if TYPE_CHECKING:
+    from oleanderweir.desired_state import BackendRecord
     from oleanderweir.desired_state import Route
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
@@ -29,12 +31,10 @@
     from oleanderweir_balancer.forwarding.placement import Placement
 
 
-# Backend servers that one opening packet is tried at.
-MAX_OPENING_TRIES = 3
 # Packets that wait for the first published state after a start.
 MAX_WAITING_PACKETS = 2048
-# Flows whose refused opening packets are remembered.
-MAX_REFUSED_FLOWS = 2048
+# Flows whose opening packets were given back and are remembered.
+MAX_TRIED_FLOWS = 2048
 # Spreads callers over the shares of a route (Knuth's multiplicative hash).
 SHARE_HASH_FACTOR = 2654435761
 SHARE_HASH_SHIFT = 8
@@ -69,8 +69,7 @@
             register=register, members=members, links=links, delegates=True
         )
         self.waiting: list[Packet] = []
-        # Agents that gave an opening packet back, by flow.
-        self.refusals: dict[FlowKey, set[str]] = {}
+        self.tries: dict[FlowKey, OpeningTries] = {}
         self.last_caller_packet_at = float("-inf")
 
     @property
@@ -128,8 +127,8 @@
         self.finder.expire(now=now)
         hosts = {r.host for r in self.register.backends.values()}
         self.placement.forget_absent(hosts | set(self.members.members))
-        if len(self.refusals) > MAX_REFUSED_FLOWS:
-            self.refusals.clear()
+        if len(self.tries) > MAX_TRIED_FLOWS:
+            self.tries.clear()
 
     def _open(self, packet: Packet, *, now: float) -> None:
         """Place a new flow, or send a copy of its opening packet where it went."""
@@ -149,16 +148,19 @@
     def _place(self, packet: Packet, route: Route, *, now: float) -> None:
         """Choose the backend server of a new flow."""
         key = packet.key
-        excluded = self.refusals.get(key, set())
+        tries = self.tries.get(key) or OpeningTries()
         number = int.from_bytes(key[:6], "big") * SHARE_HASH_FACTOR >> SHARE_HASH_SHIFT
         service = route.choose_service(number)
-        candidates = self.register.backends_of(service)
-        record = self.placement.choose(candidates, key=key, excluding=excluded, now=now)
+        record = self._choose(service, key, tries, now=now)
         if record is None:
+            self.tries.pop(key, None)
             self.links.reset(packet, reason="no_backend_server")
             return
         self.cache.put(key, record.host, now=now)
-        self.links.deliver(record.host, packet, DeliveryPurpose.OPEN)
+        purpose = DeliveryPurpose.OPEN
+        if tries.must_take(record.host):
+            purpose = DeliveryPurpose.OPEN_THOUGH_BUSY
+        self.links.deliver(record.host, packet, purpose)
         self.links.log(
             "flow_placed",
             key,
@@ -166,7 +168,19 @@
             agent=record.host,
             backend_server=record.identifier,
             copies=packet.acknowledged,
-            excluded=len(excluded),
+            refused=len(tries.refused),
+            busy=len(tries.busy),
+        )
+
+    def _choose(
+        self, service: str, key: FlowKey, tries: OpeningTries, *, now: float
+    ) -> BackendRecord | None:
+        """Return where to try next; a busy agent again only if no other is left."""
+        candidates = self.register.backends_of(service)
+        return self.placement.choose(
+            candidates, key=key, excluding=tries.passed_over, now=now
+        ) or self.placement.choose(
+            candidates, key=key, excluding=tries.refused, now=now
         )
 
     def _knows_backends(self) -> bool:
@@ -188,7 +202,7 @@
         reason = returned.reason
         self.links.log("packet_returned", packet.key, agent=host, reason=reason.name)
         if packet.is_opening:
-            self._open_elsewhere(host, packet, now=now)
+            self._open_elsewhere(host, packet, reason, now=now)
         elif reason is ReturnReason.HELD_NOWHERE:
             self.finder.note_held_nowhere(packet, now=now)
         elif reason is ReturnReason.LOST:
@@ -199,12 +213,17 @@
         else:
             self.finder.note_denial(host, packet, now=now)
 
-    def _open_elsewhere(self, host: str, packet: Packet, *, now: float) -> None:
+    def _open_elsewhere(
+        self, host: str, packet: Packet, reason: ReturnReason, *, now: float
+    ) -> None:
         """Try another backend server for an opening packet."""
-        refused = self.refusals.setdefault(packet.key, set())
-        refused.add(host)
-        if len(refused) >= MAX_OPENING_TRIES:
-            self.refusals.pop(packet.key)
+        tries = self.tries.setdefault(packet.key, OpeningTries())
+        if reason is ReturnReason.BUSY:
+            tries.busy.add(host)
+        else:
+            tries.refused.add(host)
+        if tries.is_over:
+            self.tries.pop(packet.key)
             self.links.reset(packet, reason="refused_everywhere")
             return
         self._open(packet, now=now)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement.py
@@ -16,6 +16,7 @@
 from oleanderweir.peering.report_interval import MIN_SILENCE_S
 from oleanderweir.peering.report_interval import silence_s
 from oleanderweir_balancer.forwarding.agent_load import AgentLoad
+from oleanderweir_balancer.forwarding.typical_load import TypicalLoad
 
 
 if TYPE_CHECKING:
@@ -28,14 +29,6 @@
     from oleanderweir.peering.messages import LoadReport
 
 
-# The share of a request that an open flow asks for at any moment, while no backend
-# server of the service has been seen at work.
-DEFAULT_FLOW_WORK = 0.05
-# Bounds of that share as measured, so that few flows don't mislead.
-MIN_FLOW_WORK = 0.02
-MAX_FLOW_WORK = 0.5
-# Mean time of a request before the first measurement, in milliseconds.
-DEFAULT_SERVICE_MS = 50.0
 # How much slower a backend server is taken to be right after its start.
 COLD_FACTOR = 1.6
 # Added for a backend server of another availability zone, as a share of one request.
@@ -91,8 +84,8 @@
             hosts = {record.host for record in usable}
             first = candidate_hosts(key, hosts, count=PLACED_AMONG)
             usable = [record for record in usable if record.host in first]
-        flow_work = self._flow_work(usable)
-        chosen = min(usable, key=lambda record: self._cost(record, flow_work))
+        typical = self._typical(usable)
+        chosen = min(usable, key=lambda record: self._cost(record, typical))
         self.unreported[chosen.host] += 1
         return chosen
 
@@ -112,28 +105,28 @@
         """Wait for reports as long as agents of a fleet of this size take."""
         self.silence_s = silence_s(size)
 
-    def _flow_work(self, records: Collection[BackendRecord]) -> float:
-        """Return the requests in progress per open flow of these backend servers."""
-        reports = [
-            self.loads[record.host].report
-            for record in records
-            if record.host in self.loads
-        ]
-        flows = sum(report.flows for report in reports)
-        if not flows:
-            return DEFAULT_FLOW_WORK
-        busy = sum(report.busy_mean for report in reports)
-        return min(MAX_FLOW_WORK, max(MIN_FLOW_WORK, busy / flows))
-
-    def _cost(self, record: BackendRecord, flow_work: float) -> float:
+    def _typical(self, records: Collection[BackendRecord]) -> TypicalLoad:
+        """Return what one of these backend servers is like, by those that reported."""
+        return TypicalLoad.of(
+            [
+                self.loads[record.host].report
+                for record in records
+                if record.host in self.loads
+            ]
+        )
+
+    def _cost(self, record: BackendRecord, typical: TypicalLoad) -> float:
         """Return the expected time of one more request there, in milliseconds."""
         load = self.loads.get(record.host)
-        service_ms = DEFAULT_SERVICE_MS
-        placed = self.unreported[record.host]
-        work = placed * (1 + flow_work)
-        if load is not None:
-            service_ms = load.report.service_ms or DEFAULT_SERVICE_MS
-            work += load.report.busy + flow_work * load.report.flows
+        service_ms = typical.service_ms
+        work = self.unreported[record.host] * (1 + typical.flow_work)
+        if load is None:
+            # Without a report it is taken to be as busy as the others: it would look
+            # idle to every balancer that starts.
+            work += typical.busy + typical.flow_work * typical.flows
+        else:
+            service_ms = load.report.service_ms or service_ms
+            work += load.report.busy + typical.flow_work * load.report.flows
         if record.cold_s > 0:
             service_ms *= COLD_FACTOR
         if record.availability_zone != self.availability_zone:
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -421,3 +421,50 @@
     bench.deliver(DeliveryPurpose.FIND, REQUEST)
 
     assert REQUEST in bench.to_backend()
+
+
+def crowd(bench: AgentBench) -> None:
+    """Fill the slots, and let as many requests wait."""
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    bench.agent.on_state_change()
+    slots = bench.agent.requests.meter.slots
+    for number in range(1, 2 * slots + 2):
+        open_flow(bench, number)
+        bench.deliver(DeliveryPurpose.CONTINUE, request(number))
+    bench.to_balancers()
+
+
+async def test_a_crowded_agent_passes_new_flows_on_with_its_load() -> None:
+    bench = AgentBench()
+    crowd(bench)
+    opening = encode_packet(make_key(99), is_opening=True)
+
+    bench.deliver(DeliveryPurpose.OPEN, opening)
+
+    report, returned_packet = bench.to_balancers()
+    assert isinstance(report, LoadReport)
+    assert report.busy > bench.agent.requests.meter.slots
+    assert returned_packet == ReturnedPacket(reason=ReturnReason.BUSY, data=opening)
+
+
+async def test_a_crowded_agent_takes_a_flow_that_busier_ones_passed_on() -> None:
+    bench = AgentBench()
+    crowd(bench)
+    bench.to_backend()
+    opening = encode_packet(make_key(99), is_opening=True)
+
+    bench.deliver(DeliveryPurpose.OPEN_THOUGH_BUSY, opening)
+
+    assert bench.to_backend() == [opening]
+
+
+async def test_a_copy_of_an_opening_packet_that_was_taken_is_not_passed_on() -> None:
+    bench = AgentBench()
+    opening = encode_packet(make_key(99), is_opening=True)
+    bench.deliver(DeliveryPurpose.OPEN, opening)
+    crowd(bench)
+    bench.to_backend()
+
+    bench.deliver(DeliveryPurpose.OPEN, opening)
+
+    assert bench.to_backend() == [opening]
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -183,6 +183,41 @@
     assert message.purpose is DeliveryPurpose.OPEN
 
 
+async def test_an_opening_packet_moves_on_from_busy_agents_but_not_for_ever() -> None:
+    hosts = tuple(f"10.0.0.{n}" for n in range(1, 7))
+    bench = BalancerBench(hosts=hosts)
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+
+    tried = []
+    purposes = []
+    for _ in range(3):
+        [(host, message)] = bench.deliveries()
+        tried.append(host)
+        purposes.append(message.purpose)
+        bench.give_back(host, ReturnReason.BUSY, OPENING)
+
+    assert len(set(tried)) == 3
+    assert purposes == [
+        DeliveryPurpose.OPEN,
+        DeliveryPurpose.OPEN,
+        DeliveryPurpose.OPEN_THOUGH_BUSY,
+    ]
+
+
+async def test_when_every_agent_is_busy_one_has_to_take_the_flow() -> None:
+    bench = BalancerBench(hosts=("10.0.0.1",))
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    bench.deliveries()
+
+    bench.give_back("10.0.0.1", ReturnReason.BUSY, OPENING)
+
+    [(host, message)] = bench.deliveries()
+    assert host == "10.0.0.1"
+    assert message.purpose is DeliveryPurpose.OPEN_THOUGH_BUSY
+
+
 async def test_an_opening_packet_that_all_refused_is_reset() -> None:
     bench = BalancerBench()
     bench.publish()
--- a/tests/oleanderweir_balancer/forwarding/test_placement.py
+++ b/tests/oleanderweir_balancer/forwarding/test_placement.py
@@ -72,6 +72,17 @@
     assert place(placement, 8)[RECORDS[0].host] == 0
 
 
+def test_a_backend_server_that_told_nothing_counts_as_busy_as_the_others() -> None:
+    placement = make_placement()
+    for record in RECORDS[1:]:
+        report = make_report(busy=6, flows=80, busy_mean=6.0)
+        placement.note_report(record.host, report, now=0.0)
+
+    chosen = place(placement, 80)
+
+    assert 12 <= chosen[RECORDS[0].host] <= 28
+
+
 def test_a_backend_server_half_as_fast_gets_about_half_as_much() -> None:
     placement = make_placement()
     for number, record in enumerate(RECORDS):
