Let a starting fleet listen for readers before it reads the backend servers

Now a balancer listens for up to a second and an agent for four; a reader announces itself as soon as the source answers it; a watch that brought changes is followed by a pause of 0.2 s; the desired state is asked for again after 28 s in place of 20. Strangers are greeted in a drawn order.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -27,7 +27,12 @@
 # How long one watch may wait. Its connection may have gone silent for good, so what
 # only a few processes read is asked for again within the four seconds that rules allow
 # for; for what every process reads, peers tell of changes in the meantime.
-WATCH_WAIT_S = {Topic.DESIRED_STATE: 20.0, Topic.BACKEND_SERVERS: 1.8}
+WATCH_WAIT_S = {Topic.DESIRED_STATE: 28.0, Topic.BACKEND_SERVERS: 1.8}
+# How long the first watch after a pause or a failure may wait.
+FIRST_WAIT_S = 0.1
+# Between a watch that brought changes and the next one: each call counts, and changes
+# come in crowds.
+GATHERING_S = 0.2
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 # How often a process that need not read looks whether it should.
@@ -84,16 +89,26 @@
             listing = await self.source.list(self.topic)
             self.register.apply_listing(listing, origin="source")
             self.must_list = False
+            self._note_success()
         else:
-            changes = await self.source.watch(
-                self.topic,
-                after=self.register.revision(self.topic),
-                wait_s=WATCH_WAIT_S[self.topic],
-            )
-            base = self.register.changed_revision(self.topic)
-            self.register.apply_changes(changes, origin="source")
-            self.on_changes(changes, base)
+            await self._watch()
+
+    async def _watch(self) -> None:
+        """Wait for changes once, and take them."""
+        changes = await self.source.watch(
+            self.topic,
+            after=self.register.revision(self.topic),
+            # Others rely on a reader as soon as the source answers it.
+            wait_s=(
+                WATCH_WAIT_S[self.topic] if self.status.is_connected else FIRST_WAIT_S
+            ),
+        )
+        base = self.register.changed_revision(self.topic)
+        self.register.apply_changes(changes, origin="source")
+        self.on_changes(changes, base)
         self._note_success()
+        if changes.changes:
+            await trio.sleep(GATHERING_S)
 
     def _note_success(self) -> None:
         self.retry_s = FIRST_RETRY_S
--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -39,8 +39,12 @@
 EAGER_S = 3.0
 # Others that one answer names, so that it fits a datagram.
 MAX_NAMED_HOSTS = 24
-# Strangers that are greeted each round; others wait for the next.
+# Strangers that are greeted each round; which ones is drawn, so that all come in turn.
 MAX_STRANGERS = 48
+# How long a process listens for readers of the backend servers before it reads them
+# itself; balancers draw a time up to theirs, so that a whole fleet that starts doesn't
+# read. Agents take much longer, since balancers tell them of every change.
+READER_PATIENCE_S = {PeerRole.BALANCER: 1.0, PeerRole.AGENT: 4.0}
 # How far a peer may be ahead before it is asked; the own watch is usually faster.
 FETCH_DELAY_S = 0.15
 
@@ -84,19 +88,36 @@
         self.random_source = random_source
         self.fetching: set[Topic] = set()
         self.started_at = float("-inf")
+        # Whether the others were told that this process reads.
+        self.is_reading = False
+        self.patience_s = READER_PATIENCE_S[role]
+        if role is PeerRole.BALANCER:
+            self.patience_s *= random_source.random()
 
     def choose_reader(self) -> None:
         """Decide whether this process follows the backend servers at the source."""
+        self.status.should_read = self._is_reader()
+        was_reading, self.is_reading = self.is_reading, self.reads_source
+        if self.is_reading and not was_reading:
+            self._greet_known()
+
+    @property
+    def reads_source(self) -> bool:
+        """Whether this process follows the backend servers, and is answered."""
+        return self.status.is_connected and self.status.should_read
+
+    def _is_reader(self) -> bool:
         readers = [
             host
             for host, member in self.members.members.items()
             if member.greeting.reads_source
         ]
+        if trio.current_time() - self.started_at < self.patience_s:
+            return False
         if self.role is PeerRole.AGENT:
             # Only balancers keep in touch with all; an agent reads for itself alone.
-            self.status.should_read = not readers
-        else:
-            self.status.should_read = is_reader(self.members.own_host, readers)
+            return not readers
+        return is_reader(self.members.own_host, readers)
 
     async def run(self) -> None:
         """Greet until cancelled."""
@@ -115,6 +136,7 @@
             await trio.sleep(
                 EAGER_INTERVAL_S if self._is_eager() else GREETING_INTERVAL_S
             )
+            self.choose_reader()
             self.greet_strangers()
 
     def _is_eager(self) -> bool:
@@ -179,7 +201,7 @@
             balancers=self._sample(PeerRole.BALANCER) if names else (),
             agents=self._sample(PeerRole.AGENT) if names else (),
             wants_answer=wants_answer,
-            reads_source=self.status.is_connected and self.status.should_read,
+            reads_source=self.reads_source,
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
@@ -190,7 +212,10 @@
             strangers.update(r.host for r in self.register.backends.values())
         strangers.difference_update(self.members.members)
         strangers.discard(self.members.own_host)
-        for host in sorted(strangers)[:MAX_STRANGERS]:
+        chosen = sorted(strangers)
+        if len(chosen) > MAX_STRANGERS:
+            chosen = self.random_source.sample(chosen, MAX_STRANGERS)
+        for host in chosen:
             self._greet(host, wants_answer=True, names=False)
 
     def _greet_known(self) -> None:
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -124,3 +124,37 @@
 
     # The client gives an answer two seconds more.
     assert source.waits[0] + 2.0 < 4.0
+
+
+async def test_changes_in_quick_succession_are_gathered(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    script = [
+        Changes(
+            topic=TOPIC,
+            revision=revision,
+            changes=(Change(name="b1", revision=revision, document=None),),
+        )
+        for revision in range(11, 200)
+    ]
+    source = FakeSource(make_listing(10), *script)
+
+    await follow(source)
+
+    # Ten seconds, and a fifth of a second between two calls.
+    assert len(source.calls) <= 52
+
+
+async def test_the_first_watch_returns_soon_so_that_others_can_rely_on_it(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    source = FakeSource(
+        SourceUnavailableError("down"),
+        make_listing(10),
+        SourceUnavailableError("down"),
+        Changes(topic=TOPIC, revision=10, changes=()),
+    )
+
+    await follow(source)
+
+    assert source.waits[1] < source.waits[2]
--- a/tests/oleanderweir/peering/test_greeter.py
+++ b/tests/oleanderweir/peering/test_greeter.py
@@ -14,6 +14,8 @@
 from oleanderweir.peering import Greeter
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.greeter import GREETING_INTERVAL_S
+from oleanderweir.peering.greeter import READER_PATIENCE_S
 from oleanderweir.peering.messages import Greeting
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import StateUpdate
@@ -187,3 +189,52 @@
         nursery.cancel_scope.cancel()
 
     assert "10.0.0.6" in {address[0] for _, address in bench.socket.take()}
+
+
+async def run_for(bench: GreeterBench, seconds: float) -> None:
+    with trio.move_on_after(seconds):
+        await bench.greeter.run()
+
+
+async def test_a_process_that_starts_leaves_reading_to_those_that_read(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    for role in PeerRole:
+        bench = GreeterBench(role=role)
+        readers = [f"10.0.1.{number}" for number in range(1, 90)]
+        for host in readers:
+            bench.members.note(host, make_greeting(reads_source=True))
+
+        await run_for(bench, 1.5)
+
+        assert not bench.status.should_read
+
+
+async def test_a_process_that_hears_no_reader_reads_after_a_while(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    for role in PeerRole:
+        bench = GreeterBench(role=role)
+        await run_for(bench, 0.01)
+        assert not bench.status.should_read
+
+        await run_for(bench, READER_PATIENCE_S[role] + GREETING_INTERVAL_S + 0.1)
+
+        assert bench.status.should_read
+
+
+async def test_a_new_reader_tells_the_others_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = GreeterBench()
+    bench.status.is_connected = True
+    bench.members.note(PEER, make_greeting(role=PeerRole.AGENT))
+
+    await run_for(bench, READER_PATIENCE_S[PeerRole.BALANCER] + 0.3)
+
+    greetings = [
+        decode_message(data)
+        for data, address in bench.socket.take()
+        if address[0] == PEER
+    ]
+    assert any(isinstance(it, Greeting) and it.reads_source for it in greetings)
