Soak the real processes in random faults

Checked from what callers and backend servers see: false resets, repeated runs, runs at a service that no route allowed, new flows at a drained backend server, changed packets, processes that ended by themselves, recovery. The platform's words stay in platform/ (oleanderweir_standins, which no process of the system loads).

--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/soak.py
@@ -0,0 +1,59 @@
+"""The verb that soaks the real processes in random faults."""
+
+from __future__ import annotations
+
+import click
+import trio
+
+from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.soak import SoakPlan
+from oleanderweir_bench.soak import SoakReport
+from oleanderweir_bench.soak import run_soak
+
+
+@click.command()
+@click.option("--seed", type=int, default=1, show_default=True, help="First seed.")
+@click.option("--seeds", type=int, default=1, show_default=True, help="How many seeds.")
+@click.option("--faults-s", type=float, default=12.0, show_default=True)
+@click.option("--balancers", type=int, default=3, show_default=True)
+@click.option("--backends", type=int, default=5, show_default=True)
+@click.option("--callers", type=int, default=40, show_default=True)
+def soak(
+    *,
+    seed: int,
+    seeds: int,
+    faults_s: float,
+    balancers: int,
+    backends: int,
+    callers: int,
+) -> None:
+    """Run the real processes through random faults, and check every promise."""
+    table = ResultTable(
+        title=f"Soak, seeds {seed} to {seed + seeds - 1}",
+        headings=("seed", "asked", "in time", "late", "failed", "broken", "at the end"),
+    )
+    reports = []
+    for each in range(seed, seed + seeds):
+        plan = SoakPlan(
+            seed=each,
+            faults_s=faults_s,
+            balancers=balancers,
+            backends=backends,
+            callers=callers,
+        )
+        report = trio.run(run_soak, plan)
+        reports.append(report)
+        _add_row(table, report)
+        if not report.is_clean:
+            click.echo(f"seed {each}: {report.whole}")
+            click.echo("\n".join((*report.events, *report.log)))
+    click.echo(table.render())
+    if not all(report.is_clean for report in reports):
+        raise SystemExit(1)
+
+
+def _add_row(table: ResultTable, report: SoakReport) -> None:
+    whole, last = report.whole, report.last
+    counts = (whole.asked, whole.in_time, whole.late, whole.failed, whole.broken)
+    end = f"{last.served} of {last.asked}"
+    table.add(str(report.seed), *(str(count) for count in counts), end)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -13,6 +13,8 @@
 from oleanderweir_bench.packet_path.emulated_codec import encode_packet
 from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
 from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
+from oleanderweir_bench.packet_path.end_codec import EndCodec
+from oleanderweir_bench.packet_path.network import Network
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import run_scenario
 from oleanderweir_bench.packet_path.site_result import SiteResult
@@ -26,6 +28,8 @@
     "EmulatedPacketCodec",
     "EmulatedRouter",
     "EmulatedSite",
+    "EndCodec",
+    "Network",
     "SiteResult",
     "VirtualNetwork",
     "encode_packet",
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -8,17 +8,16 @@
 import attrs
 import trio
 
-from oleanderweir_bench.packet_path.emulated_codec import encode_packet
-
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
-    from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+    from oleanderweir_bench.packet_path.end_codec import EndCodec
+    from oleanderweir_bench.packet_path.network import Network
     from oleanderweir_bench.packet_path.site_result import SiteResult
-    from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 
 
 ANSWER_BYTES = 600
@@ -52,11 +51,13 @@
         agent: tuple[str, int],
         slots: int,
         service_s: float,
-        network: VirtualNetwork,
-        codec: EmulatedPacketCodec,
+        network: Network,
+        codec: EndCodec,
         result: SiteResult,
         random_source: random.Random,
+        on_opening: Callable[[Packet], None] = lambda _: None,
     ) -> None:
+        self.on_opening = on_opening
         self.service = service
         self.host = host
         self.port = port
@@ -93,7 +94,9 @@
         packet = self.codec.decode_from_caller(data)
         if packet is None:
             return
+        self.result.altered += not self.codec.is_intact(packet)
         if packet.is_opening:
+            self.on_opening(packet)
             self._open(packet)
             return
         flow = self.flows.get(packet.key)
@@ -134,7 +137,7 @@
         while self.waiting and self.busy < self.slots:
             key = self.waiting.popleft()
             self.busy += 1
-            self.network.nursery.start_soon(self._run, key, self.starts)
+            self.network.start_soon(self._run, key, self.starts)
 
     async def _run(self, key: FlowKey, start: int) -> None:
         flow = self.flows.get(key)
@@ -159,8 +162,9 @@
         is_opening: bool = False,
         payload_bytes: int = 0,
     ) -> None:
-        data = encode_packet(
+        data = self.codec.encode(
             key,
+            is_from_caller=False,
             is_opening=is_opening,
             is_acknowledging=True,
             sequence=flow.sequence,
@@ -170,13 +174,4 @@
         self.network.send(self.host, data, self.agent)
 
     def _give_back(self, packet: Packet) -> None:
-        data = encode_packet(
-            packet.key,
-            is_acknowledging=packet.is_acknowledging,
-            is_final=packet.is_final,
-            is_returned=True,
-            sequence=packet.sequence,
-            acknowledged=packet.acknowledged,
-            payload_bytes=packet.payload_bytes,
-        )
-        self.network.send(self.host, data, self.agent)
+        self.network.send(self.host, self.codec.give_back(packet), self.agent)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -7,7 +7,6 @@
 import trio
 
 from oleanderweir.flows import make_flow_key
-from oleanderweir_bench.packet_path.emulated_codec import encode_packet
 
 
 if TYPE_CHECKING:
@@ -16,10 +15,10 @@
 
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
-    from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
     from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
+    from oleanderweir_bench.packet_path.end_codec import EndCodec
+    from oleanderweir_bench.packet_path.network import Network
     from oleanderweir_bench.packet_path.site_result import SiteResult
-    from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 
 
 REQUEST_BYTES = 900
@@ -47,9 +46,9 @@
         route: bytes,
         port: int,
         balancer_port: int,
-        network: VirtualNetwork,
+        network: Network,
         router: EmulatedRouter,
-        codec: EmulatedPacketCodec,
+        codec: EndCodec,
         result: SiteResult,
         holds_flow: Callable[[FlowKey], bool],
         random_source: random.Random,
@@ -75,9 +74,10 @@
     def take(self, source: str, data: bytes) -> None:
         """Take one datagram."""
         del source
-        packet = self.codec.decode_from_caller(data)
+        packet = self.codec.decode_from_backend_server(data)
         if packet is None or packet.key != self.key:
             return
+        self.result.altered += not (packet.is_reset or self.codec.is_intact(packet))
         if packet.is_reset:
             self._note_reset()
         elif packet.is_opening and self.peer_sequence is None:
@@ -175,8 +175,9 @@
         balancer = self.router.choose(self.key)
         if balancer is None:
             return
-        data = encode_packet(
+        data = self.codec.encode(
             self.key,
+            is_from_caller=True,
             is_opening=is_opening,
             is_acknowledging=not is_opening,
             sequence=self.sequence,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
@@ -52,6 +52,46 @@
         """Return a reset of a flow."""
         return encode_packet(key, is_reset=True, sequence=sequence)
 
+    def encode(
+        self,
+        key: FlowKey,
+        *,
+        is_from_caller: bool,
+        is_opening: bool = False,
+        is_acknowledging: bool = False,
+        sequence: int = 0,
+        acknowledged: int = 0,
+        payload_bytes: int = 0,
+    ) -> bytes:
+        """Return the datagram of a packet of either end."""
+        del is_from_caller
+        return encode_packet(
+            key,
+            is_opening=is_opening,
+            is_acknowledging=is_acknowledging,
+            sequence=sequence,
+            acknowledged=acknowledged,
+            payload_bytes=payload_bytes,
+        )
+
+    def give_back(self, packet: Packet) -> bytes:
+        """Return a caller's packet as a backend server gives it back."""
+        return encode_packet(
+            packet.key,
+            is_opening=packet.is_opening,
+            is_acknowledging=packet.is_acknowledging,
+            is_final=packet.is_final,
+            is_returned=True,
+            sequence=packet.sequence,
+            acknowledged=packet.acknowledged,
+            payload_bytes=packet.payload_bytes,
+        )
+
+    def is_intact(self, packet: Packet) -> bool:
+        """Whether a packet is as its sender wrote it; nothing shows otherwise here."""
+        del packet
+        return True
+
 
 def encode_packet(
     key: FlowKey,
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/network.py
@@ -0,0 +1,31 @@
+"""What emulated hosts send and receive datagrams through."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+class Network(Protocol):
+    """Datagrams between hosts, in virtual time or on the loopback interface."""
+
+    def listen(
+        self, address: tuple[str, int], take: Callable[[str, bytes], None]
+    ) -> None:
+        """Hand datagrams for an address to ``take``, with the sender's host."""
+
+    def silence(self, address: tuple[str, int]) -> None:
+        """Lose what comes for an address from now on."""
+
+    def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram from a host."""
+
+    def start_soon(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Run a task of a host as long as the network lasts."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 import trio
@@ -39,6 +40,12 @@
         """Send a datagram from a host."""
         self.nursery.start_soon(self._deliver, source, data, address)
 
+    def start_soon(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Run a task of a host as long as the network lasts."""
+        self.nursery.start_soon(task, *arguments)
+
     async def _deliver(
         self, source: str, data: bytes, address: tuple[str, int]
     ) -> None:
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/__init__.py
@@ -0,0 +1,10 @@
+"""A randomized soak of the real processes on one machine."""
+
+from __future__ import annotations
+
+from oleanderweir_bench.soak.soak import run_soak
+from oleanderweir_bench.soak.soak_plan import SoakPlan
+from oleanderweir_bench.soak.soak_report import SoakReport
+
+
+__all__ = ["SoakPlan", "SoakReport", "run_soak"]
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/loopback_network.py
@@ -0,0 +1,86 @@
+"""Datagrams between hosts of the loopback interface."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.net import SocketAddress
+from oleanderweir.net import UdpSocket
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+
+class LoopbackNetwork:
+    """
+    A ``Network`` of real sockets; each host has an address in 127.0.0.0/8.
+
+    What goes to a host in ``delayed_s`` arrives later, what goes to one in ``lossy`` is
+    lost with that probability; a probability of 1 cuts one way.
+    """
+
+    def __init__(self, *, nursery: trio.Nursery, random_source: random.Random) -> None:
+        self.nursery = nursery
+        self.random_source = random_source
+        self.scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self.sender = UdpSocket(bind_address=SocketAddress(host="127.0.0.1", port=0))
+        self.lossy: dict[str, float] = {}
+        self.delayed_s: dict[str, float] = {}
+
+    def listen(
+        self, address: tuple[str, int], take: Callable[[str, bytes], None]
+    ) -> None:
+        """Hand datagrams for an address to ``take``, with the sender's host."""
+        host, port = address
+        socket = UdpSocket(bind_address=SocketAddress(host=host, port=port))
+        scope = trio.CancelScope()
+        self.scopes[address] = scope
+        self.nursery.start_soon(_receive, socket, take, scope)
+
+    def silence(self, address: tuple[str, int]) -> None:
+        """Lose what comes for an address from now on."""
+        scope = self.scopes.pop(address, None)
+        if scope is not None:
+            scope.cancel()
+
+    def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; ``source`` is the host that sends it."""
+        del source
+        host = address[0]
+        if self.random_source.random() < self.lossy.get(host, 0.0):
+            return
+        delay_s = self.delayed_s.get(host, 0.0)
+        if delay_s:
+            self.nursery.start_soon(self._send_later, data, address, delay_s)
+        else:
+            self.sender.send_to(data, address)
+
+    def start_soon(
+        self, task: Callable[..., Awaitable[None]], *arguments: object
+    ) -> None:
+        """Run a task of a host as long as the network lasts."""
+        self.nursery.start_soon(task, *arguments)
+
+    async def _send_later(
+        self, data: bytes, address: tuple[str, int], delay_s: float
+    ) -> None:
+        await trio.sleep(delay_s)
+        self.sender.send_to(data, address)
+
+
+async def _receive(
+    socket: UdpSocket, take: Callable[[str, bytes], None], scope: trio.CancelScope
+) -> None:
+    """Hand datagrams over until the scope is cancelled."""
+    with scope:
+        try:
+            while True:
+                for datagram in await socket.receive_batch():
+                    take(datagram.source[0], datagram.data)
+        finally:
+            socket.close()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/readiness_prober.py
@@ -0,0 +1,63 @@
+"""Takes balancers that aren't ready out of rotation."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from oleanderweir_standins.settings_writer import READINESS_PORT
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir_bench.packet_path import EmulatedRouter
+
+
+INTERVAL_S = 0.5
+MISSES = 2
+READINESS_PATH = "/v1/readyz"
+
+
+class ReadinessProber:
+    """
+    Probes each balancer twice a second.
+
+    After two misses a balancer is out of rotation until it is ready again. If none is
+    in rotation, all are used.
+    """
+
+    def __init__(self, *, router: EmulatedRouter, hosts: Sequence[str]) -> None:
+        self.router = router
+        self.hosts = list(hosts)
+        self.misses: Counter[str] = Counter()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for host in self.hosts:
+                nursery.start_soon(self._probe, host)
+
+    async def _probe(self, host: str) -> None:
+        url = f"http://{host}:{READINESS_PORT}{READINESS_PATH}"
+        async with httpx.AsyncClient(timeout=INTERVAL_S) as client:
+            while True:
+                await trio.sleep(INTERVAL_S)
+                is_ready = await _is_ready(client, url)
+                self.misses[host] = 0 if is_ready else self.misses[host] + 1
+                self._rotate()
+
+    def _rotate(self) -> None:
+        ready = [host for host in self.hosts if self.misses[host] < MISSES]
+        self.router.hosts = ready or list(self.hosts)
+
+
+async def _is_ready(client: httpx.AsyncClient, url: str) -> bool:
+    try:
+        response = await client.get(url)
+    except httpx.HTTPError:
+        return False
+    return response.status_code == httpx.codes.OK
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_backend.py
@@ -0,0 +1,78 @@
+"""A backend server under the soak, with its agent."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+
+from oleanderweir.desired_state import BackendRecord
+from oleanderweir.desired_state import BackendState
+
+
+if TYPE_CHECKING:
+    from oleanderweir_bench.packet_path import EmulatedBackendServer
+    from oleanderweir_bench.soak.soak_process import SoakProcess
+    from oleanderweir_standins import StoreStandIn
+
+
+@attrs.define(kw_only=True, eq=False)
+class SoakBackend:
+    """
+    A backend server of the soak; ``drained_at`` is when it said so, in trio's seconds.
+
+    ``identifier`` is new for each planned replacement; a crash keeps it.
+    """
+
+    server: EmulatedBackendServer
+    agent: SoakProcess
+    store: StoreStandIn
+    identifier: str
+    started_at_ms: int = 0
+    replacements: int = 0
+    drained_at: float | None = None
+    is_running: bool = True
+    # Whether a fault has this backend server in hand.
+    is_taken: bool = False
+
+    def publish(self, state: BackendState = BackendState.READY) -> None:
+        """Write the entry of this start."""
+        self.started_at_ms = self.started_at_ms or int(time.time() * 1000)
+        self.store.write_backend_server(
+            BackendRecord(
+                identifier=self.identifier,
+                service=self.server.service,
+                host=self.server.host,
+                port=self.server.port,
+                availability_zone="a",
+                slots=self.server.slots,
+                state=state,
+                cold_s=0.0,
+                started_at_ms=self.started_at_ms,
+            )
+        )
+
+    def lapse(self) -> None:
+        """Let the entry lapse, unless the backend server runs again."""
+        if not self.is_running:
+            self.store.remove_backend_server(self.identifier)
+
+    def crash(self) -> None:
+        """End without a word; all flows are gone."""
+        self.is_running = False
+        self.server.stop()
+
+    def start_again(self) -> None:
+        """Start under the same name with no flows."""
+        self.is_running = True
+        self.started_at_ms = 0
+        self.drained_at = None
+        self.server.start()
+        self.publish()
+
+    def replace(self) -> None:
+        """Start under a new name at the same address."""
+        self.replacements += 1
+        self.identifier = f"{self.server.host}-{self.replacements}"
+        self.start_again()
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
@@ -0,0 +1,223 @@
+"""The real processes of a small deployment, among stand-ins."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from oleanderweir.desired_state import Route
+from oleanderweir.desired_state import ServiceShare
+from oleanderweir.flows import route_address
+from oleanderweir_bench.packet_path import EmulatedBackendServer
+from oleanderweir_bench.packet_path import EmulatedCaller
+from oleanderweir_bench.packet_path import EmulatedRouter
+from oleanderweir_bench.packet_path import SiteResult
+from oleanderweir_bench.soak.loopback_network import LoopbackNetwork
+from oleanderweir_bench.soak.readiness_prober import ReadinessProber
+from oleanderweir_bench.soak.soak_backend import SoakBackend
+from oleanderweir_bench.soak.soak_process import SoakProcess
+from oleanderweir_standins import StoreStandIn
+from oleanderweir_standins import WireEndCodec
+from oleanderweir_standins import write_settings
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir_bench.processes import ProcessSupervisor
+    from oleanderweir_bench.soak.soak_plan import SoakPlan
+
+
+PACKET_PORT = 8172
+PEER_PORT = 7720
+BACKEND_PORT = 8080
+OUTBOUND_PORT = 8162
+FEED = "feed"
+ARCHIVE = "archive"
+FEED_ROUTE = bytes([198, 18, 0, 1]) + (443).to_bytes(2, "big")
+# Leads to the archive, and to the feed after some changes.
+MOVING_ROUTE = bytes([198, 18, 0, 2]) + (443).to_bytes(2, "big")
+# One in so many callers uses the route that moves.
+MOVING_CALLERS = 4
+# A backend server that drains gets no new flow after this time, on a calm site.
+DRAIN_S = 3.0
+# How long a site must have been calm before that counts.
+CALM_S = 4.0
+TIMEOUT_S = 2.0
+TARGET_S = 0.25
+
+
+class SoakSite:
+    """Starts everything; faults are done to its parts."""
+
+    def __init__(
+        self,
+        *,
+        plan: SoakPlan,
+        nursery: trio.Nursery,
+        supervisor: ProcessSupervisor,
+        folder: Path,
+        block: int,
+    ) -> None:
+        self.plan = plan
+        self.nursery = nursery
+        self.supervisor = supervisor
+        self.folder = folder
+        # The second number of every address, so that soaks can run side by side.
+        self.block = block
+        self.random_source = random.Random(plan.seed)
+        self.result = SiteResult()
+        self.codec = WireEndCodec()
+        self.network = LoopbackNetwork(
+            nursery=nursery, random_source=random.Random(plan.seed + 1)
+        )
+        self.store = StoreStandIn(nursery=nursery)
+        self.router = EmulatedRouter()
+        self.balancers: list[SoakProcess] = []
+        self.backends: list[SoakBackend] = []
+        self.allowed = {(FEED_ROUTE, FEED), (MOVING_ROUTE, ARCHIVE)}
+        # When the last fault is over, in trio's seconds.
+        self.troubled_until = float("-inf")
+
+    @property
+    def processes(self) -> list[SoakProcess]:
+        """All processes of the system."""
+        return [*self.balancers, *(backend.agent for backend in self.backends)]
+
+    def host(self, group: int, number: int) -> str:
+        """Return an address of this soak."""
+        return f"127.{self.block}.{group}.{number}"
+
+    async def start(self) -> None:
+        """Publish the first state and start every process."""
+        self.publish_routes(ARCHIVE)
+        for number in range(1, self.plan.balancers + 1):
+            host = self.host(1, number)
+            self.balancers.append(
+                await self._create_process(host, "oleanderweir_platform.balancer")
+            )
+        for number in range(1, self.plan.backends + 1):
+            service = ARCHIVE if number == 1 else FEED
+            await self._create_backend(self.host(2, number), service)
+        self.router.hosts = [process.host for process in self.balancers]
+        for process in self.processes:
+            self.write_settings(process)
+            await process.start()
+        prober = ReadinessProber(router=self.router, hosts=list(self.router.hosts))
+        self.nursery.start_soon(prober.run)
+
+    def start_callers(self) -> None:
+        """Let callers send until the soak ends."""
+        for number in range(self.plan.callers):
+            route = FEED_ROUTE if number % MOVING_CALLERS else MOVING_ROUTE
+            caller = EmulatedCaller(
+                host=self.host(100, number + 1),
+                route=route,
+                port=PACKET_PORT,
+                balancer_port=PACKET_PORT,
+                network=self.network,
+                router=self.router,
+                codec=self.codec,
+                result=self.result,
+                holds_flow=self.holds_flow,
+                random_source=random.Random(self.random_source.random()),
+            )
+            self.nursery.start_soon(caller.run, float("inf"))
+
+    def publish_routes(self, moving_to: str) -> None:
+        """Publish where the routes lead."""
+        self.allowed.add((MOVING_ROUTE, moving_to))
+        self.store.write_routes(
+            [_make_route(FEED_ROUTE, FEED), _make_route(MOVING_ROUTE, moving_to)]
+        )
+
+    def write_settings(self, process: SoakProcess) -> None:
+        """Write the settings of a process; the seeds come in any order."""
+        backend = next((it for it in self.backends if it.agent is process), None)
+        seeds = [balancer.host for balancer in self.balancers]
+        write_settings(
+            process.settings,
+            name=process.host,
+            host=process.host,
+            packet_port=PACKET_PORT,
+            peer_port=PEER_PORT,
+            store=f"127.0.0.1:{process.store_port}",
+            seeds=self.random_source.sample(seeds, min(3, len(seeds))),
+            service="" if backend is None else backend.server.service,
+            backend_address=f"{process.host}:{BACKEND_PORT}",
+            outbound_port=OUTBOUND_PORT,
+        )
+
+    def holds_flow(self, key: FlowKey) -> bool:
+        """Whether any backend server has a flow open."""
+        flows = [backend.server.flows.get(key) for backend in self.backends]
+        return any(flow is not None and flow.is_open for flow in flows)
+
+    def note_trouble(self, seconds: float) -> None:
+        """Note a fault that lasts for so long."""
+        over_at = trio.current_time() + seconds
+        self.troubled_until = max(self.troubled_until, over_at)
+
+    def _note_opening(self, host: str, packet: Packet) -> None:
+        """Check that a new flow may come to a backend server."""
+        backend = next(it for it in self.backends if it.server.host == host)
+        if (route_address(packet.key), backend.server.service) not in self.allowed:
+            self.result.foreign_runs += 1
+        drained_at = backend.drained_at
+        if drained_at is None or self.troubled_until + CALM_S > drained_at:
+            return
+        if trio.current_time() - drained_at > DRAIN_S:
+            self.result.late_openings += 1
+
+    async def _create_process(self, host: str, module: str) -> SoakProcess:
+        return SoakProcess(
+            host=host,
+            module=module,
+            settings=self.folder / f"{host}.json",
+            store_port=await self.store.listen("127.0.0.1"),
+            supervisor=self.supervisor,
+        )
+
+    async def _create_backend(self, host: str, service: str) -> None:
+        server = EmulatedBackendServer(
+            service=service,
+            host=host,
+            port=BACKEND_PORT,
+            agent=(host, OUTBOUND_PORT),
+            slots=4,
+            service_s=0.03 * self.random_source.choice((0.6, 1.0, 1.6)),
+            network=self.network,
+            codec=self.codec,
+            result=self.result,
+            random_source=random.Random(self.random_source.random()),
+            on_opening=lambda packet: self._note_opening(host, packet),
+        )
+        backend = SoakBackend(
+            server=server,
+            agent=await self._create_process(host, "oleanderweir_platform.agent"),
+            store=self.store,
+            identifier=f"{host}-0",
+        )
+        backend.publish()
+        self.backends.append(backend)
+
+
+def _make_route(address: bytes, service: str) -> Route:
+    return Route(
+        name=f"to-{service}",
+        address=address,
+        shares=(ServiceShare(service=service, weight=1),),
+        timeout_s=TIMEOUT_S,
+        target_latency_s=TARGET_S,
+        priority=1,
+    )
+
+
+def copy_result(result: SiteResult) -> SiteResult:
+    """Return the counts as they are now."""
+    return attrs.evolve(result)
