Find out from the backend server's port whether it has ended, and say so at once

An agent now opens a connection to its backend server's port at its start, when packets stay without a reaction, and when it is told to stop. Refused is a proof that it has ended: flows are reset at once, openings go back, searches are denied; an agent that stops then tells every process that it holds nothing. Packets without payload are asked for once.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir_agent.forwarding.agent_links import AgentLinks
+from oleanderweir_agent.forwarding.backend_probe import BackendProbe
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
 from oleanderweir_agent.forwarding.opening_gate import OpeningGate
@@ -12,6 +13,7 @@
 
 __all__ = [
     "AgentLinks",
+    "BackendProbe",
     "FlowTable",
     "LoadMeter",
     "OpeningGate",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_links.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_links.py
@@ -49,6 +49,18 @@
         caller = (caller_host(key), self.settings.caller_port)
         self.backend_socket.send_to(data, caller)
 
+    def reset(self, key: FlowKey, data: bytes, *, reason: str) -> None:
+        """Tell the caller that its flow is gone; ``data`` is the reset."""
+        self.answer(key, data)
+        logger.info(
+            "flow reset",
+            extra={
+                "code": "flow_reset",
+                "flow": describe_flow(key),
+                "reason": reason,
+            },
+        )
+
     def tell(self, host: str, message: Message) -> None:
         """Send a message to a balancer."""
         self.peer_socket.send_to(
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -11,6 +11,7 @@
     from oleanderweir.desired_state import Topic
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.messages import Message
+    from oleanderweir_agent.forwarding.backend_probe import BackendProbe
     from oleanderweir_agent.forwarding.packet_agent import PacketAgent
 
 
@@ -26,9 +27,13 @@
 class AgentProgram:
     """Serves a ``PacketAgent``."""
 
-    def __init__(self, *, agent: PacketAgent, backend_socket: UdpSocket) -> None:
+    def __init__(
+        self, *, agent: PacketAgent, backend_socket: UdpSocket, probe: BackendProbe
+    ) -> None:
         self.agent = agent
         self.backend_socket = backend_socket
+        self.probe = probe
+        self.is_probing = False
 
     @property
     def is_ready(self) -> bool:
@@ -39,7 +44,8 @@
         """Receive packets of the backend server until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
-            nursery.start_soon(self._tick)
+            nursery.start_soon(self._check_backend)
+            nursery.start_soon(self._tick, nursery)
             nursery.start_soon(self._expire)
             task_status.started()
 
@@ -53,7 +59,10 @@
         self.agent.on_state_change()
 
     async def drain(self) -> None:
-        """Stay for the last packets; the backend server has ended before."""
+        """Stay for the last packets, if the backend server has ended before."""
+        await self._check_backend()
+        if self.agent.liveness.is_refused:
+            self.agent.depart()
         await trio.sleep(LINGER_S)
 
     async def _receive(self) -> None:
@@ -61,10 +70,23 @@
             for datagram in await self.backend_socket.receive_batch():
                 self.agent.on_backend_packet(datagram.data)
 
-    async def _tick(self) -> None:
+    async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_S if self.agent.is_waiting else IDLE_TICK_S)
             self.agent.on_tick()
+            now = trio.current_time()
+            if self.agent.liveness.wants_probe(now=now) and not self.is_probing:
+                nursery.start_soon(self._check_backend)
+
+    async def _check_backend(self) -> None:
+        """Give up what the backend server held if nothing listens there any more."""
+        self.is_probing = True
+        checked_at = trio.current_time()
+        if await self.probe.is_refused():
+            self.agent.note_backend_gone(checked_at=checked_at)
+        else:
+            self.agent.liveness.note_probe(is_refused=False, now=checked_at)
+        self.is_probing = False
 
     async def _expire(self) -> None:
         while True:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -5,7 +5,7 @@
 seconds, new flows would go there, and callers of its old flows would wait until their
 time is over. A live backend server reacts to each opening packet at once, so only
 those count: a long request, or the last acknowledgements of an answer, stay without a
-reaction for longer.
+reaction for longer. A refused connection is a proof and needs no wait.
 """
 
 from __future__ import annotations
@@ -19,6 +19,12 @@
 # A backend server that is gone is tried with new flows for ``GONE_AFTER_S`` in each
 # such period, since nothing else may bring a packet of it.
 TRIAL_PERIOD_S = 1.5
+# A backend server that left packets without a reaction for this long is probed.
+SUSPECT_AFTER_S = 0.1
+SUSPECT_PAYLOAD_AFTER_S = 0.4
+MIN_SUSPECT_PACKETS = 2
+# Between two probes.
+PROBE_INTERVAL_S = 0.3
 # A process that didn't run for this long may have unread packets waiting.
 PAUSE_S = 0.3
 
@@ -31,6 +37,36 @@
         self.unanswered_since = 0.0
         self.heard_at = float("-inf")
         self.ticked_at = float("-inf")
+        # Payload that was handed over since the last packet that came.
+        self.payloads = 0
+        self.payloads_since = 0.0
+        self.probed_at = float("-inf")
+        # Whether the last probe was refused, and nothing came since.
+        self.is_refused = False
+
+    def note_payload(self, *, now: float) -> None:
+        """Note payload that went to the backend server."""
+        if self.payloads == 0:
+            self.payloads_since = now
+        self.payloads += 1
+
+    def wants_probe(self, *, now: float) -> bool:
+        """Whether it should be found out if anything still listens."""
+        if now - self.probed_at < PROBE_INTERVAL_S:
+            return False
+        if self.is_refused or self.probed_at == float("-inf"):
+            return True
+        if self.unanswered and now - self.unanswered_since > SUSPECT_AFTER_S:
+            return True
+        return (
+            self.payloads >= MIN_SUSPECT_PACKETS
+            and now - self.payloads_since > SUSPECT_PAYLOAD_AFTER_S
+        )
+
+    def note_probe(self, *, is_refused: bool, now: float) -> None:
+        """Note the outcome of a probe."""
+        self.probed_at = now
+        self.is_refused = is_refused
 
     def note_opening(self, *, now: float) -> None:
         """Note an opening packet that went to the backend server."""
@@ -41,6 +77,8 @@
     def note_heard(self, *, now: float) -> None:
         """Note any packet that came from the backend server."""
         self.unanswered = 0
+        self.payloads = 0
+        self.is_refused = False
         self.heard_at = now
 
     def note_tick(self, *, now: float) -> None:
@@ -50,13 +88,17 @@
         self.ticked_at = now
 
     def is_gone(self, *, now: float) -> bool:
-        """Whether the backend server reacts to nothing."""
+        """Whether the backend server reacts to nothing, or has ended."""
+        if self.is_refused:
+            return True
         if self.unanswered < MIN_UNANSWERED:
             return False
         return now - self.unanswered_since > GONE_AFTER_S
 
     def is_worth_trying(self, *, now: float) -> bool:
         """Whether a new flow may go to the backend server."""
+        if self.is_refused:
+            return False
         if not self.is_gone(now=now):
             return True
         return (now - self.unanswered_since) % TRIAL_PERIOD_S < GONE_AFTER_S
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -29,8 +29,8 @@
     ``requested_at`` is when the request in progress began, None while there is none,
     ``waited_s`` how long it waited for a slot before, and ``request_expires_at`` when
     its caller gives up at the latest.
-    ``received_up_to`` is the sequence number after the caller's last new byte. Times
-    are in trio's seconds.
+    ``received_up_to`` is the sequence number after the caller's last new byte,
+    ``caller_acknowledged`` the byte that it expects next. Times are in trio's seconds.
     """
 
     key: FlowKey
@@ -46,6 +46,7 @@
     waited_s: float = 0.0
     busy_at_request: int = 0
     received_up_to: int | None = None
+    caller_acknowledged: int = 0
     caller_ended: bool = False
     backend_ended: bool = False
 
@@ -99,6 +100,10 @@
         """Drop a flow; return it."""
         return self.flows.pop(key, None)
 
+    def older_than(self, moment: float) -> list[HeldFlow]:
+        """Return the flows of which nothing came since a moment."""
+        return [flow for flow in self.flows.values() if flow.used_at < moment]
+
     def count_open(self) -> int:
         """Return the number of flows that the backend server opened and still holds."""
         return sum(
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -12,6 +12,7 @@
 from oleanderweir.flows import describe_flow
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
@@ -74,6 +75,7 @@
         self.links = links
         self.table = FlowTable(idle_s=flow_ttl_s)
         self.requests = RequestDispatcher(register=register, links=links)
+        self.members = members
         self.reporter = ReportSender(members=members, links=links)
         self.liveness = BackendLiveness()
         self.search_service = SearchService(
@@ -152,6 +154,8 @@
             self.links.give_back(host, packet.key, packet.data, ReturnReason.LOST)
         else:
             self._note_from_caller(host, flow, packet, now=now)
+            if packet.payload_bytes:
+                self.liveness.note_payload(now=now)
             self.requests.pass_on(flow, packet, now=now)
             if message.purpose is DeliveryPurpose.FIND:
                 self.links.claim(host, packet.key)
@@ -188,6 +192,7 @@
         """Keep the state of a flow up to date with a packet of its caller."""
         flow.used_at = now
         flow.balancer = host
+        flow.caller_acknowledged = packet.acknowledged
         flow.is_confirmed = True
         flow.opening = None
         if packet.is_reset:
@@ -297,7 +302,7 @@
         """Give unanswered packets back, start what waits, report the load."""
         now = trio.current_time()
         self.liveness.note_tick(now=now)
-        self._give_back_unanswered(now)
+        self._give_back_openings(now - OPENING_TIMEOUT_S)
         self._deny_searches(now)
         self.search_service.repeat(now=now)
         if self.requests.is_busy:
@@ -320,6 +325,36 @@
             now=now,
         )
 
+    def note_backend_gone(self, *, checked_at: float) -> None:
+        """
+        Give up everything that the backend server held before a check.
+
+        The check showed that nothing listens any more, so every flow that was open
+        before it is gone: callers open new ones at once, and don't send a request that
+        can't be repeated into a flow that nobody answers.
+        """
+        now = trio.current_time()
+        self.liveness.note_probe(is_refused=True, now=now)
+        for flow in self.table.older_than(checked_at):
+            self._lose(flow, now=now)
+        self._give_back_openings(checked_at)
+        self._deny_searches(now)
+
+    def depart(self) -> None:
+        """Tell every process that this one ends, and that nothing is held here."""
+        for host in self.members.members:
+            self.links.tell(host, Departure(service=self.service))
+
+    def _lose(self, flow: HeldFlow, *, now: float) -> None:
+        """Forget a flow that its backend server took with it, and tell the caller."""
+        if flow.opening is not None:
+            return
+        if flow.is_established and not flow.is_ended:
+            data = self.codec.make_reset(flow.key, sequence=flow.caller_acknowledged)
+            self.links.reset(flow.key, data, reason="backend_gone")
+        self.absent[flow.key] = now
+        self._forget(flow.key, now=now)
+
     def expire(self) -> None:
         """Forget what is over."""
         now = trio.current_time()
@@ -364,9 +399,9 @@
             },
         )
 
-    def _give_back_unanswered(self, now: float) -> None:
-        """Give opening packets back that the backend server stays silent on."""
-        limit = now - OPENING_TIMEOUT_S
+    def _give_back_openings(self, limit: float) -> None:
+        """Give opening packets back that got no answer since ``limit``."""
+        now = trio.current_time()
         for flow in list(self.openings.values()):
             if flow.opening is None or flow.is_answered:
                 del self.openings[flow.key]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/loopback_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/loopback_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import TYPE_CHECKING
 
 import trio
@@ -27,7 +28,7 @@
     def __init__(self, *, nursery: trio.Nursery, random_source: random.Random) -> None:
         self.nursery = nursery
         self.random_source = random_source
-        self.scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self.scopes: dict[tuple[str, int], tuple[trio.CancelScope, ...]] = {}
         self.sender = UdpSocket(bind_address=SocketAddress(host="127.0.0.1", port=0))
         self.lossy: dict[str, float] = {}
         self.delayed_s: dict[str, float] = {}
@@ -35,17 +36,21 @@
     def listen(
         self, address: tuple[str, int], take: Callable[[str, bytes], None]
     ) -> None:
-        """Hand datagrams for an address to ``take``, with the sender's host."""
+        """
+        Hand datagrams for an address to ``take``, with the sender's host.
+
+        TCP connections are accepted there too, as long as anything listens.
+        """
         host, port = address
-        socket = UdpSocket(bind_address=SocketAddress(host=host, port=port))
-        scope = trio.CancelScope()
-        self.scopes[address] = scope
-        self.nursery.start_soon(_receive, socket, take, scope)
+        datagrams = UdpSocket(bind_address=SocketAddress(host=host, port=port))
+        scopes = (trio.CancelScope(), trio.CancelScope())
+        self.scopes[address] = scopes
+        self.nursery.start_soon(_receive, datagrams, take, scopes[0])
+        self.nursery.start_soon(_accept, listen_tcp(address), scopes[1])
 
     def silence(self, address: tuple[str, int]) -> None:
         """Lose what comes for an address from now on."""
-        scope = self.scopes.pop(address, None)
-        if scope is not None:
+        for scope in self.scopes.pop(address, ()):
             scope.cancel()
 
     def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
@@ -73,14 +78,31 @@
         self.sender.send_to(data, address)
 
 
+def listen_tcp(address: tuple[str, int]) -> socket.socket:
+    """Return a socket that listens at an address."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    listener.listen()
+    return listener
+
+
+async def _accept(listener: socket.socket, scope: trio.CancelScope) -> None:
+    """Accept connections until the scope is cancelled, and close them."""
+    with scope, trio.socket.from_stdlib_socket(listener) as accepting:
+        while True:
+            connection, _ = await accepting.accept()
+            connection.close()
+
+
 async def _receive(
-    socket: UdpSocket, take: Callable[[str, bytes], None], scope: trio.CancelScope
+    datagrams: UdpSocket, take: Callable[[str, bytes], None], scope: trio.CancelScope
 ) -> None:
     """Hand datagrams over until the scope is cancelled."""
     with scope:
         try:
             while True:
-                for datagram in await socket.receive_batch():
+                for datagram in await datagrams.receive_batch():
                     take(datagram.source[0], datagram.data)
         finally:
-            socket.close()
+            datagrams.close()
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -66,11 +66,19 @@
         return [it for it in self.lookups.values() if it.held and not it.asked]
 
     def unanswered(self, *, now: float) -> list[Lookup]:
-        """Return the searches whose agents should be asked again."""
+        """
+        Return the searches whose agents should be asked again.
+
+        Packets without payload are not: most belong to flows that just ended, and
+        nobody waits for an answer to them.
+        """
         return [
             it
             for it in self.lookups.values()
-            if it.question is not None and not it.is_closed and self.is_due(it, now=now)
+            if it.question is not None
+            and it.question.payload_bytes
+            and not it.is_closed
+            and self.is_due(it, now=now)
         ]
 
     def close(self, key: FlowKey) -> Lookup | None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -161,6 +161,11 @@
 
     def _widen_or_close(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Ask all agents; reset the flow if all of them denied."""
+        if not packet.payload_bytes and not lookup.held:
+            # Nobody waits for an answer to it, and the caller's next payload is asked
+            # for anew; most such packets belong to flows that just ended.
+            self.lookups.close(lookup.key)
+            return
         if not lookup.is_wide:
             lookup.is_wide = True
             others = self._possible_owners(lookup)
@@ -179,8 +184,10 @@
         """
         if not agents:
             return False
-        unheard = agents - lookup.denied
-        return all(self.register.is_host_gone(host, now=now) for host in unheard)
+        return all(
+            self.members.has_departed(host) or self.register.is_host_gone(host, now=now)
+            for host in agents - lookup.denied
+        )
 
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -19,6 +19,7 @@
 from oleanderweir.peering import InvalidMessageError
 from oleanderweir.peering import StateServer
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import Greeting
 from oleanderweir.peering.messages import StateUpdate
 
@@ -179,6 +180,9 @@
             self.greeter.take(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
             self.greeter.take_update(host, message, self.nursery)
+        elif isinstance(message, Departure):
+            self.greeter.members.note_departure(host)
+            logger.info("peer ends", extra={"code": "peer_departed", "peer": host})
         else:
             self.greeter.members.note_alive(host)
             self.program.on_message(host, message)
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -39,23 +39,39 @@
         self.own_host = own_host
         self.members: dict[str, Member] = {}
         self.named: dict[str, float] = {}
+        # When processes said that they end, by host.
+        self.departed: dict[str, float] = {}
+
+    def note_departure(self, host: str) -> None:
+        """Forget a process that said that it ends."""
+        self.members.pop(host, None)
+        self.named.pop(host, None)
+        self.departed[host] = trio.current_time()
+
+    def has_departed(self, host: str) -> bool:
+        """Whether a process said that it ends, and was not heard since."""
+        return host in self.departed
 
     def note(self, host: str, greeting: Greeting) -> None:
         """Take a greeting in."""
         now = trio.current_time()
         self.members[host] = Member(host=host, greeting=greeting, heard_at=now)
         self.named.pop(host, None)
+        self.departed.pop(host, None)
         for other in (*greeting.balancers, *greeting.agents):
             self.name(other)
 
     def note_alive(self, host: str) -> None:
         """Note any other sign of life of a member."""
+        self.departed.pop(host, None)
         member = self.members.get(host)
         if member is not None:
             member.heard_at = trio.current_time()
 
     def name(self, host: str) -> None:
         """Note a host that should be greeted."""
+        if host in self.departed:
+            return
         if host != self.own_host and host not in self.members:
             self.named.setdefault(host, trio.current_time())
 
@@ -66,6 +82,8 @@
             del self.members[host]
         for host in [h for h, since in self.named.items() if since < limit]:
             del self.named[host]
+        for host in [h for h, since in self.departed.items() if since < limit]:
+            del self.departed[host]
 
     def hosts(self, role: PeerRole) -> list[str]:
         """Return the hosts of one role that were heard lately."""
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -7,6 +7,7 @@
 
 from oleanderweir.peering.exceptions import InvalidMessageError
 from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import Greeting
 from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import Message
@@ -23,6 +24,7 @@
     4: LoadReport,
     5: Greeting,
     6: StateUpdate,
+    7: Departure,
 }
 CODES = {message_type: code for code, message_type in TYPES.items()}
 FIELDS = {
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
@@ -4,6 +4,7 @@
 
 from oleanderweir.peering.messages.delivery import Delivery
 from oleanderweir.peering.messages.delivery import DeliveryPurpose
+from oleanderweir.peering.messages.departure import Departure
 from oleanderweir.peering.messages.greeting import Greeting
 from oleanderweir.peering.messages.greeting import PeerRole
 from oleanderweir.peering.messages.load_report import LoadReport
@@ -13,11 +14,20 @@
 from oleanderweir.peering.messages.state_update import StateUpdate
 
 
-Message = Delivery | Greeting | LoadReport | OwnerNotice | ReturnedPacket | StateUpdate
+Message = (
+    Delivery
+    | Departure
+    | Greeting
+    | LoadReport
+    | OwnerNotice
+    | ReturnedPacket
+    | StateUpdate
+)
 
 __all__ = [
     "Delivery",
     "DeliveryPurpose",
+    "Departure",
     "Greeting",
     "LoadReport",
     "Message",
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/departure.py
@@ -0,0 +1,16 @@
+"""A process that ends."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Departure:
+    """
+    The last message of an agent whose backend server has ended.
+
+    ``service`` is the service that it belonged to. Nobody need ask it for flows.
+    """
+
+    service: str
--- a/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
@@ -46,3 +46,41 @@
     assert not tried[10]
     assert tried[16]
     assert not tried[25]
+
+
+def test_a_refused_connection_is_a_proof_until_something_comes() -> None:
+    liveness = make_liveness(openings=0)
+
+    liveness.note_probe(is_refused=True, now=0.0)
+
+    assert liveness.is_gone(now=0.0)
+    assert not liveness.is_worth_trying(now=0.0)
+    liveness.note_heard(now=0.1)
+    assert not liveness.is_gone(now=0.1)
+
+
+def test_a_backend_server_is_probed_at_the_start_and_while_it_seems_gone() -> None:
+    liveness = BackendLiveness()
+    assert liveness.wants_probe(now=0.0)
+
+    liveness.note_probe(is_refused=False, now=0.0)
+    assert not liveness.wants_probe(now=1.0)
+
+    liveness.note_opening(now=1.0)
+    assert not liveness.wants_probe(now=1.05)
+    assert liveness.wants_probe(now=1.15)
+    liveness.note_probe(is_refused=True, now=1.15)
+    assert not liveness.wants_probe(now=1.2)
+    assert liveness.wants_probe(now=1.5)
+
+
+def test_payload_without_any_reaction_has_the_backend_server_probed() -> None:
+    liveness = BackendLiveness()
+    liveness.note_probe(is_refused=False, now=0.0)
+    liveness.note_payload(now=1.0)
+    liveness.note_payload(now=1.2)
+
+    assert not liveness.wants_probe(now=1.3)
+    assert liveness.wants_probe(now=1.5)
+    liveness.note_heard(now=1.5)
+    assert not liveness.wants_probe(now=2.0)
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -1,23 +1,30 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import cast
 
+import pytest
 import trio
+import trio.testing
 
 from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.agent_program import AgentProgram
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
+from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir.flows.fakes import make_key
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
 
 
 if TYPE_CHECKING:
-    import trio.testing
+    from oleanderweir.net import UdpSocket
+    from oleanderweir_agent.forwarding import BackendProbe
 
 
 KEY = make_key(1)
@@ -468,3 +475,88 @@
     bench.deliver(DeliveryPurpose.OPEN, opening)
 
     assert bench.to_backend() == [opening]
+
+
+async def test_flows_of_an_ended_backend_server_are_reset_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    bench.to_callers()
+    await trio.sleep(1)
+
+    bench.agent.note_backend_gone(checked_at=trio.current_time())
+
+    [data] = bench.to_callers()
+    reset = EmulatedPacketCodec().decode_from_caller(data)
+    assert reset is not None
+    assert reset.is_reset
+    assert reset.key == make_key(1)
+    assert not bench.agent.requests.is_busy
+    bench.deliver(DeliveryPurpose.FIND, request(1))
+    [denial] = bench.to_balancers()
+    assert isinstance(denial, ReturnedPacket)
+    assert denial.reason is ReturnReason.NOT_HELD
+
+
+async def test_a_flow_that_was_used_after_the_check_is_kept(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    checked_at = trio.current_time()
+    await trio.sleep(0.01)
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.to_callers()
+
+    bench.agent.note_backend_gone(checked_at=checked_at)
+
+    assert bench.to_callers() == []
+    assert make_key(1) in bench.agent.table.flows
+
+
+async def test_openings_at_an_ended_backend_server_go_back_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    await trio.sleep(0.01)
+
+    bench.agent.note_backend_gone(checked_at=trio.current_time())
+
+    expected = ReturnedPacket(reason=ReturnReason.UNANSWERED, data=OPENING)
+    assert bench.to_balancers() == [expected]
+
+
+class FakeProbe:
+    def __init__(self, *, refuses: bool) -> None:
+        self.refuses = refuses
+
+    async def is_refused(self) -> bool:
+        return self.refuses
+
+
+@pytest.mark.parametrize("refuses", [False, True])
+async def test_a_process_says_that_it_ends_only_if_its_backend_server_has(
+    refuses: bool, autojump_clock: trio.testing.MockClock
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    bench.to_callers()
+    bench.to_balancers()
+    program = AgentProgram(
+        agent=bench.agent,
+        backend_socket=cast("UdpSocket", bench.backend_socket),
+        probe=cast("BackendProbe", FakeProbe(refuses=refuses)),
+    )
+    await trio.sleep(0.1)
+
+    await program.drain()
+
+    said = [it for it in bench.to_balancers() if isinstance(it, Departure)]
+    assert len(said) == refuses
+    assert len(bench.to_callers()) == refuses
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -474,6 +474,51 @@
     assert bench.resets() == []
 
 
+async def test_nobody_waits_for_an_agent_that_said_that_it_ends() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    bench.members.note_departure("10.0.0.2")
+
+    bench.give_back("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert len(bench.resets()) == 1
+
+
+async def test_an_agent_that_is_heard_again_is_waited_for() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.note_departure("10.0.0.2")
+    bench.members.note_alive("10.0.0.2")
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.give_back("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
+
+
+async def test_a_packet_without_payload_is_asked_for_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    closing = encode_packet(KEY, is_final=True, acknowledged=77)
+    bench.balancer.on_caller_packet(closing)
+    asked = [host for host, _ in bench.deliveries()]
+    await trio.sleep(0.5)
+    bench.balancer.repeat_lookups()
+    assert bench.deliveries() == []
+
+    for host in asked:
+        bench.give_back(host, ReturnReason.NOT_HELD, closing)
+
+    assert bench.socket.take() == []
+    bench.balancer.on_caller_packet(REQUEST)
+    assert len(bench.deliveries()) == ASKED_FIRST
+
+
 async def test_the_program_repeats_unanswered_searches(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
