--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from oleanderweir_bench.soak.faults import Fault
     from oleanderweir_bench.soak.soak_plan import SoakPlan
+    from oleanderweir_bench.soak.soak_process import SoakProcess
 
 
 # Before the first packet: the processes start.
@@ -33,6 +34,7 @@
 # Calm that goes before the planned departure of a backend server at the end.
 CALM_BEFORE_LEAVING_S = 5.0
 SHOWN_LINES = 20
+MAX_LOG_LINES = 100
 # Second numbers of loopback addresses that soaks use.
 FIRST_BLOCK = 16
 BLOCKS = 200
@@ -97,10 +99,16 @@
                     continue
                 self.site.result.own_ends += 1
                 self._note(f"{process.host} ended by itself")
-                lines = list(process.running.lines)[-SHOWN_LINES:]
-                self.log.extend(f"{process.host}: {line.text}" for line in lines)
+                self._keep_lines(process)
                 await process.start()
 
+    def _keep_lines(self, process: SoakProcess) -> None:
+        """Keep the last lines of a process that ended, if there is room."""
+        if process.running is None or len(self.log) >= MAX_LOG_LINES:
+            return
+        lines = list(process.running.lines)[-SHOWN_LINES:]
+        self.log.extend(f"{process.host}: {line.text}" for line in lines)
+
     def _note(self, event: str) -> None:
         self.events.append(f"{trio.current_time() - self.started_at:.2f} {event}")
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_process.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_process.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
     supervisor: ProcessSupervisor
     running: SupervisedProcess | None = None
     is_wanted: bool = False
+    starting: trio.Lock = attrs.field(factory=trio.Lock)
 
     @property
     def has_ended_by_itself(self) -> bool:
@@ -42,13 +44,18 @@
         )
 
     async def start(self) -> None:
-        """Start it with an empty memory."""
-        self.running = await self.supervisor.start(
-            self.host,
-            [sys.executable, "-m", self.module],
-            environment={SETTINGS_VARIABLE: str(self.settings)},
-        )
-        self.is_wanted = True
+        """Start it with an empty memory, unless another fault did so before."""
+        async with self.starting:
+            if self.is_wanted and self.running is not None and self.running.is_running:
+                return
+            if self.running is not None:
+                await self.running.wait()
+            self.running = await self.supervisor.start(
+                self.host,
+                [sys.executable, "-m", self.module],
+                environment={SETTINGS_VARIABLE: str(self.settings)},
+            )
+            self.is_wanted = True
 
     def kill(self) -> None:
         """End it at once."""
