Take no denials as final before the backend servers were listed

All processes were killed while the store was in trouble; a balancer that had no published state yet had heard one agent of five, asked it, and took its denial for that of all. Ruled out: a lapsed record (revision 0 in the story, asked=1). The new test failed before the change.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -269,6 +269,7 @@
     def _publish(self, register: StateRegister) -> None:
         register.backends = {it.identifier: it for it in self.records.values()}
         register.by_service = None
+        register.listed_at = trio.current_time()
         register.topics[Topic.BACKEND_SERVERS].revision += 1
 
     def _create_members(self, host: str) -> Members:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -181,8 +181,10 @@
 
         Nobody waits for the answer of an agent whose backend server is published no
         more: it may never come, and callers would wait until their time is over.
+        Before the backend servers were listed, the agents that are known may be few of
+        many, and their denials prove nothing.
         """
-        if not agents:
+        if not agents or self.register.listed_at is None:
             return False
         return all(
             self.members.has_departed(host) or self.register.is_host_gone(host, now=now)
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -474,6 +474,25 @@
     assert bench.resets() == []
 
 
+async def test_denials_prove_nothing_before_the_backend_servers_were_listed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.members.note("10.0.0.1", greet_as_agent())
+    bench.balancer.on_caller_packet(REQUEST)
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.1"]
+
+    bench.give_back("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
+    bench.publish()
+    await trio.sleep(0.2)
+    bench.balancer.repeat_lookups()
+    assert "10.0.0.2" in {host for host, _ in bench.deliveries()}
+    bench.give_back("10.0.0.2", ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
 async def test_nobody_waits_for_an_agent_that_said_that_it_ends() -> None:
     bench = BalancerBench()
     bench.publish()
--- a/tests/oleanderweir_bench/soak/test_soak.py
+++ b/tests/oleanderweir_bench/soak/test_soak.py
@@ -23,6 +23,9 @@
     # Nine flows reset that were held: an agent that started anew gave back a packet
     # whose route led elsewhere by then, and the balancer took that for a denial.
     SoakPlan(seed=8),
+    # Five flows reset that were held: the store was in trouble while all processes
+    # started, and a balancer that knew one agent of five took its denial for all.
+    SoakPlan(seed=10),
 )
 
 
