--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -17,10 +17,11 @@
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+from oleanderweir_agent.forwarding.backend_searches import ABSENCE_LEASE_S
+from oleanderweir_agent.forwarding.backend_searches import BackendSearches
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
-from oleanderweir_agent.forwarding.search import Search
 from oleanderweir_agent.forwarding.search_service import SearchService
 
 
@@ -43,8 +44,6 @@
 OPENING_TIMEOUT_S = 0.06
 # After a refused opening packet the balancers are told that there is no room.
 FULL_PAUSE_S = 0.1
-# How long a flow that the backend server gave back is known not to be held.
-ABSENCE_LEASE_S = 5.0
 
 
 class PacketAgent:
@@ -81,12 +80,9 @@
         self.search_service = SearchService(
             codec=codec, register=register, members=members, links=links
         )
-        # Balancers that wait to hear whether the backend server holds a flow.
-        self.searches: dict[FlowKey, Search] = {}
+        self.searches = BackendSearches(links=links)
         # Flows whose opening packet the backend server hasn't answered.
         self.openings: dict[FlowKey, HeldFlow] = {}
-        # Flows that the backend server gave back, and when.
-        self.absent: dict[FlowKey, float] = {}
         self.full_until = float("-inf")
         self.lifetime = 0
 
@@ -133,7 +129,7 @@
         if reason is not None:
             self.links.give_back(host, packet.key, packet.data, reason)
             return
-        self.absent.pop(packet.key, None)
+        self.searches.note_opening(packet.key)
         flow = self.table.ensure(packet.key, balancer=host, now=now)
         flow.balancer = host
         flow.opening = packet.data
@@ -164,27 +160,24 @@
         self, host: str, packet: Packet, message: Delivery, *, now: float
     ) -> None:
         """Find out from the backend server whether it holds a flow."""
-        # Only a search may try a flow here whose route leads to another service: it
-        # can be one that was opened before the route moved.
-        is_foreign = (
-            message.purpose is not DeliveryPurpose.FIND
-            and not self.gate.allows_route(packet.key, version=message.version)
-        )
-        if self._is_absent(packet.key, now) or self._is_left(now):
+        is_absent = self.searches.is_absent(packet.key, now=now)
+        if is_absent or self._is_left(now):
             self.links.give_back(host, packet.key, packet.data, ReturnReason.NOT_HELD)
-            return
-        if is_foreign:
+        elif self._is_foreign(packet, message):
             self.links.give_back(host, packet.key, packet.data, ReturnReason.NOT_TRIED)
-            return
-        self.searches[packet.key] = Search(
-            balancer=host,
-            data=packet.data,
-            asked_at=now,
-            ends_before=(
-                packet.sequence + packet.payload_bytes if packet.payload_bytes else None
-            ),
-        )
-        self.links.hand_over(packet.data)
+        else:
+            self.searches.begin(host, packet, now=now)
+
+    def _is_foreign(self, packet: Packet, message: Delivery) -> bool:
+        """
+        Whether a packet of an unknown flow may not be tried here.
+
+        Only a search may try a flow whose route leads to another service: it can be
+        one that was opened before the route moved.
+        """
+        is_search = message.purpose is DeliveryPurpose.FIND
+        version = message.version
+        return not is_search and not self.gate.allows_route(packet.key, version=version)
 
     def _note_from_caller(
         self, host: str, flow: HeldFlow, packet: Packet, *, now: float
@@ -200,11 +193,6 @@
         elif packet.is_final:
             flow.caller_ended = True
 
-    def _is_absent(self, key: FlowKey, now: float) -> bool:
-        """Whether the backend server gave a packet of the flow back lately."""
-        since = self.absent.get(key)
-        return since is not None and now - since < ABSENCE_LEASE_S
-
     def _is_left(self, now: float) -> bool:
         """Whether the backend server is published no more and sends nothing."""
         return (
@@ -230,7 +218,7 @@
 
     def _note_from_backend(self, packet: Packet, *, now: float) -> None:
         """Keep the state of a flow up to date with a packet of the backend server."""
-        search = self.searches.pop(packet.key, None)
+        search = self.searches.take(packet.key)
         host = "" if search is None else search.balancer
         flow = self.table.ensure(packet.key, balancer=host, now=now)
         flow.is_answered = True
@@ -254,11 +242,11 @@
         key = packet.key
         data = self.codec.restore(packet)
         flow = self.table.get(key)
-        search = self.searches.pop(key, None)
+        search = self.searches.take(key)
         if packet.is_opening:
             self._take_back_opening(flow, key, data, now=now)
             return
-        self.absent[key] = now
+        self.searches.note_absent(key, now=now)
         self._forget(key, now=now)
         if search is not None:
             self.links.give_back(search.balancer, key, data, ReturnReason.NOT_HELD)
@@ -303,7 +291,8 @@
         now = trio.current_time()
         self.liveness.note_tick(now=now)
         self._give_back_openings(now - OPENING_TIMEOUT_S)
-        self._deny_searches(now)
+        if self.liveness.is_gone():
+            self.searches.deny_all()
         self.search_service.repeat(now=now)
         if self.requests.is_busy:
             self.requests.drop_useless(self.table.flows.values(), now=now)
@@ -338,7 +327,7 @@
         for flow in self.table.older_than(checked_at):
             self._lose(flow, now=now)
         self._give_back_openings(checked_at)
-        self._deny_searches(now)
+        self.searches.deny_all()
 
     def depart(self) -> None:
         """Tell every process that this one ends, and that nothing is held here."""
@@ -352,7 +341,7 @@
         if flow.is_established and not flow.is_ended:
             data = self.codec.make_reset(flow.key, sequence=flow.caller_acknowledged)
             self.links.reset(flow.key, data, reason="backend_gone")
-        self.absent[flow.key] = now
+        self.searches.note_absent(flow.key, now=now)
         self._forget(flow.key, now=now)
 
     def expire(self) -> None:
@@ -361,13 +350,7 @@
         self.search_service.expire(now=now)
         for flow in self.table.expire(now=now):
             self.requests.drop(flow, now=now)
-        limit = now - ABSENCE_LEASE_S
-        self.absent = {k: since for k, since in self.absent.items() if since > limit}
-        self.searches = {
-            key: search
-            for key, search in self.searches.items()
-            if search.asked_at > limit
-        }
+        self.searches.expire(now=now)
 
     def on_state_change(self) -> None:
         """Take the published record of the backend server in."""
@@ -411,16 +394,6 @@
                     flow.balancer, flow.key, flow.opening, ReturnReason.UNANSWERED
                 )
 
-    def _deny_searches(self, now: float) -> None:
-        """Answer searches that a backend server which is gone never will."""
-        if not self.liveness.is_gone():
-            return
-        for key, search in self.searches.items():
-            self.links.give_back(
-                search.balancer, key, search.data, ReturnReason.NOT_HELD
-            )
-        self.searches.clear()
-
     def _is_accepting(self, now: float) -> bool:
         if now < self.full_until or not self.liveness.is_worth_trying():
             return False
