--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -40,6 +40,11 @@
         """Whether the process serves its backend server."""
         return True
 
+    @property
+    def holds_nothing(self) -> bool:
+        """Whether the backend server has ended."""
+        return self.agent.liveness.is_refused
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Receive packets of the backend server until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -40,6 +40,11 @@
         """Whether routers may send packets here."""
         return self.balancer.is_ready
 
+    @property
+    def holds_nothing(self) -> bool:
+        """Whether this is an agent whose backend server has ended."""
+        return False
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Receive packets of callers until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -95,9 +95,15 @@
                 self.by_service.setdefault(record.service, []).append(record)
         return self.by_service.get(service, [])
 
+    def is_published(self, host: str) -> bool:
+        """Whether any backend server is published at a host."""
+        if self.published_hosts is None:
+            self.published_hosts = {r.host for r in self.backends.values()}
+        return host in self.published_hosts
+
     def is_host_gone(self, host: str, *, now: float) -> bool:
         """Whether no backend server has been published at a host for ``MISSING_S``."""
-        if self.listed_at is None or host in self._hosts():
+        if self.listed_at is None or self.is_published(host):
             return False
         return now - self.removed_at.get(host, self.listed_at) > MISSING_S
 
@@ -150,12 +156,6 @@
         if is_new:
             self._note(changes.topic, origin)
 
-    def _hosts(self) -> set[str]:
-        """Return the hosts of all published backend servers."""
-        if self.published_hosts is None:
-            self.published_hosts = {r.host for r in self.backends.values()}
-        return self.published_hosts
-
     def _note(self, topic: Topic, origin: str) -> None:
         """Log and pass on that a topic changed."""
         self.by_service = None
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -186,10 +186,17 @@
         """
         if not agents or self.register.listed_at is None:
             return False
-        return all(
-            self.members.has_departed(host) or self.register.is_host_gone(host, now=now)
-            for host in agents - lookup.denied
-        )
+        unheard = agents - lookup.denied
+        return all(self._is_out(host, now=now) for host in unheard)
+
+    def _is_out(self, host: str, *, now: float) -> bool:
+        """Whether no flow can be held at a host, whatever its agent would answer."""
+        if self.members.has_departed(host):
+            return True
+        if self.register.is_published(host):
+            return False
+        is_gone = self.register.is_host_gone(host, now=now)
+        return is_gone or self.members.holds_nothing(host)
 
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
--- a/packages/oleanderweir/src/oleanderweir/packet_process/packet_program.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/packet_program.py
@@ -20,6 +20,10 @@
     def is_ready(self) -> bool:
         """Whether routers may send packets here."""
 
+    @property
+    def holds_nothing(self) -> bool:
+        """Whether this is an agent whose backend server has ended."""
+
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Serve the sockets of the program until cancelled."""
 
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -176,6 +176,7 @@
     def _take(self, host: str, message: Message) -> None:
         if self.program is None or self.nursery is None:
             return
+        self.greeter.holds_nothing = self.program.holds_nothing
         if isinstance(message, Greeting):
             self.greeter.take(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -88,6 +88,8 @@
         self.random_source = random_source
         self.fetching: set[Topic] = set()
         self.started_at = float("-inf")
+        # Whether this is an agent whose backend server has ended.
+        self.holds_nothing = False
         # Whether the others were told that this process reads.
         self.is_reading = False
         self.patience_s = READER_PATIENCE_S[role]
@@ -202,6 +204,7 @@
             agents=self._sample(PeerRole.AGENT) if names else (),
             wants_answer=wants_answer,
             reads_source=self.reads_source,
+            holds_nothing=self.holds_nothing,
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -52,6 +52,11 @@
         """Whether a process said that it ends, and was not heard since."""
         return host in self.departed
 
+    def holds_nothing(self, host: str) -> bool:
+        """Whether an agent said last that its backend server has ended."""
+        member = self.members.get(host)
+        return member is not None and member.greeting.holds_nothing
+
     def note(self, host: str, greeting: Greeting) -> None:
         """Take a greeting in."""
         now = trio.current_time()
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/greeting.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/greeting.py
@@ -23,7 +23,8 @@
     the sender knows of each topic: who is behind asks it for the rest. ``balancers``
     and ``agents`` are hosts that the sender heard lately, in answers only.
     ``wants_answer`` asks for a greeting back. ``reads_source`` tells that the sender
-    follows the backend servers at their source and passes changes on.
+    follows the backend servers at their source and passes changes on,
+    ``holds_nothing`` that the sender's backend server has ended.
     """
 
     role: PeerRole = attrs.field(converter=PeerRole)
@@ -35,3 +36,4 @@
     agents: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
     wants_answer: bool
     reads_source: bool
+    holds_nothing: bool = False
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -38,7 +38,7 @@
 REQUEST = encode_packet(KEY, payload_bytes=900, acknowledged=77)
 
 
-def greet_as_agent() -> Greeting:
+def greet_as_agent(*, holds_nothing: bool = False) -> Greeting:
     return Greeting(
         role=PeerRole.AGENT,
         availability_zone="a",
@@ -49,6 +49,7 @@
         agents=(),
         wants_answer=False,
         reads_source=False,
+        holds_nothing=holds_nothing,
     )
 
 
@@ -505,6 +506,33 @@
     assert len(bench.resets()) == 1
 
 
+async def test_nobody_waits_for_an_unpublished_agent_that_said_it_holds_nothing() -> (
+    None
+):
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.note("10.0.0.3", greet_as_agent(holds_nothing=True))
+    bench.balancer.on_caller_packet(REQUEST)
+    assert len(bench.deliveries()) == 3
+
+    for host in bench.hosts:
+        bench.give_back(host, ReturnReason.NOT_HELD, REQUEST)
+
+    assert len(bench.resets()) == 1
+
+
+async def test_a_published_agent_is_waited_for_whatever_it_said_before() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.note("10.0.0.2", greet_as_agent(holds_nothing=True))
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.give_back("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
+
+
 async def test_an_agent_that_is_heard_again_is_waited_for() -> None:
     bench = BalancerBench()
     bench.publish()
