Search through one agent, and take no flow for lost that another agent may hold

Each question carries the caller's packet, and since 13:52 a balancer put it to twelve agents at a time: on a link of 5 Mbit/s they fill it. A balancer with more than three possible owners now sends one datagram, to the first agent of the flow's ranking, which asks the others; tests moved accordingly. A backend server answered an opening packet after 60 ms, when another one had opened the flow; its agent took the late answer for a claim and then said that the flow was lost. An answer to an opening packet claims nothing now, and only the owner that a balancer knows can say that a flow is lost.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -218,7 +218,9 @@
 
     def _note_from_backend(self, packet: Packet, *, now: float) -> None:
         """Keep the state of a flow up to date with a packet of the backend server."""
-        search = self.searches.take(packet.key)
+        # The answer to an opening packet shows nothing: another backend server may have
+        # opened the flow since.
+        search = None if packet.is_opening else self.searches.take(packet.key)
         host = "" if search is None else search.balancer
         flow = self.table.ensure(packet.key, balancer=host, now=now)
         flow.is_answered = True
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -205,7 +205,7 @@
             self._open_elsewhere(host, packet, reason, now=now)
         elif reason is ReturnReason.HELD_NOWHERE:
             self.finder.note_held_nowhere(packet, now=now)
-        elif reason is ReturnReason.LOST:
+        elif reason is ReturnReason.LOST and flow is not None and flow.agent == host:
             self.links.reset(packet, reason="flow_lost")
         elif reason is ReturnReason.NOT_TRIED:
             # No denial: the agent started anew and may hold the flow all the same.
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -21,8 +21,9 @@
     from oleanderweir.peering import Members
 
 
-# Agents that a balancer asks by itself.
-MAX_DIRECT_QUESTIONS = 16
+# Agents that a balancer asks by itself. Each question carries the caller's packet, and
+# the link of a small balancer would be full of them after a loss of all processes.
+MAX_DIRECT_QUESTIONS = 3
 # After so many unanswered questions all agents are asked: one that is gone, but still
 # published, would never deny.
 TRIES_BEFORE_ALL = 3
@@ -34,9 +35,9 @@
 
     The first agents of the flow's ranking are asked before all others, since it was
     probably placed there. A flow is reset only when every agent denied to hold it.
-    With ``delegates``, one agent is asked to ask all others when there are many: agents
-    have the processors for it, and the cost of a search on a small balancer doesn't
-    grow with the fleet. Without, all agents are asked at once.
+    With ``delegates``, one agent is asked to ask the others, the first of the ranking
+    at first: agents have the processors and the links for it, and the cost of a search
+    on a small balancer doesn't grow with the fleet.
     """
 
     def __init__(
@@ -63,7 +64,6 @@
         if lookup.is_closed:
             self.links.note_held_nowhere(packet)
             return
-        lookup.is_wide = lookup.is_wide or not self.delegates
         agents = self._possible_owners(lookup)
         if not agents or not self.lookups.is_due(lookup, now=now):
             self.lookups.hold(lookup, packet)
@@ -154,10 +154,9 @@
         self.links.log("flow_lookup", packet.key, asked=len(agents))
 
     def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
-        """Return the agent that asks all others, another one at each try."""
-        ranked = sorted(agents)
-        start = int.from_bytes(lookup.key[:6], "big")
-        return ranked[(start + lookup.tries) % len(ranked)]
+        """Return the agent that asks the others, the next one at each try."""
+        ranked = candidate_hosts(lookup.key, agents, count=lookup.tries)
+        return ranked[-1]
 
     def _widen_or_close(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Ask all agents; reset the flow if all of them denied."""
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -579,3 +579,21 @@
 
     lost = [it for it in bench.to_balancers() if isinstance(it, ReturnedPacket)]
     assert lost == []
+
+
+async def test_a_late_answer_to_an_opening_packet_claims_no_flow() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.to_backend()
+    bench.agent.openings.clear()
+    bench.agent.table.forget(KEY)
+    # The flow was opened elsewhere, and a balancer searches for it.
+    bench.deliver(DeliveryPurpose.FIND, REQUEST)
+
+    bench.agent.on_backend_packet(OPENED)
+
+    assert bench.to_balancers() == []
+    bench.agent.on_backend_packet(returned(payload_bytes=900, acknowledged=6))
+    [denial] = bench.to_balancers()
+    assert isinstance(denial, ReturnedPacket)
+    assert denial.reason is ReturnReason.NOT_HELD
--- a/tests/oleanderweir_agent/forwarding/test_search_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_search_service.py
@@ -1,5 +1,10 @@
 from __future__ import annotations
 
+import trio
+import trio.testing
+
+from oleanderweir.flows import ASKED_FIRST
+from oleanderweir.flows import candidate_hosts
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import OwnerNotice
@@ -60,3 +65,38 @@
     assert bench.to_balancers() == [
         ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
     ]
+
+
+async def test_a_search_in_a_large_fleet_asks_the_probable_owners_first() -> None:
+    hosts = tuple(f"10.0.0.{number}" for number in range(1, 41))
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in hosts}
+    publish(bench.register, backends=backends)
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST)
+    first = {address[0] for _, address in bench.peer_socket.take()}
+    assert first == set(candidate_hosts(KEY, hosts, count=ASKED_FIRST))
+
+    for host in first:
+        denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+        bench.agent.on_message(host, denial)
+
+    others = {address[0] for _, address in bench.peer_socket.take()}
+    assert others == set(hosts) - first
+
+
+async def test_an_agent_that_never_answers_doesnt_keep_the_others_from_being_asked(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    hosts = tuple(f"10.0.0.{number}" for number in range(1, 41))
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in hosts}
+    publish(bench.register, backends=backends)
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST)
+
+    asked = set()
+    for _ in range(20):
+        asked |= {address[0] for _, address in bench.peer_socket.take()}
+        await trio.sleep(0.05)
+        bench.agent.on_tick()
+
+    assert asked >= set(hosts)
--- a/tests/oleanderweir_bench/soak/test_soak.py
+++ b/tests/oleanderweir_bench/soak/test_soak.py
@@ -29,6 +29,9 @@
     # Four flows reset that were held: an agent that was paused woke, and took the time
     # that it had slept for a silence of its backend server.
     SoakPlan(seed=11),
+    # One flow reset that was held: a backend server answered an opening packet late,
+    # after another one had opened the flow, and its agent took the flow for its own.
+    SoakPlan(seed=28),
 )
 
 
