Take a refused connection for an end only after one was accepted

The agent of a backend server that had just started (side-stgo-b-21, 27.2 s) probed its port before it listened there, was refused, and reset a flow that it had opened 12 ms before. A refusal is a proof now only if a connection was accepted before and nothing came from the backend server for 0.3 s; a stopping agent waits for that long.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from oleanderweir_agent.forwarding.backend_liveness import QUIET_S
+
 
 if TYPE_CHECKING:
     from oleanderweir.desired_state import Topic
@@ -43,7 +45,7 @@
     @property
     def holds_nothing(self) -> bool:
         """Whether the backend server has ended."""
-        return self.agent.liveness.is_refused
+        return self.agent.holds_nothing
 
     async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
         """Receive packets of the backend server until cancelled."""
@@ -65,8 +67,11 @@
 
     async def drain(self) -> None:
         """Stay for the last packets, if the backend server has ended before."""
+        with trio.move_on_after(QUIET_S * 2):
+            while trio.current_time() - self.agent.liveness.heard_at <= QUIET_S:
+                await trio.sleep(TICK_S)
         await self._check_backend()
-        if self.agent.liveness.is_refused:
+        if self.agent.holds_nothing:
             self.agent.depart()
         await trio.sleep(LINGER_S)
 
@@ -87,10 +92,8 @@
         """Give up what the backend server held if nothing listens there any more."""
         self.is_probing = True
         checked_at = trio.current_time()
-        if await self.probe.is_refused():
-            self.agent.note_backend_gone(checked_at=checked_at)
-        else:
-            self.agent.liveness.note_probe(is_refused=False, now=checked_at)
+        is_refused = await self.probe.is_refused()
+        self.agent.note_probe(is_refused=is_refused, checked_at=checked_at)
         self.is_probing = False
 
     async def _expire(self) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -5,7 +5,9 @@
 seconds, new flows would go there, and callers of its old flows would wait until their
 time is over. A live backend server reacts to each opening packet at once, so only
 those count: a long request, or the last acknowledgements of an answer, stay without a
-reaction for longer. A refused connection is a proof and needs no wait.
+reaction for longer. A refused connection is a proof, if connections were accepted
+before and nothing came for a moment: a backend server that starts may take packets
+before it listens.
 """
 
 from __future__ import annotations
@@ -25,6 +27,8 @@
 MIN_SUSPECT_PACKETS = 2
 # Between two probes.
 PROBE_INTERVAL_S = 0.3
+# How long nothing may have come for a refused connection to count.
+QUIET_S = 0.3
 # A process that didn't run for this long may have unread packets waiting.
 PAUSE_S = 0.3
 
@@ -46,6 +50,10 @@
         self.probed_at = float("-inf")
         # Whether the last probe was refused, and nothing came since.
         self.is_refused = False
+        # Whether a connection was accepted since the last proof of an end.
+        self.was_accepted = False
+        # Whether the backend server is proved to have ended, and nothing came since.
+        self.has_ended = False
 
     def note_payload(self, *, now: float) -> None:
         """Note payload that went to the backend server."""
@@ -57,7 +65,7 @@
         """Whether it should be found out if anything still listens."""
         if now - self.probed_at < PROBE_INTERVAL_S:
             return False
-        if self.is_refused or self.probed_at == float("-inf"):
+        if self.is_refused or not self.was_accepted:
             return True
         if self.unanswered and now - self.unanswered_since > SUSPECT_AFTER_S:
             return True
@@ -67,9 +75,15 @@
         )
 
     def note_probe(self, *, is_refused: bool, now: float) -> None:
-        """Note the outcome of a probe."""
+        """Note the outcome of a probe that was made at a moment."""
         self.probed_at = now
         self.is_refused = is_refused
+        if not is_refused:
+            self.was_accepted = True
+            self.has_ended = False
+        elif self.was_accepted and now - self.heard_at > QUIET_S:
+            self.was_accepted = False
+            self.has_ended = True
 
     def note_opening(self, *, now: float) -> None:
         """Note an opening packet that went to the backend server."""
@@ -83,6 +97,7 @@
         self.unanswered = 0
         self.payloads = 0
         self.is_refused = False
+        self.has_ended = False
         self.heard_at = now
 
     def note_tick(self, *, now: float) -> None:
@@ -94,7 +109,7 @@
 
     def is_gone(self) -> bool:
         """Whether the backend server reacts to nothing, or has ended."""
-        if self.is_refused:
+        if self.has_ended:
             return True
         if self.unanswered < MIN_UNANSWERED:
             return False
@@ -102,7 +117,7 @@
 
     def is_worth_trying(self) -> bool:
         """Whether a new flow may go to the backend server."""
-        if self.is_refused:
+        if self.has_ended:
             return False
         if not self.is_gone():
             return True
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -293,7 +293,7 @@
         now = trio.current_time()
         self.liveness.note_tick(now=now)
         self._give_back_openings(now - OPENING_TIMEOUT_S)
-        if self.liveness.is_gone():
+        if self.liveness.is_gone() or self.holds_nothing:
             self.searches.deny_all()
         self.search_service.repeat(now=now)
         if self.requests.is_busy:
@@ -316,16 +316,25 @@
             now=now,
         )
 
-    def note_backend_gone(self, *, checked_at: float) -> None:
+    @property
+    def holds_nothing(self) -> bool:
+        """Whether the backend server has ended, or is neither there nor published."""
+        if self.liveness.has_ended:
+            return True
+        return self.liveness.is_refused and self.gate.record is None
+
+    def note_probe(self, *, is_refused: bool, checked_at: float) -> None:
         """
-        Give up everything that the backend server held before a check.
+        Take in whether a connection to the backend server was refused.
 
-        The check showed that nothing listens any more, so every flow that was open
-        before it is gone: callers open new ones at once, and don't send a request that
-        can't be repeated into a flow that nobody answers.
+        If that proves that it has ended, every flow that was open before the check is
+        gone: callers open new ones at once, and don't send a request that can't be
+        repeated into a flow that nobody answers.
         """
         now = trio.current_time()
-        self.liveness.note_probe(is_refused=True, now=now)
+        self.liveness.note_probe(is_refused=is_refused, now=checked_at)
+        if not self.liveness.has_ended:
+            return
         for flow in self.table.older_than(checked_at):
             self._lose(flow, now=now)
         self._give_back_openings(checked_at)
