--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/__init__.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from oleanderweir_bench.soak.regressions import REGRESSIONS
 from oleanderweir_bench.soak.soak import run_soak
 from oleanderweir_bench.soak.soak_plan import SoakPlan
 from oleanderweir_bench.soak.soak_report import SoakReport
 
 
-__all__ = ["SoakPlan", "SoakReport", "run_soak"]
+__all__ = ["REGRESSIONS", "SoakPlan", "SoakReport", "run_soak"]
