--- a/tests/oleanderweir_bench/soak/test_soak.py
+++ b/tests/oleanderweir_bench/soak/test_soak.py
@@ -3,7 +3,7 @@
 
 Verdicts are promises that were kept or broken; nothing here depends on how fast the
 machine is, but for the recovery within the twelve seconds that the platform states.
-Seeds that failed are played by hand: ``python -m oleanderweir_bench soak --regressions``.
+Seeds that failed are played by hand, with ``--regressions``.
 """
 
 from __future__ import annotations
