Let an agent that knows less than the balancer end no search for it

Since every balancer with more than three possible owners searches through one agent, a flow of a backend server that this agent has not heard of yet could have been called held nowhere. The question now tells the newest change that the balancer knows; an agent that is behind stays silent, and the balancer asks the next one.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -106,7 +106,7 @@
         if packet.is_opening:
             self._open(host, packet, message, now=now)
         elif message.purpose is DeliveryPurpose.SEARCH:
-            self.search_service.search(host, packet)
+            self.search_service.search(host, packet, revision=message.version)
         else:
             self._continue(host, packet, message, now=now)
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/search_service.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.flows import describe_flow
 from oleanderweir.lookups import OwnerFinder
 from oleanderweir.peering.messages import OwnerNotice
@@ -48,17 +49,19 @@
         self.finder = OwnerFinder(
             register=register, members=members, links=self, delegates=False
         )
-        # Balancers that wait for the owner of a flow.
-        self.askers: dict[FlowKey, set[str]] = {}
+        self.register = register
+        # Balancers that wait for the owner of a flow, and the revision of the newest
+        # change of the backend servers that each knew.
+        self.askers: dict[FlowKey, dict[str, int]] = {}
 
     @property
     def is_searching(self) -> bool:
         """Whether any search runs."""
         return bool(self.askers)
 
-    def search(self, host: str, packet: Packet) -> None:
+    def search(self, host: str, packet: Packet, *, revision: int) -> None:
         """Search the owner of a packet's flow for a balancer."""
-        self.askers.setdefault(packet.key, set()).add(host)
+        self.askers.setdefault(packet.key, {})[host] = revision
         self.finder.find(packet, now=trio.current_time())
 
     def on_owner(self, host: str, notice: OwnerNotice) -> None:
@@ -91,8 +94,16 @@
             self.links.tell(asker, OwnerNotice(key=key, host=host))
 
     def note_held_nowhere(self, packet: Packet) -> None:
-        """Tell the balancers that asked that nobody holds the flow."""
-        for asker in self.askers.pop(packet.key, ()):
+        """
+        Tell the balancers that asked that nobody holds the flow.
+
+        One that knows newer backend servers gets no answer and asks another agent: the
+        flow may be held by one that was not asked here.
+        """
+        known = self.register.changed_revision(Topic.BACKEND_SERVERS)
+        for asker, revision in self.askers.pop(packet.key, {}).items():
+            if revision > known:
+                continue
             message = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=packet.data)
             self.links.tell(asker, message)
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_links.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_links.py
@@ -5,10 +5,12 @@
 import logging
 from typing import TYPE_CHECKING
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.flows import caller_host
 from oleanderweir.flows import describe_flow
 from oleanderweir.peering import encode_message
 from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import DeliveryPurpose
 
 
 if TYPE_CHECKING:
@@ -17,7 +19,6 @@
     from oleanderweir.flows import Packet
     from oleanderweir.flows import PacketCodec
     from oleanderweir.net import UdpSocket
-    from oleanderweir.peering.messages import DeliveryPurpose
     from oleanderweir_balancer.forwarding.packet_balancer_settings import (
         PacketBalancerSettings,
     )
@@ -44,9 +45,10 @@
 
     def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
         """Send a packet to an agent."""
-        message = Delivery(
-            purpose=purpose, version=self.register.version, data=packet.data
-        )
+        version = self.register.version
+        if purpose is DeliveryPurpose.SEARCH:
+            version = self.register.changed_revision(Topic.BACKEND_SERVERS)
+        message = Delivery(purpose=purpose, version=version, data=packet.data)
         self.socket.send_to(encode_message(message), (host, self.settings.peer_port))
 
     def reset(self, packet: Packet, *, reason: str) -> None:
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -22,7 +22,8 @@
     """
     A packet from a balancer to an agent.
 
-    ``version`` is that of the desired state by which the balancer decided.
+    ``version`` is that of the desired state by which the balancer decided; in a search,
+    the revision of the newest change of the backend servers that the balancer knows.
     """
 
     purpose: DeliveryPurpose = attrs.field(converter=DeliveryPurpose)
--- a/tests/oleanderweir_agent/forwarding/test_search_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_search_service.py
@@ -3,6 +3,7 @@
 import trio
 import trio.testing
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.flows import ASKED_FIRST
 from oleanderweir.flows import candidate_hosts
 from oleanderweir.peering.messages import Delivery
@@ -100,3 +101,18 @@
         bench.agent.on_tick()
 
     assert asked >= set(hosts)
+
+
+async def test_an_agent_that_knows_less_than_the_balancer_doesnt_end_its_search() -> (
+    None
+):
+    bench = make_bench()
+    known = bench.register.changed_revision(Topic.BACKEND_SERVERS)
+    bench.deliver(DeliveryPurpose.SEARCH, REQUEST, version=known + 1)
+    bench.to_balancers()
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+
+    for host in HOSTS:
+        bench.agent.on_message(host, denial)
+
+    assert bench.to_balancers() == []
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -344,6 +344,8 @@
     [(delegate, message)] = bench.deliveries()
     assert [delegate] == candidate_hosts(KEY, LARGE_FLEET, count=1)
     assert message.purpose is DeliveryPurpose.SEARCH
+    known = bench.register.changed_revision(Topic.BACKEND_SERVERS)
+    assert message.version == known > 0
     bench.balancer.on_message(delegate, OwnerNotice(key=KEY, host="10.0.0.7"))
     bench.balancer.on_caller_packet(REQUEST)
     assert [host for host, _ in bench.deliveries()] == ["10.0.0.7"]
