Tell a silent probe from an accepted one

A connection that neither was accepted nor refused counted as accepted, so a later refusal while a backend server starts could have been taken for a proof. Found while reading the diff; test of the three outcomes.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from oleanderweir_agent.forwarding.opening_gate import OpeningGate
 from oleanderweir_agent.forwarding.packet_agent import PacketAgent
 from oleanderweir_agent.forwarding.packet_agent_settings import PacketAgentSettings
+from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 
 
 __all__ = [
@@ -19,4 +20,5 @@
     "OpeningGate",
     "PacketAgent",
     "PacketAgentSettings",
+    "ProbeOutcome",
 ]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -92,8 +92,8 @@
         """Give up what the backend server held if nothing listens there any more."""
         self.is_probing = True
         checked_at = trio.current_time()
-        is_refused = await self.probe.is_refused()
-        self.agent.note_probe(is_refused=is_refused, checked_at=checked_at)
+        outcome = await self.probe.probe()
+        self.agent.note_probe(outcome, checked_at=checked_at)
         self.is_probing = False
 
     async def _expire(self) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -12,6 +12,8 @@
 
 from __future__ import annotations
 
+from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
+
 
 # Opening packets without any reaction before a backend server counts as gone; one may
 # have been dropped on the way.
@@ -74,11 +76,13 @@
             and now - self.payloads_since > SUSPECT_PAYLOAD_AFTER_S
         )
 
-    def note_probe(self, *, is_refused: bool, now: float) -> None:
+    def note_probe(self, outcome: ProbeOutcome, *, now: float) -> None:
         """Note the outcome of a probe that was made at a moment."""
         self.probed_at = now
-        self.is_refused = is_refused
-        if not is_refused:
+        if outcome is ProbeOutcome.SILENT:
+            return
+        self.is_refused = outcome is ProbeOutcome.REFUSED
+        if outcome is ProbeOutcome.ACCEPTED:
             self.was_accepted = True
             self.has_ended = False
         elif self.was_accepted and now - self.heard_at > QUIET_S:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_probe.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_probe.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import trio
 
+from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
+
 
 if TYPE_CHECKING:
     from oleanderweir.net import SocketAddress
 
 
+logger = logging.getLogger(__name__)
+
 # A live machine accepts or refuses a connection within a millisecond.
 PROBE_TIMEOUT_S = 0.25
 
@@ -21,21 +26,21 @@
     def __init__(self, *, address: SocketAddress) -> None:
         self.address = address
 
-    async def is_refused(self) -> bool:
-        """
-        Whether a connection is refused: then the backend server has ended.
-
-        Silence proves nothing: it may be frozen or cut off.
-        """
+    async def probe(self) -> ProbeOutcome:
+        """Return what a connection shows."""
         connection = trio.socket.socket()
         try:
             with trio.move_on_after(PROBE_TIMEOUT_S):
                 await connection.connect(self.address.pair)
+                return ProbeOutcome.ACCEPTED
         except ConnectionRefusedError:
-            return True
-        except OSError:
+            return ProbeOutcome.REFUSED
+        except OSError as error:
             # Reset or unreachable; the next probe tells more.
-            return False
+            logger.info(
+                "a probe of the backend server failed",
+                extra={"code": "probe_failed", "reason": repr(error)},
+            )
         finally:
             connection.close()
-        return False
+        return ProbeOutcome.SILENT
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -36,6 +36,7 @@
     from oleanderweir_agent.forwarding.agent_links import AgentLinks
     from oleanderweir_agent.forwarding.flow_table import HeldFlow
     from oleanderweir_agent.forwarding.opening_gate import OpeningGate
+    from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 
 
 logger = logging.getLogger(__name__)
@@ -323,16 +324,16 @@
             return True
         return self.liveness.is_refused and self.gate.record is None
 
-    def note_probe(self, *, is_refused: bool, checked_at: float) -> None:
+    def note_probe(self, outcome: ProbeOutcome, *, checked_at: float) -> None:
         """
-        Take in whether a connection to the backend server was refused.
+        Take in what a connection to the backend server showed.
 
         If that proves that it has ended, every flow that was open before the check is
         gone: callers open new ones at once, and don't send a request that can't be
         repeated into a flow that nobody answers.
         """
         now = trio.current_time()
-        self.liveness.note_probe(is_refused=is_refused, now=checked_at)
+        self.liveness.note_probe(outcome, now=checked_at)
         if not self.liveness.has_ended:
             return
         for flow in self.table.older_than(checked_at):
--- a/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from oleanderweir_agent.forwarding import ProbeOutcome
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 
 
@@ -68,9 +69,9 @@
 
 def test_a_refused_connection_is_a_proof_until_something_comes() -> None:
     liveness = make_liveness(openings=0)
-    liveness.note_probe(is_refused=False, now=0.0)
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=0.0)
 
-    liveness.note_probe(is_refused=True, now=1.0)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=1.0)
 
     assert liveness.is_gone()
     assert not liveness.is_worth_trying()
@@ -81,18 +82,31 @@
 def test_a_refusal_proves_nothing_before_any_connection_was_accepted() -> None:
     liveness = make_liveness(openings=0)
 
-    liveness.note_probe(is_refused=True, now=1.0)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=1.0)
 
     assert not liveness.is_gone()
     assert liveness.is_worth_trying()
 
 
+def test_a_silent_probe_shows_nothing() -> None:
+    liveness = make_liveness(openings=0)
+    liveness.note_probe(ProbeOutcome.SILENT, now=0.0)
+
+    liveness.note_probe(ProbeOutcome.REFUSED, now=1.0)
+    assert not liveness.is_gone()
+
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=2.0)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=3.0)
+    liveness.note_probe(ProbeOutcome.SILENT, now=4.0)
+    assert liveness.is_gone()
+
+
 def test_a_refusal_proves_nothing_right_after_a_packet_came() -> None:
     liveness = make_liveness(openings=0)
-    liveness.note_probe(is_refused=False, now=0.0)
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=0.0)
     liveness.note_heard(now=0.9)
 
-    liveness.note_probe(is_refused=True, now=1.0)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=1.0)
 
     assert not liveness.is_gone()
 
@@ -100,24 +114,24 @@
 def test_a_backend_server_is_probed_until_it_listens_and_while_it_seems_gone() -> None:
     liveness = BackendLiveness()
     assert liveness.wants_probe(now=0.0)
-    liveness.note_probe(is_refused=True, now=0.0)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=0.0)
     liveness.note_heard(now=0.1)
     assert liveness.wants_probe(now=0.5)
 
-    liveness.note_probe(is_refused=False, now=0.5)
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=0.5)
     assert not liveness.wants_probe(now=1.0)
 
     liveness.note_opening(now=1.0)
     assert not liveness.wants_probe(now=1.05)
     assert liveness.wants_probe(now=1.15)
-    liveness.note_probe(is_refused=True, now=1.15)
+    liveness.note_probe(ProbeOutcome.REFUSED, now=1.15)
     assert not liveness.wants_probe(now=1.2)
     assert liveness.wants_probe(now=1.5)
 
 
 def test_payload_without_any_reaction_has_the_backend_server_probed() -> None:
     liveness = BackendLiveness()
-    liveness.note_probe(is_refused=False, now=0.0)
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=0.0)
     liveness.note_payload(now=1.0)
     liveness.note_payload(now=1.2)
 
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -13,6 +13,7 @@
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding import ProbeOutcome
 from oleanderweir_agent.forwarding.agent_program import AgentProgram
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
@@ -485,10 +486,10 @@
     bench.deliver(DeliveryPurpose.CONTINUE, request(1))
     bench.agent.on_backend_packet(answer(1))
     bench.to_callers()
-    bench.agent.note_probe(is_refused=False, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
     await trio.sleep(1)
 
-    bench.agent.note_probe(is_refused=True, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.REFUSED, checked_at=trio.current_time())
 
     [data] = bench.to_callers()
     reset = EmulatedPacketCodec().decode_from_caller(data)
@@ -506,7 +507,7 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     bench = AgentBench()
-    bench.agent.note_probe(is_refused=False, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
     await trio.sleep(1)
     checked_at = trio.current_time()
     await trio.sleep(0.01)
@@ -514,7 +515,7 @@
     bench.deliver(DeliveryPurpose.CONTINUE, request(1))
     bench.to_callers()
 
-    bench.agent.note_probe(is_refused=True, checked_at=checked_at)
+    bench.agent.note_probe(ProbeOutcome.REFUSED, checked_at=checked_at)
 
     assert bench.to_callers() == []
     assert make_key(1) in bench.agent.table.flows
@@ -524,11 +525,11 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     bench = AgentBench()
-    bench.agent.note_probe(is_refused=False, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
     bench.deliver(DeliveryPurpose.OPEN, OPENING)
     await trio.sleep(0.01)
 
-    bench.agent.note_probe(is_refused=True, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.REFUSED, checked_at=trio.current_time())
 
     expected = ReturnedPacket(reason=ReturnReason.UNANSWERED, data=OPENING)
     assert bench.to_balancers() == [expected]
@@ -538,7 +539,7 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     bench = AgentBench()
-    bench.agent.note_probe(is_refused=True, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.REFUSED, checked_at=trio.current_time())
     await trio.sleep(1)
     open_flow(bench, 1)
     bench.deliver(DeliveryPurpose.CONTINUE, request(1))
@@ -546,7 +547,7 @@
     bench.to_callers()
     await trio.sleep(1)
 
-    bench.agent.note_probe(is_refused=True, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.REFUSED, checked_at=trio.current_time())
 
     assert bench.to_callers() == []
 
@@ -555,8 +556,8 @@
     def __init__(self, *, refuses: bool) -> None:
         self.refuses = refuses
 
-    async def is_refused(self) -> bool:
-        return self.refuses
+    async def probe(self) -> ProbeOutcome:
+        return ProbeOutcome.REFUSED if self.refuses else ProbeOutcome.ACCEPTED
 
 
 @pytest.mark.parametrize("refuses", [False, True])
@@ -574,7 +575,7 @@
         backend_socket=cast("UdpSocket", bench.backend_socket),
         probe=cast("BackendProbe", FakeProbe(refuses=refuses)),
     )
-    bench.agent.note_probe(is_refused=False, checked_at=trio.current_time())
+    bench.agent.note_probe(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
     await trio.sleep(1)
 
     await program.drain()
