Keep the flows of a backend server that accepts connections but stays silent

All packets to one host were lost for three seconds, those of the backend server to its own agent among them; two openings stayed without a reaction, and the agent gave its flows up as lost. A backend server that accepted a connection since then is silent, not gone: new flows avoid it as before, open ones stay.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -52,8 +52,9 @@
         self.probed_at = float("-inf")
         # Whether the last probe was refused, and nothing came since.
         self.is_refused = False
-        # Whether a connection was accepted since the last proof of an end.
+        # Whether a connection was accepted since the last proof of an end, and when.
         self.was_accepted = False
+        self.accepted_at = float("-inf")
         # Whether the backend server is proved to have ended, and nothing came since.
         self.has_ended = False
 
@@ -84,6 +85,7 @@
         self.is_refused = outcome is ProbeOutcome.REFUSED
         if outcome is ProbeOutcome.ACCEPTED:
             self.was_accepted = True
+            self.accepted_at = now
             self.has_ended = False
         elif self.was_accepted and now - self.heard_at > QUIET_S:
             self.was_accepted = False
@@ -112,9 +114,18 @@
         self.ticked_at = now
 
     def is_gone(self) -> bool:
-        """Whether the backend server reacts to nothing, or has ended."""
+        """
+        Whether the backend server has ended, or seems to have.
+
+        One that accepts connections lives, and holds its flows, even if its packets
+        don't come through.
+        """
         if self.has_ended:
             return True
+        return self.is_silent() and self.accepted_at < self.unanswered_since
+
+    def is_silent(self) -> bool:
+        """Whether the backend server left opening packets without any reaction."""
         if self.unanswered < MIN_UNANSWERED:
             return False
         return self.silent_s > GONE_AFTER_S
@@ -123,6 +134,6 @@
         """Whether a new flow may go to the backend server."""
         if self.has_ended:
             return False
-        if not self.is_gone():
+        if not self.is_silent():
             return True
         return self.silent_s % TRIAL_PERIOD_S < GONE_AFTER_S
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
@@ -23,4 +23,7 @@
     # One flow reset that was held: a backend server answered an opening packet late,
     # after another one had opened the flow, and its agent took the flow for its own.
     SoakPlan(seed=28),
+    # Seven flows reset that were held: all packets from a backend server to its agent
+    # were lost for a while, and the agent took its silence for its end.
+    SoakPlan(seed=40),
 )
--- a/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_liveness.py
@@ -88,6 +88,17 @@
     assert liveness.is_worth_trying()
 
 
+def test_a_backend_server_that_accepts_connections_is_not_gone_but_avoided() -> None:
+    liveness = make_liveness(openings=2)
+    tick_until(liveness, 0.2)
+    liveness.note_probe(ProbeOutcome.ACCEPTED, now=0.2)
+
+    tick_until(liveness, 0.8)
+
+    assert not liveness.is_gone()
+    assert not liveness.is_worth_trying()
+
+
 def test_a_silent_probe_shows_nothing() -> None:
     liveness = make_liveness(openings=0)
     liveness.note_probe(ProbeOutcome.SILENT, now=0.0)
