Ask whether an agent holds nothing only when it greets

Read again: the runtime asked it for every datagram of a peer, on the hot path of both programs. The greeter now asks when it sends a greeting, so it also never tells an old answer. The same rule for hosts that are out is said once, and a process that still listens for readers doesn't collect them.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_finder.py
@@ -192,10 +192,9 @@
         """Whether no flow can be held at a host, whatever its agent would answer."""
         if self.members.has_departed(host):
             return True
-        if self.register.is_published(host):
-            return False
-        is_gone = self.register.is_host_gone(host, now=now)
-        return is_gone or self.members.holds_nothing(host)
+        if self.register.is_host_gone(host, now=now):
+            return True
+        return self.members.holds_nothing(host) and not self.register.is_published(host)
 
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -104,6 +104,7 @@
     async def run(self, program: PacketProgram) -> None:
         """Serve until a signal ends the process."""
         self.program = program
+        self.greeter.holds_nothing = lambda: program.holds_nothing
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
@@ -176,7 +177,6 @@
     def _take(self, host: str, message: Message) -> None:
         if self.program is None or self.nursery is None:
             return
-        self.greeter.holds_nothing = self.program.holds_nothing
         if isinstance(message, Greeting):
             self.greeter.take(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
--- a/packages/oleanderweir/src/oleanderweir/peering/greeter.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/greeter.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from oleanderweir.desired_state import ReaderStatus
@@ -88,8 +89,8 @@
         self.random_source = random_source
         self.fetching: set[Topic] = set()
         self.started_at = float("-inf")
-        # Whether this is an agent whose backend server has ended.
-        self.holds_nothing = False
+        # Tells whether this is an agent whose backend server has ended.
+        self.holds_nothing: Callable[[], bool] = lambda: False
         # Whether the others were told that this process reads.
         self.is_reading = False
         self.patience_s = READER_PATIENCE_S[role]
@@ -109,13 +110,13 @@
         return self.status.is_connected and self.status.should_read
 
     def _is_reader(self) -> bool:
+        if trio.current_time() - self.started_at < self.patience_s:
+            return False
         readers = [
             host
             for host, member in self.members.members.items()
             if member.greeting.reads_source
         ]
-        if trio.current_time() - self.started_at < self.patience_s:
-            return False
         if self.role is PeerRole.AGENT:
             # Only balancers keep in touch with all; an agent reads for itself alone.
             return not readers
@@ -204,7 +205,7 @@
             agents=self._sample(PeerRole.AGENT) if names else (),
             wants_answer=wants_answer,
             reads_source=self.reads_source,
-            holds_nothing=self.holds_nothing,
+            holds_nothing=self.holds_nothing(),
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
