Log claims, changed owners and the state of lost flows

A reset could not be traced to its hypothesis: neither a claim of an agent nor the state of the flow at a return was logged, and a balancer whose cache got another owner said nothing. No decision is changed.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_transport.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_transport.py
@@ -67,18 +67,32 @@
             encode_message(message), (host, self.settings.peer_port)
         )
 
-    def send_owner_notice(self, host: str, key: FlowKey) -> None:
-        """Notify a balancer that the backend server holds a flow."""
+    def send_owner_notice(self, host: str, key: FlowKey, **inputs: object) -> None:
+        """Notify a peer that the backend server holds a flow; log the inputs."""
         self.send(host, OwnerNotice(key=key))
+        logger.info(
+            "flow claimed",
+            extra={
+                "code": "flow_claimed",
+                "flow": describe_flow(key),
+                "balancer": host,
+                **inputs,
+            },
+        )
 
     def deliver(self, host: str, data: bytes, *, purpose: DeliveryPurpose) -> None:
         """Send a caller's packet to another agent in a ``Delivery``."""
         self.send(host, Delivery(purpose=purpose, version=0, data=data))
 
     def return_packet(
-        self, host: str, key: FlowKey, data: bytes, reason: ReturnReason
+        self,
+        host: str,
+        key: FlowKey,
+        data: bytes,
+        reason: ReturnReason,
+        **inputs: object,
     ) -> None:
-        """Return an unserved packet to the balancer that sent it; log the reason."""
+        """Return an unserved packet to its balancer; log the reason and the inputs."""
         self.send(host, ReturnedPacket(reason=reason, data=data))
         logger.info(
             "packet returned to the balancer",
@@ -87,5 +101,6 @@
                 "reason_code": reason.name,
                 "flow": describe_flow(key),
                 "balancer": host,
+                **inputs,
             },
         )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -76,6 +76,14 @@
         ahead = (sequence - self.received_up_to) % SEQUENCE_MODULUS
         return not 0 < ahead < SEQUENCE_MODULUS // 2
 
+    def describe_progress(self) -> dict[str, bool]:
+        """Return how far the flow is established, as inputs of log lines."""
+        return {
+            "is_answered": self.is_answered,
+            "is_confirmed": self.is_confirmed,
+            "is_established": self.is_established,
+        }
+
     @property
     def is_closed(self) -> bool:
         """Whether both sides have closed the flow."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -151,7 +151,12 @@
         elif self.liveness.is_down():
             self._remove_flow(packet.key, now=now)
             self.transport.return_packet(
-                host, packet.key, packet.data, ReturnReason.LOST
+                host,
+                packet.key,
+                packet.data,
+                ReturnReason.LOST,
+                **flow.describe_progress(),
+                has_stopped=self.liveness.has_stopped,
             )
         else:
             self._update_from_caller(host, flow, packet, now=now)
@@ -159,7 +164,9 @@
                 self.liveness.on_payload(now=now)
             self.dispatcher.dispatch(flow, packet, now=now)
             if message.purpose is DeliveryPurpose.QUERY:
-                self.transport.send_owner_notice(host, packet.key)
+                self.transport.send_owner_notice(
+                    host, packet.key, **flow.describe_progress()
+                )
 
     def _check_ownership(
         self, host: str, packet: Packet, message: Delivery, *, now: float
@@ -237,7 +244,9 @@
         flow.is_answered = True
         flow.is_established = flow.is_established or flow.is_confirmed or bool(host)
         if check is not None:
-            self.transport.send_owner_notice(host, packet.key)
+            self.transport.send_owner_notice(
+                host, packet.key, **flow.describe_progress()
+            )
             self.dispatcher.on_ownership_confirmed(flow, check, now=now)
         if packet.is_acknowledging:
             self.dispatcher.on_acknowledged(flow, packet.acknowledged)
@@ -268,7 +277,9 @@
         elif flow is not None and not (flow.is_confirmed and flow.is_closed):
             # A backend server that held the flow and returns its packet was restarted.
             reason = ReturnReason.LOST if flow.is_established else ReturnReason.NOT_HELD
-            self.transport.return_packet(flow.balancer, key, data, reason)
+            self.transport.return_packet(
+                flow.balancer, key, data, reason, **flow.describe_progress()
+            )
 
     def _on_returned_opening(
         self, flow: HeldFlow | None, key: FlowKey, data: bytes, *, now: float
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -100,12 +100,18 @@
         if isinstance(message, LoadReport):
             self.placement.record_report(host, message, now=now)
         elif isinstance(message, OwnerNotice):
-            owner = message.host or host
-            self.cache.put(message.key, owner, now=now)
-            self.owner_lookup.on_owner(owner, message.key, now=now)
+            self._on_owner(message.host or host, message.key, now=now)
         elif isinstance(message, ReturnedPacket):
             self._on_returned_packet(host, message, now=now)
 
+    def _on_owner(self, owner: str, key: FlowKey, *, now: float) -> None:
+        """Cache the owner of a flow, and complete its lookup."""
+        cached = self.cache.flows.get(key)
+        if cached is not None and cached.agent != owner:
+            self.transport.log("owner_changed", key, agent=owner, before=cached.agent)
+        self.cache.put(key, owner, now=now)
+        self.owner_lookup.on_owner(owner, key, now=now)
+
     def on_state_change(self, topic: Topic) -> None:
         """Update the fleet size, send deferred queries and forward queued packets."""
         del topic
