Show that an agent claims a half-open flow on a query

What callers see: a flow that is open at one backend server is sent to another one that had answered its opening packet too, and can be reset there. Cause: _on_flow_packet sends an owner notice for each query of a flow in its table, although a half-open flow proves nothing. Evidence: the new test fails on this code with one OwnerNotice.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -625,3 +625,20 @@
     [denial] = bench.to_peers()
     assert isinstance(denial, ReturnedPacket)
     assert denial.reason is ReturnReason.NOT_HELD
+
+
+async def test_a_half_open_flow_is_not_claimed_before_its_backend_server_answers() -> (
+    None
+):
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    # The caller has acknowledged the answer of another backend server.
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    assert bench.to_peers() == []
+
+    bench.agent.on_backend_packet(encode_returned(payload_bytes=900, acknowledged=6))
+
+    assert bench.to_peers() == [
+        ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    ]
