Show that a late answer to an opening packet makes a half-open flow lost

What callers see: a reset of a flow that another backend server holds. Cause: _update_from_backend takes the answer to an opening packet for a proof of an established flow, if the caller's next packet was forwarded before; the backend server then returns that packet as not held. Evidence: the new test fails on this code for continued and queried packets (LOST).

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -642,3 +642,20 @@
     assert bench.to_peers() == [
         ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
     ]
+
+
+@pytest.mark.parametrize("purpose", [DeliveryPurpose.CONTINUE, DeliveryPurpose.QUERY])
+async def test_a_late_answer_to_an_opening_packet_does_not_make_its_flow_lost(
+    purpose: DeliveryPurpose,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    # Another backend server has opened the flow; this one answers the opening packet
+    # before it returns the caller's next packet.
+    bench.deliver(purpose, REQUEST)
+    bench.agent.on_backend_packet(OPENED)
+
+    bench.agent.on_backend_packet(encode_returned(payload_bytes=900, acknowledged=6))
+
+    returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
+    assert returned == [ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)]
