Show that an agent resets a half-open flow when its backend server stops

What callers see: a reset of a flow that another backend server holds, when a backend server that had also answered its opening packet stops. Cause: the flow counts as established after a late answer to its opening packet, and _reset_lost_flow resets it without asking any other agent. Evidence: the new test fails on this code with one reset.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -659,3 +659,20 @@
 
     returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
     assert returned == [ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)]
+
+
+async def test_a_stopped_backend_server_resets_no_flow_that_it_had_only_half_open(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    # The flow was opened elsewhere; the query is lost before its return.
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    bench.agent.on_backend_packet(OPENED)
+    bench.to_callers()
+    await trio.sleep(1.0)
+
+    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
+
+    assert bench.to_callers() == []
