Show that a half-open flow counts as lost while a backend server is down

What callers see: a reset of a flow that another backend server holds. Cause: while the backend server is down, _on_flow_packet returns every packet of a flow in its table as LOST, also of a flow that was never established. Evidence: the new test fails on this code (LOST).

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -676,3 +676,19 @@
     bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
 
     assert bench.to_callers() == []
+
+
+async def test_a_half_open_flow_is_not_lost_when_the_backend_server_is_down(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    await simulate_backend_crash(bench)
+    bench.to_peers()
+
+    # The caller has acknowledged the answer of another backend server.
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+
+    returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
+    assert returned == [ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)]
