--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -692,3 +692,18 @@
 
     returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
     assert returned == [ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)]
+
+
+async def test_a_copy_of_an_answered_opening_packet_is_not_returned() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=1)
+    bench.agent.on_backend_packet(OPENED)
+    draining = backend_document(host="10.0.0.1", state="draining")
+    publish(bench.register, backends={"b1": draining}, revision=20)
+
+    # A balancer that gets the copy back opens the flow a second time elsewhere.
+    copy = encode_packet(KEY, is_opening=True, acknowledged=1)
+    bench.deliver(DeliveryPurpose.OPEN, copy, version=1)
+
+    assert bench.to_peers() == []
