Show that a paused agent returns an opening packet that was answered

What callers see: two backend servers answer an opening packet, the condition of false resets. Cause: _return_openings measures OPENING_TIMEOUT_S by the clock, also over a pause of its own process; BackendLiveness excludes such pauses. Evidence: the new test fails on this code (UNANSWERED).

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -707,3 +707,19 @@
     bench.deliver(DeliveryPurpose.OPEN, copy, version=1)
 
     assert bench.to_peers() == []
+
+
+async def test_an_answer_that_waited_in_the_socket_during_a_pause_counts_as_in_time(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.agent.on_tick()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    # The process is paused; the tick runs before the waiting answer is read.
+    await trio.sleep(0.5)
+
+    bench.agent.on_tick()
+    bench.agent.on_backend_packet(OPENED)
+
+    returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
+    assert returned == []
