Show that a rejected opening packet resets a flow that opened meanwhile

What callers see: a reset of a flow that has just opened at a backend server whose answer came after OPENING_TIMEOUT_S. Cause: _retry_opening and _place don't know that the caller has sent packets other than the opening packet.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -575,3 +575,19 @@
 
         assert {host for host, _ in bench.deliveries()} == {"10.0.0.1", "10.0.0.2"}
         nursery.cancel_scope.cancel()
+
+
+async def test_a_rejected_opening_packet_resets_no_flow_that_opened_meanwhile() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(first, _)] = bench.deliveries()
+    bench.return_packet(first, ReturnReason.UNANSWERED, OPENING)
+    [(second, _)] = bench.deliveries()
+    # The first backend server answered late, and the caller acknowledged its answer.
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.socket.pop_sent()
+
+    bench.return_packet(second, ReturnReason.FULL, OPENING)
+
+    assert bench.resets() == []
