Show that a returned copy of an opening packet moves an open flow

What callers see: the packets of an open flow go to another backend server. Cause: _on_returned_packet discards the owner's cache entry for any returned packet, and _retry_opening places the copy though the flow is open. Evidence: the new test fails on this code with one OPEN delivery to another agent.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -591,3 +591,22 @@
     bench.return_packet(second, ReturnReason.FULL, OPENING)
 
     assert bench.resets() == []
+
+
+async def test_a_returned_copy_of_an_opening_packet_does_not_move_an_open_flow() -> (
+    None
+):
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(owner, _)] = bench.deliveries()
+    copy = encode_packet(KEY, is_opening=True, acknowledged=1)
+    bench.balancer.on_caller_packet(copy)
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.return_packet(owner, ReturnReason.DRAINING, copy)
+
+    assert bench.deliveries() == []
+    bench.balancer.on_caller_packet(REQUEST)
+    assert owner in {host for host, _ in bench.deliveries()}
