Show that a late negative lookup resets a flow whose owner was found

What callers see: a reset of an open flow in a fleet with delegated lookups. Cause: _on_returned_packet passes HELD_NOWHERE to the lookup without looking at the cache, and on_no_owner opens a new lookup to fail it. Evidence: the new test fails on this code with one reset.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -610,3 +610,21 @@
     assert bench.deliveries() == []
     bench.balancer.on_caller_packet(REQUEST)
     assert owner in {host for host, _ in bench.deliveries()}
+
+
+async def test_a_late_negative_lookup_resets_no_flow_whose_owner_was_found(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(first, _)] = bench.deliveries()
+    await trio.sleep(0.2)
+    bench.balancer.retry_lookups()
+    [(second, _)] = bench.deliveries()
+    bench.balancer.on_message(second, OwnerNotice(key=KEY, host="10.0.0.7"))
+    bench.deliveries()
+
+    bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert bench.resets() == []
