Show that a restarted backend server counts as departed

What callers see: a reset of an open flow when a backend server was replaced on its host within MEMBER_LEASE_S. Cause: a departure ends only with a message of the agent, and agents send none to other agents (delegates) on their own. Evidence: the new test fails on this code with one reset.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -628,3 +628,24 @@
     bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_restarted_backend_server_of_a_departed_agent_delays_a_reset(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.record_departure("10.0.0.2")
+    await trio.sleep(1.0)
+    # Started and published after the departure; its agent's messages were lost.
+    backends = {
+        "b0": backend_document(host="10.0.0.1"),
+        "b2": backend_document(host="10.0.0.2", started_at_ms=5000),
+    }
+    bench.publish(backends=backends, revision=20)
+    bench.balancer.on_caller_packet(REQUEST)
+    assert "10.0.0.2" in {host for host, _ in bench.deliveries()}
+
+    bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
