Claim a flow, or report it lost, only if its backend server has proved that it holds it

What callers saw: an open flow was reset, or its packets went to another backend server.

Cause: an agent took its own entry of a flow for ownership. The entry exists as soon as an opening packet is forwarded; two agents have one if the first answer was late, or if copies of the opening packet took two ways.

Class: presence in a local table taken for proof of ownership. Now only a packet other than the answer to an opening packet, sent after the caller's next packet or for an ownership check, is proof. A query of a flow without it is forwarded as an ownership check, which the backend server answers or returns. LOST needs the proof, too; otherwise the packet is returned as NOT_HELD, and the lookup goes on.

Ruled out: the balancers' side alone, since a true LOST must reset at once.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -150,23 +150,39 @@
             self._check_ownership(host, packet, message, now=now)
         elif self.liveness.is_down():
             self._remove_flow(packet.key, now=now)
-            self.transport.return_packet(
-                host,
-                packet.key,
-                packet.data,
-                ReturnReason.LOST,
-                **flow.describe_progress(),
-                has_stopped=self.liveness.has_stopped,
+            self._return_unheld(host, flow, packet.data)
+        elif message.purpose is not DeliveryPurpose.QUERY:
+            self._forward(host, flow, packet, now=now)
+        elif flow.is_established:
+            self._forward(host, flow, packet, now=now)
+            self.transport.send_owner_notice(
+                host, packet.key, **flow.describe_progress()
             )
         else:
+            # The caller may have acknowledged another backend server's answer.
             self._update_from_caller(host, flow, packet, now=now)
-            if packet.payload_bytes:
-                self.liveness.on_payload(now=now)
-            self.dispatcher.dispatch(flow, packet, now=now)
-            if message.purpose is DeliveryPurpose.QUERY:
-                self.transport.send_owner_notice(
-                    host, packet.key, **flow.describe_progress()
-                )
+            self.ownership.start(host, packet, now=now)
+
+    def _forward(
+        self, host: str, flow: HeldFlow, packet: Packet, *, now: float
+    ) -> None:
+        """Forward a packet of a flow in the table to the backend server."""
+        self._update_from_caller(host, flow, packet, now=now)
+        if packet.payload_bytes:
+            self.liveness.on_payload(now=now)
+        self.dispatcher.dispatch(flow, packet, now=now)
+
+    def _return_unheld(self, host: str, flow: HeldFlow, data: bytes) -> None:
+        """Return a packet of a flow that the backend server doesn't hold any more."""
+        self.transport.return_packet(
+            host,
+            flow.key,
+            data,
+            # Another backend server may hold a flow that was only opened here.
+            ReturnReason.LOST if flow.is_established else ReturnReason.NOT_HELD,
+            **flow.describe_progress(),
+            has_stopped=self.liveness.has_stopped,
+        )
 
     def _check_ownership(
         self, host: str, packet: Packet, message: Delivery, *, now: float
@@ -242,7 +258,8 @@
         host = "" if check is None else check.balancer
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
         flow.is_answered = True
-        flow.is_established = flow.is_established or flow.is_confirmed or bool(host)
+        if not packet.is_opening and (flow.is_confirmed or check is not None):
+            flow.is_established = True
         if check is not None:
             self.transport.send_owner_notice(
                 host, packet.key, **flow.describe_progress()
@@ -276,10 +293,7 @@
             )
         elif flow is not None and not (flow.is_confirmed and flow.is_closed):
             # A backend server that held the flow and returns its packet was restarted.
-            reason = ReturnReason.LOST if flow.is_established else ReturnReason.NOT_HELD
-            self.transport.return_packet(
-                flow.balancer, key, data, reason, **flow.describe_progress()
-            )
+            self._return_unheld(flow.balancer, flow, data)
 
     def _on_returned_opening(
         self, flow: HeldFlow | None, key: FlowKey, data: bytes, *, now: float
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -723,3 +723,14 @@
 
     returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
     assert returned == []
+
+
+async def test_a_half_open_flow_is_claimed_once_its_backend_server_answers() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    bench.agent.on_backend_packet(ANSWER)
+
+    assert bench.to_peers() == [OwnerNotice(key=KEY)]
