Forward copies of an opening packet that its backend server has answered

What callers saw: the packets of a flow that had just been opened went to another backend server. Cause: a copy of the opening packet was admitted anew. If the backend server had begun to drain, or was saturated, since the first copy, the agent returned it, and the balancer opened the flow a second time elsewhere, while the caller acknowledged the first answer. Class: a decision that was made once is made again from newer state. Evidence: test_a_copy_of_an_answered_opening_packet_is_not_returned failed before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -121,12 +121,8 @@
         if existing is not None and existing.is_confirmed:
             # A late copy: the flow is open already.
             return
-        reason = self.admission.check(packet.key, version=message.version)
-        if reason is None and not self.liveness.allows_new_flows():
-            reason = ReturnReason.FULL
-        is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
-        if reason is None and is_first and self.dispatcher.is_saturated:
-            reason = ReturnReason.BUSY
+        reason = self._find_rejection(existing, packet, message)
+        if reason is ReturnReason.BUSY:
             # The balancer placed the flow by an older report: send it a new one.
             self.transport.send(host, self._make_report(now))
         if reason is not None:
@@ -141,6 +137,21 @@
         self.liveness.on_opening(now=now)
         self.transport.forward_to_backend(packet.data)
 
+    def _find_rejection(
+        self, existing: HeldFlow | None, packet: Packet, message: Delivery
+    ) -> ReturnReason | None:
+        """Return why an opening packet can't be forwarded, or None if it can."""
+        if existing is not None and existing.is_answered and not existing.is_closed:
+            # A copy: the caller may be acknowledging the answer to the first one.
+            return None
+        reason = self.admission.check(packet.key, version=message.version)
+        if reason is None and not self.liveness.allows_new_flows():
+            reason = ReturnReason.FULL
+        is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
+        if reason is None and is_first and self.dispatcher.is_saturated:
+            reason = ReturnReason.BUSY
+        return reason
+
     def _on_flow_packet(
         self, host: str, packet: Packet, message: Delivery, *, now: float
     ) -> None:
