Restart the timeouts of opening packets after a pause of the agent

What callers saw: two backend servers answered the opening packet of one flow, the condition of the false resets. Cause: an agent that was suspended, or started with packets in its socket, measured the 60 ms for an answer over its own pause and returned the opening packet before it read the answer. Evidence: test_an_answer_that_waited_in_the_socket_during_a_pause_counts_as_in_time failed before. The liveness of the backend server already left pauses out.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -345,6 +345,8 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
+        if self.liveness.was_paused:
+            self._restart_opening_timeouts(now)
         self._return_openings(now - OPENING_TIMEOUT_S)
         if self.liveness.is_down() or self.holds_no_flows:
             self.ownership.deny_all()
@@ -453,6 +455,11 @@
             },
         )
 
+    def _restart_opening_timeouts(self, now: float) -> None:
+        """Give unanswered opening packets their whole timeout again."""
+        for flow in self.openings.values():
+            flow.opened_at = now
+
     def _return_openings(self, limit: float) -> None:
         """Return opening packets from ``limit`` or before that are still unanswered."""
         now = trio.current_time()
