Ignore returned opening packets of flows that are open

What callers saw: a reset of a flow that had just opened at a backend server whose answer was late, or its packets at another backend server. Cause: a balancer treats an opening packet that an agent returns as a flow that isn't open: it forgets the owner, places the flow elsewhere, and resets it as refused_everywhere or no_backend_server after the last try. It had forwarded later packets of the flow already, which a caller sends only after an answer.

The cache now records that a caller has sent such a packet, or that an agent has claimed the flow; a flow whose owner is being looked up is open, too. The first attempt of a flow stays as it was.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
@@ -13,10 +13,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class CachedFlow:
-    """The agent of a flow; ``used_at`` is trio time in seconds."""
+    """
+    The agent of a flow; ``used_at`` is trio time in seconds.
+
+    ``is_open`` is set once the caller has acknowledged the opening, or an agent has
+    claimed the flow.
+    """
 
     agent: str
     used_at: float
+    is_open: bool = False
 
 
 class FlowCache:
@@ -26,9 +32,14 @@
         self.idle_timeout_s = idle_timeout_s
         self.flows: dict[FlowKey, CachedFlow] = {}
 
-    def put(self, key: FlowKey, agent: str, *, now: float) -> None:
+    def put(self, key: FlowKey, agent: str, *, now: float, is_open: bool) -> None:
         """Store the agent of a flow."""
-        self.flows[key] = CachedFlow(agent=agent, used_at=now)
+        self.flows[key] = CachedFlow(agent=agent, used_at=now, is_open=is_open)
+
+    def is_open(self, key: FlowKey) -> bool:
+        """Whether a flow is cached as open."""
+        flow = self.flows.get(key)
+        return flow is not None and flow.is_open
 
     def get(self, key: FlowKey, *, now: float) -> CachedFlow | None:
         """Return the entry of a flow and restart its idle time."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -92,6 +92,7 @@
         if flow is None:
             self.owner_lookup.look_up(packet, now=now)
         else:
+            flow.is_open = True
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
     def on_message(self, host: str, message: Message) -> None:
@@ -109,7 +110,7 @@
         cached = self.cache.flows.get(key)
         if cached is not None and cached.agent != owner:
             self.transport.log("owner_changed", key, agent=owner, before=cached.agent)
-        self.cache.put(key, owner, now=now)
+        self.cache.put(key, owner, now=now, is_open=True)
         self.owner_lookup.on_owner(owner, key, now=now)
 
     def on_state_change(self, topic: Topic) -> None:
@@ -163,7 +164,7 @@
             self.attempts.pop(key, None)
             self.transport.send_reset(packet, reason="no_backend_server")
             return
-        self.cache.put(key, record.host, now=now)
+        self.cache.put(key, record.host, now=now, is_open=False)
         purpose = DeliveryPurpose.OPEN
         if attempts.must_accept(record.host):
             purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
@@ -205,13 +206,16 @@
         packet = self.codec.decode_from_caller(returned.data)
         if packet is None:
             return
-        flow = self.cache.flows.get(packet.key)
-        if flow is not None and flow.agent == host:
-            self.cache.discard(packet.key)
         reason = returned.reason
         self.transport.log(
             "packet_returned", packet.key, agent=host, reason=reason.name
         )
+        if packet.is_opening and self._is_open(packet.key):
+            # The caller has acknowledged the answer to another copy.
+            return
+        flow = self.cache.flows.get(packet.key)
+        if flow is not None and flow.agent == host:
+            self.cache.discard(packet.key)
         if packet.is_opening:
             self._retry_opening(host, packet, reason, now=now)
         elif reason is ReturnReason.HELD_NOWHERE:
@@ -228,6 +232,10 @@
         else:
             self.owner_lookup.on_denial(host, packet, now=now)
 
+    def _is_open(self, key: FlowKey) -> bool:
+        """Whether the caller has sent packets after the opening packet of a flow."""
+        return self.cache.is_open(key) or self.owner_lookup.is_in_progress(key)
+
     def _retry_opening(
         self, host: str, packet: Packet, reason: ReturnReason, *, now: float
     ) -> None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -56,6 +56,10 @@
         self.use_delegate = use_delegate
         self.lookups = LookupTable()
 
+    def is_in_progress(self, key: FlowKey) -> bool:
+        """Whether the owner of a flow is being looked up."""
+        return key in self.lookups.lookups
+
     def look_up(self, packet: Packet, *, now: float) -> None:
         """Query agents for the owner of a packet's flow, or buffer the packet."""
         if packet.is_reset:
