Keep a flow whose owner was found when an earlier delegate finds none

What callers saw: a reset of an open flow in a fleet with delegated lookups. Cause: a lookup that is retried has several delegates. The first one to finish may report that no agent holds the flow, from older state, after another one has named the owner; the balancer opened a new lookup for that report and failed it. Now the packet goes to the cached owner, which denies it if that is wrong. Evidence: test_a_late_negative_lookup_resets_no_flow_whose_owner_was_found failed before.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -219,7 +219,7 @@
         if packet.is_opening:
             self._retry_opening(host, packet, reason, now=now)
         elif reason is ReturnReason.HELD_NOWHERE:
-            self.owner_lookup.on_no_owner(packet, now=now)
+            self._on_no_owner(packet, now=now)
         elif reason is ReturnReason.LOST and flow is not None and flow.agent == host:
             self.transport.send_reset(packet, reason="flow_lost")
         elif reason is ReturnReason.NOT_TRIED:
@@ -232,6 +232,14 @@
         else:
             self.owner_lookup.on_denial(host, packet, now=now)
 
+    def _on_no_owner(self, packet: Packet, *, now: float) -> None:
+        """Fail the lookup of a flow, unless its owner was found in the meantime."""
+        flow = self.cache.flows.get(packet.key)
+        if flow is None:
+            self.owner_lookup.on_no_owner(packet, now=now)
+        else:
+            self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
+
     def _is_open(self, key: FlowKey) -> bool:
         """Whether the caller has sent packets after the opening packet of a flow."""
         return self.cache.is_open(key) or self.owner_lookup.is_in_progress(key)
