Let the stand-in of the store return from an older copy

- Every response carries the header Store-Era; each restore raises it by one.
- restore() returns entries, history and the revision to an earlier revision and closes all connections.
A watch from a revision above the store's gets 410.

--- a/tests/oleanderweir_standins/test_store_stand_in.py
+++ b/tests/oleanderweir_standins/test_store_stand_in.py
@@ -1,11 +1,14 @@
 from __future__ import annotations
 
 import math
+import random
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+import httpx
 import pytest
 import trio
+import trio.testing
 
 from oleanderweir.desired_state import BackendState
 from oleanderweir.desired_state import HistoryLostError
@@ -39,9 +42,9 @@
         for topic in Topic:
             self.register.apply_listing(await self.client.list(topic), origin="test")
 
-    async def watch(self, topic: Topic) -> None:
+    async def watch(self, topic: Topic, *, wait_s: float = 0.2) -> None:
         changes = await self.client.watch(
-            topic, after=self.register.revision(topic), wait_s=0.2
+            topic, after=self.register.revision(topic), wait_s=wait_s
         )
         self.register.apply_changes(changes, origin="test")
 
@@ -112,3 +115,72 @@
 
         address = SocketAddress(host="127.0.0.1", port=other)
         assert await StoreClient(address=address).list(Topic.DESIRED_STATE)
+
+
+@pytest.mark.parametrize(
+    ("condition", "after", "status"),
+    [
+        (StoreCondition.SERVING, 1, 200),
+        (StoreCondition.SERVING, 1000, 410),
+        (StoreCondition.BUSY, 1, 503),
+    ],
+)
+async def test_every_response_has_the_era_of_the_store(
+    condition: StoreCondition, after: int, status: int
+) -> None:
+    async with open_store() as harness, httpx.AsyncClient() as client:
+        harness.store.conditions[harness.port] = condition
+        url = f"http://127.0.0.1:{harness.port}/v1/kv-watch"
+        target = f"{url}?Prefix=servers/&after={after}&WaitMs=1"
+
+        first = await client.get(target)
+        harness.store.restore(revision=2, random_source=random.Random(1))
+        second = await client.get(target)
+
+        assert (first.status_code, first.headers["Store-Era"]) == (status, "1")
+        assert second.headers["Store-Era"] == "2"
+
+
+async def test_a_watch_from_a_revision_that_a_restore_lost_fails() -> None:
+    async with open_store() as harness:
+        # The lost revisions outnumber the writes that follow the restore.
+        for _ in range(3):
+            harness.store.write_backend_server(make_record("b1"))
+        await harness.list()
+
+        harness.store.restore(revision=2, random_source=random.Random(1))
+
+        with pytest.raises(HistoryLostError):
+            await harness.watch(Topic.BACKEND_SERVERS)
+
+
+async def test_a_restore_cuts_waiting_watches() -> None:
+    async with open_store() as harness:
+        await harness.list()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_restore_once_connected, harness.store)
+
+            with pytest.raises(SourceUnavailableError):
+                await harness.watch(Topic.BACKEND_SERVERS, wait_s=10)
+
+
+async def test_a_store_restored_from_a_recent_copy_lists_earlier_documents(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    async with trio.open_nursery() as nursery:
+        store = StoreStandIn(nursery=nursery)
+        store.write_backend_server(make_record("b1"))
+        await trio.sleep(2)
+        store.write_backend_server(make_record("b2"))
+        await trio.sleep(2)
+
+        store.restore(revision=store.revision_before(3), random_source=random.Random(1))
+
+        assert store.contents.entries.keys() == {"servers/b1"}
+        nursery.cancel_scope.cancel()
+
+
+async def _restore_once_connected(store: StoreStandIn) -> None:
+    while not store.connection_scopes:
+        await trio.sleep(0.01)
+    store.restore(revision=2, random_source=random.Random(1))
