--- a/tests/oleanderweir_standins/test_store_stand_in.py
+++ b/tests/oleanderweir_standins/test_store_stand_in.py
@@ -21,6 +21,7 @@
 from oleanderweir_platform.store_documents import StoreDecoder
 from oleanderweir_standins import StoreCondition
 from oleanderweir_standins import StoreStandIn
+from oleanderweir_standins.store_stand_in import ERA_HEADER
 from tests.oleanderweir.desired_state.fakes import make_record
 from tests.oleanderweir.desired_state.fakes import make_route
 
@@ -137,8 +138,8 @@
         harness.store.restore(revision=2, random_source=random.Random(1))
         second = await client.get(target)
 
-        assert (first.status_code, first.headers["Store-Era"]) == (status, "1")
-        assert second.headers["Store-Era"] == "2"
+        assert (first.status_code, first.headers[ERA_HEADER]) == (status, "1")
+        assert second.headers[ERA_HEADER] == "2"
 
 
 async def test_a_watch_from_a_revision_that_a_restore_lost_fails() -> None:
--- a/tests/oleanderweir_standins/test_store_writers.py
+++ b/tests/oleanderweir_standins/test_store_writers.py
@@ -12,6 +12,7 @@
 
 from oleanderweir.desired_state import BackendState
 from oleanderweir_standins.store_contents import StoreContents
+from oleanderweir_standins.store_writers import DESIRED_STATE_KEY
 from oleanderweir_standins.store_writers import LEASE_S
 from oleanderweir_standins.store_writers import REWRITE_PERIOD_S
 from oleanderweir_standins.store_writers import StoreWriters
@@ -80,14 +81,14 @@
         harness.writers.write_routes([make_route(1, "feed")])
         copied = harness.contents.revision
         harness.writers.write_routes([make_route(1, "archive")])
-        newest = harness.document("op/config")
+        newest = harness.document(DESIRED_STATE_KEY)
 
         harness.restore(copied)
-        restored = harness.document("op/config")
+        restored = harness.document(DESIRED_STATE_KEY)
         await trio.sleep(REWRITE_PERIOD_S + MARGIN_S)
 
         assert restored != newest
-        assert harness.document("op/config") == newest
+        assert harness.document(DESIRED_STATE_KEY) == newest
 
 
 async def test_a_new_version_replaces_the_repetition_of_a_lost_one(
@@ -214,4 +215,4 @@
         harness.restore(copied)
         await trio.sleep(REWRITE_PERIOD_S + MARGIN_S)
 
-        assert harness.contents.entries.keys() == {"op/config", "servers/b1"}
+        assert harness.contents.entries.keys() == {DESIRED_STATE_KEY, "servers/b1"}
