Extend lookups of packets without payload to all agents

Cause: to save the cost of packets that follow the end of a flow, a lookup of a packet without payload was dropped after the denials of the candidates. Candidates are only likely owners: a placement leaves out agents that are silent or accept no flows, and hosts that join later rank before the owner. A final packet is repeated by its caller until it is acknowledged; an acknowledgement isn't, but its flow stalls without it.

Now every lookup is extended to all agents; a final packet is treated like payload (retried, and reset after every agent has denied); a mere acknowledgement still causes no reset and no retry.

test_a_packet_without_payload_is_looked_up_once demanded the old behaviour of a final packet. It now uses an acknowledgement, and a test as strict demands retries and the reset for a final one.

--- a/packages/oleanderweir/src/oleanderweir/flows/packet.py
+++ b/packages/oleanderweir/src/oleanderweir/flows/packet.py
@@ -32,3 +32,8 @@
     sequence: int
     acknowledged: int
     payload_bytes: int
+
+    @property
+    def is_retransmitted(self) -> bool:
+        """Whether the sender repeats the packet until the other end acknowledges it."""
+        return self.payload_bytes > 0 or self.is_final
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -73,14 +73,14 @@
         """
         Return the lookups whose queries should be sent again.
 
-        Lookups of packets without payload are not retried: most belong to flows that
-        have just closed, and their callers expect no answer.
+        Lookups of mere acknowledgements are not retried: most belong to flows that have
+        just closed, and their callers expect no answer.
         """
         return [
             lookup
             for lookup in self.lookups.values()
             if lookup.query is not None
-            and lookup.query.payload_bytes
+            and lookup.query.is_retransmitted
             and not lookup.has_no_owner
             and self.is_due(lookup, now=now)
         ]
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -168,17 +168,17 @@
 
     def _widen_or_fail(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Query all agents; fail the lookup if all of them have denied."""
-        if not packet.payload_bytes and not lookup.buffered:
-            # The caller expects no answer to this packet, and its next payload starts
-            # a new lookup. Most such packets belong to flows that have just closed.
-            self.lookups.close(lookup.key)
-            return
         if not lookup.is_fleet_wide:
             lookup.is_fleet_wide = True
             others = self._possible_owners(lookup)
             if not self._is_denied_by_all(lookup, others, now=now):
                 self._send_queries(lookup, packet, others, now=now)
                 return
+        if not packet.is_retransmitted and not lookup.buffered:
+            # The caller expects no answer to an acknowledgement, and its next packet
+            # starts a new lookup. Most of them belong to flows that have just closed.
+            self.lookups.close(lookup.key)
+            return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
 
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 import trio
 import trio.testing
 
@@ -85,6 +86,28 @@
     assert others == set(hosts) - first
 
 
+@pytest.mark.parametrize("is_final", [True, False], ids=["final", "acknowledgement"])
+async def test_packets_without_payload_reach_an_owner_beyond_the_candidates(
+    is_final: bool,
+) -> None:
+    packet = encode_packet(
+        KEY, is_final=is_final, is_acknowledging=True, acknowledged=6
+    )
+    hosts = tuple(f"10.0.0.{number}" for number in range(1, 41))
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in hosts}
+    publish(bench.register, backends=backends)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, packet)
+    first = {address[0] for _, address in bench.peer_socket.pop_sent()}
+
+    for host in first:
+        denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=packet)
+        bench.agent.on_message(host, denial)
+
+    others = {address[0] for _, address in bench.peer_socket.pop_sent()}
+    assert others == set(hosts) - first
+
+
 async def test_an_agent_that_never_replies_does_not_prevent_queries_to_the_others(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -511,26 +511,45 @@
     assert bench.resets() == []
 
 
-async def test_a_packet_without_payload_is_looked_up_once(
+async def test_a_mere_acknowledgement_is_looked_up_once(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     bench = BalancerBench()
     bench.publish()
-    closing = encode_packet(KEY, is_final=True, acknowledged=77)
-    bench.balancer.on_caller_packet(closing)
+    acknowledgement = encode_packet(KEY, is_acknowledging=True, acknowledged=77)
+    bench.balancer.on_caller_packet(acknowledgement)
     queried = [host for host, _ in bench.deliveries()]
     await trio.sleep(0.5)
     bench.balancer.retry_lookups()
     assert bench.deliveries() == []
 
     for host in queried:
-        bench.return_packet(host, ReturnReason.NOT_HELD, closing)
+        bench.return_packet(host, ReturnReason.NOT_HELD, acknowledgement)
 
     assert bench.socket.pop_sent() == []
     bench.balancer.on_caller_packet(REQUEST)
     assert len(bench.deliveries()) == len(queried)
 
 
+async def test_a_final_packet_is_looked_up_until_every_agent_has_denied(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    closing = encode_packet(KEY, is_final=True, acknowledged=77)
+    bench.balancer.on_caller_packet(closing)
+    queried = [host for host, _ in bench.deliveries()]
+    await trio.sleep(0.5)
+    bench.balancer.retry_lookups()
+    assert [host for host, _ in bench.deliveries()] == queried
+
+    for host in queried:
+        assert bench.resets() == []
+        bench.return_packet(host, ReturnReason.NOT_HELD, closing)
+
+    assert len(bench.resets()) == 1
+
+
 async def test_a_loss_reported_by_another_agent_than_the_owner_is_ignored() -> None:
     bench = BalancerBench()
     bench.publish()
