Show that an agent passes on the reset of a backend server that holds no flow

What callers see: a reset of an open flow a few milliseconds after a balancer that doesn't know its owner forwards its packet. A query is forwarded to every candidate's backend server; one on which an earlier flow with the same key ended answers with a reset. The agent takes this for proof, claims the flow and sends the reset to the caller.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -734,3 +734,14 @@
     bench.agent.on_backend_packet(ANSWER)
 
     assert bench.to_peers() == [OwnerNotice(key=KEY)]
+
+
+async def test_a_reset_in_answer_to_an_ownership_check_reaches_no_caller() -> None:
+    bench = AgentBench()
+    # An earlier flow with this key has ended here; the open one is held elsewhere.
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    bench.agent.on_backend_packet(encode_packet(KEY, is_reset=True))
+
+    assert bench.to_callers() == []
+    assert OwnerNotice(key=KEY) not in bench.to_peers()
