Show that a query of a queued request bypasses the queue

Since a query of a flow that is not established is forwarded as an ownership check and not dispatched, also if its request is queued here.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -745,3 +745,17 @@
 
     assert bench.to_callers() == []
     assert OwnerNotice(key=KEY) not in bench.to_peers()
+
+
+async def test_a_query_of_a_queued_request_does_not_bypass_the_queue() -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    for number in range(1, 8):
+        open_flow(bench, number)
+        bench.deliver(DeliveryPurpose.CONTINUE, request(number), version=1)
+    bench.to_backend()
+
+    # The caller sends its queued request again, through another balancer.
+    bench.deliver(DeliveryPurpose.QUERY, request(7), version=1)
+
+    assert bench.to_backend() == []
