Show that a checked request of a half-open flow is not counted

Since the first request of a flow that arrives as a query is counted only with its answer: it holds no slot meanwhile, and its service time is measured as 0.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -759,3 +759,17 @@
     bench.deliver(DeliveryPurpose.QUERY, request(7), version=1)
 
     assert bench.to_backend() == []
+
+
+async def test_a_request_of_a_half_open_flow_holds_a_slot_while_it_is_checked(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+
+    bench.deliver(DeliveryPurpose.QUERY, request(1))
+    assert bench.agent.dispatcher.meter.busy == 1
+
+    await bench.pass_time(0.1)
+    bench.agent.on_backend_packet(answer(1))
+    assert bench.agent.dispatcher.meter.service_s == pytest.approx(0.1)
