Show that a second check of a flow drops the first balancer

A pending ownership check is replaced by the next one of the same flow, so only the last balancer gets the claim.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -7,6 +7,7 @@
 import trio
 import trio.testing
 
+from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import LoadReport
@@ -773,3 +774,18 @@
     await bench.pass_time(0.1)
     bench.agent.on_backend_packet(answer(1))
     assert bench.agent.dispatcher.meter.service_s == pytest.approx(0.1)
+
+
+async def test_a_check_of_a_half_open_flow_notifies_each_balancer_that_queried() -> (
+    None
+):
+    bench = AgentBench()
+    open_flow(bench, 1)
+    query = Delivery(purpose=DeliveryPurpose.QUERY, version=0, data=request(1))
+    bench.agent.on_message("10.0.9.2", query)
+    bench.agent.on_message("10.0.9.3", query)
+
+    bench.agent.on_backend_packet(answer(1))
+
+    notified = {host for _, (host, _) in bench.peer_socket.pop_sent()}
+    assert {"10.0.9.2", "10.0.9.3"} <= notified
