Show that an agent denies queries before it has a listing

What callers see: a reset (flow_not_held) of an open flow. FlowAdmission counts its backend server as unpublished from the first state change, also if that is the desired state and no backend server was listed yet. A restarted agent then denies each query after 2.5 s. Class: a missing state taken for a report.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -789,3 +789,17 @@
 
     notified = {host for _, (host, _) in bench.peer_socket.pop_sent()}
     assert {"10.0.9.2", "10.0.9.3"} <= notified
+
+
+async def test_a_query_is_not_denied_before_backend_servers_were_listed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    # The agent was restarted and has received the desired state only.
+    bench.agent.on_state_change()
+    await bench.pass_time(3.0)
+    bench.to_peers()
+
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    assert bench.to_backend() == [REQUEST]
