--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -803,3 +803,19 @@
     bench.deliver(DeliveryPurpose.QUERY, REQUEST)
 
     assert bench.to_backend() == [REQUEST]
+
+
+async def test_an_answer_that_waited_during_a_short_pause_counts_as_in_time(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.agent.on_tick()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    # Longer than any interval of ticks; the waiting answer is read after the tick.
+    await trio.sleep(0.25)
+
+    bench.agent.on_tick()
+    bench.agent.on_backend_packet(OPENED)
+
+    returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
+    assert returned == []
