--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -819,3 +819,19 @@
 
     returned = [m for m in bench.to_peers() if isinstance(m, ReturnedPacket)]
     assert returned == []
+
+
+async def test_a_refusal_from_before_a_probe_denies_no_later_check(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
+    await trio.sleep(1.0)
+    checked_at = trio.current_time()
+    await trio.sleep(0.1)
+    # The next backend server at the address has started since the probe.
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=checked_at)
+
+    assert bench.to_peers() == []
