--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -689,3 +689,22 @@
     bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_negative_lookup_of_the_owner_itself_is_no_denial_of_its_flow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(first, _)] = bench.deliveries()
+    await trio.sleep(0.2)
+    bench.balancer.retry_lookups()
+    [(second, _)] = bench.deliveries()
+    # The first delegate is the owner, which the second one found.
+    bench.balancer.on_message(second, OwnerNotice(key=KEY, host=first))
+    bench.deliveries()
+
+    bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert bench.resets() == []
