--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -708,3 +708,43 @@
     bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_late_opening_packet_does_not_move_an_open_flow_of_a_silent_agent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.report("10.0.0.1")
+    bench.report("10.0.0.2")
+    bench.balancer.on_caller_packet(OPENING)
+    [(owner, _)] = bench.deliveries()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    await trio.sleep(MIN_SILENCE_S + 0.1)
+    [other] = {"10.0.0.1", "10.0.0.2"} - {owner}
+    bench.report(other)
+
+    bench.balancer.on_caller_packet(encode_packet(KEY, is_opening=True, acknowledged=2))
+    bench.deliveries()
+    bench.balancer.on_caller_packet(REQUEST)
+
+    assert {host for host, _ in bench.deliveries()} == {owner}
+
+
+async def test_a_late_opening_packet_resets_no_open_flow_of_a_silent_agent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=("10.0.0.1",))
+    bench.publish()
+    bench.report("10.0.0.1")
+    bench.balancer.on_caller_packet(OPENING)
+    bench.balancer.on_caller_packet(REQUEST)
+    await trio.sleep(MIN_SILENCE_S + 0.1)
+    draining = backend_document(host="10.0.0.1", state="draining")
+    bench.publish(backends={"b0": draining}, revision=20)
+    bench.socket.pop_sent()
+
+    bench.balancer.on_caller_packet(encode_packet(KEY, is_opening=True, acknowledged=2))
+
+    assert bench.resets() == []
