Show that a new flow with an earlier key is not placed again

Since a returned opening packet is dropped if the cache has an open flow of its key, also if the packet opens a new flow from the same port.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -748,3 +748,23 @@
     bench.balancer.on_caller_packet(encode_packet(KEY, is_opening=True, acknowledged=2))
 
     assert bench.resets() == []
+
+
+async def test_a_new_flow_from_a_port_used_before_is_placed_again_when_returned() -> (
+    None
+):
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    opening = encode_packet(KEY, is_opening=True, sequence=70000)
+    bench.balancer.on_caller_packet(opening)
+    [(former, _)] = bench.deliveries()
+
+    bench.return_packet(former, ReturnReason.DRAINING, opening)
+
+    assert {host for host, _ in bench.deliveries()} == {
+        "10.0.0.1",
+        "10.0.0.2",
+    } - {former}
