Show that an unreadable entry rules its backend server out at once

What callers see: a reset (flow_not_held) of an open flow. An entry that cannot be decoded removes the backend server without removed_at, so is_host_removed counts the grace from the first listing and lookups do not wait for the owner.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -768,3 +768,21 @@
         "10.0.0.1",
         "10.0.0.2",
     } - {former}
+
+
+async def test_an_unreadable_entry_rules_its_backend_server_out_only_after_the_grace(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    # Another writer wrote the entry of a backend server that serves on.
+    backends = {"b0": backend_document(host="10.0.0.1"), "b1": b"not JSON"}
+    bench.publish(backends=backends, revision=20)
+    bench.members.record_heartbeat("10.0.0.2", make_agent_heartbeat())
+    bench.balancer.on_caller_packet(REQUEST)
+    assert "10.0.0.2" in {host for host, _ in bench.deliveries()}
+
+    bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
