--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -786,3 +786,21 @@
     bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_request_behind_an_unanswered_acknowledgement_is_queried(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    # No backend server answers an acknowledgement, so that none proves its ownership.
+    bench.balancer.on_caller_packet(
+        encode_packet(KEY, is_acknowledging=True, acknowledged=77)
+    )
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    await trio.sleep(0.15)
+
+    bench.balancer.retry_lookups()
+
+    assert REQUEST in {message.data for _, message in bench.deliveries()}
