Show that the entry of an ended flow is claimed for a new one

What callers see: the packets of an open flow go to another backend server. The agent keeps an ended flow for 5 s, and is_established stays set: a query of the next flow with the same key is claimed at once. Class: presence in a local table taken for proof of ownership.

--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -835,3 +835,19 @@
     bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=checked_at)
 
     assert bench.to_peers() == []
+
+
+async def test_an_ended_flow_is_not_claimed_for_a_query_of_a_new_one() -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    bench.deliver(DeliveryPurpose.CONTINUE, encode_packet(make_key(1), is_final=True))
+    bench.agent.on_backend_packet(encode_packet(make_key(1), is_final=True))
+    bench.to_callers()
+    bench.to_peers()
+
+    # Another backend server has opened the next flow from the same port.
+    bench.deliver(DeliveryPurpose.QUERY, request(1, sequence=70000))
+
+    assert bench.to_peers() == []
