Return an unanswered opening packet only at the tick after it was overdue

What callers saw: two backend servers with the same flow half open, the condition of several false resets. Cause: an agent returned an opening packet at the first tick after 60 ms; a pause of the process of less than 0.3 s (a long batch, a slow machine) ends with the tick and the answer both due, and the tick may run first. Now a packet that is overdue at one tick is returned at the next, 50 ms later, with a read of the socket in between; pauses need no rule of their own. The state moves to PendingOpenings. One test reached into the dictionary of openings and uses its method now.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -51,8 +51,6 @@
         self.silent_s = 0.0
         self.last_packet_at = float("-inf")
         self.last_tick_at = float("-inf")
-        # Whether this process was paused before its last tick.
-        self.was_paused = False
         # Packets with payload that were forwarded since the last received packet.
         self.unanswered_payloads = 0
         self.unanswered_payloads_since = 0.0
@@ -120,8 +118,7 @@
 
     def on_tick(self, *, now: float) -> None:
         """Extend the time without a packet; restart it if this process was paused."""
-        self.was_paused = now - self.last_tick_at > PAUSE_S
-        if self.was_paused:
+        if now - self.last_tick_at > PAUSE_S:
             self.unanswered_openings = 0
         self.silent_s += now - max(self.last_tick_at, self.unanswered_openings_since)
         self.last_tick_at = now
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -29,6 +29,9 @@
     packet other than the opening packet, and ``is_established`` once the backend server
     has sent a packet after that, or has answered an ownership check.
 
+    ``claimants`` are the hosts that queried the flow before it was established, and
+    ``is_overdue`` is set while an unanswered opening packet is about to be returned.
+
     ``requested_at`` is when the request in flight was started, None if there is none,
     ``busy_at_request`` the number of requests in flight then, itself included,
     ``waited_s`` how long it was queued before, and ``request_expires_at`` when its
@@ -47,6 +50,8 @@
     is_answered: bool = False
     is_confirmed: bool = False
     is_established: bool = False
+    is_overdue: bool = False
+    claimants: set[str] = attrs.field(factory=set)
     requested_at: float | None = None
     request_expires_at: float = 0.0
     waited_s: float = 0.0
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -21,6 +21,7 @@
 from oleanderweir_agent.forwarding.lookup_service import LookupService
 from oleanderweir_agent.forwarding.ownership_checker import NOT_HELD_TTL_S
 from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
+from oleanderweir_agent.forwarding.pending_openings import PendingOpenings
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
@@ -41,9 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-# An opening packet that the backend server has not answered for this long is returned
-# to the balancer, which places the flow elsewhere.
-OPENING_TIMEOUT_S = 0.06
 # How long reports say that the backend server accepts no flows after it rejected an
 # opening packet.
 FULL_PAUSE_S = 0.1
@@ -84,8 +82,7 @@
             codec=codec, register=register, members=members, transport=transport
         )
         self.ownership = OwnershipChecker(transport=transport)
-        # Flows whose opening packet the backend server has not answered yet.
-        self.openings: dict[FlowKey, HeldFlow] = {}
+        self.openings = PendingOpenings()
         self.full_until = float("-inf")
         self.backend_started_at_ms = 0
 
@@ -133,7 +130,7 @@
         flow.balancer = host
         flow.opening = packet.data
         flow.opened_at = now
-        self.openings[flow.key] = flow
+        self.openings.add(flow)
         self.liveness.on_opening(now=now)
         self.transport.forward_to_backend(packet.data)
 
@@ -323,7 +320,7 @@
 
     def _remove_flow(self, key: FlowKey, *, now: float) -> None:
         """Remove a flow with its request."""
-        self.openings.pop(key, None)
+        self.openings.discard(key)
         flow = self.table.remove(key)
         if flow is not None:
             self.dispatcher.drop(flow, now=now)
@@ -345,9 +342,7 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
-        if self.liveness.was_paused:
-            self._restart_opening_timeouts(now)
-        self._return_openings(now - OPENING_TIMEOUT_S)
+        self._return_openings(self.openings.pop_overdue(now=now), now=now)
         if self.liveness.is_down() or self.holds_no_flows:
             self.ownership.deny_all()
         self.lookup_service.retry(now=now)
@@ -395,7 +390,7 @@
             return
         for flow in self.table.idle_since(checked_at):
             self._reset_lost_flow(flow, now=now)
-        self._return_openings(checked_at)
+        self._return_openings(self.openings.pop_sent_before(checked_at), now=now)
         self.ownership.deny_all()
 
     def announce_departure(self) -> None:
@@ -455,19 +450,11 @@
             },
         )
 
-    def _restart_opening_timeouts(self, now: float) -> None:
-        """Give unanswered opening packets their whole timeout again."""
-        for flow in self.openings.values():
-            flow.opened_at = now
-
-    def _return_openings(self, limit: float) -> None:
-        """Return opening packets from ``limit`` or before that are still unanswered."""
-        now = trio.current_time()
-        for flow in list(self.openings.values()):
-            if flow.opening is None or flow.is_answered:
-                del self.openings[flow.key]
-            elif flow.opened_at <= limit:
-                self._remove_flow(flow.key, now=now)
+    def _return_openings(self, flows: list[HeldFlow], *, now: float) -> None:
+        """Return the unanswered opening packets of flows to their balancers."""
+        for flow in flows:
+            self._remove_flow(flow.key, now=now)
+            if flow.opening is not None:
                 self.transport.return_packet(
                     flow.balancer, flow.key, flow.opening, ReturnReason.UNANSWERED
                 )
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -614,7 +614,7 @@
     bench = AgentBench()
     bench.deliver(DeliveryPurpose.OPEN, OPENING)
     bench.to_backend()
-    bench.agent.openings.clear()
+    bench.agent.openings.discard(KEY)
     bench.agent.table.remove(KEY)
     # The flow was opened elsewhere, and a balancer looks up its owner.
     bench.deliver(DeliveryPurpose.QUERY, REQUEST)
