Count a backend server as unpublished only once the backend servers were listed

What callers saw: a reset (flow_not_held) of an open flow. Cause: a restarted agent that had received the desired state but no listing yet took its backend server for unpublished, and denied every query after 2.5 s without asking it. Class: a missing state taken for a report. Evidence: test_a_query_is_not_denied_before_backend_servers_were_listed failed before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -36,7 +36,8 @@
         self.host = host
         self.port = port
         self.record: BackendRecord | None = None
-        # Since when there has been no record, in seconds of trio's clock.
+        # Since when the published backend servers have had no record of this one, in
+        # seconds of trio's clock.
         self.unpublished_since: float | None = None
 
     def update_record(self) -> BackendRecord | None:
@@ -52,7 +53,7 @@
         self.record = max(
             records, key=lambda record: record.started_at_ms, default=None
         )
-        if self.record is not None:
+        if self.record is not None or self.register.listed_at is None:
             self.unpublished_since = None
         elif had_record or self.unpublished_since is None:
             self.unpublished_since = trio.current_time()
