Queue and count a queried request of a half-open flow like any other

Callers saw nothing yet, but load reports were too good. Now such a query takes the usual way, and the hosts that sent one are remembered with the flow until the backend server answers (each gets a claim) or returns it (each gets a denial).

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -37,6 +37,7 @@
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_table import HeldFlow
+    from oleanderweir_agent.forwarding.ownership_check import OwnershipCheck
     from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 
 
@@ -168,14 +169,18 @@
             )
         else:
             # The caller may have acknowledged another backend server's answer.
-            self._update_from_caller(host, flow, packet, now=now)
-            self.ownership.start(host, packet, now=now)
+            flow.claimants.add(host)
+            self._dispatch(flow, packet, now=now)
 
     def _forward(
         self, host: str, flow: HeldFlow, packet: Packet, *, now: float
     ) -> None:
         """Forward a packet of a flow in the table to the backend server."""
         self._update_from_caller(host, flow, packet, now=now)
+        self._dispatch(flow, packet, now=now)
+
+    def _dispatch(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
+        """Send a packet to the backend server, or queue it with its request."""
         if packet.payload_bytes:
             self.liveness.on_payload(now=now)
         self.dispatcher.dispatch(flow, packet, now=now)
@@ -266,13 +271,8 @@
         host = "" if check is None else check.balancer
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
         flow.is_answered = True
-        if not packet.is_opening and (flow.is_confirmed or check is not None):
-            flow.is_established = True
-        if check is not None:
-            self.transport.send_owner_notice(
-                host, packet.key, **flow.describe_progress()
-            )
-            self.dispatcher.on_ownership_confirmed(flow, check, now=now)
+        if not packet.is_opening:
+            self._establish(flow, check, now=now)
         if packet.is_acknowledging:
             self.dispatcher.on_acknowledged(flow, packet.acknowledged)
         if packet.payload_bytes:
@@ -284,6 +284,25 @@
         elif packet.is_final:
             flow.backend_closed = True
 
+    def _establish(
+        self, flow: HeldFlow, check: OwnershipCheck | None, *, now: float
+    ) -> None:
+        """Mark a flow as held, if its caller sent a packet; notify those who asked."""
+        claimants, flow.claimants = flow.claimants, set()
+        if claimants:
+            flow.is_confirmed = True
+            flow.opening = None
+        if check is not None:
+            claimants.add(check.balancer)
+        if not flow.is_confirmed and not claimants:
+            return
+        flow.is_established = True
+        for host in sorted(claimants):
+            flow.balancer = host
+            self.transport.send_owner_notice(host, flow.key, **flow.describe_progress())
+        if check is not None:
+            self.dispatcher.on_ownership_confirmed(flow, check, now=now)
+
     def _on_returned(self, packet: Packet, *, now: float) -> None:
         """Process a packet that the backend server returned unserved."""
         key = packet.key
@@ -296,13 +315,18 @@
         self.ownership.record_not_held(key, now=now)
         self._remove_flow(key, now=now)
         if check is not None:
-            self.transport.return_packet(
-                check.balancer, key, data, ReturnReason.NOT_HELD
-            )
+            self._deny(check.balancer, key, data)
+        elif flow is not None and flow.claimants:
+            for host in sorted(flow.claimants):
+                self._deny(host, key, data)
         elif flow is not None and not (flow.is_confirmed and flow.is_closed):
             # A backend server that held the flow and returns its packet was restarted.
             self._return_unheld(flow.balancer, flow, data)
 
+    def _deny(self, host: str, key: FlowKey, data: bytes) -> None:
+        """Return a packet of a flow that the backend server doesn't hold."""
+        self.transport.return_packet(host, key, data, ReturnReason.NOT_HELD)
+
     def _on_returned_opening(
         self, flow: HeldFlow | None, key: FlowKey, data: bytes, *, now: float
     ) -> None:
