Withhold a backend server's reset of a flow that it never held

Cause, by the protocol and by reading: an agent forwards every packet of its backend server to the caller, also a reset that answers an ownership check, or that ends a half-open flow; and the entry of an ended flow was claimed at once. Such a reset says only that this backend server doesn't hold the flow. Now it is withheld, logged, and reported as a denial; the query of an ended flow is an ownership check. Resets of flows that the agent knows as confirmed, or doesn't know at all, are forwarded as before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -162,6 +162,8 @@
             self._return_unheld(host, flow, packet.data)
         elif message.purpose is not DeliveryPurpose.QUERY:
             self._forward(host, flow, packet, now=now)
+        elif flow.is_closed:
+            self.ownership.start(host, packet, now=now)
         elif flow.is_established:
             self._forward(host, flow, packet, now=now)
             self.transport.send_owner_notice(
@@ -259,10 +261,33 @@
         if packet.is_returned:
             self._on_returned(packet, now=now)
             return
+        if packet.is_reset and self._is_reset_of_another(packet.key, now=now):
+            return
         self.transport.forward_to_caller(packet.key, data)
         self._update_from_backend(packet, now=now)
         self.dispatcher.start_queued(self.table.flows, now=now)
 
+    def _is_reset_of_another(self, key: FlowKey, *, now: float) -> bool:
+        """
+        Withhold a reset of a flow that another backend server may hold; deny the flow.
+
+        A backend server also resets flows that have ended there or stayed half open.
+        """
+        check = self.ownership.pop(key)
+        flow = self.table.get(key)
+        is_half_open = flow is not None and flow.is_answered and not flow.is_confirmed
+        if check is None and not is_half_open:
+            return False
+        logger.info(
+            "reset withheld from the caller: another backend server may hold the flow",
+            extra={"code": "reset_withheld", "flow": describe_flow(key)},
+        )
+        self.ownership.record_not_held(key, now=now)
+        self._remove_flow(key, now=now)
+        if check is not None:
+            self._deny(check.balancer, key, check.data)
+        return True
+
     def _update_from_backend(self, packet: Packet, *, now: float) -> None:
         """Update the state of a flow from a packet of the backend server."""
         # The answer to an opening packet may be late, and another backend server may
