Emulate half-open flows, pauses and lapses on the virtual site

Why: false resets at scale need several backend servers that answer one opening packet, agents that start with packets in their sockets or pause, entries that lapse, replaced backend servers and lost datagrams; the virtual site had none of these.

The published state now passes the real registers, with a lag, so that removals count as in a process; balancers retry lookups as their program does; backend servers follow the closing of flows. A watch counts flows whose packets reach only other backend servers for two seconds. Callers can close a flow after some requests; the opening of the next one no longer spins while the answer to the last request is still marked as received.

No product code changed.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -15,6 +15,7 @@
 from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
 from oleanderweir_bench.packet_path.endpoint_codec import EndpointCodec
 from oleanderweir_bench.packet_path.network import Network
+from oleanderweir_bench.packet_path.scenarios import FLOW_SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import run_scenario
 from oleanderweir_bench.packet_path.site_result import SiteResult
@@ -22,6 +23,7 @@
 
 
 __all__ = [
+    "FLOW_SCENARIOS",
     "SCENARIOS",
     "EmulatedBackendServer",
     "EmulatedCaller",
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -47,7 +47,9 @@
     """
     Runs up to ``slots`` requests concurrently and queues the others in FIFO order.
 
-    Packets of flows that the server does not hold are returned to its agent.
+    Packets of flows that the server does not hold are returned to its agent. On a flow
+    that has ended, a final packet is acknowledged and data is reset. The answer to an
+    opening packet takes a time drawn from ``opening_delays_s``.
     """
 
     def __init__(
@@ -64,8 +66,11 @@
         result: SiteResult,
         random_source: random.Random,
         on_opening: Callable[[Packet], None] = lambda _: None,
+        on_flow_packet: Callable[[Packet], None] = lambda _: None,
     ) -> None:
         self.on_opening = on_opening
+        self.on_flow_packet = on_flow_packet
+        self.opening_delays_s: tuple[float, ...] = (0.0,)
         self.service = service
         self.host = host
         self.port = port
@@ -77,6 +82,7 @@
         self.result = result
         self.random_source = random_source
         self.flows: dict[FlowKey, ServedFlow] = {}
+        self.ended: dict[FlowKey, ServedFlow] = {}
         self.waiting: deque[FlowKey] = deque()
         self.busy = 0
         self.started_requests: set[tuple[FlowKey, int]] = set()
@@ -87,6 +93,7 @@
         """Start or restart, without flows."""
         self.incarnation += 1
         self.flows = {}
+        self.ended = {}
         self.waiting.clear()
         self.busy = 0
         self.network.listen((self.host, self.port), self.on_datagram)
@@ -107,6 +114,10 @@
             self.on_opening(packet)
             self._open_flow(packet)
             return
+        self.on_flow_packet(packet)
+        if packet.key in self.ended:
+            self._on_packet_of_ended_flow(self.ended[packet.key], packet)
+            return
         flow = self.flows.get(packet.key)
         if flow is None or not self._acknowledges_opening(flow, packet):
             self._return_packet(packet)
@@ -114,6 +125,10 @@
         flow.is_open = True
         if packet.is_reset:
             del self.flows[packet.key]
+        elif packet.is_final:
+            flow.received_up_to = packet.sequence + 1
+            self.ended[packet.key] = self.flows.pop(packet.key)
+            self._send(packet.key, flow, is_final=True)
         elif packet.payload_bytes:
             self._on_payload(flow, packet)
 
@@ -125,7 +140,22 @@
                 initial_sequence=sequence, received_up_to=packet.sequence + 1
             )
             self.flows[packet.key] = flow
-        self._send(packet.key, flow, is_opening=True)
+        delay_s = self.random_source.choice(self.opening_delays_s)
+        if delay_s:
+            self.network.start_soon(self._answer_late, packet.key, flow, delay_s)
+        else:
+            self._send(packet.key, flow, is_opening=True)
+
+    async def _answer_late(
+        self, key: FlowKey, flow: ServedFlow, delay_s: float
+    ) -> None:
+        await trio.sleep(delay_s)
+        if self.flows.get(key) is flow:
+            self._send(key, flow, is_opening=True)
+
+    def _on_packet_of_ended_flow(self, flow: ServedFlow, packet: Packet) -> None:
+        if packet.is_final or packet.payload_bytes:
+            self._send(packet.key, flow, is_reset=bool(packet.payload_bytes))
 
     def _acknowledges_opening(self, flow: ServedFlow, packet: Packet) -> bool:
         """Whether a caller's packet acknowledges the current opening."""
@@ -172,6 +202,8 @@
         flow: ServedFlow,
         *,
         is_opening: bool = False,
+        is_final: bool = False,
+        is_reset: bool = False,
         payload_bytes: int = 0,
     ) -> None:
         data = self.codec.encode(
@@ -179,6 +211,8 @@
             is_from_caller=False,
             is_opening=is_opening,
             is_acknowledging=True,
+            is_final=is_final,
+            is_reset=is_reset,
             sequence=flow.initial_sequence,
             acknowledged=flow.received_up_to,
             payload_bytes=payload_bytes,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -34,7 +34,7 @@
 
 class EmulatedCaller:
     """
-    Keeps one flow open and sends a request after each pause.
+    Keeps a flow open for ``requests_per_flow`` and sends a request after each pause.
 
     When a flow is reset, the caller opens another one within the request's timeout.
     """
@@ -52,6 +52,7 @@
         result: SiteResult,
         holds_flow: Callable[[FlowKey], bool],
         random_source: random.Random,
+        requests_per_flow: float = float("inf"),
     ) -> None:
         self.host = host
         self.route = route
@@ -62,6 +63,8 @@
         self.result = result
         self.holds_flow = holds_flow
         self.random_source = random_source
+        self.requests_per_flow = requests_per_flow
+        self.requests_on_flow = 0
         self.caller_port = 1024
         self.key: FlowKey | None = None
         self.sequence = 0
@@ -120,7 +123,12 @@
             await self._wait(wait_s)
             wait_s = min(wait_s * 2, MAX_RETRANSMISSION_S)
         self.sequence += REQUEST_BYTES
-        self._send()
+        self.requests_on_flow += 1
+        if self.requests_on_flow < self.requests_per_flow:
+            self._send()
+        else:
+            self._send(is_final=True)
+            self.key = None
         return True
 
     async def _open(self) -> bool:
@@ -132,12 +140,14 @@
         self.sequence = self.random_source.randrange(1 << 30)
         self.server_sequence = None
         self.is_reset = False
+        self.is_answered = False
+        self.requests_on_flow = 0
         started_at = trio.current_time()
         wait_ends = [*OPENING_TIMES_S[1:], OPENING_TIMEOUT_S]
         for retransmissions, end_s in enumerate(wait_ends):
             self._send(is_opening=True, retransmissions=retransmissions)
             while self._is_opening() and trio.current_time() < started_at + end_s:
-                await self._wait(started_at + end_s - trio.current_time())
+                await self._wait(max(0, started_at + end_s - trio.current_time()))
             if not self._is_opening():
                 break
         if not self._is_open():
@@ -176,6 +186,7 @@
         self,
         *,
         is_opening: bool = False,
+        is_final: bool = False,
         retransmissions: int = 0,
         payload_bytes: int = 0,
     ) -> None:
@@ -189,6 +200,7 @@
             is_from_caller=True,
             is_opening=is_opening,
             is_acknowledging=not is_opening,
+            is_final=is_final,
             sequence=self.sequence,
             # Opening packets carry the number of their retransmissions here.
             acknowledged=retransmissions
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -14,11 +14,10 @@
 from oleanderweir.desired_state import DesiredState
 from oleanderweir.desired_state import Route
 from oleanderweir.desired_state import ServiceShare
-from oleanderweir.desired_state import StateRegister
-from oleanderweir.desired_state import Topic
 from oleanderweir.net import SocketAddress
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir_agent.forwarding import AgentTransport
@@ -33,15 +32,18 @@
 from oleanderweir_bench.packet_path.emulated_caller import EmulatedCaller
 from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
 from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
+from oleanderweir_bench.packet_path.published_state import PublishedState
 from oleanderweir_bench.packet_path.site_result import SiteResult
+from oleanderweir_bench.packet_path.stray_packet_watch import StrayPacketWatch
 from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 from oleanderweir_bench.packet_path.virtual_network import VirtualSocket
 
 
 if TYPE_CHECKING:
-    from oleanderweir.desired_state import StateDecoder
     from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
     from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.messages import Message
 
 
 SERVICE = "feed"
@@ -56,9 +58,14 @@
 
 @attrs.define(kw_only=True, eq=False)
 class RunningAgent:
-    """A running agent and the scope that cancels its task."""
+    """
+    A running agent and the scope that cancels its task.
+
+    A paused agent processes nothing; its datagrams wait in its sockets.
+    """
 
     agent: PacketAgent
+    is_paused: bool = False
     scope: trio.CancelScope
 
 
@@ -67,7 +74,7 @@
     Real balancers and agents with emulated callers, routers and backend servers.
 
     There is no store: the published state is written into the register of each
-    process, at its start and at each change.
+    process, at its start and after each change.
     """
 
     def __init__(
@@ -81,16 +88,26 @@
     ) -> None:
         self.nursery = nursery
         self.random_source = random.Random(seed)
-        self.network = VirtualNetwork(nursery=nursery)
+        self.network = VirtualNetwork(
+            nursery=nursery, random_source=random.Random(seed)
+        )
         self.codec = EmulatedPacketCodec()
         self.router = EmulatedRouter(uses_rendezvous_hash=uses_rendezvous_hash)
         self.result = SiteResult()
         self.balancer_hosts = [f"10.0.1.{n}" for n in range(1, balancers + 1)]
         self.agent_hosts = [f"10.0.2.{n}" for n in range(1, backends + 1)]
         self.servers = {host: self._create_server(host) for host in self.agent_hosts}
-        self.records = {host: self._create_record(host) for host in self.agent_hosts}
+        self.stray_packets = StrayPacketWatch(find_owner=self.find_owner)
+        self.published = PublishedState(
+            nursery=nursery,
+            random_source=random.Random(seed),
+            desired=self._create_desired_state(),
+        )
+        for host in self.agent_hosts:
+            self.published.records[host] = self._create_record(host)
         self.agents: dict[str, RunningAgent] = {}
-        self.registers: dict[str, StateRegister] = {}
+        self.members: dict[str, Members] = {}
+        self.balancer_scopes: dict[str, trio.CancelScope] = {}
         for host in self.agent_hosts:
             self.start_agent(host)
         for host in self.balancer_hosts:
@@ -100,7 +117,7 @@
 
     def start_balancer(self, host: str) -> None:
         """Start a balancer with an empty cache, and put it into rotation."""
-        register = self._create_register(host)
+        register = self.published.create_register(host)
         balancer = PacketBalancer(
             flow_ttl_s=FLOW_TTL_S,
             codec=self.codec,
@@ -124,21 +141,25 @@
         )
         self.network.listen(
             (host, PEER_PORT),
-            lambda source, data: balancer.on_message(source, decode_message(data)),
+            lambda source, data: self._on_message(host, balancer, source, data),
         )
+        register.on_change = balancer.on_state_change
+        scope = self.balancer_scopes[host] = trio.CancelScope()
+        self.nursery.start_soon(self._retry_lookups, balancer, scope)
         if host not in self.router.hosts:
             self.router.hosts.append(host)
 
     def stop_balancer(self, host: str, *, stays_in_rotation: bool = False) -> None:
         """Kill a balancer; with ``stays_in_rotation``, routers keep sending to it."""
+        self.balancer_scopes[host].cancel()
         self.network.stop_listening((host, CALLER_PORT))
         self.network.stop_listening((host, PEER_PORT))
-        if not stays_in_rotation:
+        if not stays_in_rotation and host in self.router.hosts:
             self.router.hosts.remove(host)
 
     def start_agent(self, host: str) -> None:
-        """Start an agent without flows."""
-        register = self._create_register(host)
+        """Start an agent without flows; it processes the packets in its sockets."""
+        register = self.published.create_register(host)
         admission = FlowAdmission(
             register=register, service=SERVICE, host=host, port=BACKEND_PORT
         )
@@ -159,17 +180,37 @@
                 backend_socket=self._create_socket(host),
             ),
         )
+        register.on_change = lambda _: agent.on_state_change()
         agent.on_state_change()
-        scope = trio.CancelScope()
-        self.agents[host] = RunningAgent(agent=agent, scope=scope)
+        running = RunningAgent(agent=agent, scope=trio.CancelScope())
+        self.agents[host] = running
+        self._listen_for_agent(host, agent)
+        self.nursery.start_soon(self._tick, running)
+
+    def _listen_for_agent(self, host: str, agent: PacketAgent) -> None:
         self.network.listen(
             (host, PEER_PORT),
-            lambda source, data: agent.on_message(source, decode_message(data)),
+            lambda source, data: self._on_message(host, agent, source, data),
         )
         self.network.listen(
             (host, OUTBOUND_PORT), lambda _, data: agent.on_backend_packet(data)
         )
-        self.nursery.start_soon(self._tick, agent, scope)
+
+    def bind_agent(self, host: str) -> None:
+        """Keep the packets to an agent that is paused or about to start."""
+        self.network.hold((host, PEER_PORT))
+        self.network.hold((host, OUTBOUND_PORT))
+
+    async def pause_agent(self, host: str, seconds: float) -> None:
+        """Pause an agent; afterwards its tick runs before it reads its sockets."""
+        running = self.agents[host]
+        running.is_paused = True
+        self.bind_agent(host)
+        await trio.sleep(seconds)
+        running.is_paused = False
+        if self.agents.get(host) is running:
+            running.agent.on_tick()
+            self._listen_for_agent(host, running.agent)
 
     def stop_agent(self, host: str) -> None:
         """Kill an agent; its backend server keeps running."""
@@ -179,15 +220,41 @@
 
     def drain(self, host: str) -> None:
         """Publish that a backend server accepts no new flows."""
-        self.records[host] = attrs.evolve(
-            self.records[host], state=BackendState.DRAINING
+        self.published.records[host] = attrs.evolve(
+            self.published.records[host], state=BackendState.DRAINING
         )
-        for register in self.registers.values():
-            self._publish(register)
-        for running in self.agents.values():
-            running.agent.on_state_change()
+        self.published.publish()
+
+    async def lapse(self, host: str, seconds: float) -> None:
+        """Let the entry of a running backend server lapse, and publish it again."""
+        record = self.published.records.pop(host)
+        self.published.publish()
+        await trio.sleep(seconds)
+        self.published.records[host] = record
+        self.published.publish()
+
+    def add_backend(self, host: str) -> None:
+        """Start a backend server with its agent on a new host, and publish it."""
+        self.agent_hosts.append(host)
+        self.servers[host] = self._create_server(host)
+        self.start_agent(host)
+        self.published.records[host] = self._create_record(host)
+        self.published.publish()
+        for members in list(self.members.values()):
+            self.nursery.start_soon(self._record_heartbeat_late, members, host)
+
+    def remove_backend(self, host: str) -> None:
+        """Stop a drained backend server and its agent, which departs."""
+        self.servers[host].stop()
+        self.agent_hosts.remove(host)
+        self.published.records.pop(host)
+        self.published.publish()
+        self.agents[host].agent.announce_departure()
+        self.stop_agent(host)
 
-    def start_callers(self, count: int, *, until: float) -> None:
+    def start_callers(
+        self, count: int, *, until: float, requests_per_flow: float = float("inf")
+    ) -> None:
         """Start callers that send requests until ``until``, a time of trio's clock."""
         for number in range(count):
             caller = EmulatedCaller(
@@ -199,25 +266,59 @@
                 router=self.router,
                 codec=self.codec,
                 result=self.result,
-                holds_flow=self.holds_flow,
+                holds_flow=lambda key: self.find_owner(key) is not None,
+                requests_per_flow=requests_per_flow,
                 random_source=random.Random(self.random_source.random()),
             )
             self.nursery.start_soon(caller.run, until)
 
-    def holds_flow(self, key: FlowKey) -> bool:
-        """Whether any backend server has a flow open."""
-        return any(
-            key in server.flows and server.flows[key].is_open
-            for server in self.servers.values()
-        )
+    def find_owner(self, key: FlowKey) -> str | None:
+        """Return the host whose backend server has a flow open."""
+        for host, server in self.servers.items():
+            if key in server.flows and server.flows[key].is_open:
+                return host
+        return None
 
     # Components
 
-    async def _tick(self, agent: PacketAgent, scope: trio.CancelScope) -> None:
+    async def _tick(self, running: RunningAgent) -> None:
+        with running.scope:
+            while True:
+                await trio.sleep(TICK_S)
+                if not running.is_paused:
+                    running.agent.on_tick()
+
+    async def _retry_lookups(
+        self, balancer: PacketBalancer, scope: trio.CancelScope
+    ) -> None:
         with scope:
             while True:
                 await trio.sleep(TICK_S)
-                agent.on_tick()
+                balancer.retry_lookups()
+
+    async def _record_heartbeat_late(self, members: Members, host: str) -> None:
+        lag_s = self.random_source.uniform(0, self.published.max_lag_s)
+        await trio.sleep(lag_s)
+        members.record_heartbeat(host, self._create_heartbeat(host))
+
+    def _on_message(
+        self,
+        host: str,
+        process: PacketBalancer | PacketAgent,
+        source: str,
+        data: bytes,
+    ) -> None:
+        """Dispatch a peer's message as a process does."""
+        message: Message = decode_message(data)
+        if isinstance(message, Departure):
+            self.members[host].record_departure(source)
+            return
+        self.members[host].record_activity(source)
+        process.on_message(source, message)
+
+    def _on_flow_packet(self, host: str, packet: Packet) -> None:
+        self.stray_packets.on_packet(host, packet.key)
+        self.result.stray_flows = len(self.stray_packets.stray)
 
     def _create_server(self, host: str) -> EmulatedBackendServer:
         return EmulatedBackendServer(
@@ -231,6 +332,7 @@
             codec=self.codec,
             result=self.result,
             random_source=random.Random(self.random_source.random()),
+            on_flow_packet=lambda packet: self._on_flow_packet(host, packet),
         )
 
     def _create_record(self, host: str) -> BackendRecord:
@@ -246,11 +348,7 @@
             started_at_ms=1,
         )
 
-    def _create_register(self, host: str) -> StateRegister:
-        # The register is filled directly, so it needs no decoder.
-        register = StateRegister(
-            decoder=cast("StateDecoder", None), on_change=lambda _: None
-        )
+    def _create_desired_state(self) -> DesiredState:
         route = Route(
             name="route",
             address=ROUTE,
@@ -259,39 +357,27 @@
             target_latency_s=0.25,
             priority=1,
         )
-        register.desired = DesiredState(
-            version=1, routes={ROUTE: route}, idle_timeout_s=15.0
-        )
-        register.services_by_address[ROUTE] = {SERVICE}
-        self.registers[host] = register
-        self._publish(register)
-        return register
-
-    def _publish(self, register: StateRegister) -> None:
-        register.backends = {
-            record.identifier: record for record in self.records.values()
-        }
-        register.by_service = None
-        register.listed_at = trio.current_time()
-        register.topics[Topic.BACKEND_SERVERS].revision += 1
+        return DesiredState(version=1, routes={ROUTE: route}, idle_timeout_s=15.0)
 
     def _create_members(self, host: str) -> Members:
-        members = Members(own_host=host)
+        members = self.members[host] = Members(own_host=host)
         for other in (*self.balancer_hosts, *self.agent_hosts):
-            is_balancer = other in self.balancer_hosts
-            heartbeat = Heartbeat(
-                role=PeerRole.BALANCER if is_balancer else PeerRole.AGENT,
-                availability_zone="a",
-                service="" if is_balancer else SERVICE,
-                desired_revision=0,
-                backends_revision=0,
-                balancers=(),
-                agents=(),
-                requests_reply=False,
-                reads_source=False,
-            )
-            members.record_heartbeat(other, heartbeat)
+            members.record_heartbeat(other, self._create_heartbeat(other))
         return members
 
+    def _create_heartbeat(self, host: str) -> Heartbeat:
+        is_balancer = host in self.balancer_hosts
+        return Heartbeat(
+            role=PeerRole.BALANCER if is_balancer else PeerRole.AGENT,
+            availability_zone="a",
+            service="" if is_balancer else SERVICE,
+            desired_revision=0,
+            backends_revision=0,
+            balancers=(),
+            agents=(),
+            requests_reply=False,
+            reads_source=False,
+        )
+
     def _create_socket(self, host: str) -> UdpSocket:
         return cast("UdpSocket", VirtualSocket(network=self.network, host=host))
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/endpoint_codec.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/endpoint_codec.py
@@ -27,6 +27,8 @@
         is_from_caller: bool,
         is_opening: bool = False,
         is_acknowledging: bool = False,
+        is_final: bool = False,
+        is_reset: bool = False,
         sequence: int = 0,
         acknowledged: int = 0,
         payload_bytes: int = 0,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
@@ -8,6 +8,12 @@
 
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
 from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
+from oleanderweir_bench.packet_path.flow_scenarios import answer_openings_late
+from oleanderweir_bench.packet_path.flow_scenarios import lapse_entries
+from oleanderweir_bench.packet_path.flow_scenarios import lose_datagrams
+from oleanderweir_bench.packet_path.flow_scenarios import pause_agents
+from oleanderweir_bench.packet_path.flow_scenarios import replace_backends
+from oleanderweir_bench.packet_path.flow_scenarios import restart_agents
 
 
 if TYPE_CHECKING:
@@ -88,6 +94,17 @@
     "move-flows": move_flows,
 }
 
+# Scenarios of flows that several backend servers have half open; callers open a flow
+# for each few requests.
+FLOW_SCENARIOS: dict[str, Callable[[EmulatedSite], Awaitable[None]]] = {
+    "lapse-entries": lapse_entries,
+    "late-openings": answer_openings_late,
+    "lost-datagrams": lose_datagrams,
+    "pause-agents": pause_agents,
+    "replace-backends": replace_backends,
+    "restart-agents": restart_agents,
+}
+
 
 def run_scenario(
     name: str,
@@ -96,6 +113,7 @@
     uses_rendezvous_hash: bool = True,
     callers: int = CALLERS,
     backends: int = 4,
+    requests_per_flow: float = float("inf"),
 ) -> SiteResult:
     """Run a scenario in virtual time; return the results that callers observed."""
 
@@ -107,8 +125,12 @@
                 uses_rendezvous_hash=uses_rendezvous_hash,
                 backends=backends,
             )
-            site.start_callers(callers, until=trio.current_time() + TRAFFIC_S)
-            nursery.start_soon(SCENARIOS[name], site)
+            site.start_callers(
+                callers,
+                until=trio.current_time() + TRAFFIC_S,
+                requests_per_flow=requests_per_flow,
+            )
+            nursery.start_soon({**SCENARIOS, **FLOW_SCENARIOS}[name], site)
             await trio.sleep(TRAFFIC_S + SETTLE_S)
             nursery.cancel_scope.cancel()
         return site.result
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_result.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_result.py
@@ -14,16 +14,19 @@
     latency, answered later, and not answered before their timeout.
 
     ``false_resets`` counts resets of flows that their backend server still held,
-    ``repeated_runs`` second runs of one attempt, ``foreign_runs`` flows opened at a
-    backend server of another service, ``late_openings`` flows opened at a backend
-    server that had been draining for too long, ``altered`` packets whose content had
-    changed on the way, ``own_ends`` processes that exited without being stopped.
+    ``stray_flows`` flows of which other backend servers got several packets and their
+    own got none for too long, ``repeated_runs`` second runs of one attempt,
+    ``foreign_runs`` flows opened at a backend server of another service,
+    ``late_openings`` flows opened at a backend server that had been draining for too
+    long, ``altered`` packets whose content had changed on the way, ``own_ends``
+    processes that exited without being stopped.
     """
 
     in_time: int = 0
     late: int = 0
     failed: int = 0
     false_resets: int = 0
+    stray_flows: int = 0
     repeated_runs: int = 0
     foreign_runs: int = 0
     late_openings: int = 0
@@ -53,6 +56,7 @@
         """The number of violated guarantees."""
         return (
             self.false_resets
+            + self.stray_flows
             + self.repeated_runs
             + self.foreign_runs
             + self.late_openings
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Awaitable
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import trio
 
 
+if TYPE_CHECKING:
+    import random
+
+
 ONE_WAY_DELAY_S = 0.001
 
 
@@ -18,25 +24,41 @@
     """
     Delivers each datagram after a constant delay.
 
-    Datagrams to addresses without a listener are dropped.
+    Datagrams to addresses without a listener are dropped. Those to a held address wait
+    in its socket and are delivered in order once it is listened to. A share of
+    ``loss_rate`` of all datagrams is lost; this requires ``random_source``.
     """
 
-    def __init__(self, *, nursery: trio.Nursery) -> None:
+    def __init__(self, *, nursery: trio.Nursery, random_source: random.Random) -> None:
         self.nursery = nursery
+        self.random_source = random_source
+        self.loss_rate = 0.0
         self.listeners: dict[tuple[str, int], Listener] = {}
+        # Datagrams that wait in the sockets of held addresses.
+        self.held: dict[tuple[str, int], deque[tuple[str, bytes]]] = {}
 
     def listen(
         self, address: tuple[str, int], on_datagram: Callable[[str, bytes], None]
     ) -> None:
         """Call ``on_datagram`` with the sender's host and data of each datagram."""
         self.listeners[address] = on_datagram
+        for source, data in self.held.pop(address, ()):
+            on_datagram(source, data)
+
+    def hold(self, address: tuple[str, int]) -> None:
+        """Keep datagrams to an address until it is listened to."""
+        self.listeners.pop(address, None)
+        self.held.setdefault(address, deque())
 
     def stop_listening(self, address: tuple[str, int]) -> None:
         """Drop datagrams to an address from now on."""
         self.listeners.pop(address, None)
+        self.held.pop(address, None)
 
     def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram from a host."""
+        if self.loss_rate and self.random_source.random() < self.loss_rate:
+            return
         self.nursery.start_soon(self._deliver, source, data, address)
 
     def start_soon(
@@ -52,6 +74,8 @@
         on_datagram = self.listeners.get(address)
         if on_datagram is not None:
             on_datagram(source, data)
+        elif address in self.held:
+            self.held[address].append((source, data))
 
 
 class VirtualSocket:
