--- a/tests/oleanderweir_bench/packet_path/test_scenarios.py
+++ b/tests/oleanderweir_bench/packet_path/test_scenarios.py
@@ -3,6 +3,7 @@
 import pytest
 
 from oleanderweir.lookups import MAX_DIRECT_QUERIES
+from oleanderweir_bench.packet_path import FLOW_SCENARIOS
 from oleanderweir_bench.packet_path import SCENARIOS
 from oleanderweir_bench.packet_path import run_scenario
 
@@ -52,3 +53,13 @@
     if name == "move-flows":
         assert result.late == 0
         assert result.failed == 0
+
+
+@pytest.mark.parametrize("name", sorted(FLOW_SCENARIOS))
+def test_flows_are_kept_while_several_backend_servers_answer_openings(
+    name: str,
+) -> None:
+    result = run_scenario(name, seed=7, callers=CALLERS, requests_per_flow=1)
+
+    assert result.total > 100
+    assert result.violations == 0
