Show that unanswered opening packets reset a flow

What callers see: a reset of an open flow. Cause: OpeningAttempts counts UNANSWERED, a time-out of 60 ms, like a refusal. The flow may have opened at a backend server that answered late, with its later packets at another balancer, so that this one can't know.

--- a/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
+++ b/tests/oleanderweir_balancer/forwarding/test_packet_balancer.py
@@ -804,3 +804,17 @@
     bench.balancer.retry_lookups()
 
     assert REQUEST in {message.data for _, message in bench.deliveries()}
+
+
+async def test_unanswered_opening_packets_reset_no_flow() -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 7)))
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+
+    # Any of the backend servers may answer late; the caller's next packets may then
+    # reach another balancer.
+    for _ in range(3):
+        [(host, _)] = bench.deliveries()
+        bench.return_packet(host, ReturnReason.UNANSWERED, OPENING)
+
+    assert bench.resets() == []
