Replay a false reset after late answers to opening packets

What callers see: a reset of an open flow. Trace: the opening packet is returned as UNANSWERED by three agents; its copy reaches another balancer and the first backend server, which answers at 213 ms; the first balancer resets the open flow at 244 ms.

--- a/tests/oleanderweir_bench/packet_path/test_scenarios.py
+++ b/tests/oleanderweir_bench/packet_path/test_scenarios.py
@@ -63,3 +63,18 @@
 
     assert result.total > 100
     assert result.violations == 0
+
+
+def test_late_answers_to_openings_reset_no_flow_opened_through_another_balancer() -> (
+    None
+):
+    result = run_scenario(
+        "restart-agents",
+        seed=114,
+        uses_rendezvous_hash=False,
+        callers=30,
+        backends=8,
+        requests_per_flow=1,
+    )
+
+    assert result.violations == 0
