Tell a late copy of an opening packet from the opening of a new flow

What callers saw: the packets of an open flow went to another backend server, or the flow was reset as no_backend_server, when a copy of its opening packet came late while its agent was silent. Cause: a balancer decided again about each copy, from newer state. A copy (the caller counts them) of a flow that is open is dropped now. The first opening packet of a caller that uses a port again replaces the earlier entry; took it for the open flow, and didn't place it again when it was returned.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -143,16 +143,28 @@
         if self.register.desired is None or not self._has_backend_listing():
             self._queue_packet(packet)
             return
+        if self._is_late_copy(packet):
+            return
         route = self.register.desired.routes.get(route_address(packet.key))
         if route is None:
             self.transport.send_reset(packet, reason="no_route")
             return
+        if self.cache.is_open(packet.key):
+            # The caller uses the port of an earlier flow again.
+            self.cache.discard(packet.key)
         flow = self.cache.get(packet.key, now=now)
         if flow is not None and not self.placement.is_silent(flow.agent, now=now):
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.OPEN)
             return
         self._place(packet, route, now=now)
 
+    def _is_late_copy(self, packet: Packet) -> bool:
+        """Whether an opening packet is a copy whose flow is open already."""
+        if self.owner_lookup.is_in_progress(packet.key):
+            return True
+        # A caller's first opening packet has sent no copies before.
+        return packet.acknowledged > 0 and self.cache.is_open(packet.key)
+
     def _place(self, packet: Packet, route: Route, *, now: float) -> None:
         """Select the backend server of a new flow and send it the opening packet."""
         key = packet.key
