--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -225,13 +225,14 @@
         if packet.is_opening and self._is_open(packet.key):
             # The caller has acknowledged the answer to another copy.
             return
+        if reason is ReturnReason.HELD_NOWHERE:
+            self._on_no_owner(packet, now=now)
+            return
         flow = self.cache.flows.get(packet.key)
         if flow is not None and flow.agent == host:
             self.cache.discard(packet.key)
         if packet.is_opening:
             self._retry_opening(host, packet, reason, now=now)
-        elif reason is ReturnReason.HELD_NOWHERE:
-            self._on_no_owner(packet, now=now)
         elif reason is ReturnReason.LOST and flow is not None and flow.agent == host:
             self.transport.send_reset(packet, reason="flow_lost")
         elif reason is ReturnReason.NOT_TRIED:
