Reset no flow whose opening packet a backend server may still answer

What callers saw: a flow was reset as refused_everywhere while a backend server held it: three agents returned its opening packet as unanswered after 60 ms, one of their backend servers answered later, and the caller's next packets took another balancer. Cause: a missing answer was counted as a refusal. Now such an agent isn't tried again for the flow, but the balancer doesn't reset it; copies of the opening packet are placed anew, and the caller's attempt ends by its own time-out at worst. Ruled out: that the balancer could know from later packets, since it never saw any.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -5,7 +5,7 @@
 import attrs
 
 
-# Backend servers that may refuse one opening packet before its flow is reset.
+# Backend servers that may refuse one opening packet, or leave it unanswered.
 MAX_REFUSALS = 3
 # Agents that may return one opening packet because requests are queued there.
 MAX_BUSY_REJECTIONS = 2
@@ -17,20 +17,27 @@
     Agents that returned the opening packet of a flow.
 
     Those in ``refused`` could not accept it; those in ``busy`` would have queued it.
+    The backend servers of those in ``unanswered`` may still accept it, late.
     """
 
     refused: set[str] = attrs.field(factory=set)
+    unanswered: set[str] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
 
     @property
     def excluded(self) -> set[str]:
         """The agents that the next attempt excludes."""
-        return self.refused | self.busy
+        return self.refused | self.unanswered | self.busy
 
     @property
     def is_exhausted(self) -> bool:
-        """Whether no further attempt is made and the flow is to be reset."""
-        return len(self.refused) >= MAX_REFUSALS
+        """Whether no further attempt is made."""
+        return len(self.refused | self.unanswered) >= MAX_REFUSALS
+
+    @property
+    def may_have_opened(self) -> bool:
+        """Whether a backend server may have opened the flow."""
+        return bool(self.unanswered)
 
     def must_accept(self, host: str) -> bool:
         """Whether an agent must accept the flow even if requests are queued there."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -173,8 +173,7 @@
         service = route.choose_service(number)
         record = self._select_backend(service, key, attempts, now=now)
         if record is None:
-            self.attempts.pop(key, None)
-            self.transport.send_reset(packet, reason="no_backend_server")
+            self._give_up(packet, attempts, reason="no_backend_server")
             return
         self.cache.put(key, record.host, now=now, is_open=False)
         purpose = DeliveryPurpose.OPEN
@@ -188,7 +187,7 @@
             agent=record.host,
             backend_server=record.identifier,
             copies=packet.acknowledged,
-            refused=len(attempts.refused),
+            refused=len(attempts.refused | attempts.unanswered),
             busy=len(attempts.busy),
         )
 
@@ -200,7 +199,10 @@
         return self.placement.place(
             candidates, key=key, excluding=attempts.excluded, now=now
         ) or self.placement.place(
-            candidates, key=key, excluding=attempts.refused, now=now
+            candidates,
+            key=key,
+            excluding=attempts.refused | attempts.unanswered,
+            now=now,
         )
 
     def _has_backend_listing(self) -> bool:
@@ -264,10 +266,21 @@
         attempts = self.attempts.setdefault(packet.key, OpeningAttempts())
         if reason is ReturnReason.BUSY:
             attempts.busy.add(host)
+        elif reason is ReturnReason.UNANSWERED:
+            attempts.unanswered.add(host)
         else:
             attempts.refused.add(host)
         if attempts.is_exhausted:
-            self.attempts.pop(packet.key)
-            self.transport.send_reset(packet, reason="refused_everywhere")
+            self._give_up(packet, attempts, reason="refused_everywhere")
             return
         self._open(packet, now=now)
+
+    def _give_up(
+        self, packet: Packet, attempts: OpeningAttempts, *, reason: str
+    ) -> None:
+        """Reset a flow that can't be placed, unless it may open late somewhere."""
+        self.attempts.pop(packet.key, None)
+        if attempts.may_have_opened:
+            self.transport.log("opening_unanswered", packet.key, reason=reason)
+        else:
+            self.transport.send_reset(packet, reason=reason)
