Query the request behind an unanswered acknowledgement

What callers saw: a request waited for its caller's next retransmission. Cause: a mere acknowledgement started the lookup; no backend server answers one and it isn't retried, and the request that followed within 0.1 s was buffered behind it. Now the request becomes the query. test_a_request_behind_an_unanswered_acknowledgement_is_queried failed before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -54,6 +54,10 @@
         if len(lookup.buffered) >= MAX_BUFFERED_PACKETS:
             return False
         lookup.buffered.append(packet)
+        query = lookup.query
+        if query is not None and not query.is_retransmitted and packet.is_retransmitted:
+            # A backend server answers this packet, but not a mere acknowledgement.
+            lookup.query = packet
         return True
 
     def is_due(self, lookup: Lookup, *, now: float) -> bool:
