Let a refused probe deny only the ownership checks from before it

What callers saw: at worst a reset of an open flow whose query reached the next backend server at an address while the probe of the earlier one was under way. Flows that were used after the probe began were spared, checks were not. Class: an outcome without its age. test_a_refusal_from_before_a_probe_denies_no_later_check failed before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from oleanderweir.peering.messages import ReturnReason
@@ -65,13 +66,18 @@
         since = self.not_held_since.get(key)
         return since is not None and now - since < NOT_HELD_TTL_S
 
-    def deny_all(self) -> None:
-        """Deny all pending checks; used when the backend server can't answer them."""
-        for key, check in self.checks.items():
+    def deny_all(self, *, started_before: float = math.inf) -> None:
+        """Deny pending checks; used when the backend server can't answer them."""
+        denied = {
+            key: check
+            for key, check in self.checks.items()
+            if check.started_at < started_before
+        }
+        for key, check in denied.items():
+            del self.checks[key]
             self.transport.return_packet(
                 check.balancer, key, check.data, ReturnReason.NOT_HELD
             )
-        self.checks.clear()
 
     def expire(self, *, now: float) -> None:
         """Drop negative results and checks older than ``NOT_HELD_TTL_S``."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -440,7 +440,7 @@
         for flow in self.table.idle_since(checked_at):
             self._reset_lost_flow(flow, now=now)
         self._return_openings(self.openings.pop_sent_before(checked_at), now=now)
-        self.ownership.deny_all()
+        self.ownership.deny_all(started_before=checked_at)
 
     def announce_departure(self) -> None:
         """Notify all peers that the agent exits and its backend server has no flows."""
