Keep positions growing when the store returns from an older copy

After a restore, the store's revisions go back and are given out again. A watch with such a revision resumed in another history without an error, and every listing looked older than the state from before the restore: it was ignored, the next watch got 410 again, in a loop without a pause, and what was written meanwhile was never in force.

Revision counters of two eras aren't comparable, but the store names its era in every response.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_source.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_source.py
@@ -16,8 +16,9 @@
     """
     A store that can be listed and watched; processes only read it.
 
-    Both calls raise ``SourceUnavailableError`` if they fail; ``watch`` also raises
-    ``HistoryLostError`` if the source no longer has all changes since ``after``.
+    Revisions only grow, even if the source returns from an older copy. Both calls raise
+    ``SourceUnavailableError`` if they fail; ``watch`` also raises ``HistoryLostError``
+    if the source no longer has all changes since ``after``, or returned from a copy.
     """
 
     async def list(self, topic: Topic) -> Listing:
--- a/packages/oleanderweir/src/oleanderweir/desired_state/topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/topic.py
@@ -19,7 +19,8 @@
     """
     The write of a document under ``name``, or its removal (``document`` is ``None``).
 
-    ``revision`` is the value of the source's counter at that write.
+    ``revision`` is the number that the source's adapter gave to that write. Numbers
+    grow with each write, and also when the source returns from an older copy.
     """
 
     name: str
--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -26,9 +26,11 @@
     return {"Key": key, "Value": value, "Revision": revision, "Lease": 0}
 
 
-def make_response(status: int, body: object) -> bytes:
+def make_response(status: int, body: object, *, era: int = 0) -> bytes:
     data = json.dumps(body).encode()
     head = f"HTTP/1.1 {status} x\r\nContent-Length: {len(data)}\r\n"
+    if era:
+        head += f"Store-Era: {era}\r\n"
     return head.encode() + b"Connection: close\r\n\r\n" + data
 
 
@@ -124,3 +126,54 @@
     async with serve(response) as (client, _):
         with pytest.raises(error):
             await client.watch(Topic.DESIRED_STATE, after=1, wait_s=1.0)
+
+
+def make_page(revision: int, *keys: str, truncated: bool = False) -> dict[str, Any]:
+    items = [make_item(key, revision) for key in keys]
+    return {"items": items, "Truncated": truncated, "StoreRevision": revision}
+
+
+async def test_positions_grow_when_a_restore_sets_the_revision_back() -> None:
+    before = make_response(200, make_page(900, "op/config"), era=1)
+    after = make_response(200, make_page(20, "op/config"), era=2)
+    async with serve(before, after) as (client, _):
+        old = await client.list(Topic.DESIRED_STATE)
+        new = await client.list(Topic.DESIRED_STATE)
+
+    assert new.revision > old.revision
+    assert new.documents[0].revision > old.documents[0].revision
+
+
+async def test_a_watch_sends_the_revision_and_continues_in_its_era() -> None:
+    listed = make_response(200, make_page(20, "op/config"), era=2)
+    body = {"events": [make_item("op/config", 21)], "StoreRevision": 21}
+    async with serve(listed, make_response(200, body, era=2)) as (client, targets):
+        listing = await client.list(Topic.DESIRED_STATE)
+        changes = await client.watch(
+            Topic.DESIRED_STATE, after=listing.revision, wait_s=1.0
+        )
+
+    assert "after=20&" in targets[1]
+    assert changes.revision == listing.revision + 1
+    assert changes.changes[0].revision == listing.revision + 1
+
+
+@pytest.mark.parametrize("events", [[], [make_item("op/config", 21)]])
+async def test_a_watch_that_resumes_in_another_history_loses_its_own(
+    events: list[dict[str, Any]],
+) -> None:
+    listed = make_response(200, make_page(20, "op/config"), era=1)
+    body = {"events": events, "StoreRevision": 21}
+    async with serve(listed, make_response(200, body, era=2)) as (client, _):
+        listing = await client.list(Topic.DESIRED_STATE)
+
+        with pytest.raises(HistoryLostError):
+            await client.watch(Topic.DESIRED_STATE, after=listing.revision, wait_s=1.0)
+
+
+async def test_a_listing_with_pages_of_two_eras_fails() -> None:
+    first = make_response(200, make_page(20, "servers/a", truncated=True), era=1)
+    last = make_response(200, make_page(9, "servers/b"), era=2)
+    async with serve(first, last) as (client, _):
+        with pytest.raises(SourceUnavailableError):
+            await client.list(Topic.BACKEND_SERVERS)
