Order desired states by their version alone

After a restore of the store, the older desired state is published at a newer position. A process that read it kept its newer version in force, but gave the older document to its peers, and announced a revision by which peers compared themselves: one that was behind took the older document, and a peer that had a newer version at a lower revision was never asked. An invalid document replaced the valid one in the same way.

The version is the operator's own order. A process now keeps and passes on the document of the highest valid version that it has seen, whatever its revision; heartbeats announce that version, and the revision is only the point from which the process watches. State of the backend servers and of the desired state no longer share their rules, so each has its class.

With the former register, these of the new tests failed: a higher version at a lower revision (listing, change, and from a peer), the export after an older and after an invalid document, the log line of an ignored document.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -371,7 +371,7 @@
             role=PeerRole.BALANCER if is_balancer else PeerRole.AGENT,
             availability_zone="a",
             service="" if is_balancer else SERVICE,
-            desired_revision=0,
+            desired_version=0,
             backends_revision=0,
             balancers=(),
             agents=(),
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
@@ -57,10 +57,10 @@
         register = StateRegister(
             decoder=cast("StateDecoder", self), on_change=lambda _: None
         )
-        register.desired = self.desired
+        register.desired_topic.desired = self.desired
         for route in self.desired.routes.values():
             services = {share.service for share in route.shares}
-            register.services_by_address[route.address] = services
+            register.desired_topic.services_by_address[route.address] = services
         register.apply_listing(self.make_listing(), origin="site")
         self.registers[host] = register
         return register
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -5,12 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
-import attrs
-import trio
-
-from oleanderweir.desired_state.backend_start import BackendStart
-from oleanderweir.desired_state.exceptions import InvalidDocumentError
-from oleanderweir.desired_state.topic import Change
+from oleanderweir.desired_state.backend_topic import BackendTopic
+from oleanderweir.desired_state.desired_state_topic import DesiredStateTopic
 from oleanderweir.desired_state.topic import Listing
 from oleanderweir.desired_state.topic import Topic
 
@@ -32,47 +28,27 @@
 REMOVAL_GRACE_S = 2.5
 
 
-@attrs.define(kw_only=True, eq=False)
-class TopicState:
-    """
-    The documents of one topic as of ``revision``, which is 0 before the first listing.
-
-    ``changed_revision`` is the revision of the newest change.
-    """
-
-    revision: int = 0
-    changed_revision: int = 0
-    documents: dict[str, Change] = attrs.field(factory=dict)
-
-
 class StateRegister:
     """
     Holds the newest state of each topic; older listings and changes are ignored.
 
-    The source has a single counter for all writes, so a listing or change of a higher
-    revision includes all writes of lower ones. ``on_change`` is called after each
-    change of a topic. ``desired`` stays in force when a newer document is invalid.
+    ``on_change`` is called after each change of a topic. ``desired`` stays in force
+    when a newer document is invalid.
     """
 
     def __init__(
         self, *, decoder: StateDecoder, on_change: Callable[[Topic], None]
     ) -> None:
-        self.decoder = decoder
         self.on_change = on_change
-        self.topics = {topic: TopicState() for topic in Topic}
-        self.desired: DesiredState | None = None
-        self.backends: dict[str, BackendRecord] = {}
+        self.desired_topic = DesiredStateTopic(decoder=decoder)
+        self.backend_topic = BackendTopic(decoder=decoder)
+        self.topics: dict[Topic, DesiredStateTopic | BackendTopic] = {
+            Topic.DESIRED_STATE: self.desired_topic,
+            Topic.BACKEND_SERVERS: self.backend_topic,
+        }
         # Caches that each change clears and the next access fills.
         self.by_service: dict[str, list[BackendRecord]] | None = None
         self.published_hosts: set[str] | None = None
-        # All services of each route address since the process started.
-        self.services_by_address: dict[bytes, set[str]] = {}
-        # Time of the first listing of backend servers, and of the last removal by host,
-        # in seconds of trio's clock.
-        self.listed_at: float | None = None
-        self.removed_at: dict[str, float] = {}
-        # Newest start of a backend server at each host.
-        self.newest_starts: dict[str, BackendStart] = {}
 
     def revision(self, topic: Topic) -> int:
         """Return the revision up to which all changes of a topic are applied."""
@@ -82,14 +58,34 @@
         """Return the revision of the newest known change of a topic."""
         return self.topics[topic].changed_revision
 
+    @property
+    def desired(self) -> DesiredState | None:
+        """The desired state in force, if there is one."""
+        return self.desired_topic.desired
+
     @property
     def version(self) -> int:
         """The version of the desired state in force, or 0 if there is none."""
-        return 0 if self.desired is None else self.desired.version
+        return self.desired_topic.version
+
+    @property
+    def backends(self) -> dict[str, BackendRecord]:
+        """The published backend servers, by the names of their documents."""
+        return self.backend_topic.records
+
+    @property
+    def listed_at(self) -> float | None:
+        """The time of the first listing of backend servers, on trio's clock."""
+        return self.backend_topic.listed_at
+
+    @property
+    def removed_at(self) -> dict[str, float]:
+        """The time of the last removal at each host, on trio's clock."""
+        return self.backend_topic.removed_at
 
     def services_of(self, address: bytes) -> set[str]:
         """Return all current and former services of a route since the process start."""
-        return self.services_by_address.get(address, set())
+        return self.desired_topic.services_by_address.get(address, set())
 
     def backends_of(self, service: str) -> list[BackendRecord]:
         """Return the published backend servers of a service."""
@@ -113,7 +109,7 @@
 
     def has_started_since(self, host: str, moment: float) -> bool:
         """Whether a new start of a backend server at a host was published since."""
-        start = self.newest_starts.get(host)
+        start = self.backend_topic.newest_starts.get(host)
         return start is not None and start.known_at > moment
 
     def was_removed_since(self, host: str, moment: float) -> bool:
@@ -130,43 +126,13 @@
         )
 
     def apply_listing(self, listing: Listing, *, origin: str) -> None:
-        """Replace a topic, unless a newer revision is known."""
-        state = self.topics[listing.topic]
-        if listing.revision < state.revision:
-            return
-        documents = {change.name: change for change in listing.documents}
-        is_changed = documents != state.documents
-        for name in state.documents.keys() - documents.keys():
-            self._remove(listing.topic, name)
-        for name, change in documents.items():
-            if state.documents.get(name) != change:
-                self._decode(listing.topic, change)
-        if listing.topic is Topic.BACKEND_SERVERS and self.listed_at is None:
-            self.listed_at = trio.current_time()
-        state.documents = documents
-        state.revision = listing.revision
-        newest = max((change.revision for change in listing.documents), default=0)
-        state.changed_revision = max(state.changed_revision, newest)
-        if is_changed:
+        """Apply all of a listing that is newer than what is known."""
+        if self.topics[listing.topic].apply_listing(listing):
             self._notify_change(listing.topic, origin)
 
     def apply_changes(self, changes: Changes, *, origin: str) -> None:
-        """Apply the changes that are newer than the known revision."""
-        state = self.topics[changes.topic]
-        is_changed = False
-        for change in changes.changes:
-            if change.revision <= state.revision:
-                continue
-            is_changed = True
-            state.changed_revision = change.revision
-            if change.document is None:
-                state.documents.pop(change.name, None)
-                self._remove(changes.topic, change.name)
-                continue
-            state.documents[change.name] = change
-            self._decode(changes.topic, change)
-        state.revision = max(state.revision, changes.revision)
-        if is_changed:
+        """Apply the changes that are newer than what is known."""
+        if self.topics[changes.topic].apply_changes(changes):
             self._notify_change(changes.topic, origin)
 
     def _notify_change(self, topic: Topic, origin: str) -> None:
@@ -184,50 +150,3 @@
             },
         )
         self.on_change(topic)
-
-    def _record_start(self, record: BackendRecord) -> None:
-        """Record when the newest start of a host's backend server became known."""
-        known = self.newest_starts.get(record.host)
-        if known is None or known.started_at_ms < record.started_at_ms:
-            self.newest_starts[record.host] = BackendStart(
-                started_at_ms=record.started_at_ms, known_at=trio.current_time()
-            )
-
-    def _remove(self, topic: Topic, name: str) -> None:
-        """Remove a backend server whose document was removed; routes stay."""
-        if topic is Topic.BACKEND_SERVERS:
-            record = self.backends.pop(name, None)
-            if record is not None:
-                self.removed_at[record.host] = trio.current_time()
-
-    def _decode(self, topic: Topic, change: Change) -> None:
-        """
-        Decode and apply one document.
-
-        An invalid one is logged: its backend server is removed, but a desired state
-        stays in force.
-        """
-        document = change.document or b""
-        try:
-            if topic is Topic.BACKEND_SERVERS:
-                self.backends.pop(change.name, None)
-                record = self.decoder.decode_backend_server(change.name, document)
-                self.backends[change.name] = record
-                self._record_start(record)
-                return
-            desired = self.decoder.decode_desired_state(document)
-        except InvalidDocumentError as error:
-            logger.warning(
-                "published document is invalid and was not applied",
-                extra={
-                    "code": error.code,
-                    "document": change.name,
-                    "reason": str(error),
-                },
-            )
-            return
-        if desired.version > self.version:
-            self.desired = desired
-            for route in desired.routes.values():
-                services = self.services_by_address.setdefault(route.address, set())
-                services.update(share.service for share in route.shares)
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -167,12 +167,12 @@
         self.members.record_heartbeat(host, heartbeat)
         if heartbeat.requests_reply or is_new:
             self._send_heartbeat(host, requests_reply=False, lists_hosts=True)
-        revisions = {
-            Topic.DESIRED_STATE: heartbeat.desired_revision,
+        progress = {
+            Topic.DESIRED_STATE: heartbeat.desired_version,
             Topic.BACKEND_SERVERS: heartbeat.backends_revision,
         }
-        for topic, revision in revisions.items():
-            self._fetch_if_behind(host, topic, revision, nursery)
+        for topic, peer_progress in progress.items():
+            self._fetch_if_behind(host, topic, peer_progress, nursery)
 
     def on_state_update(
         self, host: str, update: StateUpdate, nursery: trio.Nursery
@@ -215,7 +215,7 @@
             role=self.role,
             availability_zone=self.availability_zone,
             service=self.service,
-            desired_revision=self.register.changed_revision(Topic.DESIRED_STATE),
+            desired_version=self.register.version,
             backends_revision=self.register.changed_revision(Topic.BACKEND_SERVERS),
             balancers=self._sample(PeerRole.BALANCER) if lists_hosts else (),
             agents=self._sample(PeerRole.AGENT) if lists_hosts else (),
@@ -250,19 +250,25 @@
             hosts = self.random_source.sample(hosts, MAX_LISTED_HOSTS)
         return tuple(hosts)
 
+    def _progress(self, topic: Topic) -> int:
+        """Return what tells how far this process is, in the terms of a heartbeat."""
+        if topic is Topic.DESIRED_STATE:
+            return self.register.version
+        return self.register.revision(topic)
+
     def _fetch_if_behind(
-        self, host: str, topic: Topic, revision: int, nursery: trio.Nursery
+        self, host: str, topic: Topic, progress: int, nursery: trio.Nursery
     ) -> None:
-        if revision > self.register.revision(topic) and topic not in self.fetching:
+        if progress > self._progress(topic) and topic not in self.fetching:
             self.fetching.add(topic)
-            nursery.start_soon(self._fetch, host, topic, revision)
+            nursery.start_soon(self._fetch, host, topic, progress)
 
-    async def _fetch(self, host: str, topic: Topic, revision: int) -> None:
+    async def _fetch(self, host: str, topic: Topic, progress: int) -> None:
         """Fetch a topic from a peer, unless the source delivers it first."""
         try:
-            if self.register.revision(topic) > 0:
+            if self._progress(topic) > 0:
                 await trio.sleep(FETCH_DELAY_S)
-            if self.register.revision(topic) >= revision:
+            if self._progress(topic) >= progress:
                 return
             listing = await self.client.fetch(host, topic)
             self.register.apply_listing(listing, origin=host)
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/heartbeat.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/heartbeat.py
@@ -17,10 +17,11 @@
 @attrs.frozen(kw_only=True)
 class Heartbeat:
     """
-    A sign of life with the newest revisions and the peers of the sender.
+    A sign of life with the newest state and the peers of the sender.
 
-    ``desired_revision`` and ``backends_revision`` are those of the newest change of
-    each topic that the sender has: receivers that are behind fetch its state.
+    ``desired_version`` is the version of the desired state in force, and
+    ``backends_revision`` the revision of the newest change of the backend servers that
+    the sender has: receivers that are behind fetch its state.
     ``balancers`` and ``agents`` are hosts of the sender's members, in replies only.
     ``requests_reply`` asks for a heartbeat in return. ``reads_source`` is true if the
     sender watches the backend servers at their source and sends the changes to its
@@ -30,7 +31,7 @@
     role: PeerRole = attrs.field(converter=PeerRole)
     availability_zone: str
     service: str
-    desired_revision: int
+    desired_version: int
     backends_revision: int
     balancers: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
     agents: tuple[str, ...] = attrs.field(converter=tuple[str, ...])
--- a/tests/oleanderweir/desired_state/test_state_register.py
+++ b/tests/oleanderweir/desired_state/test_state_register.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 import trio
 import trio.testing
 
@@ -137,3 +138,63 @@
     assert not register.is_host_removed("10.0.0.9", now=trio.current_time())
     await trio.sleep(REMOVAL_GRACE_S + 0.1)
     assert register.is_host_removed("10.0.0.9", now=trio.current_time())
+
+
+def list_desired(document: bytes, *, revision: int) -> Listing:
+    change = Change(name="desired", revision=revision, document=document)
+    return Listing(topic=Topic.DESIRED_STATE, revision=revision, documents=(change,))
+
+
+async def test_a_higher_version_at_a_lower_revision_comes_into_force() -> None:
+    register = make_register()
+    publish(register, version=7, revision=20)
+
+    newer = desired_document(9, {1: "feed", 2: "feed"})
+    register.apply_listing(list_desired(newer, revision=10), origin="peer")
+
+    assert register.version == 9
+    # The own watch goes on from where it was.
+    assert register.revision(Topic.DESIRED_STATE) == 20
+
+
+async def test_a_higher_version_in_a_change_of_a_lower_revision_comes_into_force() -> (
+    None
+):
+    register = make_register()
+    publish(register, version=7, revision=20)
+
+    document = desired_document(9, {1: "feed"})
+    change = Change(name="desired", revision=15, document=document)
+    changes = Changes(topic=Topic.DESIRED_STATE, revision=15, changes=(change,))
+    register.apply_changes(changes, origin="test")
+
+    assert register.version == 9
+
+
+@pytest.mark.parametrize("document", [desired_document(5, {1: "feed"}), b"{"])
+async def test_an_older_or_invalid_document_is_not_exported_to_peers(
+    document: bytes,
+) -> None:
+    register = make_register()
+    publish(register, version=7, revision=20)
+    in_force = register.export(Topic.DESIRED_STATE).documents
+
+    register.apply_listing(list_desired(document, revision=30), origin="source")
+
+    assert register.export(Topic.DESIRED_STATE).documents == in_force
+    # Changes since are watched nevertheless.
+    assert register.revision(Topic.DESIRED_STATE) == 30
+
+
+async def test_an_ignored_document_is_logged_once(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    register = make_register()
+    publish(register, version=7, revision=20)
+
+    for revision in (30, 31, 32):
+        publish(register, version=5, revision=revision)
+
+    ignored = [r for r in caplog.records if vars(r).get("code") == "state_ignored"]
+    assert [(vars(r)["found"], vars(r)["in_force"]) for r in ignored] == [(5, 7)]
--- a/tests/oleanderweir/peering/test_heartbeat_sender.py
+++ b/tests/oleanderweir/peering/test_heartbeat_sender.py
@@ -20,6 +20,7 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import StateUpdate
 from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.desired_state.fakes import desired_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import FakeSocket
@@ -72,6 +73,7 @@
 def make_heartbeat(
     *,
     role: PeerRole = PeerRole.BALANCER,
+    desired_version: int = 0,
     backends_revision: int = 0,
     reads_source: bool = False,
 ) -> Heartbeat:
@@ -79,7 +81,7 @@
         role=role,
         availability_zone="a",
         service="",
-        desired_revision=0,
+        desired_version=desired_version,
         backends_revision=backends_revision,
         balancers=(),
         agents=(),
@@ -242,3 +244,58 @@
     assert any(
         isinstance(message, Heartbeat) and message.reads_source for message in messages
     )
+
+
+def list_desired(version: int, *, revision: int) -> Listing:
+    document = desired_document(version, {1: "feed"})
+    change = Change(name="desired", revision=revision, document=document)
+    return Listing(topic=Topic.DESIRED_STATE, revision=revision, documents=(change,))
+
+
+async def test_a_higher_version_is_fetched_from_a_peer_with_a_lower_revision(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # As after a restore of the source that only this process has read since.
+    bench = HeartbeatSenderBench()
+    publish(bench.register, version=5, revision=900)
+    bench.client.listing = list_desired(7, revision=20)
+
+    async with trio.open_nursery() as nursery:
+        bench.heartbeat_sender.on_heartbeat(
+            PEER, make_heartbeat(desired_version=7), nursery
+        )
+
+    assert bench.register.version == 7
+    assert bench.register.revision(Topic.DESIRED_STATE) == 900
+
+
+async def test_a_lower_version_is_not_fetched_from_a_peer(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = HeartbeatSenderBench()
+    publish(bench.register, version=7, revision=20)
+
+    async with trio.open_nursery() as nursery:
+        bench.heartbeat_sender.on_heartbeat(
+            PEER, make_heartbeat(desired_version=5), nursery
+        )
+
+    assert bench.client.requests == []
+
+
+async def test_heartbeats_tell_the_version_in_force_not_that_of_the_source(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = HeartbeatSenderBench()
+    bench.members.record_heartbeat(PEER, make_heartbeat())
+    publish(bench.register, version=7, revision=20)
+    publish(bench.register, version=5, revision=30)
+
+    await run_for(bench, 0.05)
+
+    messages = [
+        decode_message(data)
+        for data, address in bench.socket.pop_sent()
+        if address[0] == PEER
+    ]
+    assert [m.desired_version for m in messages if isinstance(m, Heartbeat)] == [7]
