Order the records of a backend server by its own start and count

After a restore of the store, the listing contains older records: a backend server that drains was ready again, and one that had left came back, until the next write or the end of its lease. New flows were placed there.

Positions tell what the store holds, not which record is newer. A record has the start of its backend server and a count since then, so an older one than that in force is now ignored, and for a minute also one older than the last before a removal. An equal one is applied after a removal, since a running backend server may repeat its last write as it was, unless another one has started at its host meanwhile. Records without a start aren't ordered: their count begins anew at a restart. The document in force is what peers get.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -346,6 +346,7 @@
             state=BackendState.READY,
             cold_remaining_s=0.0,
             started_at_ms=1,
+            sequence=1,
         )
 
     def _create_desired_state(self) -> DesiredState:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_backend.py
@@ -52,6 +52,8 @@
                 state=state,
                 cold_remaining_s=0.0,
                 started_at_ms=self.started_at_ms,
+                # The stand-in of the store counts the writes itself.
+                sequence=0,
             )
         )
 
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_record.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_record.py
@@ -19,8 +19,8 @@
     ``host`` is the address of its instance, which also runs its agent. ``slots`` is
     the number of requests that it runs concurrently. ``cold_remaining_s`` is the rest
     of its cold start, in seconds, at the time of publication; it is slow until then.
-    ``started_at_ms`` is the Unix time of its start in milliseconds; it differs after
-    each restart.
+    ``started_at_ms`` is the Unix time of its start in milliseconds, or 0 if unknown; it
+    differs after each restart. ``sequence`` counts what it published since its start.
     """
 
     identifier: str
@@ -32,3 +32,17 @@
     state: BackendState
     cold_remaining_s: float
     started_at_ms: int
+    sequence: int
+
+    def is_older_than(self, other: BackendRecord) -> bool:
+        """
+        Whether a backend server published this before another record of its name.
+
+        The count starts anew with each start: it orders nothing if one is unknown.
+        """
+        if not self.started_at_ms or not other.started_at_ms:
+            return False
+        return (self.started_at_ms, self.sequence) < (
+            other.started_at_ms,
+            other.sequence,
+        )
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.desired_state.backend_start import BackendStart
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
+from oleanderweir.desired_state.removed_record import RemovedRecord
 
 
 if TYPE_CHECKING:
@@ -21,14 +22,20 @@
 
 logger = logging.getLogger(__name__)
 
+# How long the last record of a removed backend server is kept, so that an older one
+# isn't applied. Copies of the source are seconds old.
+REMOVED_RECORD_S = 60.0
+
 
 class BackendTopic:
     """
     Holds the published backend servers; older listings and changes are ignored.
 
-    A listing or change of a higher revision includes all writes of lower ones.
-    ``revision`` is 0 before the first listing; ``changed_revision`` is that of the
-    newest change. ``records`` has the backend servers of all valid ``documents``.
+    A listing of a higher revision tells which backend servers are published. The record
+    of each is ordered by what it says of itself, since a source that returned from an
+    older copy publishes earlier records again. ``revision`` is 0 before the first
+    listing; ``changed_revision`` is that of the newest change. ``records`` has the
+    backend servers of all valid ``documents``.
     """
 
     def __init__(self, *, decoder: StateDecoder) -> None:
@@ -37,6 +44,9 @@
         self.changed_revision = 0
         self.documents: dict[str, Change] = {}
         self.records: dict[str, BackendRecord] = {}
+        self.removed_records: dict[str, RemovedRecord] = {}
+        # Documents that were not applied, by name; each is logged once.
+        self.ignored_documents: dict[str, bytes] = {}
         # Time of the first listing, and of the last removal by host, in seconds of
         # trio's clock.
         self.listed_at: float | None = None
@@ -45,63 +55,143 @@
         self.newest_starts: dict[str, BackendStart] = {}
 
     def apply_listing(self, listing: Listing) -> bool:
-        """Replace all documents; return whether this changed any."""
+        """Apply a listing that isn't older; return whether this changed anything."""
         if listing.revision < self.revision:
             return False
-        documents = {change.name: change for change in listing.documents}
-        is_changed = documents != self.documents
-        for name in self.documents.keys() - documents.keys():
+        names = {change.name for change in listing.documents}
+        removed = self.documents.keys() - names
+        for name in removed:
             self._remove(name)
-        for name, change in documents.items():
-            if self.documents.get(name) != change:
-                self._apply(change)
+        for name in self.ignored_documents.keys() - names:
+            del self.ignored_documents[name]
+        applied = [change for change in listing.documents if self._apply(change)]
         if self.listed_at is None:
             self.listed_at = trio.current_time()
-        self.documents = documents
         self.revision = listing.revision
         newest = max((change.revision for change in listing.documents), default=0)
         self.changed_revision = max(self.changed_revision, newest)
-        return is_changed
+        return bool(removed or applied)
 
     def apply_changes(self, changes: Changes) -> bool:
         """Apply the changes after the known revision; return whether any was."""
         newer = [c for c in changes.changes if c.revision > self.revision]
+        is_changed = False
         for change in newer:
             self.changed_revision = change.revision
             if change.document is None:
                 self._remove(change.name)
+                is_changed = True
             else:
-                self.documents[change.name] = change
-                self._apply(change)
+                is_changed |= self._apply(change)
         self.revision = max(self.revision, changes.revision)
-        return bool(newer)
+        return is_changed
 
     def _remove(self, name: str) -> None:
         """Remove a backend server whose document was removed."""
         self.documents.pop(name, None)
-        record = self.records.pop(name, None)
+        self.ignored_documents.pop(name, None)
+        record = self._remove_record(name)
         if record is not None:
             self.removed_at[record.host] = trio.current_time()
 
-    def _apply(self, change: Change) -> None:
-        """Decode and apply a document; an invalid one removes its backend server."""
-        self.records.pop(change.name, None)
+    def _remove_record(self, name: str) -> BackendRecord | None:
+        """Remove and return a record, and remember it for ``REMOVED_RECORD_S``."""
+        now = trio.current_time()
+        self.removed_records = {
+            key: removed
+            for key, removed in self.removed_records.items()
+            if now - removed.removed_at < REMOVED_RECORD_S
+        }
+        record = self.records.pop(name, None)
+        if record is not None:
+            self.removed_records[name] = RemovedRecord(record=record, removed_at=now)
+        return record
+
+    def _apply(self, change: Change) -> bool:
+        """Apply a document; return whether this changed anything."""
+        name, document = change.name, change.document or b""
+        if self._is_known(name, document):
+            self.documents[name] = change
+            return False
         try:
-            record = self.decoder.decode_backend_server(
-                change.name, change.document or b""
-            )
+            record = self.decoder.decode_backend_server(name, document)
         except InvalidDocumentError as error:
-            logger.warning(
-                "published document is invalid and was not applied",
-                extra={
-                    "code": error.code,
-                    "document": change.name,
-                    "reason": str(error),
-                },
-            )
-            return
-        self.records[change.name] = record
+            self._reject(change, error)
+            return True
+        newest = self._newest_record(name)
+        if newest is not None and self._is_older(name, record, newest):
+            self._ignore(name, document, record, newest)
+            return False
+        self.ignored_documents.pop(name, None)
+        self.removed_records.pop(name, None)
+        self.documents[name] = change
+        self.records[name] = record
         self._record_start(record)
+        return True
+
+    def _is_known(self, name: str, document: bytes) -> bool:
+        """Whether a document is in force, or was rejected before as invalid."""
+        known = self.documents.get(name)
+        if known is None or known.document != document:
+            return False
+        return name in self.records or self.ignored_documents.get(name) == document
+
+    def _is_older(
+        self, name: str, record: BackendRecord, newest: BackendRecord
+    ) -> bool:
+        """
+        Whether a record is older than the newest one of its name.
+
+        A removed record may be published again, by a backend server that still runs,
+        but not once another one has started at its host.
+        """
+        if record.is_older_than(newest):
+            return True
+        start = self.newest_starts.get(record.host)
+        return (
+            name not in self.records
+            and start is not None
+            and record.started_at_ms < start.started_at_ms
+        )
+
+    def _newest_record(self, name: str) -> BackendRecord | None:
+        """Return the record in force under a name, or one that was removed recently."""
+        removed = self.removed_records.get(name)
+        if name in self.records or removed is None:
+            return self.records.get(name)
+        is_recent = trio.current_time() - removed.removed_at < REMOVED_RECORD_S
+        return removed.record if is_recent else None
+
+    def _reject(self, change: Change, error: InvalidDocumentError) -> None:
+        """Remove the backend server of an invalid document."""
+        self.documents[change.name] = change
+        self.ignored_documents[change.name] = change.document or b""
+        self._remove_record(change.name)
+        logger.warning(
+            "published document is invalid and was not applied",
+            extra={
+                "code": error.code,
+                "document": change.name,
+                "reason": str(error),
+            },
+        )
+
+    def _ignore(
+        self, name: str, document: bytes, record: BackendRecord, newest: BackendRecord
+    ) -> None:
+        """Log that a document is older than one that was applied before."""
+        if self.ignored_documents.get(name) == document:
+            return
+        self.ignored_documents[name] = document
+        logger.info(
+            "published document is not newer and was not applied",
+            extra={
+                "code": "state_ignored",
+                "document": name,
+                "found": f"{record.started_at_ms}/{record.sequence}",
+                "in_force": f"{newest.started_at_ms}/{newest.sequence}",
+            },
+        )
 
     def _record_start(self, record: BackendRecord) -> None:
         """Record when the newest start of a host's backend server became known."""
--- a/tests/oleanderweir/desired_state/fakes.py
+++ b/tests/oleanderweir/desired_state/fakes.py
@@ -38,6 +38,7 @@
             host=fields["host"],
             state=BackendState(fields["state"]),
             started_at_ms=fields["started_at_ms"],
+            sequence=fields["sequence"],
         )
 
 
@@ -66,6 +67,7 @@
     host: str = "10.0.0.1",
     state: BackendState = BackendState.READY,
     started_at_ms: int = 1000,
+    sequence: int = 1,
     slots: int = 4,
     availability_zone: str = "a",
 ) -> BackendRecord:
@@ -79,6 +81,7 @@
         state=state,
         cold_remaining_s=0.0,
         started_at_ms=started_at_ms,
+        sequence=sequence,
     )
 
 
@@ -92,12 +95,14 @@
     service: str = "feed",
     state: str = "ready",
     started_at_ms: int = 1000,
+    sequence: int = 1,
 ) -> bytes:
     fields = {
         "service": service,
         "host": host,
         "state": state,
         "started_at_ms": started_at_ms,
+        "sequence": sequence,
     }
     return json.dumps(fields).encode()
 
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -57,6 +57,7 @@
     assert record.slots == 3
     assert record.cold_remaining_s == 1.5
     assert record.state is BackendState.READY
+    assert (record.started_at_ms, record.sequence) == (1792388503500, 4)
 
 
 @pytest.mark.parametrize(
@@ -71,6 +72,7 @@
         ("born", float("inf")),
         ("State", ["ready"]),
         ("Address", 7),
+        ("Seq", None),
     ],
 )
 def test_an_invalid_entry_is_rejected(field: str, value: object) -> None:
