Back off when a topic's history is lost again, and log it

A source whose watches all fail as lost history was listed again without any pause, and each call is priced. It was also invisible, since neither the loss nor the listing was logged.

The first loss after a successful watch is still answered by a listing at once, as after a compaction; further ones wait with the backoff of failed calls. Each loss is a log line with topic and revision.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -45,6 +45,7 @@
     Lists a topic once, then watches it; lists it again when its history is lost.
 
     Failed calls are retried with exponential backoff and jitter, up to ``MAX_RETRY_S``.
+    So are listings while the history is lost again before any watch succeeds.
     After the first listing, the topic is only read while ``status.should_read`` is set.
     ``on_changes`` receives the changes of each watch, and the revision of the newest
     change before them.
@@ -69,14 +70,16 @@
         self.is_outage_logged = False
         self.must_list = True
         self.retry_s = FIRST_RETRY_S
+        # Whether the history was lost since the last successful watch.
+        self.is_history_lost = False
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
             try:
                 await self._step()
-            except HistoryLostError:
-                self.must_list = True
+            except HistoryLostError as error:
+                await self._on_history_lost(error)
             except SourceUnavailableError as error:
                 await self._back_off(error)
 
@@ -106,6 +109,7 @@
                 else FIRST_WATCH_WAIT_S
             ),
         )
+        self.is_history_lost = False
         previous_revision = self.register.changed_revision(self.topic)
         self.register.apply_changes(changes, origin="source")
         self.on_changes(changes, previous_revision)
@@ -113,8 +117,25 @@
         if changes.changes:
             await trio.sleep(BATCHING_DELAY_S)
 
+    async def _on_history_lost(self, error: HistoryLostError) -> None:
+        """List the topic next: at once the first time, then with backoff."""
+        logger.warning(
+            "the source no longer has the changes; listing again",
+            extra={
+                "code": error.code,
+                "topic": self.topic.value,
+                "revision": self.register.revision(self.topic),
+                "reason": error.message,
+            },
+        )
+        self.must_list = True
+        if self.is_history_lost:
+            await self._sleep_before_retry()
+        self.is_history_lost = True
+
     def _on_success(self) -> None:
-        self.retry_s = FIRST_RETRY_S
+        if not self.is_history_lost:
+            self.retry_s = FIRST_RETRY_S
         self.status.is_connected = True
         if not self.is_outage_logged:
             return
@@ -137,5 +158,9 @@
             )
         self.is_outage_logged = True
         self.status.is_connected = False
+        await self._sleep_before_retry()
+
+    async def _sleep_before_retry(self) -> None:
+        """Wait before the next call, twice as long each time."""
         await trio.sleep(self.retry_s * self.random_source.uniform(0.5, 1.0))
         self.retry_s = min(self.retry_s * 2, MAX_RETRY_S)
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import random
+from typing import TYPE_CHECKING
 
 import trio
 import trio.testing
@@ -17,6 +18,10 @@
 from tests.oleanderweir.desired_state.fakes import make_register
 
 
+if TYPE_CHECKING:
+    import pytest
+
+
 TOPIC = Topic.BACKEND_SERVERS
 
 
@@ -26,6 +31,7 @@
     def __init__(self, *script: Listing | Changes | Exception) -> None:
         self.script = list(script)
         self.calls: list[str] = []
+        self.called_at: list[float] = []
         self.waits: list[float] = []
 
     async def list(self, topic: Topic) -> Listing:
@@ -41,6 +47,7 @@
 
     async def _next(self, call: str) -> Listing | Changes:
         self.calls.append(call)
+        self.called_at.append(trio.current_time())
         if not self.script:
             await trio.sleep_forever()
         result = self.script.pop(0)
@@ -96,6 +103,43 @@
     assert source.calls == ["list", "watch 10", "list", "watch 30"]
 
 
+async def test_a_history_that_is_lost_again_and_again_is_listed_with_backoff(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    lost = HistoryLostError("history compacted")
+    source = FakeSource(*(make_listing(10), lost) * 500)
+
+    await follow(source)
+
+    # With the maximum backoff and jitter, listings are at least half a second apart.
+    assert 8 <= source.calls.count("list") <= 24
+
+
+async def test_a_history_lost_after_a_successful_watch_is_listed_at_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    lost = HistoryLostError("history compacted")
+    quiet = Changes(topic=TOPIC, revision=10, changes=())
+    source = FakeSource(make_listing(10), *(lost, make_listing(10), quiet) * 9)
+    started_at = trio.current_time()
+
+    await follow(source)
+
+    assert source.calls.count("list") == 10
+    assert source.called_at[-1] == started_at
+
+
+async def test_each_loss_of_history_is_logged(
+    autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    lost = HistoryLostError("history compacted")
+    await follow(FakeSource(make_listing(10), lost, make_listing(30)))
+
+    [record] = [r for r in caplog.records if vars(r).get("code") == "history_lost"]
+    assert vars(record)["topic"] == TOPIC.value
+    assert vars(record)["revision"] == 10
+
+
 async def test_a_failing_source_is_retried_with_backoff(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
