Check all watches of a process when one has lost its history

A restore may leave waiting watches open. That of the desired state waits up to 28 s for changes after a revision that the store now gives out again, so it missed a version written meanwhile; if no watch of the fleet was cut, no process had it to pass on.

The watch of the backend servers lasts under two seconds and tells first that history is lost. It now ends the other watch of its process, which is repeated with a short wait and lists the topic if its history is lost too; peers learn the version from the next heartbeats. A watch that was only interrupted resumes where it was.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -72,6 +72,15 @@
         self.retry_s = FIRST_RETRY_S
         # Whether the history was lost since the last successful watch.
         self.is_history_lost = False
+        # Called when the history was lost, which other topics may not have noticed.
+        self.on_history_lost: Callable[[], None] = lambda: None
+        self.watch_scope = trio.CancelScope()
+        self.is_interrupted = False
+
+    def interrupt_watch(self) -> None:
+        """End a waiting watch; the next one is short and tells if history is lost."""
+        self.is_interrupted = True
+        self.watch_scope.cancel()
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -99,16 +108,17 @@
 
     async def _watch(self) -> None:
         """Watch the topic once and apply the changes."""
-        changes = await self.source.watch(
-            self.topic,
-            after=self.register.revision(self.topic),
-            # A short first watch soon sets ``is_connected``, on which peers rely.
-            wait_s=(
-                WATCH_WAIT_S[self.topic]
-                if self.status.is_connected
-                else FIRST_WATCH_WAIT_S
-            ),
-        )
+        # A short first watch soon sets ``is_connected``, on which peers rely.
+        is_short = self.is_interrupted or not self.status.is_connected
+        self.is_interrupted = False
+        with trio.CancelScope() as self.watch_scope:
+            changes = await self.source.watch(
+                self.topic,
+                after=self.register.revision(self.topic),
+                wait_s=FIRST_WATCH_WAIT_S if is_short else WATCH_WAIT_S[self.topic],
+            )
+        if self.watch_scope.cancelled_caught:
+            return
         self.is_history_lost = False
         previous_revision = self.register.changed_revision(self.topic)
         self.register.apply_changes(changes, origin="source")
@@ -129,6 +139,8 @@
             },
         )
         self.must_list = True
+        self.on_history_lost()
+        self.is_interrupted = False
         if self.is_history_lost:
             await self._sleep_before_retry()
         self.is_history_lost = True
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -98,6 +98,8 @@
             )
             for topic, status in statuses.items()
         ]
+        for follower in self.followers:
+            follower.on_history_lost = self._interrupt_watches
         self.program: PacketProgram | None = None
         self.is_stopping = False
         self.nursery: trio.Nursery | None = None
@@ -123,6 +125,11 @@
                     extra={"code": "started", "cpu_s": round(time.process_time(), 3)},
                 )
 
+    def _interrupt_watches(self) -> None:
+        """Check the watches of all topics, after one has lost its history."""
+        for follower in self.followers:
+            follower.interrupt_watch()
+
     def on_state_change(self, topic: Topic) -> None:
         """Notify the program of a change, and send heartbeats to new hosts in it."""
         if self.program is not None:
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -204,3 +204,47 @@
     await follow(source)
 
     assert source.waits[1] < source.waits[2]
+
+
+async def test_an_interrupted_watch_is_repeated_with_a_short_wait(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    source = FakeSource(make_listing(10))
+    follower = StateFollower(
+        topic=TOPIC,
+        source=source,
+        register=make_register(),
+        status=ReaderStatus(),
+        on_changes=lambda changes, base: None,
+        random_source=random.Random(1),
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(1)
+        follower.interrupt_watch()
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+
+    assert source.calls == ["list", "watch 10", "watch 10"]
+    assert source.waits[1] < source.waits[0]
+
+
+async def test_a_lost_history_is_told_before_the_topic_is_listed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    source = FakeSource(make_listing(10), HistoryLostError("restored"))
+    follower = StateFollower(
+        topic=TOPIC,
+        source=source,
+        register=make_register(),
+        status=ReaderStatus(),
+        on_changes=lambda changes, base: None,
+        random_source=random.Random(1),
+    )
+    told_after: list[list[str]] = []
+    follower.on_history_lost = lambda: told_after.append(list(source.calls))
+
+    with trio.move_on_after(1):
+        await follower.run()
+
+    assert told_after == [["list", "watch 10"]]
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -123,6 +123,12 @@
             )
             for topic, status in statuses.items()
         ]
+        for follower in self.followers:
+            follower.on_history_lost = self.interrupt_watches
+
+    def interrupt_watches(self) -> None:
+        for follower in self.followers:
+            follower.interrupt_watch()
 
     def start(self) -> None:
         for follower in self.followers:
--- a/tests/oleanderweir_standins/test_restored_store.py
+++ b/tests/oleanderweir_standins/test_restored_store.py
@@ -137,6 +137,22 @@
     assert all("servers/b1" in p.register.backends for p in fleet.processes.values())
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_a_restore_that_cuts_no_watch_is_noticed_before_the_watch_ends(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        revision = fleet.store.revision_before(9.0)
+        fleet.store.writers.restore(revision, random.Random(seed))
+        # As long as machines take to be in touch with the store again.
+        await trio.sleep(4)
+
+        write_routes(fleet, 4)
+        await fleet.stand_by(fleet.version, within_s=APPLY_S)
+
+    assert fleet.regressions() == {}
+
+
 async def watch_states(fleet: Fleet, seen: set[BackendState]) -> None:
     """Add each state that any process has for any backend server to a set."""
     while True:
