Count an unreadable entry as the removal of its backend server

What callers saw: a reset (flow_not_held) of an open flow. Cause: an entry that can't be decoded took its backend server out without a time of removal, so the grace of 2.5 s counted from the first listing, and lookups ruled the owner out at once. Class: a report without its age. test_an_unreadable_entry_rules_its_backend_server_out_only_after_the_grace failed before.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -90,12 +90,10 @@
         """Remove a backend server whose document was removed."""
         self.documents.pop(name, None)
         self.ignored_documents.pop(name, None)
-        record = self._remove_record(name)
-        if record is not None:
-            self.removed_at[record.host] = trio.current_time()
+        self._remove_record(name)
 
-    def _remove_record(self, name: str) -> BackendRecord | None:
-        """Remove and return a record, and remember it for ``REMOVED_RECORD_S``."""
+    def _remove_record(self, name: str) -> None:
+        """Remove a record, and remember it for ``REMOVED_RECORD_S``."""
         now = trio.current_time()
         self.removed_records = {
             key: removed
@@ -105,7 +103,7 @@
         record = self.records.pop(name, None)
         if record is not None:
             self.removed_records[name] = RemovedRecord(record=record, removed_at=now)
-        return record
+            self.removed_at[record.host] = now
 
     def _apply(self, change: Change) -> bool:
         """Apply a document; return whether this changed anything."""
