--- a/tests/oleanderweir/packet_process/test_process_runtime.py
+++ b/tests/oleanderweir/packet_process/test_process_runtime.py
@@ -63,3 +63,11 @@
     runtime.reload()
 
     assert runtime.heartbeat_sender.seeds == ("10.0.0.1",)
+
+
+def test_a_lost_history_interrupts_the_watches_of_all_topics() -> None:
+    runtime = make_runtime(tuple)
+
+    runtime.followers[0].on_history_lost()
+
+    assert all(follower.is_interrupted for follower in runtime.followers)
