Move the handling of flow packets out of PacketAgent

BackendPacketHandler processes the packets of the backend server: proof of ownership, claims, withheld resets and returned packets. FlowPacketHandler processes callers' packets of flows that were opened before. PacketAgent composes them, and keeps messages, ticks, probe outcomes and state changes.

No change of behaviour: the methods moved as they were. The log lines reset_withheld and backend_reset keep their codes and get the name of the new module's logger.

--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -0,0 +1,173 @@
+"""Packets of the backend server: answers, resets and returned packets."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.flows import describe_flow
+from oleanderweir.peering.messages import ReturnReason
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.flows import PacketCodec
+    from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.flow_remover import FlowRemover
+    from oleanderweir_agent.forwarding.flow_table import FlowTable
+    from oleanderweir_agent.forwarding.flow_table import HeldFlow
+    from oleanderweir_agent.forwarding.opening_handler import OpeningHandler
+    from oleanderweir_agent.forwarding.ownership_check import OwnershipCheck
+    from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
+    from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+
+
+logger = logging.getLogger(__name__)
+
+
+class BackendPacketHandler:
+    """
+    Forwards packets of the backend server to callers, and processes returned ones.
+
+    A packet of a flow may prove that the backend server holds it; the peers that asked
+    are then notified. A reset of a flow that another one may hold is withheld.
+    """
+
+    def __init__(
+        self,
+        *,
+        codec: PacketCodec,
+        table: FlowTable,
+        dispatcher: RequestDispatcher,
+        liveness: BackendLiveness,
+        ownership: OwnershipChecker,
+        remover: FlowRemover,
+        opening_handler: OpeningHandler,
+        transport: AgentTransport,
+    ) -> None:
+        self.codec = codec
+        self.table = table
+        self.dispatcher = dispatcher
+        self.liveness = liveness
+        self.ownership = ownership
+        self.remover = remover
+        self.opening_handler = opening_handler
+        self.transport = transport
+
+    def on_packet(self, data: bytes) -> None:
+        """Forward a packet of the backend server, or process one that it returned."""
+        packet = self.codec.decode_from_backend_server(data)
+        if packet is None:
+            return
+        now = trio.current_time()
+        self.liveness.on_backend_packet(now=now)
+        if packet.is_returned:
+            self._on_returned(packet, now=now)
+            return
+        if packet.is_reset and self._is_reset_of_another(packet.key, now=now):
+            return
+        self.transport.forward_to_caller(packet.key, data)
+        self._update_from_backend(packet, now=now)
+        self.dispatcher.start_queued(self.table.flows, now=now)
+
+    def _is_reset_of_another(self, key: FlowKey, *, now: float) -> bool:
+        """
+        Withhold a reset of a flow that another backend server may hold; deny the flow.
+
+        A backend server also resets flows that have ended there or stayed half open.
+        """
+        check = self.ownership.pop(key)
+        flow = self.table.get(key)
+        is_half_open = flow is not None and flow.is_answered and not flow.is_confirmed
+        if check is None and not is_half_open:
+            return False
+        logger.info(
+            "reset withheld from the caller: another backend server may hold the flow",
+            extra={"code": "reset_withheld", "flow": describe_flow(key)},
+        )
+        self.ownership.record_not_held(key, now=now)
+        self.remover.remove(key, now=now)
+        if check is not None:
+            self._deny(check.balancer, key, check.data)
+        return True
+
+    def _update_from_backend(self, packet: Packet, *, now: float) -> None:
+        """Update the state of a flow from a packet of the backend server."""
+        # The answer to an opening packet may be late, and another backend server may
+        # have opened the flow since: it doesn't prove that this one holds the flow.
+        check = None if packet.is_opening else self.ownership.pop(packet.key)
+        host = "" if check is None else check.balancer
+        flow = self.table.get_or_create(packet.key, balancer=host, now=now)
+        flow.is_answered = True
+        if not packet.is_opening:
+            self._establish(flow, check, now=now)
+        if packet.is_acknowledging:
+            self.dispatcher.on_acknowledged(flow, packet.acknowledged)
+        if packet.payload_bytes:
+            self.dispatcher.on_answer(flow, now=now)
+        if packet.is_reset:
+            self._log_backend_reset(flow, now=now)
+            self.dispatcher.drop(flow, now=now)
+            flow.caller_closed = flow.backend_closed = True
+        elif packet.is_final:
+            flow.backend_closed = True
+
+    def _establish(
+        self, flow: HeldFlow, check: OwnershipCheck | None, *, now: float
+    ) -> None:
+        """Mark a flow as held, if its caller sent a packet; notify those who asked."""
+        claimants, flow.claimants = flow.claimants, set()
+        if claimants:
+            flow.is_confirmed = True
+            flow.opening = None
+        if check is not None:
+            claimants.add(check.balancer)
+        if not flow.is_confirmed and not claimants:
+            return
+        flow.is_established = True
+        for host in sorted(claimants):
+            flow.balancer = host
+            self.transport.send_owner_notice(host, flow.key, **flow.describe_progress())
+        if check is not None:
+            self.dispatcher.on_ownership_confirmed(flow, check, now=now)
+
+    def _on_returned(self, packet: Packet, *, now: float) -> None:
+        """Process a packet that the backend server returned unserved."""
+        key = packet.key
+        data = self.codec.restore(packet)
+        flow = self.table.get(key)
+        check = self.ownership.pop(key)
+        if packet.is_opening:
+            self.opening_handler.on_returned(flow, key, data, now=now)
+            return
+        self.ownership.record_not_held(key, now=now)
+        self.remover.remove(key, now=now)
+        if check is not None:
+            self._deny(check.balancer, key, data)
+        elif flow is not None and flow.claimants:
+            for host in sorted(flow.claimants):
+                self._deny(host, key, data)
+        elif flow is not None and not (flow.is_confirmed and flow.is_closed):
+            # A backend server that held the flow and returns its packet was restarted.
+            self.remover.return_unheld(flow.balancer, flow, data)
+
+    def _deny(self, host: str, key: FlowKey, data: bytes) -> None:
+        """Return a packet of a flow that the backend server doesn't hold."""
+        self.transport.return_packet(host, key, data, ReturnReason.NOT_HELD)
+
+    def _log_backend_reset(self, flow: HeldFlow, *, now: float) -> None:
+        logger.info(
+            "backend server reset a flow",
+            extra={
+                "code": "backend_reset",
+                "flow": describe_flow(flow.key),
+                "is_confirmed": flow.is_confirmed,
+                "age_s": round(now - flow.opened_at, 3),
+                "busy": self.dispatcher.meter.busy,
+                "flows": len(self.table.flows),
+            },
+        )
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -0,0 +1,137 @@
+"""Callers' packets of flows that were opened before."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.ownership_checker import NOT_HELD_TTL_S
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import Packet
+    from oleanderweir.peering.messages import Delivery
+    from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
+    from oleanderweir_agent.forwarding.flow_remover import FlowRemover
+    from oleanderweir_agent.forwarding.flow_table import FlowTable
+    from oleanderweir_agent.forwarding.flow_table import HeldFlow
+    from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
+    from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+
+
+class FlowPacketHandler:
+    """
+    Forwards callers' packets of flows that the backend server holds, or may hold.
+
+    Checks the ownership of a flow that isn't in the table, and returns a packet of one
+    that the backend server doesn't hold.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: FlowTable,
+        dispatcher: RequestDispatcher,
+        admission: FlowAdmission,
+        liveness: BackendLiveness,
+        ownership: OwnershipChecker,
+        remover: FlowRemover,
+        transport: AgentTransport,
+    ) -> None:
+        self.table = table
+        self.dispatcher = dispatcher
+        self.admission = admission
+        self.liveness = liveness
+        self.ownership = ownership
+        self.remover = remover
+        self.transport = transport
+
+    def on_packet(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
+        """Forward a packet if the backend server holds its flow, or may hold it."""
+        flow = self.table.get(packet.key)
+        if flow is None:
+            self._check_ownership(host, packet, message, now=now)
+        elif self.liveness.is_down():
+            self.remover.remove(packet.key, now=now)
+            self.remover.return_unheld(host, flow, packet.data)
+        elif message.purpose is not DeliveryPurpose.QUERY:
+            self._forward(host, flow, packet, now=now)
+        elif flow.is_closed:
+            self.ownership.start(host, packet, now=now)
+        elif flow.is_established:
+            self._forward(host, flow, packet, now=now)
+            self.transport.send_owner_notice(
+                host, packet.key, **flow.describe_progress()
+            )
+        else:
+            # The caller may have acknowledged another backend server's answer.
+            flow.claimants.add(host)
+            self._dispatch(flow, packet, now=now)
+
+    def _forward(
+        self, host: str, flow: HeldFlow, packet: Packet, *, now: float
+    ) -> None:
+        """Forward a packet of a flow in the table to the backend server."""
+        self._update_from_caller(host, flow, packet, now=now)
+        self._dispatch(flow, packet, now=now)
+
+    def _dispatch(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
+        """Send a packet to the backend server, or queue it with its request."""
+        if packet.payload_bytes:
+            self.liveness.on_payload(now=now)
+        self.dispatcher.dispatch(flow, packet, now=now)
+
+    def _check_ownership(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
+        """Start an ownership check of an unknown flow, or return its packet at once."""
+        is_not_held = self.ownership.is_not_held(packet.key, now=now)
+        if is_not_held or self._is_withdrawn(now):
+            self.transport.return_packet(
+                host, packet.key, packet.data, ReturnReason.NOT_HELD
+            )
+        elif self._routes_elsewhere(packet, message):
+            self.transport.return_packet(
+                host, packet.key, packet.data, ReturnReason.NOT_TRIED
+            )
+        else:
+            self.ownership.start(host, packet, now=now)
+
+    def _routes_elsewhere(self, packet: Packet, message: Delivery) -> bool:
+        """
+        Whether a packet of an unknown flow must not be forwarded, due to its route.
+
+        If the route leads to another service, only a query is forwarded: the flow may
+        have been opened before the route moved.
+        """
+        is_query = message.purpose is DeliveryPurpose.QUERY
+        version = message.version
+        return not is_query and not self.admission.allows_route(
+            packet.key, version=version
+        )
+
+    def _update_from_caller(
+        self, host: str, flow: HeldFlow, packet: Packet, *, now: float
+    ) -> None:
+        """Update the state of a flow from a packet of its caller."""
+        flow.used_at = now
+        flow.balancer = host
+        flow.caller_acknowledged = packet.acknowledged
+        flow.is_confirmed = True
+        flow.opening = None
+        if packet.is_reset:
+            flow.caller_closed = flow.backend_closed = True
+        elif packet.is_final:
+            flow.caller_closed = True
+
+    def _is_withdrawn(self, now: float) -> bool:
+        """Whether the backend server is no longer published and sends nothing."""
+        return (
+            self.admission.is_unpublished(now=now)
+            and now - self.liveness.last_packet_at > NOT_HELD_TTL_S
+        )
