Split the tests of PacketAgent and PacketBalancer by the classes they test

The tests stayed in test_packet_agent.py (853 lines) and test_packet_balancer.py (820 lines) when their subjects moved into classes of their own.

--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -16,9 +16,14 @@
 from oleanderweir_agent.forwarding import FlowAdmission
 from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
+from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
+from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import FakeSocket
+from tests.oleanderweir.flows.fakes import encode_packet
+from tests.oleanderweir.flows.fakes import make_key
+from tests.oleanderweir_agent.forwarding.packets import request
 
 
 if TYPE_CHECKING:
@@ -102,3 +107,31 @@
         requests_reply=False,
         reads_source=False,
     )
+
+
+def open_flow(bench: AgentBench, number: int) -> None:
+    key = make_key(number)
+    bench.deliver(DeliveryPurpose.OPEN, encode_packet(key, is_opening=True))
+    bench.agent.on_backend_packet(
+        encode_packet(key, is_opening=True, is_acknowledging=True)
+    )
+
+
+async def simulate_backend_crash(bench: AgentBench) -> None:
+    """Leave opening packets unanswered until the backend server counts as down."""
+    for number in (101, 102, 103):
+        opening = encode_packet(make_key(number), is_opening=True)
+        bench.deliver(DeliveryPurpose.OPEN, opening)
+        await bench.pass_time(0.3)
+    bench.to_peers()
+
+
+def saturate(bench: AgentBench) -> None:
+    """Fill the slots, and queue as many requests."""
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    bench.agent.on_state_change()
+    slots = bench.agent.dispatcher.meter.slots
+    for number in range(1, 2 * slots + 2):
+        open_flow(bench, number)
+        bench.deliver(DeliveryPurpose.CONTINUE, request(number))
+    bench.to_peers()
--- a/tests/oleanderweir_balancer/forwarding/bench.py
+++ b/tests/oleanderweir_balancer/forwarding/bench.py
@@ -7,7 +7,9 @@
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
 from oleanderweir.peering.messages import Delivery
+from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import LoadReport
+from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir_balancer.forwarding import BalancerTransport
 from oleanderweir_balancer.forwarding import PacketBalancer
@@ -27,6 +29,12 @@
 
 CALLER_PORT = 8172
 PEER_PORT = 7720
+# Backend servers of two services.
+MIXED = {
+    "b1": backend_document(host="10.0.0.1", service="feed"),
+    "b2": backend_document(host="10.0.0.3", service="archive"),
+}
+LARGE_FLEET = tuple(f"10.0.0.{n}" for n in range(1, 41))
 
 
 class BalancerBench:
@@ -90,3 +98,18 @@
     def resets(self) -> list[tuple[bytes, tuple[str, int]]]:
         """Return the datagrams sent to callers; discard the other sent ones."""
         return [sent for sent in self.socket.pop_sent() if sent[1][1] == CALLER_PORT]
+
+
+def make_agent_heartbeat(*, holds_no_flows: bool = False) -> Heartbeat:
+    return Heartbeat(
+        role=PeerRole.AGENT,
+        availability_zone="a",
+        service="feed",
+        desired_version=0,
+        backends_revision=0,
+        balancers=(),
+        agents=(),
+        requests_reply=False,
+        reads_source=False,
+        holds_no_flows=holds_no_flows,
+    )
