Move probe outcomes and the backend server's record out of PacketAgent

ProbeOutcomeHandler resets the flows of a backend server that a probe proved to have stopped; BackendRecordFollower applies the published record and drops the requests from before a restart. PacketAgent passes both calls on.

No change of behaviour: the methods moved as they were.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-import time
 from typing import TYPE_CHECKING
 
 import trio
@@ -16,6 +14,7 @@
 from oleanderweir_agent.forwarding.acceptance import Acceptance
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.backend_packet_handler import BackendPacketHandler
+from oleanderweir_agent.forwarding.backend_record_follower import BackendRecordFollower
 from oleanderweir_agent.forwarding.flow_packet_handler import FlowPacketHandler
 from oleanderweir_agent.forwarding.flow_remover import FlowRemover
 from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -23,6 +22,7 @@
 from oleanderweir_agent.forwarding.opening_handler import OpeningHandler
 from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
 from oleanderweir_agent.forwarding.pending_openings import PendingOpenings
+from oleanderweir_agent.forwarding.probe_outcome_handler import ProbeOutcomeHandler
 from oleanderweir_agent.forwarding.report_builder import ReportBuilder
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
@@ -35,13 +35,9 @@
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
-    from oleanderweir_agent.forwarding.flow_table import HeldFlow
     from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 
 
-logger = logging.getLogger(__name__)
-
-
 class PacketAgent:
     """
     Forwards packets between balancers, one backend server and its callers.
@@ -123,7 +119,18 @@
             opening_handler=self.opening_handler,
             transport=transport,
         )
-        self.backend_started_at_ms = 0
+        self.probe_outcome_handler = ProbeOutcomeHandler(
+            codec=codec,
+            table=self.table,
+            liveness=self.liveness,
+            ownership=self.ownership,
+            remover=self.remover,
+            opening_handler=self.opening_handler,
+            transport=transport,
+        )
+        self.record_follower = BackendRecordFollower(
+            admission=admission, dispatcher=self.dispatcher, table=self.table
+        )
 
     # Packets from peers
 
@@ -197,42 +204,14 @@
         return self.liveness.is_refused and self.admission.record is None
 
     def on_probe_outcome(self, outcome: ProbeOutcome, *, checked_at: float) -> None:
-        """
-        Process the outcome of a probe of the backend server.
-
-        If it proves that the backend server has stopped, every flow that was not used
-        since the probe began is lost and is reset. Its caller can then open a new one
-        at once, and doesn't send a request that can't be repeated into a flow that no
-        process answers.
-        """
-        now = trio.current_time()
-        self.liveness.on_probe_outcome(outcome, now=checked_at)
-        if not self.liveness.has_stopped:
-            return
-        for flow in self.table.idle_since(checked_at):
-            self._reset_lost_flow(flow, now=now)
-        self.opening_handler.return_sent_before(checked_at, now=now)
-        self.ownership.deny_all(started_before=checked_at)
+        """Process the outcome of a probe of the backend server."""
+        self.probe_outcome_handler.on_probe_outcome(outcome, checked_at=checked_at)
 
     def announce_departure(self) -> None:
         """Notify all peers that the agent exits and its backend server has no flows."""
         for host in self.members.members:
             self.transport.send(host, Departure(service=self.service))
 
-    def _reset_lost_flow(self, flow: HeldFlow, *, now: float) -> None:
-        """
-        Remove a flow that was lost with its backend server, and reset it if open.
-
-        Skips a flow of which the caller has sent only the opening packet.
-        """
-        if flow.opening is not None:
-            return
-        if flow.is_established and not flow.is_closed:
-            data = self.codec.make_reset(flow.key, sequence=flow.caller_acknowledged)
-            self.transport.reset_flow(flow.key, data, reason="backend_gone")
-        self.ownership.record_not_held(flow.key, now=now)
-        self.remover.remove(flow.key, now=now)
-
     def expire(self) -> None:
         """Drop expired lookups, flows and ownership checks."""
         now = trio.current_time()
@@ -243,30 +222,4 @@
 
     def on_state_change(self) -> None:
         """Apply the published record of the backend server."""
-        record = self.admission.update_record()
-        if record is None:
-            return
-        self.dispatcher.meter.slots = record.slots
-        if self.backend_started_at_ms not in (0, record.started_at_ms):
-            self._on_restart(record.started_at_ms)
-        self.backend_started_at_ms = record.started_at_ms
-
-    def _on_restart(self, started_at_ms: int) -> None:
-        """Drop the requests that were in flight when the backend server restarted."""
-        now = trio.current_time()
-        started_at = now - max(0.0, time.time() - started_at_ms / 1000)
-        lost = [
-            flow
-            for flow in self.table.flows.values()
-            if flow.requested_at is not None and flow.requested_at < started_at
-        ]
-        for flow in lost:
-            self.dispatcher.drop(flow, now=now)
-        logger.warning(
-            "backend server restarted; dropped requests from before the restart",
-            extra={
-                "code": "backend_restarted",
-                "started_at_ms": started_at_ms,
-                "requests": len(lost),
-            },
-        )
+        self.record_follower.on_state_change()
--- a/tests/oleanderweir_agent/forwarding/test_packet_agent.py
+++ b/tests/oleanderweir_agent/forwarding/test_packet_agent.py
@@ -1,24 +1,13 @@
 from __future__ import annotations
 
-import trio
-import trio.testing
-
 from oleanderweir.peering.messages import DeliveryPurpose
-from oleanderweir.peering.messages import ReturnedPacket
-from oleanderweir.peering.messages import ReturnReason
-from oleanderweir_agent.forwarding import ProbeOutcome
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
-from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
-from tests.oleanderweir.flows.fakes import make_key
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
-from tests.oleanderweir_agent.forwarding.bench import open_flow
 from tests.oleanderweir_agent.forwarding.packets import ANSWER
 from tests.oleanderweir_agent.forwarding.packets import OPENED
 from tests.oleanderweir_agent.forwarding.packets import OPENING
 from tests.oleanderweir_agent.forwarding.packets import REQUEST
-from tests.oleanderweir_agent.forwarding.packets import answer
-from tests.oleanderweir_agent.forwarding.packets import request
 
 
 async def test_packets_are_forwarded_in_both_directions() -> None:
@@ -32,126 +21,3 @@
 
     assert bench.to_backend() == [OPENING, REQUEST]
     assert bench.to_callers() == [OPENED, ANSWER]
-
-
-async def test_the_record_of_the_newest_incarnation_is_used() -> None:
-    bench = AgentBench()
-    old = backend_document(host="10.0.0.1", started_at_ms=1000)
-    publish(bench.register, backends={"b1": old})
-    bench.agent.on_state_change()
-    open_flow(bench, 1)
-    new = backend_document(host="10.0.0.1", started_at_ms=2000)
-    publish(bench.register, backends={"b1": old, "b2": new}, revision=11)
-    bench.agent.on_state_change()
-
-    publish(bench.register, backends={"b2": new, "b1": old}, revision=12)
-    bench.agent.on_state_change()
-
-    assert bench.agent.backend_started_at_ms == 2000
-
-
-async def test_flows_of_a_stopped_backend_server_are_reset_at_once(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    open_flow(bench, 1)
-    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
-    bench.agent.on_backend_packet(answer(1))
-    bench.to_callers()
-    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
-    await trio.sleep(1)
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
-
-    [data] = bench.to_callers()
-    reset = EmulatedPacketCodec().decode_from_caller(data)
-    assert reset is not None
-    assert reset.is_reset
-    assert reset.key == make_key(1)
-    assert not bench.agent.dispatcher.is_busy
-    bench.deliver(DeliveryPurpose.QUERY, request(1))
-    [denial] = bench.to_peers()
-    assert isinstance(denial, ReturnedPacket)
-    assert denial.reason is ReturnReason.NOT_HELD
-
-
-async def test_a_flow_that_was_used_after_the_probe_is_kept(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
-    await trio.sleep(1)
-    checked_at = trio.current_time()
-    await trio.sleep(0.01)
-    open_flow(bench, 1)
-    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
-    bench.to_callers()
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=checked_at)
-
-    assert bench.to_callers() == []
-    assert make_key(1) in bench.agent.table.flows
-
-
-async def test_opening_packets_at_a_stopped_backend_server_are_returned_at_once(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
-    bench.deliver(DeliveryPurpose.OPEN, OPENING)
-    await trio.sleep(0.01)
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
-
-    expected = ReturnedPacket(reason=ReturnReason.UNANSWERED, data=OPENING)
-    assert bench.to_peers() == [expected]
-
-
-async def test_open_flows_are_kept_while_the_backend_server_is_not_listening_yet(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
-    await trio.sleep(1)
-    open_flow(bench, 1)
-    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
-    bench.agent.on_backend_packet(answer(1))
-    bench.to_callers()
-    await trio.sleep(1)
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
-
-    assert bench.to_callers() == []
-
-
-async def test_a_stopped_backend_server_resets_no_flow_that_it_had_only_half_open(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
-    bench.deliver(DeliveryPurpose.OPEN, OPENING)
-    # The flow was opened elsewhere; the query is lost before its return.
-    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
-    bench.agent.on_backend_packet(OPENED)
-    bench.to_callers()
-    await trio.sleep(1.0)
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
-
-    assert bench.to_callers() == []
-
-
-async def test_a_refusal_from_before_a_probe_denies_no_later_check(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = AgentBench()
-    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
-    await trio.sleep(1.0)
-    checked_at = trio.current_time()
-    await trio.sleep(0.1)
-    # The next backend server at the address has started since the probe.
-    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
-
-    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=checked_at)
-
-    assert bench.to_peers() == []
