--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -8,6 +8,7 @@
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
 from oleanderweir_agent.forwarding.packet_agent import PacketAgent
+from oleanderweir_agent.forwarding.packet_agent_factory import create_packet_agent
 from oleanderweir_agent.forwarding.packet_agent_settings import PacketAgentSettings
 from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 
@@ -21,4 +22,5 @@
     "PacketAgent",
     "PacketAgentSettings",
     "ProbeOutcome",
+    "create_packet_agent",
 ]
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from oleanderweir.peering.messages import Delivery
@@ -11,21 +12,6 @@
 from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
-from oleanderweir_agent.forwarding.acceptance import Acceptance
-from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
-from oleanderweir_agent.forwarding.backend_packet_handler import BackendPacketHandler
-from oleanderweir_agent.forwarding.backend_record_follower import BackendRecordFollower
-from oleanderweir_agent.forwarding.flow_packet_handler import FlowPacketHandler
-from oleanderweir_agent.forwarding.flow_remover import FlowRemover
-from oleanderweir_agent.forwarding.flow_table import FlowTable
-from oleanderweir_agent.forwarding.lookup_service import LookupService
-from oleanderweir_agent.forwarding.opening_handler import OpeningHandler
-from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
-from oleanderweir_agent.forwarding.pending_openings import PendingOpenings
-from oleanderweir_agent.forwarding.probe_outcome_handler import ProbeOutcomeHandler
-from oleanderweir_agent.forwarding.report_builder import ReportBuilder
-from oleanderweir_agent.forwarding.report_sender import ReportSender
-from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
 if TYPE_CHECKING:
@@ -34,10 +20,28 @@
     from oleanderweir.peering import Members
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.backend_packet_handler import (
+        BackendPacketHandler,
+    )
+    from oleanderweir_agent.forwarding.backend_record_follower import (
+        BackendRecordFollower,
+    )
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
+    from oleanderweir_agent.forwarding.flow_packet_handler import FlowPacketHandler
+    from oleanderweir_agent.forwarding.flow_table import FlowTable
+    from oleanderweir_agent.forwarding.lookup_service import LookupService
+    from oleanderweir_agent.forwarding.opening_handler import OpeningHandler
+    from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
+    from oleanderweir_agent.forwarding.pending_openings import PendingOpenings
     from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
+    from oleanderweir_agent.forwarding.probe_outcome_handler import ProbeOutcomeHandler
+    from oleanderweir_agent.forwarding.report_builder import ReportBuilder
+    from oleanderweir_agent.forwarding.report_sender import ReportSender
+    from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
+@attrs.define(kw_only=True, eq=False)
 class PacketAgent:
     """
     Forwards packets between balancers, one backend server and its callers.
@@ -48,89 +52,25 @@
     flow, and the backend server returns the packet if it doesn't hold the flow.
     """
 
-    def __init__(
-        self,
-        *,
-        service: str,
-        flow_ttl_s: float,
-        codec: PacketCodec,
-        register: StateRegister,
-        members: Members,
-        admission: FlowAdmission,
-        transport: AgentTransport,
-    ) -> None:
-        self.service = service
-        self.codec = codec
-        self.register = register
-        self.admission = admission
-        self.transport = transport
-        self.table = FlowTable(idle_timeout_s=flow_ttl_s)
-        self.dispatcher = RequestDispatcher(register=register, transport=transport)
-        self.members = members
-        self.reporter = ReportSender(members=members, transport=transport)
-        self.liveness = BackendLiveness()
-        self.lookup_service = LookupService(
-            codec=codec, register=register, members=members, transport=transport
-        )
-        self.ownership = OwnershipChecker(transport=transport)
-        self.openings = PendingOpenings()
-        self.acceptance = Acceptance(admission=admission, liveness=self.liveness)
-        self.report_builder = ReportBuilder(
-            service=service,
-            table=self.table,
-            dispatcher=self.dispatcher,
-            acceptance=self.acceptance,
-        )
-        self.remover = FlowRemover(
-            table=self.table,
-            openings=self.openings,
-            dispatcher=self.dispatcher,
-            liveness=self.liveness,
-            transport=transport,
-        )
-        self.opening_handler = OpeningHandler(
-            table=self.table,
-            openings=self.openings,
-            dispatcher=self.dispatcher,
-            admission=admission,
-            acceptance=self.acceptance,
-            liveness=self.liveness,
-            ownership=self.ownership,
-            remover=self.remover,
-            report_builder=self.report_builder,
-            transport=transport,
-        )
-        self.flow_packet_handler = FlowPacketHandler(
-            table=self.table,
-            dispatcher=self.dispatcher,
-            admission=admission,
-            liveness=self.liveness,
-            ownership=self.ownership,
-            remover=self.remover,
-            transport=transport,
-        )
-        self.backend_packet_handler = BackendPacketHandler(
-            codec=codec,
-            table=self.table,
-            dispatcher=self.dispatcher,
-            liveness=self.liveness,
-            ownership=self.ownership,
-            remover=self.remover,
-            opening_handler=self.opening_handler,
-            transport=transport,
-        )
-        self.probe_outcome_handler = ProbeOutcomeHandler(
-            codec=codec,
-            table=self.table,
-            liveness=self.liveness,
-            ownership=self.ownership,
-            remover=self.remover,
-            opening_handler=self.opening_handler,
-            transport=transport,
-        )
-        self.record_follower = BackendRecordFollower(
-            admission=admission, dispatcher=self.dispatcher, table=self.table
-        )
+    service: str
+    codec: PacketCodec
+    register: StateRegister
+    members: Members
+    admission: FlowAdmission
+    transport: AgentTransport
+    table: FlowTable
+    openings: PendingOpenings
+    dispatcher: RequestDispatcher
+    liveness: BackendLiveness
+    ownership: OwnershipChecker
+    lookup_service: LookupService
+    report_builder: ReportBuilder
+    reporter: ReportSender
+    opening_handler: OpeningHandler
+    flow_packet_handler: FlowPacketHandler
+    backend_packet_handler: BackendPacketHandler
+    probe_outcome_handler: ProbeOutcomeHandler
+    record_follower: BackendRecordFollower
 
     # Packets from peers
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -24,6 +24,7 @@
 from oleanderweir_agent.forwarding import FlowAdmission
 from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
+from oleanderweir_agent.forwarding import create_packet_agent
 from oleanderweir_balancer.forwarding import BalancerTransport
 from oleanderweir_balancer.forwarding import PacketBalancer
 from oleanderweir_balancer.forwarding import PacketBalancerSettings
@@ -163,7 +164,7 @@
         admission = FlowAdmission(
             register=register, service=SERVICE, host=host, port=BACKEND_PORT
         )
-        agent = PacketAgent(
+        agent = create_packet_agent(
             service=SERVICE,
             flow_ttl_s=FLOW_TTL_S,
             codec=self.codec,
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -14,8 +14,8 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir_agent.forwarding import AgentTransport
 from oleanderweir_agent.forwarding import FlowAdmission
-from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
+from oleanderweir_agent.forwarding import create_packet_agent
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import publish
@@ -45,7 +45,7 @@
         self.backend_socket = FakeSocket()
         self.register = make_register()
         self.members = Members(own_host=BACKEND.host)
-        self.agent = PacketAgent(
+        self.agent = create_packet_agent(
             service="feed",
             flow_ttl_s=60.0,
             codec=EmulatedPacketCodec(),
