Give the codecs of endpoints one class of packet fields

EndpointCodec.encode and its two implementations repeated the same seven fields with their defaults, and EmulatedPacketCodec.restore and encode_returned the same call. PacketHeader holds the fields now, and one function encodes a packet again, returned or not.

No change of behaviour.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -15,6 +15,7 @@
 from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
 from oleanderweir_bench.packet_path.endpoint_codec import EndpointCodec
 from oleanderweir_bench.packet_path.network import Network
+from oleanderweir_bench.packet_path.packet_header import PacketHeader
 from oleanderweir_bench.packet_path.scenarios import FLOW_SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import run_scenario
@@ -32,6 +33,7 @@
     "EmulatedSite",
     "EndpointCodec",
     "Network",
+    "PacketHeader",
     "SiteResult",
     "VirtualNetwork",
     "encode_packet",
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -8,6 +8,8 @@
 import attrs
 import trio
 
+from oleanderweir_bench.packet_path.packet_header import PacketHeader
+
 
 if TYPE_CHECKING:
     import random
@@ -208,14 +210,16 @@
     ) -> None:
         data = self.codec.encode(
             key,
+            PacketHeader(
+                is_opening=is_opening,
+                is_acknowledging=True,
+                is_final=is_final,
+                is_reset=is_reset,
+                sequence=flow.initial_sequence,
+                acknowledged=flow.received_up_to,
+                payload_bytes=payload_bytes,
+            ),
             is_from_caller=False,
-            is_opening=is_opening,
-            is_acknowledging=True,
-            is_final=is_final,
-            is_reset=is_reset,
-            sequence=flow.initial_sequence,
-            acknowledged=flow.received_up_to,
-            payload_bytes=payload_bytes,
         )
         self.network.send(self.host, data, self.agent)
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -7,6 +7,7 @@
 import trio
 
 from oleanderweir.flows import make_flow_key
+from oleanderweir_bench.packet_path.packet_header import PacketHeader
 
 
 if TYPE_CHECKING:
@@ -197,16 +198,18 @@
             return
         data = self.codec.encode(
             self.key,
+            PacketHeader(
+                is_opening=is_opening,
+                is_acknowledging=not is_opening,
+                is_final=is_final,
+                sequence=self.sequence,
+                # Opening packets carry the number of their retransmissions here.
+                acknowledged=retransmissions
+                if is_opening
+                else (self.server_sequence or 0) + 1,
+                payload_bytes=payload_bytes,
+            ),
             is_from_caller=True,
-            is_opening=is_opening,
-            is_acknowledging=not is_opening,
-            is_final=is_final,
-            sequence=self.sequence,
-            # Opening packets carry the number of their retransmissions here.
-            acknowledged=retransmissions
-            if is_opening
-            else (self.server_sequence or 0) + 1,
-            payload_bytes=payload_bytes,
         )
         self.network.send(self.host, data, (balancer, self.balancer_port))
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+import attrs
 import msgpack
 
 from oleanderweir.flows import FlowKey
 from oleanderweir.flows import Packet
 
 
+if TYPE_CHECKING:
+    from oleanderweir_bench.packet_path.packet_header import PacketHeader
+
+
 FIELDS = (
     "is_opening",
     "is_acknowledging",
@@ -43,58 +50,22 @@
 
     def restore(self, packet: Packet) -> bytes:
         """Return the bytes of a returned packet as the caller sent them."""
-        return encode_packet(
-            packet.key,
-            is_opening=packet.is_opening,
-            is_acknowledging=packet.is_acknowledging,
-            is_final=packet.is_final,
-            sequence=packet.sequence,
-            acknowledged=packet.acknowledged,
-            payload_bytes=packet.payload_bytes,
-        )
+        return _encode_again(packet, is_returned=False)
 
     def make_reset(self, key: FlowKey, *, sequence: int) -> bytes:
         """Return a reset packet of a flow."""
         return encode_packet(key, is_reset=True, sequence=sequence)
 
     def encode(
-        self,
-        key: FlowKey,
-        *,
-        is_from_caller: bool,
-        is_opening: bool = False,
-        is_acknowledging: bool = False,
-        is_final: bool = False,
-        is_reset: bool = False,
-        sequence: int = 0,
-        acknowledged: int = 0,
-        payload_bytes: int = 0,
+        self, key: FlowKey, header: PacketHeader, *, is_from_caller: bool
     ) -> bytes:
         """Return the bytes of a packet of either endpoint."""
         del is_from_caller
-        return encode_packet(
-            key,
-            is_opening=is_opening,
-            is_acknowledging=is_acknowledging,
-            is_final=is_final,
-            is_reset=is_reset,
-            sequence=sequence,
-            acknowledged=acknowledged,
-            payload_bytes=payload_bytes,
-        )
+        return encode_packet(key, **attrs.asdict(header))
 
     def encode_returned(self, packet: Packet) -> bytes:
         """Return the bytes with which a backend server returns a caller's packet."""
-        return encode_packet(
-            packet.key,
-            is_opening=packet.is_opening,
-            is_acknowledging=packet.is_acknowledging,
-            is_final=packet.is_final,
-            is_returned=True,
-            sequence=packet.sequence,
-            acknowledged=packet.acknowledged,
-            payload_bytes=packet.payload_bytes,
-        )
+        return _encode_again(packet, is_returned=True)
 
     def is_intact(self, packet: Packet) -> bool:
         """Return true: this format has no checksum."""
@@ -127,3 +98,17 @@
     )
     data: bytes = msgpack.packb([key, *values])
     return data
+
+
+def _encode_again(packet: Packet, *, is_returned: bool) -> bytes:
+    """Return the bytes of a caller's packet, marked as returned or not."""
+    return encode_packet(
+        packet.key,
+        is_opening=packet.is_opening,
+        is_acknowledging=packet.is_acknowledging,
+        is_final=packet.is_final,
+        is_returned=is_returned,
+        sequence=packet.sequence,
+        acknowledged=packet.acknowledged,
+        payload_bytes=packet.payload_bytes,
+    )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/endpoint_codec.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/endpoint_codec.py
@@ -9,6 +9,7 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
+    from oleanderweir_bench.packet_path.packet_header import PacketHeader
 
 
 class EndpointCodec(Protocol):
@@ -21,17 +22,7 @@
         """Decode a backend server's packet; return ``None`` if it is invalid."""
 
     def encode(
-        self,
-        key: FlowKey,
-        *,
-        is_from_caller: bool,
-        is_opening: bool = False,
-        is_acknowledging: bool = False,
-        is_final: bool = False,
-        is_reset: bool = False,
-        sequence: int = 0,
-        acknowledged: int = 0,
-        payload_bytes: int = 0,
+        self, key: FlowKey, header: PacketHeader, *, is_from_caller: bool
     ) -> bytes:
         """Return a packet's bytes."""
 
--- a/tests/oleanderweir_standins/test_wire_endpoint_codec.py
+++ b/tests/oleanderweir_standins/test_wire_endpoint_codec.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from oleanderweir.flows import make_flow_key
+from oleanderweir_bench.packet_path import PacketHeader
 from oleanderweir_standins import WireEndpointCodec
 
 
@@ -13,10 +14,14 @@
 
 def test_each_endpoint_decodes_what_the_other_encodes() -> None:
     opening_data = CODEC.encode(
-        KEY, is_from_caller=True, is_opening=True, sequence=2**32 + 5, acknowledged=1
+        KEY,
+        PacketHeader(is_opening=True, sequence=2**32 + 5, acknowledged=1),
+        is_from_caller=True,
     )
     response_data = CODEC.encode(
-        KEY, is_from_caller=False, is_acknowledging=True, payload_bytes=7
+        KEY,
+        PacketHeader(is_acknowledging=True, payload_bytes=7),
+        is_from_caller=False,
     )
 
     opening = CODEC.decode_from_caller(opening_data)
@@ -35,7 +40,7 @@
 
 def test_a_returned_packet_is_restored_to_the_bytes_sent() -> None:
     packet = CODEC.decode_from_caller(
-        CODEC.encode(KEY, is_from_caller=True, payload_bytes=9)
+        CODEC.encode(KEY, PacketHeader(payload_bytes=9), is_from_caller=True)
     )
     assert packet is not None
 
@@ -48,7 +53,9 @@
 
 
 def test_a_modified_packet_is_not_intact() -> None:
-    data = bytearray(CODEC.encode(KEY, is_from_caller=True, payload_bytes=9))
+    data = bytearray(
+        CODEC.encode(KEY, PacketHeader(payload_bytes=9), is_from_caller=True)
+    )
     data[-1] ^= 1
 
     packet = CODEC.decode_from_caller(bytes(data))
