Reset no flow because of a copy of its opening packet

What callers could see: a reset (refused_everywhere, no_backend_server) of a flow that has just opened. A balancer counted the refusals of a copy of an opening packet as those of the flow. If the first opening packet took another balancer (balancers join and leave the rotation), the backend server that it reached may still answer, and the reset comes after the caller's acknowledgement.

Class: a missing answer, of another balancer's placement, taken for a refusal. Callers count the copies, so the balancer knows; the first opening packet is refused with a reset as before. Ruled out: that an earlier copy through the same balancer was refused everywhere, since its reset has ended the attempt.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -280,7 +280,8 @@
     ) -> None:
         """Reset a flow that can't be placed, unless it may open late somewhere."""
         self.attempts.pop(packet.key, None)
-        if attempts.may_have_opened:
+        # Another balancer may have placed an earlier copy.
+        if attempts.may_have_opened or packet.acknowledged > 0:
             self.transport.log("opening_unanswered", packet.key, reason=reason)
         else:
             self.transport.send_reset(packet, reason=reason)
