Forget a delegated lookup once it has failed

What callers could see: a reset (flow_not_held) of an open flow. A delegate kept a failed lookup for up to three seconds and answered any further balancer with its outcome. If the delegate had been behind, it withheld the outcome from the balancer that was ahead; but once it had the newer state, it gave the outcome from before to the next balancer, although it never queried the backend server that the state had added. Balancers choose the delegate by the flow, so that they all ask the same one first.

Class: an outcome without its age. A failed lookup is closed now, and the next request starts another one with the state of then. A balancer still keeps its own failed lookup, so that the packets of one caller cause one lookup at a time.

test_a_failed_lookup_denies_no_backend_server_that_was_published_since failed before (HELD_NOWHERE at once, the new backend server not queried).

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -101,8 +101,10 @@
 
         A balancer with a newer revision of the backend servers than this agent gets no
         reply, and delegates its lookup to another agent: the owner may be a backend
-        server that this agent didn't query.
+        server that this agent didn't query. The failed lookup is closed: the next one
+        may find a backend server that is published by then.
         """
+        self.owner_lookup.lookups.close(packet.key)
         own_revision = self.register.changed_revision(Topic.BACKEND_SERVERS)
         for requester, revision in self.requesters.pop(packet.key, {}).items():
             if revision > own_revision:
