Forward a backend server's reset only of a flow that it has proved to hold

- Two balancers query a flow at once, or one repeats its query: the second check replaces the first.
The first reset ends the check, the second was forwarded.
- The agent was restarted after it had forwarded a query; the reset waited in its socket, and it knew neither check nor flow.
- A balancer that had placed a copy of the opening packet here forwards the caller's next packet as one of the flow's owner.
That made the half-open flow confirmed, and resets of confirmed flows were forwarded, though the packet proves nothing.

Class: presence, or a caller's packet, taken for proof of ownership. Now a reset is forwarded only if the flow is established here, without an open check; any other is withheld and denied, as before. If the backend server did hold the flow, the caller's next packet is denied by all agents and reset as flow_not_held. Balancers that queried a half-open flow are told of the reset too; they repeated their queries instead.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -82,8 +82,7 @@
         """
         check = self.ownership.pop(key)
         flow = self.table.get(key)
-        is_half_open = flow is not None and flow.is_answered and not flow.is_confirmed
-        if check is None and not is_half_open:
+        if check is None and flow is not None and flow.is_established:
             return False
         logger.info(
             "reset withheld from the caller: another backend server may hold the flow",
@@ -93,6 +92,9 @@
         self.remover.remove(key, now=now)
         if check is not None:
             self._deny(check.balancer, key, check.data)
+        elif flow is not None:
+            for host, data in sorted(flow.claimants.items()):
+                self._deny(host, key, data)
         return True
 
     def _update_from_backend(self, packet: Packet, *, now: float) -> None:
@@ -120,7 +122,7 @@
         self, flow: HeldFlow, check: OwnershipCheck | None, *, now: float
     ) -> None:
         """Mark a flow as held, if its caller sent a packet; notify those who asked."""
-        claimants, flow.claimants = flow.claimants, set()
+        claimants, flow.claimants = set(flow.claimants), {}
         if claimants:
             flow.is_confirmed = True
             flow.opening = None
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -70,7 +70,7 @@
             )
         else:
             # The caller may have acknowledged another backend server's answer.
-            flow.claimants.add(host)
+            flow.claimants[host] = packet.data
             self._dispatch(flow, packet, now=now)
 
     def _forward(
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -29,8 +29,9 @@
     packet other than the opening packet, and ``is_established`` once the backend server
     has sent a packet after that, or has answered an ownership check.
 
-    ``claimants`` are the hosts that queried the flow before it was established, and
-    ``is_overdue`` is set while an unanswered opening packet is about to be returned.
+    ``claimants`` are the hosts that queried the flow before it was established, each
+    with its last query, and ``is_overdue`` is set while an unanswered opening packet is
+    about to be returned.
 
     ``requested_at`` is when the request in flight was started, None if there is none,
     ``busy_at_request`` the number of requests in flight then, itself included,
@@ -51,7 +52,7 @@
     is_confirmed: bool = False
     is_established: bool = False
     is_overdue: bool = False
-    claimants: set[str] = attrs.field(factory=set)
+    claimants: dict[str, bytes] = attrs.field(factory=dict)
     requested_at: float | None = None
     request_expires_at: float = 0.0
     waited_s: float = 0.0
