Let a change after a listing claim nothing about the removals before it

What callers saw: nothing yet; found in review. A backend server that is gone could stay published at processes that don't read the store, and get new flows, until they fetch again.

Cause: a reader sends each change with the revision of the change before it, and a receiver that has this revision applies the change as the next one. After a listing, as after a restore, the reader took the highest revision of the listed documents for that. A listing doesn't tell what was removed: a receiver between that revision and the listing missed the removal, and no later change told. An empty listing told no peer at all. Class: the order of one source's message taken for what it says.

Now the first change after a listing has the listing as its base, so that receivers before it fetch the whole topic; a listing that removes something counts as a change. Heartbeats of a process that lists what all know cause no fetch, as before. A delegate of a lookup compares the balancer's revision with the one up to which it has all changes, as heartbeats do, and not with its own newest change, which may be older than a listing that removed something.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -105,7 +105,7 @@
         may find a backend server that is published by then.
         """
         self.owner_lookup.lookups.close(packet.key)
-        own_revision = self.register.changed_revision(Topic.BACKEND_SERVERS)
+        own_revision = self.register.revision(Topic.BACKEND_SERVERS)
         for requester, revision in self.requesters.pop(packet.key, {}).items():
             if revision > own_revision:
                 continue
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -42,6 +42,7 @@
         self.decoder = decoder
         self.revision = 0
         self.changed_revision = 0
+        self.listed_revision = 0
         self.documents: dict[str, Change] = {}
         self.records: dict[str, BackendRecord] = {}
         self.removed_records: dict[str, RemovedRecord] = {}
@@ -54,6 +55,15 @@
         # Newest start of a backend server at each host.
         self.newest_starts: dict[str, BackendStart] = {}
 
+    @property
+    def base_revision(self) -> int:
+        """
+        The lowest revision at which another process has missed no change so far.
+
+        A listing doesn't tell what was removed before it, nor when.
+        """
+        return max(self.changed_revision, self.listed_revision)
+
     def apply_listing(self, listing: Listing) -> bool:
         """Apply a listing that isn't older; return whether this changed anything."""
         if listing.revision < self.revision:
@@ -67,9 +77,12 @@
         applied = [change for change in listing.documents if self._apply(change)]
         if self.listed_at is None:
             self.listed_at = trio.current_time()
-        self.revision = listing.revision
-        newest = max((change.revision for change in listing.documents), default=0)
-        self.changed_revision = max(self.changed_revision, newest)
+        self.revision = self.listed_revision = listing.revision
+        revisions = [change.revision for change in listing.documents]
+        if removed:
+            # Nothing tells when they were removed.
+            revisions.append(listing.revision)
+        self.changed_revision = max([self.changed_revision, *revisions])
         return bool(removed or applied)
 
     def apply_changes(self, changes: Changes) -> bool:
--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -40,6 +40,11 @@
         # The last document that was not applied; it is logged once.
         self.ignored_document: bytes | None = None
 
+    @property
+    def base_revision(self) -> int:
+        """The lowest revision at which another process has missed no change so far."""
+        return self.changed_revision
+
     @property
     def version(self) -> int:
         """The version of the desired state in force, or 0 if there is none."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -47,8 +47,8 @@
     Failed calls are retried with exponential backoff and jitter, up to ``MAX_RETRY_S``.
     So are listings while the history is lost again before any watch succeeds.
     After the first listing, the topic is only read while ``status.should_read`` is set.
-    ``on_changes`` receives the changes of each watch, and the revision of the newest
-    change before them.
+    ``on_changes`` receives the changes of each watch, and the lowest revision at which
+    another process has missed none before them.
     """
 
     def __init__(
@@ -120,9 +120,9 @@
         if self.watch_scope.cancelled_caught:
             return
         self.is_history_lost = False
-        previous_revision = self.register.changed_revision(self.topic)
+        base = self.register.base_revision(self.topic)
         self.register.apply_changes(changes, origin="source")
-        self.on_changes(changes, previous_revision)
+        self.on_changes(changes, base)
         self._on_success()
         if changes.changes:
             await trio.sleep(BATCHING_DELAY_S)
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -58,6 +58,10 @@
         """Return the revision of the newest known change of a topic."""
         return self.topics[topic].changed_revision
 
+    def base_revision(self, topic: Topic) -> int:
+        """Return the lowest revision at which no change so far is missing."""
+        return self.topics[topic].base_revision
+
     @property
     def desired(self) -> DesiredState | None:
         """The desired state in force, if there is one."""
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -64,13 +64,21 @@
 
 async def follow(source: FakeSource, *, should_read: bool = True) -> list[Changes]:
     """Follow for ten seconds of virtual time; return the reported changes."""
-    reported: list[Changes] = []
+    reported = await follow_with_bases(source, should_read=should_read)
+    return [changes for changes, _ in reported]
+
+
+async def follow_with_bases(
+    source: FakeSource, *, should_read: bool = True
+) -> list[tuple[Changes, int]]:
+    """Follow for ten seconds of virtual time; return changes with their bases."""
+    reported: list[tuple[Changes, int]] = []
     follower = StateFollower(
         topic=TOPIC,
         source=source,
         register=make_register(),
         status=ReaderStatus(should_read=should_read),
-        on_changes=lambda changes, base: reported.append(changes),
+        on_changes=lambda changes, base: reported.append((changes, base)),
         random_source=random.Random(1),
     )
     with trio.move_on_after(10):
@@ -229,6 +237,47 @@
     assert source.waits[1] < source.waits[0]
 
 
+async def test_no_removal_that_only_a_listing_shows_is_missed_by_a_peer(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # b2 is removed while this process doesn't read; b1 is written again later.
+    kept, gone = (
+        Change(name=name, revision=revision, document=backend_document(host=host))
+        for name, revision, host in (("b1", 5, "10.0.0.1"), ("b2", 8, "10.0.0.2"))
+    )
+    draining = backend_document(host="10.0.0.1", state="draining", sequence=2)
+    written = Change(name="b1", revision=21, document=draining)
+    source = FakeSource(
+        Listing(topic=TOPIC, revision=20, documents=(kept,)),
+        Changes(topic=TOPIC, revision=21, changes=(written,)),
+    )
+    peer = make_register()
+    known = Listing(topic=TOPIC, revision=8, documents=(kept, gone))
+    peer.apply_listing(known, origin="test")
+
+    [(_, base)] = await follow_with_bases(source)
+
+    # The peer must not take the change for the next one after its own.
+    assert base > peer.revision(TOPIC)
+
+
+async def test_a_quiet_source_leaves_no_gap_for_peers(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    removals = [Change(name=f"b{n}", revision=n, document=None) for n in (12, 31)]
+    source = FakeSource(
+        make_listing(10),
+        Changes(topic=TOPIC, revision=12, changes=(removals[0],)),
+        # Revisions of other topics.
+        Changes(topic=TOPIC, revision=30, changes=()),
+        Changes(topic=TOPIC, revision=31, changes=(removals[1],)),
+    )
+
+    reported = await follow_with_bases(source)
+
+    assert [base for _, base in reported] == [10, 12, 12]
+
+
 async def test_a_lost_history_is_told_before_the_topic_is_listed(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/oleanderweir/desired_state/test_state_register.py
+++ b/tests/oleanderweir/desired_state/test_state_register.py
@@ -107,6 +107,16 @@
     assert register.changed_revision(Topic.DESIRED_STATE) == 12
 
 
+async def test_a_listing_without_a_known_backend_server_is_a_newer_change() -> None:
+    register = make_register()
+    publish(register, backends={"b1": backend_document(host="10.0.0.1")}, revision=10)
+
+    publish(register, backends={}, revision=50)
+
+    # Peers that still know it learn that they are behind.
+    assert register.changed_revision(Topic.BACKEND_SERVERS) == 50
+
+
 async def test_a_host_counts_as_removed_after_the_grace_period(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -1,9 +1,12 @@
 from __future__ import annotations
 
+import attrs
 import pytest
 import trio
 import trio.testing
 
+from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Topic
 from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
@@ -137,3 +140,23 @@
         bench.agent.on_message(host, denial)
 
     assert bench.to_peers() == []
+
+
+async def test_an_agent_that_knew_the_removals_of_a_listing_sends_a_result() -> None:
+    bench = make_bench()
+    removal = Change(name=f"b{HOSTS[2]}", revision=11, document=None)
+    changes = Changes(topic=Topic.BACKEND_SERVERS, revision=11, changes=(removal,))
+    bench.register.apply_changes(changes, origin="test")
+    export = bench.register.export(Topic.BACKEND_SERVERS)
+    listing = attrs.evolve(export, revision=50)
+    bench.register.apply_listing(listing, origin="test")
+    # The balancer learned of the removal from the listing only.
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST, version=50)
+    bench.to_peers()
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+
+    for host in HOSTS:
+        bench.agent.on_message(host, denial)
+
+    held_nowhere = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+    assert bench.to_peers() == [held_nowhere]
