Order the starts of a backend server by the history of the store, not its clock

What callers saw: nothing yet; found in review. A backend server that was restarted under its id after the clock of its machine was set back counted as older than its earlier start: its entries were ignored while the earlier record was in force (it stayed draining, or the earlier record stayed ready while it drained), and for up to 60 s if the entry had been removed between. Lookups didn't count such a start either when its agent had departed.

Cause: the rule that protects from the copy's entries after a restore, order by start and count, was applied within one history too. There the store orders the writes: a change after all that is known is newer, whatever a clock says. Class: a clock taken for the order of the world.

Now the count orders the records of one start, the position orders the starts known in one history, and only a copy's listing is ordered by the clocks. A start that is known to have been replaced stays so, also in a copy. A change that a listing of several pages has overtaken is ignored. Positions are joined and split in desired_state, as the register now needs the history.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -9,6 +9,9 @@
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
 from oleanderweir.desired_state.exceptions import SourceBusyError
 from oleanderweir.desired_state.exceptions import SourceUnavailableError
+from oleanderweir.desired_state.positions import history_of
+from oleanderweir.desired_state.positions import make_position
+from oleanderweir.desired_state.positions import revision_of
 from oleanderweir.desired_state.reader_status import ReaderStatus
 from oleanderweir.desired_state.route import Route
 from oleanderweir.desired_state.route import ServiceShare
@@ -43,4 +46,7 @@
     "StateRegister",
     "StateSource",
     "Topic",
+    "history_of",
+    "make_position",
+    "revision_of",
 ]
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.desired_state.backend_start import BackendStart
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
+from oleanderweir.desired_state.positions import history_of
 from oleanderweir.desired_state.removed_record import RemovedRecord
 
 
@@ -31,11 +32,12 @@
     """
     Holds the published backend servers; older listings and changes are ignored.
 
-    A listing of a higher revision tells which backend servers are published. The record
-    of each is ordered by what it says of itself, since a source that returned from an
-    older copy publishes earlier records again. ``revision`` is 0 before the first
-    listing; ``changed_revision`` is that of the newest change. ``records`` has the
-    backend servers of all valid ``documents``.
+    A listing of a higher revision tells which backend servers are published. The
+    records of one start are ordered by their count, and the starts by the source's
+    history. A source that returned from an older copy publishes earlier records again:
+    across histories, the starts are ordered by the clocks of the backend servers.
+    ``revision`` is 0 before the first listing; ``changed_revision`` is that of the
+    newest change. ``records`` has the backend servers of all valid ``documents``.
     """
 
     def __init__(self, *, decoder: StateDecoder) -> None:
@@ -52,6 +54,8 @@
         # trio's clock.
         self.listed_at: float | None = None
         self.removed_at: dict[str, float] = {}
+        # Starts that another one has replaced, by name, in milliseconds of Unix time.
+        self.replaced_starts: dict[str, set[int]] = {}
         # Newest start of a backend server at each host.
         self.newest_starts: dict[str, BackendStart] = {}
 
@@ -117,6 +121,9 @@
         if record is not None:
             self.removed_records[name] = RemovedRecord(record=record, removed_at=now)
             self.removed_at[record.host] = now
+        remembered = self.records.keys() | self.removed_records.keys()
+        for forgotten in self.replaced_starts.keys() - remembered:
+            del self.replaced_starts[forgotten]
 
     def _apply(self, change: Change) -> bool:
         """Apply a document; return whether this changed anything."""
@@ -130,14 +137,16 @@
             self._reject(change, error)
             return True
         newest = self._newest_record(name)
-        if newest is not None and self._is_older(name, record, newest):
+        if newest is not None and self._is_older(change, record, newest):
             self._ignore(name, document, record, newest)
             return False
+        if newest is not None and newest.started_at_ms != record.started_at_ms:
+            self.replaced_starts.setdefault(name, set()).add(newest.started_at_ms)
+        self._record_start(change, record, newest)
         self.ignored_documents.pop(name, None)
         self.removed_records.pop(name, None)
         self.documents[name] = change
         self.records[name] = record
-        self._record_start(record)
         return True
 
     def _is_known(self, name: str, document: bytes) -> bool:
@@ -147,24 +156,45 @@
             return False
         return name in self.records or self.ignored_documents.get(name) == document
 
+    def _follows(self, change: Change) -> bool:
+        """Whether a change was written after all that is known of its history."""
+        is_same_history = history_of(change.revision) == history_of(self.revision)
+        return is_same_history and change.revision > self.revision > 0
+
     def _is_older(
-        self, name: str, record: BackendRecord, newest: BackendRecord
+        self, change: Change, record: BackendRecord, newest: BackendRecord
     ) -> bool:
         """
         Whether a record is older than the newest one of its name.
 
-        A removed record may be published again, by a backend server that still runs,
-        but not once another one has started at its host.
+        A removed record may be published again, by a backend server that still runs. A
+        copy may show it again too, but not once another one has started at its host.
         """
+        if self._is_replaced(change, record):
+            return True
+        if self._follows(change):
+            is_same_start = record.started_at_ms == newest.started_at_ms
+            return is_same_start and record.is_older_than(newest)
         if record.is_older_than(newest):
             return True
         start = self.newest_starts.get(record.host)
         return (
-            name not in self.records
+            change.name not in self.records
             and start is not None
             and record.started_at_ms < start.started_at_ms
         )
 
+    def _is_replaced(self, change: Change, record: BackendRecord) -> bool:
+        """Whether a later write of the history or a later start is known."""
+        if record.started_at_ms in self.replaced_starts.get(change.name, ()):
+            return True
+        known = self.documents.get(change.name)
+        return (
+            known is not None
+            and history_of(change.revision) == history_of(known.revision)
+            and change.revision < known.revision
+        )
+
     def _newest_record(self, name: str) -> BackendRecord | None:
         """Return the record in force under a name, or one that was removed recently."""
         removed = self.removed_records.get(name)
@@ -204,10 +234,16 @@
             },
         )
 
-    def _record_start(self, record: BackendRecord) -> None:
+    def _record_start(
+        self, change: Change, record: BackendRecord, previous: BackendRecord | None
+    ) -> None:
         """Record when the newest start of a host's backend server became known."""
         known = self.newest_starts.get(record.host)
-        if known is None or known.started_at_ms < record.started_at_ms:
+        is_later = known is None or known.started_at_ms < record.started_at_ms
+        is_restart = (
+            previous is not None and previous.started_at_ms != record.started_at_ms
+        )
+        if is_later or (is_restart and self._follows(change)):
             self.newest_starts[record.host] = BackendStart(
                 started_at_ms=record.started_at_ms, known_at=trio.current_time()
             )
