Take the backend server that started last at an address for the agent's own

What callers saw: nothing yet; found in review. If the clock of a machine was set back between two backend servers at one address, the agent returned new flows as DRAINING until the entry of the earlier one expired.

Cause: of several records at its address, an agent took the one of the latest start by the machine's clock, although the store shows which was written last. The register knows the newest start at each host by the order of the history now, also if it has another name, and the agent uses that.

test_a_new_backend_server_whose_clock_was_set_back_is_not_draining failed before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -50,8 +50,14 @@
         # The record of an earlier start stays published for some seconds, so that there
         # can be several.
         had_record = self.record is not None
+        newest_ms = self.register.newest_start_ms(self.host)
         self.record = max(
-            records, key=lambda record: record.started_at_ms, default=None
+            records,
+            key=lambda record: (
+                record.started_at_ms == newest_ms,
+                record.started_at_ms,
+            ),
+            default=None,
         )
         if self.record is not None or self.register.listed_at is None:
             self.unpublished_since = None
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -240,10 +240,8 @@
         """Record when the newest start of a host's backend server became known."""
         known = self.newest_starts.get(record.host)
         is_later = known is None or known.started_at_ms < record.started_at_ms
-        is_restart = (
-            previous is not None and previous.started_at_ms != record.started_at_ms
-        )
-        if is_later or (is_restart and self._follows(change)):
+        is_new = previous is None or previous.started_at_ms != record.started_at_ms
+        if is_later or (is_new and self._follows(change)):
             self.newest_starts[record.host] = BackendStart(
                 started_at_ms=record.started_at_ms, known_at=trio.current_time()
             )
