Count a soak as fault-free only after the last of overlapping faults

The first of several overlapping faults that ended set the end of the faults to that time, although others were still active. A backend server that started to drain more than four seconds later could then count as drained without faults, and an opening there as late.

No report was affected: the only faults that drain a backend server set the end to infinity themselves, and the drain at the end follows all faults. ActiveFaults counts the faults and keeps the time at which one last ended.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -87,15 +87,16 @@
         while trio.current_time() < until:
             await trio.sleep(self.random_source.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
             fault = self.random_source.choice(FAULTS)
-            nursery.start_soon(self._run_fault, fault, self.random_source)
+            nursery.start_soon(self.run_fault, fault, self.random_source)
             if self.restore_source.random() < self.plan.restore_probability:
-                nursery.start_soon(self._run_fault, restore_store, self.restore_source)
+                nursery.start_soon(self.run_fault, restore_store, self.restore_source)
 
-    async def _run_fault(self, fault: Fault, random_source: random.Random) -> None:
+    async def run_fault(self, fault: Fault, random_source: random.Random) -> None:
+        """Run one fault and record when it starts and ends."""
         self._record_event(fault.__name__)
-        self.site.record_fault(float("inf"))
+        self.site.active_faults.start()
         await fault(self.site, random_source)
-        self.site.faults_end_at = trio.current_time()
+        self.site.active_faults.end()
         self._record_event(f"{fault.__name__} finished")
 
     async def _restart_exited(self) -> None:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
@@ -17,6 +17,7 @@
 from oleanderweir_bench.packet_path import EmulatedCaller
 from oleanderweir_bench.packet_path import EmulatedRouter
 from oleanderweir_bench.packet_path import SiteResult
+from oleanderweir_bench.soak.active_faults import ActiveFaults
 from oleanderweir_bench.soak.loopback_network import LoopbackNetwork
 from oleanderweir_bench.soak.readiness_prober import ReadinessProber
 from oleanderweir_bench.soak.soak_backend import SoakBackend
@@ -89,8 +90,7 @@
         self.falsely_reset: list[FlowKey] = []
         # When routes and backend servers were published, in seconds of trio's clock.
         self.published_at = float("-inf")
-        # When the last fault ends, in seconds of trio's clock.
-        self.faults_end_at = float("-inf")
+        self.active_faults = ActiveFaults()
 
     @property
     def processes(self) -> list[SoakProcess]:
@@ -177,11 +177,6 @@
             self.falsely_reset.append(key)
         return is_held
 
-    def record_fault(self, seconds: float) -> None:
-        """Record that a fault is active for the next ``seconds``."""
-        end_at = trio.current_time() + seconds
-        self.faults_end_at = max(self.faults_end_at, end_at)
-
     def trace_false_resets(self) -> list[str]:
         """Return the log lines of all processes on flows that were reset wrongly."""
         lines = [
@@ -193,7 +188,7 @@
             report += [describe_flow(key), *(str(line) for line in trace)]
         return report
 
-    def _check_opening(self, host: str, packet: Packet) -> None:
+    def check_opening(self, host: str, packet: Packet) -> None:
         """Count a new flow that violates a guarantee on services or draining."""
         backend = next(
             backend for backend in self.backends if backend.server.host == host
@@ -204,7 +199,9 @@
         ) not in self.allowed_services:
             self.result.foreign_runs += 1
         drained_at = backend.drained_at
-        if drained_at is None or self.faults_end_at + FAULT_FREE_S > drained_at:
+        if drained_at is None or not self.active_faults.have_ended_by(
+            drained_at - FAULT_FREE_S
+        ):
             return
         if trio.current_time() - drained_at > DRAIN_PROPAGATION_S:
             self.result.late_openings += 1
@@ -230,7 +227,7 @@
             codec=self.codec,
             result=self.result,
             random_source=random.Random(self.random_source.random()),
-            on_opening=lambda packet: self._check_opening(host, packet),
+            on_opening=lambda packet: self.check_opening(host, packet),
         )
         backend = SoakBackend(
             server=server,
