--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
@@ -15,6 +15,8 @@
     # Nine held flows were reset: a restarted agent returned a packet whose route had
     # moved to another service in the meantime, and the balancer took that for a denial.
     SoakPlan(seed=8, restore_probability=0.0),
+    # Six held flows were reset, for the same reason as with seed 8.
+    SoakPlan(seed=9, restore_probability=0.0),
     # Five held flows were reset: the store was failing while all processes started, and
     # a balancer that knew one agent of five treated its denial as a denial by all.
     SoakPlan(seed=10, restore_probability=0.0),
