Record false resets of a soak apart from the query for held flows

SoakSite.holds_flow read as a query but recorded the flow as falsely reset, so that any other use of it would have added to the traces of a report. Callers now get the pure query, and report a false reset through on_false_reset, as backend servers do with on_opening. What is counted stays the same.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -37,7 +37,8 @@
     """
     Keeps a flow open for ``requests_per_flow`` and sends a request after each pause.
 
-    When a flow is reset, the caller opens another one within the request's timeout.
+    When a flow is reset, the caller opens another one within the request's timeout. It
+    calls ``on_false_reset`` for a reset of a flow that a backend server holds.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         result: SiteResult,
         holds_flow: Callable[[FlowKey], bool],
         random_source: random.Random,
+        on_false_reset: Callable[[FlowKey], None] = lambda _: None,
         requests_per_flow: float = float("inf"),
     ) -> None:
         self.host = host
@@ -63,6 +65,7 @@
         self.codec = codec
         self.result = result
         self.holds_flow = holds_flow
+        self.on_false_reset = on_false_reset
         self.random_source = random_source
         self.requests_per_flow = requests_per_flow
         self.requests_on_flow = 0
@@ -179,9 +182,12 @@
         return packet.sequence == self.server_sequence
 
     def _record_reset(self) -> None:
-        if self.key is not None and self.server_sequence is not None:
-            self.result.false_resets += self.holds_flow(self.key)
         self.is_reset = True
+        if self.key is None or self.server_sequence is None:
+            return
+        if self.holds_flow(self.key):
+            self.result.false_resets += 1
+            self.on_false_reset(self.key)
 
     def _send(
         self,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
@@ -134,6 +134,7 @@
                 codec=self.codec,
                 result=self.result,
                 holds_flow=self.holds_flow,
+                on_false_reset=self.falsely_reset.append,
                 random_source=random.Random(self.random_source.random()),
             )
             self.nursery.start_soon(caller.run, float("inf"))
@@ -165,17 +166,9 @@
         )
 
     def holds_flow(self, key: FlowKey) -> bool:
-        """
-        Return whether any backend server holds a flow.
-
-        Callers call this when a flow is reset. A held flow was reset wrongly and is
-        recorded for the report.
-        """
+        """Whether any backend server holds a flow."""
         flows = [backend.server.flows.get(key) for backend in self.backends]
-        is_held = any(flow is not None and flow.is_open for flow in flows)
-        if is_held:
-            self.falsely_reset.append(key)
-        return is_held
+        return any(flow is not None and flow.is_open for flow in flows)
 
     def trace_false_resets(self) -> list[str]:
         """Return the log lines of all processes on flows that were reset wrongly."""
--- a/tests/oleanderweir_bench/soak/test_faults.py
+++ b/tests/oleanderweir_bench/soak/test_faults.py
@@ -1,57 +1,28 @@
 from __future__ import annotations
 
 import random
-from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 import trio.testing
 
-from oleanderweir_bench.processes import ProcessSupervisor
-from oleanderweir_bench.soak import SoakPlan
 from oleanderweir_bench.soak.faults import restore_store
-from oleanderweir_bench.soak.soak_process import SoakProcess
-from oleanderweir_bench.soak.soak_site import ARCHIVE
 from oleanderweir_bench.soak.soak_site import FEED
-from oleanderweir_bench.soak.soak_site import SoakSite
 from oleanderweir_standins import StoreCondition
+from tests.oleanderweir_bench.soak.unstarted_site import open_site
 
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from pathlib import Path
 
+    from oleanderweir_bench.soak.soak_site import SoakSite
+
 
 # Longer than the greatest age of a copy.
 LONG_S = 30.0
 
 
-@asynccontextmanager
-async def open_site(folder: Path) -> AsyncIterator[SoakSite]:
-    """Yield a site whose only process is not started."""
-    async with ProcessSupervisor() as supervisor, trio.open_nursery() as nursery:
-        site = SoakSite(
-            plan=SoakPlan(seed=1),
-            nursery=nursery,
-            supervisor=supervisor,
-            folder=folder,
-            block=16,
-        )
-        site.publish_routes(ARCHIVE)
-        site.published_at = trio.current_time()
-        process = SoakProcess(
-            host="127.16.1.1",
-            module="",
-            settings=folder / "settings.json",
-            store_port=await site.store.listen("127.0.0.1"),
-            supervisor=supervisor,
-        )
-        site.balancers.append(process)
-        yield site
-        nursery.cancel_scope.cancel()
-
-
 @pytest.mark.parametrize("seed", range(5))
 async def test_a_restored_store_has_the_newest_routes_when_the_fault_has_ended(
     seed: int, autojump_clock: trio.testing.MockClock, tmp_path: Path
