Check all watches of a process once a failed source answers again

What callers saw: nothing yet; found in review. When all open connections to the store went silent, or their answers were lost, no version that was written later came into force until a watch of the desired state ended: after up to 30 s, at no process, so that no peer had it to pass on.

Cause: the watch of the desired state waits 28 s, in the trust that some process hears of a version sooner; but what silences one connection silences all. The readers' watches of the backend servers end within 3.8 s and showed it, but told the other watch of their process only about a lost history. Class: the state of one connection taken for that of the source.

Now a follower whose source answers again after a failure has the other watches checked, as one that lost its history does: one short call per outage and process. The hook is named for both, on_watch_lost; the tests that set it were changed in that name only.

Ruled out: that heartbeats bring the version anyway; no process of the fleet had it.

Before: test_a_version_written_after_all_connections_went_silent_is_in_force_in_time failed (trio.TooSlowError after 3 s) for a version written 4, 6 and 10 s after the silence; in force in time at all processes since.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -27,7 +27,8 @@
 # Maximum wait of one watch. Its connection may be dead without an error. The watch of a
 # topic that only a few processes read is therefore short, so that its changes arrive
 # within the permitted four seconds even then; a topic that every process reads can wait
-# longer, because peers distribute its changes too.
+# longer, because peers distribute its changes too and the short watch of a reader tells
+# when connections were lost.
 WATCH_WAIT_S = {Topic.DESIRED_STATE: 28.0, Topic.BACKEND_SERVERS: 1.8}
 # Maximum wait of the first watch after a pause or a failure.
 FIRST_WATCH_WAIT_S = 0.1
@@ -72,13 +73,14 @@
         self.retry_s = FIRST_RETRY_S
         # Whether the history was lost since the last successful watch.
         self.is_history_lost = False
-        # Called when the history was lost, which other topics may not have noticed.
-        self.on_history_lost: Callable[[], None] = lambda: None
+        # Called when the history was lost or the source answers again: the watches of
+        # other topics may have lost their history or connection without an error.
+        self.on_watch_lost: Callable[[], None] = lambda: None
         self.watch_scope = trio.CancelScope()
         self.is_interrupted = False
 
     def interrupt_watch(self) -> None:
-        """End a waiting watch; the next one is short and tells if history is lost."""
+        """End a waiting watch; the next one is short and tells what was missed."""
         self.is_interrupted = True
         self.watch_scope.cancel()
 
@@ -139,12 +141,16 @@
             },
         )
         self.must_list = True
-        self.on_history_lost()
-        self.is_interrupted = False
+        self._report_lost_watch()
         if self.is_history_lost:
             await self._sleep_before_retry()
         self.is_history_lost = True
 
+    def _report_lost_watch(self) -> None:
+        """Have the watches of other topics checked; this one has just ended."""
+        self.on_watch_lost()
+        self.is_interrupted = False
+
     def _on_success(self) -> None:
         if not self.is_history_lost:
             self.retry_s = FIRST_RETRY_S
@@ -156,6 +162,7 @@
             "connection to the source restored",
             extra={"code": "source_regained", "topic": self.topic.value},
         )
+        self._report_lost_watch()
 
     async def _back_off(self, error: SourceUnavailableError) -> None:
         """Log the outage once, then wait before the next call."""
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -99,7 +99,7 @@
             for topic, status in statuses.items()
         ]
         for follower in self.followers:
-            follower.on_history_lost = self._interrupt_watches
+            follower.on_watch_lost = self._interrupt_watches
         self.program: PacketProgram | None = None
         self.is_stopping = False
         self.nursery: trio.Nursery | None = None
@@ -126,7 +126,7 @@
                 )
 
     def _interrupt_watches(self) -> None:
-        """Check the watches of all topics, after one has lost its history."""
+        """Check the watches of all topics, after one was lost."""
         for follower in self.followers:
             follower.interrupt_watch()
 
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -291,9 +291,32 @@
         random_source=random.Random(1),
     )
     told_after: list[list[str]] = []
-    follower.on_history_lost = lambda: told_after.append(list(source.calls))
+    follower.on_watch_lost = lambda: told_after.append(list(source.calls))
 
     with trio.move_on_after(1):
         await follower.run()
 
     assert told_after == [["list", "watch 10"]]
+
+
+async def test_other_watches_are_checked_once_a_failed_source_answers_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    down = SourceUnavailableError("connection silent")
+    quiet = Changes(topic=TOPIC, revision=10, changes=())
+    source = FakeSource(make_listing(10), quiet, down, down, quiet, quiet)
+    follower = StateFollower(
+        topic=TOPIC,
+        source=source,
+        register=make_register(),
+        status=ReaderStatus(),
+        on_changes=lambda changes, base: None,
+        random_source=random.Random(1),
+    )
+    checked_after: list[int] = []
+    follower.on_watch_lost = lambda: checked_after.append(len(source.calls))
+
+    with trio.move_on_after(5):
+        await follower.run()
+
+    assert checked_after == [5]
--- a/tests/oleanderweir/packet_process/test_process_runtime.py
+++ b/tests/oleanderweir/packet_process/test_process_runtime.py
@@ -65,9 +65,9 @@
     assert runtime.heartbeat_sender.seeds == ("10.0.0.1",)
 
 
-def test_a_lost_history_interrupts_the_watches_of_all_topics() -> None:
+def test_a_lost_watch_interrupts_the_watches_of_all_topics() -> None:
     runtime = make_runtime(tuple)
 
-    runtime.followers[0].on_history_lost()
+    runtime.followers[0].on_watch_lost()
 
     assert all(follower.is_interrupted for follower in runtime.followers)
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -124,7 +124,7 @@
             for topic, status in statuses.items()
         ]
         for follower in self.followers:
-            follower.on_history_lost = self.interrupt_watches
+            follower.on_watch_lost = self.interrupt_watches
 
     def interrupt_watches(self) -> None:
         for follower in self.followers:
--- a/tests/oleanderweir_standins/test_restored_store.py
+++ b/tests/oleanderweir_standins/test_restored_store.py
@@ -153,6 +153,21 @@
     assert fleet.regressions() == {}
 
 
+@pytest.mark.parametrize("delay_s", [4.0, 6.0, 10.0])
+async def test_a_version_written_after_all_connections_went_silent_is_in_force_in_time(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    delay_s: float,
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        fleet.store.silence_connections()
+        # At least as long as machines take to be in touch with the store again.
+        await trio.sleep(delay_s)
+
+        write_routes(fleet, 4)
+        await fleet.stand_by(fleet.version, within_s=APPLY_S)
+
+
 async def watch_states(fleet: Fleet, seen: set[BackendState]) -> None:
     """Add each state that any process has for any backend server to a set."""
     while True:
--- a/tests/oleanderweir_standins/test_store_stand_in.py
+++ b/tests/oleanderweir_standins/test_store_stand_in.py
@@ -165,6 +165,18 @@
                 await harness.watch(Topic.BACKEND_SERVERS, wait_s=10)
 
 
+async def test_silenced_connections_get_no_response_and_new_ones_are_served() -> None:
+    async with open_store() as harness:
+        await harness.list()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_silence_once_connected, harness.store)
+            with trio.move_on_after(0.5) as scope:
+                await harness.watch(Topic.BACKEND_SERVERS, wait_s=0.2)
+
+        assert scope.cancelled_caught
+        await harness.list()
+
+
 async def test_a_store_restored_from_a_recent_copy_lists_earlier_documents(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -185,3 +197,9 @@
     while not store.connection_scopes:
         await trio.sleep(0.01)
     store.restore(revision=2, random_source=random.Random(1))
+
+
+async def _silence_once_connected(store: StoreStandIn) -> None:
+    while not store.connection_scopes:
+        await trio.sleep(0.01)
+    store.silence_connections()
