Let a listing of several pages claim only the changes up to its first page

With more backend servers than a page of the store holds, a backend server that drained while a reader listed them could get new flows for two seconds more from a balancer that doesn't read the store.

Cause: a listing has the revision of its first page, and documents of later pages may be newer. Their revision was taken for the newest change that the reader knows. The changes that its watch then delivers were not above it, so they weren't sent to the others, and its heartbeats announced a change that a fetch of its state couldn't give. Class: the order of one part of a source taken for the whole.

Ruled out: that the reader itself misses such a change (it applies all that is above the listing's revision).

Before: test_a_change_between_the_pages_of_a_listing_is_not_withheld_from_peers (assert 11 < 10) and test_a_listing_of_several_pages_announces_no_change_that_a_fetch_lacks (assert 11 <= 9) failed; both pass since.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -82,7 +82,8 @@
         if self.listed_at is None:
             self.listed_at = trio.current_time()
         self.revision = self.listed_revision = listing.revision
-        revisions = [change.revision for change in listing.documents]
+        # Documents of later pages may be newer; the changes after ``revision`` follow.
+        revisions = [min(c.revision, listing.revision) for c in listing.documents]
         if removed:
             # Nothing tells when they were removed.
             revisions.append(listing.revision)
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -261,6 +261,36 @@
     assert base > peer.revision(TOPIC)
 
 
+async def test_a_change_between_the_pages_of_a_listing_is_not_withheld_from_peers(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # b1 drains after the first page was read at 9, and b2 before the second page.
+    ready, draining = (
+        backend_document(host="10.0.0.1", state=state, sequence=sequence)
+        for state, sequence in (("ready", 1), ("draining", 2))
+    )
+    other = Change(
+        name="b2", revision=11, document=backend_document(host="10.0.0.2", sequence=2)
+    )
+    source = FakeSource(
+        Listing(
+            topic=TOPIC,
+            revision=9,
+            documents=(Change(name="b1", revision=3, document=ready), other),
+        ),
+        Changes(
+            topic=TOPIC,
+            revision=11,
+            changes=(Change(name="b1", revision=10, document=draining), other),
+        ),
+    )
+
+    [(changes, base)] = await follow_with_bases(source)
+
+    # Changes up to the base are not sent.
+    assert base < changes.changes[0].revision
+
+
 async def test_a_quiet_source_leaves_no_gap_for_peers(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/oleanderweir/desired_state/test_state_register.py
+++ b/tests/oleanderweir/desired_state/test_state_register.py
@@ -107,6 +107,21 @@
     assert register.changed_revision(Topic.DESIRED_STATE) == 12
 
 
+async def test_a_listing_of_several_pages_announces_no_change_that_a_fetch_lacks() -> (
+    None
+):
+    register = make_register()
+    later = Change(name="b2", revision=11, document=backend_document(host="10.0.0.2"))
+
+    register.apply_listing(
+        Listing(topic=Topic.BACKEND_SERVERS, revision=9, documents=(later,)),
+        origin="source",
+    )
+
+    exported = register.export(Topic.BACKEND_SERVERS)
+    assert register.changed_revision(Topic.BACKEND_SERVERS) <= exported.revision
+
+
 async def test_a_listing_without_a_known_backend_server_is_a_newer_change() -> None:
     register = make_register()
     publish(register, backends={"b1": backend_document(host="10.0.0.1")}, revision=10)
