Split the emulated site, and share its parts with the soak

The soak had copies of three parts. CallerStarter, make_route and EmulatedBackendServer.holds_flow now stand once for both sites.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from oleanderweir_bench.packet_path.caller_starter import CallerStarter
 from oleanderweir_bench.packet_path.emulated_backend import EmulatedBackendServer
 from oleanderweir_bench.packet_path.emulated_caller import EmulatedCaller
 from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
@@ -16,6 +17,7 @@
 from oleanderweir_bench.packet_path.endpoint_codec import EndpointCodec
 from oleanderweir_bench.packet_path.network import Network
 from oleanderweir_bench.packet_path.packet_header import PacketHeader
+from oleanderweir_bench.packet_path.routes import make_route
 from oleanderweir_bench.packet_path.scenarios import FLOW_SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import run_scenario
@@ -26,6 +28,7 @@
 __all__ = [
     "FLOW_SCENARIOS",
     "SCENARIOS",
+    "CallerStarter",
     "EmulatedBackendServer",
     "EmulatedCaller",
     "EmulatedPacketCodec",
@@ -37,5 +40,6 @@
     "SiteResult",
     "VirtualNetwork",
     "encode_packet",
+    "make_route",
     "run_scenario",
 ]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -105,6 +105,11 @@
         self.network.stop_listening((self.host, self.port))
         self.flows = {}
 
+    def holds_flow(self, key: FlowKey) -> bool:
+        """Whether a flow is open: the caller has acknowledged its opening."""
+        flow = self.flows.get(key)
+        return flow is not None and flow.is_open
+
     def on_datagram(self, source: str, data: bytes) -> None:
         """Receive a datagram from the agent."""
         del source
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
@@ -0,0 +1,94 @@
+"""What the processes of an emulated site know of each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.peering import Members
+from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Departure
+from oleanderweir.peering.messages import Heartbeat
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir_bench.packet_path.site_settings import AVAILABILITY_ZONE
+from oleanderweir_bench.packet_path.site_settings import SERVICE
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from oleanderweir.peering.messages import Message
+    from oleanderweir_agent.forwarding import PacketAgent
+    from oleanderweir_balancer.forwarding import PacketBalancer
+
+
+class EmulatedPeers:
+    """
+    The members of each process, and the dispatch of messages between processes.
+
+    No heartbeats are sent: a process that starts knows all hosts of the site, and
+    learns of a host that is added after a random time.
+    """
+
+    def __init__(
+        self,
+        *,
+        balancer_hosts: Sequence[str],
+        agent_hosts: Sequence[str],
+        random_source: random.Random,
+    ) -> None:
+        # The current hosts; the site adds and removes agents.
+        self.balancer_hosts = balancer_hosts
+        self.agent_hosts = agent_hosts
+        self.random_source = random_source
+        # Members by the host of the process that knows them.
+        self.members: dict[str, Members] = {}
+
+    def create_members(self, host: str) -> Members:
+        """Return members with all hosts of the site for a process that starts."""
+        members = self.members[host] = Members(own_host=host)
+        for other in (*self.balancer_hosts, *self.agent_hosts):
+            members.record_heartbeat(other, self._create_heartbeat(other))
+        return members
+
+    def introduce(self, host: str, nursery: trio.Nursery, *, max_lag_s: float) -> None:
+        """Let each process learn of a new host within ``max_lag_s``."""
+        for members in list(self.members.values()):
+            nursery.start_soon(self._record_heartbeat_late, members, host, max_lag_s)
+
+    def dispatch(
+        self,
+        host: str,
+        process: PacketBalancer | PacketAgent,
+        source: str,
+        data: bytes,
+    ) -> None:
+        """Dispatch a message to the process on a host, as a process does."""
+        message: Message = decode_message(data)
+        if isinstance(message, Departure):
+            self.members[host].record_departure(source)
+            return
+        self.members[host].record_activity(source)
+        process.on_message(source, message)
+
+    async def _record_heartbeat_late(
+        self, members: Members, host: str, max_lag_s: float
+    ) -> None:
+        await trio.sleep(self.random_source.uniform(0, max_lag_s))
+        members.record_heartbeat(host, self._create_heartbeat(host))
+
+    def _create_heartbeat(self, host: str) -> Heartbeat:
+        is_balancer = host in self.balancer_hosts
+        return Heartbeat(
+            role=PeerRole.BALANCER if is_balancer else PeerRole.AGENT,
+            availability_zone=AVAILABILITY_ZONE,
+            service="" if is_balancer else SERVICE,
+            desired_version=0,
+            backends_revision=0,
+            balancers=(),
+            agents=(),
+            requests_reply=False,
+            reads_source=False,
+        )
--- /dev/null
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_settings.py
@@ -0,0 +1,16 @@
+"""Addresses, ports and times of an emulated site."""
+
+from __future__ import annotations
+
+
+SERVICE = "feed"
+AVAILABILITY_ZONE = "a"
+ROUTE = bytes([198, 18, 0, 1]) + (443).to_bytes(2, "big")
+CALLER_PORT = 8172
+PEER_PORT = 7720
+BACKEND_PORT = 8080
+OUTBOUND_PORT = 8162
+# Requests that a backend server runs concurrently.
+SLOTS = 4
+FLOW_TTL_S = 60.0
+TICK_S = 0.05
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_site.py
@@ -8,15 +8,14 @@
 import attrs
 import trio
 
-from oleanderweir.desired_state import Route
-from oleanderweir.desired_state import ServiceShare
 from oleanderweir.event_log import trace_flow
 from oleanderweir.flows import describe_flow
 from oleanderweir.flows import route_address
+from oleanderweir_bench.packet_path import CallerStarter
 from oleanderweir_bench.packet_path import EmulatedBackendServer
-from oleanderweir_bench.packet_path import EmulatedCaller
 from oleanderweir_bench.packet_path import EmulatedRouter
 from oleanderweir_bench.packet_path import SiteResult
+from oleanderweir_bench.packet_path import make_route
 from oleanderweir_bench.soak.active_faults import ActiveFaults
 from oleanderweir_bench.soak.loopback_network import LoopbackNetwork
 from oleanderweir_bench.soak.readiness_prober import ReadinessProber
@@ -53,8 +52,6 @@
 FAULT_FREE_S = 4.0
 # Maximum number of flow traces in a report.
 MAX_TRACES = 5
-TIMEOUT_S = 2.0
-TARGET_LATENCY_S = 0.25
 
 
 class SoakSite:
@@ -122,28 +119,26 @@
 
     def start_callers(self) -> None:
         """Start callers that send requests until the soak ends."""
+        callers = CallerStarter(
+            nursery=self.nursery,
+            random_source=self.random_source,
+            port=PACKET_PORT,
+            network=self.network,
+            router=self.router,
+            codec=self.codec,
+            result=self.result,
+            holds_flow=self.holds_flow,
+            on_false_reset=self.falsely_reset.append,
+        )
         for number in range(self.plan.callers):
             route = FEED_ROUTE if number % MOVING_CALLER_INTERVAL else MOVING_ROUTE
-            caller = EmulatedCaller(
-                host=self.host(100, number + 1),
-                route=route,
-                port=PACKET_PORT,
-                balancer_port=PACKET_PORT,
-                network=self.network,
-                router=self.router,
-                codec=self.codec,
-                result=self.result,
-                holds_flow=self.holds_flow,
-                on_false_reset=self.falsely_reset.append,
-                random_source=random.Random(self.random_source.random()),
-            )
-            self.nursery.start_soon(caller.run, float("inf"))
+            callers.start(self.host(100, number + 1), route=route)
 
     def publish_routes(self, moving_service: str) -> None:
         """Publish the routes, with the moving route leading to ``moving_service``."""
         self.allowed_services.add((MOVING_ROUTE, moving_service))
         self.store.write_routes(
-            [_make_route(FEED_ROUTE, FEED), _make_route(MOVING_ROUTE, moving_service)]
+            [make_route(FEED_ROUTE, FEED), make_route(MOVING_ROUTE, moving_service)]
         )
 
     def write_settings(self, process: SoakProcess) -> None:
@@ -167,8 +162,7 @@
 
     def holds_flow(self, key: FlowKey) -> bool:
         """Whether any backend server holds a flow."""
-        flows = [backend.server.flows.get(key) for backend in self.backends]
-        return any(flow is not None and flow.is_open for flow in flows)
+        return any(backend.server.holds_flow(key) for backend in self.backends)
 
     def trace_false_resets(self) -> list[str]:
         """Return the log lines of all processes on flows that were reset wrongly."""
@@ -232,17 +226,6 @@
         self.backends.append(backend)
 
 
-def _make_route(address: bytes, service: str) -> Route:
-    return Route(
-        name=f"to-{service}",
-        address=address,
-        shares=(ServiceShare(service=service, weight=1),),
-        timeout_s=TIMEOUT_S,
-        target_latency_s=TARGET_LATENCY_S,
-        priority=1,
-    )
-
-
 def copy_result(result: SiteResult) -> SiteResult:
     """Return a copy of the current counts."""
     return attrs.evolve(result)
