Split the heartbeat sender from the state synchronizer

Behaviour is unchanged: the statements moved as they were, and the random delay of a reader is drawn at the same point.

--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -137,7 +137,7 @@
             self.heartbeat_sender.discover_peers()
 
     def _send_changes(self, changes: Changes, base: int) -> None:
-        self.heartbeat_sender.send_changes(changes, base=base)
+        self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
 
     # Sockets
 
@@ -188,7 +188,9 @@
         if isinstance(message, Heartbeat):
             self.heartbeat_sender.on_heartbeat(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
-            self.heartbeat_sender.on_state_update(host, message, self.nursery)
+            self.heartbeat_sender.synchronizer.on_state_update(
+                host, message, self.nursery
+            )
         elif isinstance(message, Departure):
             self.heartbeat_sender.members.record_departure(host)
             logger.info("peer left", extra={"code": "peer_departed", "peer": host})
--- a/packages/oleanderweir/src/oleanderweir/peering/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/__init__.py
@@ -11,6 +11,7 @@
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.state_exchange import StateClient
 from oleanderweir.peering.state_exchange import StateServer
+from oleanderweir.peering.state_synchronizer import StateSynchronizer
 
 
 __all__ = [
@@ -21,6 +22,7 @@
     "PeerUnavailableError",
     "StateClient",
     "StateServer",
+    "StateSynchronizer",
     "decode_message",
     "encode_message",
 ]
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -0,0 +1,129 @@
+"""Keeps the published state of a process in step with that of its peers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import Changes
+from oleanderweir.desired_state import Topic
+from oleanderweir.peering.exceptions import PeerUnavailableError
+from oleanderweir.peering.message_codec import encode_message
+from oleanderweir.peering.messages import StateUpdate
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.peering.members import Members
+    from oleanderweir.peering.messages import Heartbeat
+    from oleanderweir.peering.state_exchange import StateClient
+
+
+logger = logging.getLogger(__name__)
+
+# How long a peer may be ahead before its state is fetched; the watch of this
+# process usually delivers the change sooner.
+FETCH_DELAY_S = 0.15
+
+
+class StateSynchronizer:
+    """
+    Sends changes from the source to the members, and applies those of peers.
+
+    If a peer is ahead, its state is fetched, unless the source delivers it within
+    ``FETCH_DELAY_S``.
+    """
+
+    def __init__(
+        self,
+        *,
+        port: int,
+        socket: UdpSocket,
+        members: Members,
+        register: StateRegister,
+        client: StateClient,
+    ) -> None:
+        self.port = port
+        self.socket = socket
+        self.members = members
+        self.register = register
+        self.client = client
+        self.fetching: set[Topic] = set()
+
+    def on_heartbeat(
+        self, host: str, heartbeat: Heartbeat, nursery: trio.Nursery
+    ) -> None:
+        """Fetch the sender's state if it is newer."""
+        progress = {
+            Topic.DESIRED_STATE: heartbeat.desired_version,
+            Topic.BACKEND_SERVERS: heartbeat.backends_revision,
+        }
+        for topic, peer_progress in progress.items():
+            self._fetch_if_behind(host, topic, peer_progress, nursery)
+
+    def on_state_update(
+        self, host: str, update: StateUpdate, nursery: trio.Nursery
+    ) -> None:
+        """Apply a change from a reader; fetch all if earlier changes are missing."""
+        topic = Topic.BACKEND_SERVERS
+        if update.base > self.register.revision(topic):
+            self._fetch_if_behind(host, topic, update.revision, nursery)
+            return
+        change = Change(
+            name=update.name, revision=update.revision, document=update.document
+        )
+        changes = Changes(topic=topic, revision=update.revision, changes=(change,))
+        self.register.apply_changes(changes, origin=host)
+
+    def send_changes(self, changes: Changes, *, base: int) -> None:
+        """Send changes of the backend servers from the source to all members."""
+        if changes.topic is not Topic.BACKEND_SERVERS:
+            return
+        for change in changes.changes:
+            if change.revision <= base:
+                continue
+            message = encode_message(
+                StateUpdate(
+                    base=base,
+                    revision=change.revision,
+                    name=change.name,
+                    document=change.document,
+                )
+            )
+            base = change.revision
+            for host in self.members.members:
+                self.socket.send_to(message, (host, self.port))
+
+    def _progress(self, topic: Topic) -> int:
+        """Return what tells how far this process is, in the terms of a heartbeat."""
+        if topic is Topic.DESIRED_STATE:
+            return self.register.version
+        return self.register.revision(topic)
+
+    def _fetch_if_behind(
+        self, host: str, topic: Topic, progress: int, nursery: trio.Nursery
+    ) -> None:
+        if progress > self._progress(topic) and topic not in self.fetching:
+            self.fetching.add(topic)
+            nursery.start_soon(self._fetch, host, topic, progress)
+
+    async def _fetch(self, host: str, topic: Topic, progress: int) -> None:
+        """Fetch a topic from a peer, unless the source delivers it first."""
+        try:
+            if self._progress(topic) > 0:
+                await trio.sleep(FETCH_DELAY_S)
+            if self._progress(topic) >= progress:
+                return
+            listing = await self.client.fetch(host, topic)
+            self.register.apply_listing(listing, origin=host)
+        except PeerUnavailableError as error:
+            logger.warning(
+                "could not fetch the published state from a peer",
+                extra={"code": error.code, "peer": host, "reason": error.message},
+            )
+        finally:
+            self.fetching.discard(topic)
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -27,6 +27,7 @@
 if TYPE_CHECKING:
     import pytest
 
+    from oleanderweir.desired_state import Changes
     from oleanderweir.desired_state import Listing
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering import StateClient
@@ -116,9 +117,7 @@
                 source=source,
                 register=self.register,
                 status=status,
-                on_changes=lambda changes, base: self.heartbeat_sender.send_changes(
-                    changes, base=base
-                ),
+                on_changes=self.send_changes,
                 random_source=random_source,
             )
             for topic, status in statuses.items()
@@ -126,6 +125,9 @@
         for follower in self.followers:
             follower.on_watch_lost = self.interrupt_watches
 
+    def send_changes(self, changes: Changes, base: int) -> None:
+        self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
+
     def interrupt_watches(self) -> None:
         for follower in self.followers:
             follower.interrupt_watch()
@@ -149,7 +151,8 @@
         if isinstance(message, Heartbeat):
             self.heartbeat_sender.on_heartbeat(host, message, self.fleet.nursery)
         elif isinstance(message, StateUpdate):
-            self.heartbeat_sender.on_state_update(host, message, self.fleet.nursery)
+            synchronizer = self.heartbeat_sender.synchronizer
+            synchronizer.on_state_update(host, message, self.fleet.nursery)
 
     async def fetch(self, host: str, topic: Topic) -> Listing:
         """Fetch the state of a peer, as the client of this process."""
