--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
@@ -0,0 +1,70 @@
+"""Receives the messages of peers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from oleanderweir.peering import InvalidMessageError
+from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Departure
+from oleanderweir.peering.messages import Heartbeat
+from oleanderweir.peering.messages import StateUpdate
+
+
+if TYPE_CHECKING:
+    import trio
+
+    from oleanderweir.net import UdpSocket
+    from oleanderweir.packet_process.packet_program import PacketProgram
+    from oleanderweir.peering import HeartbeatSender
+    from oleanderweir.peering.messages import Message
+
+
+logger = logging.getLogger(__name__)
+
+
+class MessageReceiver:
+    """Decodes the datagrams of peers, and dispatches their messages."""
+
+    def __init__(
+        self,
+        *,
+        peer_socket: UdpSocket,
+        heartbeat_sender: HeartbeatSender,
+        program: PacketProgram,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.peer_socket = peer_socket
+        self.heartbeat_sender = heartbeat_sender
+        self.program = program
+        self.nursery = nursery
+
+    async def run(self) -> None:
+        """Receive, decode and dispatch the datagrams until cancelled."""
+        while True:
+            for datagram in await self.peer_socket.receive_batch():
+                host = datagram.source[0]
+                try:
+                    message = decode_message(datagram.data)
+                except InvalidMessageError as error:
+                    logger.warning(
+                        "could not decode a datagram from a peer; check its version",
+                        extra={"code": error.code, "peer": host},
+                    )
+                    continue
+                self._dispatch(host, message)
+
+    def _dispatch(self, host: str, message: Message) -> None:
+        if isinstance(message, Heartbeat):
+            self.heartbeat_sender.on_heartbeat(host, message, self.nursery)
+        elif isinstance(message, StateUpdate):
+            self.heartbeat_sender.synchronizer.on_state_update(
+                host, message, self.nursery
+            )
+        elif isinstance(message, Departure):
+            self.heartbeat_sender.members.record_departure(host)
+            logger.info("peer left", extra={"code": "peer_departed", "peer": host})
+        else:
+            self.heartbeat_sender.members.record_activity(host)
+            self.program.on_message(host, message)
