Start the reports and sessions of a simulated service in one place

Three experiments had the same lines that start the exchange of load reports and open the sessions, each with a method of its own. They are now SimulatedService.start.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
@@ -161,9 +161,8 @@
             work_s=WORK_S,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(service.exchange_reports)
-            service.open_session()
-            nursery.start_soon(self.open_sessions, service)
+            # The sessions open during the first half of the warm-up.
+            service.start(nursery, sessions=SESSIONS, over_s=self.warm_up_s / 2)
             nursery.start_soon(
                 demand.send_requests, service, self.warm_up_s + self.measured_s
             )
@@ -172,7 +171,3 @@
             await trio.sleep(self.measured_s)
             nursery.cancel_scope.cancel()
         return service
-
-    async def open_sessions(self, service: SimulatedService) -> None:
-        """Open the sessions during the first half of the warm-up."""
-        await service.open_sessions(SESSIONS, over_s=self.warm_up_s / 2)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
@@ -194,15 +194,10 @@
             work_s=WORK_S,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(service.exchange_reports)
-            service.open_session()
-            nursery.start_soon(self.open_sessions, service)
+            # The sessions open in the first half of the initial period at base load.
+            service.start(nursery, sessions=SESSIONS, over_s=self.base_load_s / 2)
             await demand.send_requests(
                 service, self.base_load_s + RISE_S + self.peak_s + 1.0
             )
             nursery.cancel_scope.cancel()
         return service
-
-    async def open_sessions(self, service: SimulatedService) -> None:
-        """Open the sessions in the first half of the initial period at base load."""
-        await service.open_sessions(SESSIONS, over_s=self.base_load_s / 2)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
@@ -4,6 +4,7 @@
 
 import random
 import sys
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -102,6 +103,16 @@
             for agent in self.agents
         )
 
+    def start(self, nursery: trio.Nursery, *, sessions: int, over_s: float) -> None:
+        """
+        Start to exchange load reports, and to open sessions within ``over_s`` seconds.
+
+        One further session is opened at once, so that requests can be served.
+        """
+        nursery.start_soon(self.exchange_reports)
+        self.open_session()
+        nursery.start_soon(partial(self.open_sessions, sessions, over_s=over_s))
+
     def open_session(self) -> None:
         """Open a session at the agent that a random agent chooses."""
         entry_agent = self.random.choice(self.agents)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
@@ -160,13 +160,8 @@
             hides_long=mix.hides_long,
         )
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(service.exchange_reports)
-            service.open_session()
-            nursery.start_soon(self.open_sessions, service)
+            # The sessions open during the first half of the warm-up.
+            service.start(nursery, sessions=SESSIONS, over_s=WARM_UP_S / 2)
             await demand.send_requests(service, WARM_UP_S + MEASURED_S)
             nursery.cancel_scope.cancel()
         return service
-
-    async def open_sessions(self, service: SimulatedService) -> None:
-        """Open the sessions during the first half of the warm-up."""
-        await service.open_sessions(SESSIONS, over_s=WARM_UP_S / 2)
