--- a/tests/oleanderweir_agent/fault_matrix/cells.py
+++ b/tests/oleanderweir_agent/fault_matrix/cells.py
@@ -11,7 +11,6 @@
 
 
 METHODS = ("POST", "GET")
-BEFORE_RUN = frozenset({Step.CONNECTED, Step.MID_REQUEST, Step.RECEIVED})
 AFTER_REQUEST = frozenset({Step.RECEIVED, Step.RUNNING, Step.RAN})
 DURING_BODY = frozenset({Step.MID_BODY, Step.BEFORE_END})
 SINGLE_MESSAGES = frozenset({Step.OFFER_SENT, Step.RELAYED_HEAD, Step.RELAYED_END})
--- a/tests/oleanderweir_agent/health/test_backend_health.py
+++ b/tests/oleanderweir_agent/health/test_backend_health.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
 import pytest
 import trio
 
@@ -17,11 +16,6 @@
     from trio.testing import MockClock
 
 
-@attrs.frozen(kw_only=True)
-class Member:
-    is_healthy: bool
-
-
 def record_outcome(
     health: BackendHealth, result: WorkResult, *, times: int = 1
 ) -> None:
--- a/tests/oleanderweir_agent/load/test_least_wait_chooser.py
+++ b/tests/oleanderweir_agent/load/test_least_wait_chooser.py
@@ -6,7 +6,6 @@
 import attrs
 
 from oleanderweir_agent.load import LeastWaitChooser
-from oleanderweir_agent.load import LoadTable
 from oleanderweir_agent.load import ServiceGroup
 from tests.oleanderweir_agent.load.load_tables import REPORT
 from tests.oleanderweir_agent.load.load_tables import make_table
@@ -16,10 +15,6 @@
     from trio.testing import MockClock
 
 
-def candidate_names(table: LoadTable) -> list[str]:
-    return [entry.report.name for entry in table.candidates()]
-
-
 async def test_sessions_are_assigned_by_speed(autojump_clock: MockClock) -> None:
     table = make_table(
         attrs.evolve(REPORT, name="a", service_time_s=0.1),
--- a/tests/oleanderweir_agent/load/test_service_group.py
+++ b/tests/oleanderweir_agent/load/test_service_group.py
@@ -7,7 +7,6 @@
 import pytest
 
 from oleanderweir_agent.load import LeastWaitChooser
-from oleanderweir_agent.load import LoadTable
 from oleanderweir_agent.load import ServiceGroup
 from oleanderweir_bench.experiments.baselines import RandomChooser
 from oleanderweir_bench.experiments.baselines import RoundRobinChooser
@@ -22,10 +21,6 @@
     from oleanderweir_agent.load import BackendChooser
 
 
-def candidate_names(table: LoadTable) -> list[str]:
-    return [entry.report.name for entry in table.candidates()]
-
-
 @pytest.mark.parametrize(
     "chooser",
     [
