Record the status of processes that exit unexpectedly in a soak

Hypotheses, before any change of logic: 1. SIGHUP arrives before the program ignores it and ends the process. Refuted if the status isn't -1, or if a process that is sent SIGHUP later than the first statement of the program exits with it. 2. A kill of an overlapping fault is counted as an unexpected exit. Refuted if the status isn't -9. 3. The program exits because its port is still in use by its predecessor. Refuted if the status isn't 1 or the report holds no traceback.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -107,7 +107,8 @@
                 if not process.has_exited_unexpectedly or process.running is None:
                     continue
                 self.site.result.own_ends += 1
-                self._record_event(f"{process.host} exited unexpectedly")
+                status = process.running.process.returncode
+                self._record_event(f"{process.host} exited unexpectedly ({status})")
                 self._record_last_lines(process)
                 await process.start()
 
