Query the agents that a delegate may not know before a flow is reset

What callers could see: a reset of an open flow (flow_not_held) in a fleet of more than three agents, while the entry of its sound backend server had lapsed or was unreadable, or had been published a moment ago.

Cause: a balancer took the negative result of a delegate for that of all agents. An agent sends heartbeats to seeds and undiscovered hosts only, so that its members are balancers and few agents: it queries the agents of published backend servers. The grace of 2.5 s for an entry that lapsed held in the balancer's own lookups, not in delegated ones. The result also counted for entries that the balancer had received since it delegated the lookup. Class: the denials of some agents for those of all, and an outcome without its age.

Now the result covers the backend servers that were published when the lookup was delegated.

Ruled out: that the delegate queries recently removed hosts and waits for them.

test_a_delegate_resets_no_flow_whose_owner_has_an_entry_that_lapsed and test_a_delegate_resets_no_flow_of_a_backend_server_published_meanwhile failed before (assert [] == ['10.0.0.99']: no query, a reset instead); both pass now. test_a_departed_agent_does_not_delay_the_reset_after_a_delegated_lookup passed before too.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -48,7 +48,7 @@
         }
         # Caches that each change clears and the next access fills.
         self.by_service: dict[str, list[BackendRecord]] | None = None
-        self.published_hosts: set[str] | None = None
+        self.published_hosts: frozenset[str] | None = None
 
     def revision(self, topic: Topic) -> int:
         """Return the revision up to which all changes of a topic are applied."""
@@ -101,9 +101,13 @@
 
     def is_published(self, host: str) -> bool:
         """Whether any backend server is published at a host."""
+        return host in self.find_published_hosts()
+
+    def find_published_hosts(self) -> frozenset[str]:
+        """Return the hosts of all published backend servers."""
         if self.published_hosts is None:
-            self.published_hosts = {r.host for r in self.backends.values()}
-        return host in self.published_hosts
+            self.published_hosts = frozenset(r.host for r in self.backends.values())
+        return self.published_hosts
 
     def is_host_removed(self, host: str, *, now: float) -> bool:
         """Whether a host has had no backend server for ``REMOVAL_GRACE_S``."""
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -107,11 +107,24 @@
             self._widen_or_fail(lookup, packet, now=now)
 
     def on_no_owner(self, packet: Packet, *, now: float) -> None:
-        """Fail a lookup for which the delegate found no owner."""
+        """
+        Process the negative result of a delegate; query the agents it may not know.
+
+        An agent knows those of published backend servers and few others. A backend
+        server may hold flows although its entry lapsed, or was published later.
+        """
         lookup = self.lookups.open(packet.key, now=now)
-        if lookup is not None and not lookup.has_no_owner:
+        if lookup is None or lookup.has_no_owner:
+            return
+        lookup.is_fleet_wide = True
+        lookup.denied_by |= lookup.delegated_hosts
+        others = self._possible_owners(lookup) - lookup.denied_by
+        pending = {host for host in others if not self._is_ruled_out(host, now=now)}
+        if not pending:
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
+        elif len(pending) <= MAX_DIRECT_QUERIES:
+            self._send_queries(lookup, packet, pending, now=now)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
@@ -154,6 +167,8 @@
         lookup.queried |= agents
         if self.use_delegate and len(agents - lookup.denied_by) > MAX_DIRECT_QUERIES:
             delegate = self._choose_delegate(lookup, agents)
+            if not lookup.delegated_hosts:
+                lookup.delegated_hosts = self.register.find_published_hosts()
             self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
             self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
             return
--- /dev/null
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import trio
+import trio.testing
+
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
+from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
+from tests.oleanderweir_balancer.forwarding.bench import make_agent_heartbeat
+from tests.oleanderweir_balancer.forwarding.packets import REQUEST
+
+
+OWNER = "10.0.0.99"
+OTHERS = {f"b{host}": backend_document(host=host) for host in LARGE_FLEET}
+ALL = {**OTHERS, "owner": backend_document(host=OWNER)}
+
+
+def look_up(bench: BalancerBench) -> str:
+    """Receive a packet of an unknown flow; return the delegate of its lookup."""
+    bench.balancer.on_caller_packet(REQUEST)
+    [(delegate, message)] = bench.deliveries()
+    assert message.purpose is DeliveryPurpose.DELEGATED_LOOKUP
+    return delegate
+
+
+async def test_a_delegate_resets_no_flow_whose_owner_has_an_entry_that_lapsed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    await trio.sleep(10.0)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
+    bench.return_packet(OWNER, ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
+async def test_a_delegate_resets_no_flow_of_a_backend_server_published_meanwhile() -> (
+    None
+):
+    bench = BalancerBench()
+    bench.publish(backends=OTHERS)
+    delegate = look_up(bench)
+    bench.publish(backends=ALL, revision=20)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+
+async def test_a_departed_agent_does_not_delay_the_reset_after_a_delegated_lookup(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    await trio.sleep(10.0)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.members.record_departure(OWNER)
+    bench.publish(backends=OTHERS, revision=20)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert len(bench.resets()) == 1
