--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -14,10 +14,15 @@
 from oleanderweir.net import SocketAddress
 from oleanderweir.peering import HeartbeatSender
 from oleanderweir.peering import Members
+from oleanderweir.peering import PeerUnavailableError
 from oleanderweir.peering import decode_message
+from oleanderweir.peering import encode_message
 from oleanderweir.peering.messages import Heartbeat
+from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import StateUpdate
+from oleanderweir.peering.report_interval import KEEPALIVE_S
+from oleanderweir.peering.state_exchange import REQUEST_TIMEOUT_S
 from oleanderweir_platform.store_client import StoreClient
 from oleanderweir_platform.store_documents import StoreDecoder
 from oleanderweir_standins import StoreCondition
@@ -27,6 +32,7 @@
 if TYPE_CHECKING:
     import pytest
 
+    from oleanderweir.desired_state import BackendRecord
     from oleanderweir.desired_state import Changes
     from oleanderweir.desired_state import Listing
     from oleanderweir.net import UdpSocket
@@ -41,15 +47,29 @@
     Processes that follow one store and each other, in memory and in virtual time.
 
     ``versions`` has the versions in force at each process since its start, in order.
+    ``records`` has what each process knew of each backend server since its start.
+    Datagrams are delivered at once unless ``max_delay_s`` is set, and a share of them
+    is lost at random. A host in ``cut_hosts`` reaches no peer.
     """
 
     def __init__(
-        self, *, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+        self,
+        *,
+        nursery: trio.Nursery,
+        monkeypatch: pytest.MonkeyPatch,
+        random_source: random.Random | None = None,
     ) -> None:
         self.nursery = nursery
+        self.random_source = random_source or random.Random(1)
         self.store = StoreStandIn(nursery=nursery)
         self.processes: dict[str, FleetProcess] = {}
         self.versions: dict[str, list[int]] = {}
+        self.records: dict[tuple[str, str], list[BackendRecord]] = {}
+        self.max_delay_s = 0.0
+        self.loss = 0.0
+        self.cut_hosts: set[str] = set()
+        # Times of all fetches from peers.
+        self.fetched_at: list[float] = []
         monkeypatch.setattr(trio, "open_tcp_stream", self.connect)
 
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
@@ -60,13 +80,38 @@
         return client_end
 
     def start(
-        self, number: int, *, condition: StoreCondition = StoreCondition.SERVING
+        self,
+        number: int,
+        *,
+        condition: StoreCondition = StoreCondition.SERVING,
+        role: PeerRole = PeerRole.BALANCER,
     ) -> None:
         self.store.conditions[number] = condition
-        host = f"10.1.0.{number}"
-        process = FleetProcess(fleet=self, host=host, store_port=number)
+        host = host_of(number)
+        process = FleetProcess(fleet=self, host=host, store_port=number, role=role)
         self.processes[host] = process
-        process.start()
+        self.nursery.start_soon(process.run)
+
+    def kill(self, number: int) -> None:
+        self.processes.pop(host_of(number)).scope.cancel()
+
+    def can_reach(self, host: str, other: str) -> bool:
+        return other in self.processes and not self.cut_hosts & {host, other}
+
+    def send(self, host: str, receiver: str, data: bytes) -> None:
+        """Deliver a datagram now or later, or lose it."""
+        is_lost = self.random_source.random() < self.loss
+        if is_lost or not self.can_reach(host, receiver):
+            return
+        if self.max_delay_s:
+            self.nursery.start_soon(self._deliver_later, host, receiver, data)
+        else:
+            self.processes[receiver].receive(host, data)
+
+    async def _deliver_later(self, host: str, receiver: str, data: bytes) -> None:
+        await trio.sleep(self.random_source.uniform(0.0, self.max_delay_s))
+        if self.can_reach(host, receiver):
+            self.processes[receiver].receive(host, data)
 
     async def stand_by(self, version: int, *, within_s: float) -> None:
         """Wait until all processes have a version, at most for some seconds."""
@@ -88,18 +133,29 @@
         }
 
 
+def host_of(number: int) -> str:
+    return f"10.1.0.{number}"
+
+
 class FleetProcess:
-    def __init__(self, *, fleet: Fleet, host: str, store_port: int) -> None:
+    def __init__(
+        self, *, fleet: Fleet, host: str, store_port: int, role: PeerRole
+    ) -> None:
         self.fleet = fleet
         self.host = host
+        self.role = role
+        self.scope = trio.CancelScope()
+        self.nursery: trio.Nursery | None = None
         self.fleet.versions[host] = []
+        for key in [key for key in self.fleet.records if key[0] == host]:
+            del self.fleet.records[key]
         self.register = StateRegister(decoder=StoreDecoder(), on_change=self.on_change)
         address = SocketAddress(host="store", port=store_port)
         source = StoreClient(address=address)
         random_source = random.Random(host)
         statuses = {topic: ReaderStatus() for topic in Topic}
         self.heartbeat_sender = HeartbeatSender(
-            role=PeerRole.BALANCER,
+            role=role,
             availability_zone="a",
             service="",
             port=PEER_PORT,
@@ -132,29 +188,59 @@
         for follower in self.followers:
             follower.interrupt_watch()
 
-    def start(self) -> None:
-        for follower in self.followers:
-            self.fleet.nursery.start_soon(follower.run)
-        self.fleet.nursery.start_soon(self.heartbeat_sender.run)
+    async def run(self) -> None:
+        with self.scope:
+            async with trio.open_nursery() as self.nursery:
+                for follower in self.followers:
+                    self.nursery.start_soon(follower.run)
+                self.nursery.start_soon(self.heartbeat_sender.run)
+                if self.role is PeerRole.AGENT:
+                    self.nursery.start_soon(self._report_load)
+
+    async def _report_load(self) -> None:
+        """Send the reports that keep an agent a member of the balancers."""
+        report = LoadReport(
+            service="feed",
+            busy=0,
+            flows=0,
+            busy_mean=0.0,
+            service_ms=0.0,
+            is_accepting=True,
+        )
+        while True:
+            await trio.sleep(KEEPALIVE_S)
+            for host in self.heartbeat_sender.members.hosts(PeerRole.BALANCER):
+                self.send_to(encode_message(report), (host, PEER_PORT))
 
     def on_change(self, topic: Topic) -> None:
         self.fleet.versions[self.host].append(self.register.version)
+        for name, record in self.register.backends.items():
+            known = self.fleet.records.setdefault((self.host, name), [])
+            if record not in known[-1:]:
+                known.append(record)
 
     def send_to(self, data: bytes, address: tuple[str, int]) -> None:
-        """Deliver a datagram, as the socket of this process."""
-        receiver = self.fleet.processes.get(address[0])
-        if receiver is not None:
-            receiver.receive(self.host, data)
+        """Send a datagram, as the socket of this process."""
+        self.fleet.send(self.host, address[0], data)
 
     def receive(self, host: str, data: bytes) -> None:
+        if self.nursery is None:
+            return
         message = decode_message(data)
         if isinstance(message, Heartbeat):
-            self.heartbeat_sender.on_heartbeat(host, message, self.fleet.nursery)
+            self.heartbeat_sender.on_heartbeat(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
             synchronizer = self.heartbeat_sender.synchronizer
-            synchronizer.on_state_update(host, message, self.fleet.nursery)
+            synchronizer.on_state_update(host, message, self.nursery)
+        else:
+            self.heartbeat_sender.members.record_activity(host)
 
     async def fetch(self, host: str, topic: Topic) -> Listing:
         """Fetch the state of a peer, as the client of this process."""
-        await trio.sleep(0.001)
-        return self.fleet.processes[host].register.export(topic)
+        self.fleet.fetched_at.append(trio.current_time())
+        if not self.fleet.can_reach(self.host, host):
+            await trio.sleep(REQUEST_TIMEOUT_S)
+            raise PeerUnavailableError("no route to the peer")
+        listing = self.fleet.processes[host].register.export(topic)
+        await trio.sleep(0.001 + self.fleet.max_delay_s)
+        return listing
