Let a delegate that knows of a newer removal give no negative result

What callers could see: a reset of an open flow (flow_not_held), while the entry of its sound backend server had lapsed and the balancer of the caller's packet hadn't received that yet.

Cause: a delegate with an older state than the balancer gives no negative result, one with a newer state did. It doesn't query a backend server whose removal it knows, and the balancer takes all that it has published for queried. The same happens if the balancer receives the removal between two delegations of a lookup, since it took what was published at the first one for covered by the result of any. Class: an outcome without its age.

A result covers what was published at all delegations of the lookup so far.

Agents send each other no heartbeats there now.

Ruled out: a delegate whose revision differs at all. After a listing, two processes with the same state may have different revisions until the next change.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -101,13 +101,18 @@
 
         A balancer with a newer revision of the backend servers than this agent gets no
         reply, and delegates its lookup to another agent: the owner may be a backend
-        server that this agent didn't query. The failed lookup is closed: the next one
-        may find a backend server that is published by then.
+        server that this agent didn't query. So does one that doesn't know yet which
+        backend servers were removed just now: this agent didn't query them either. The
+        failed lookup is closed: the next one may find a backend server that is
+        published by then.
         """
         self.owner_lookup.lookups.close(packet.key)
+        now = trio.current_time()
         own_revision = self.register.revision(Topic.BACKEND_SERVERS)
         for requester, revision in self.requesters.pop(packet.key, {}).items():
-            if revision > own_revision:
+            if revision > own_revision or self.register.has_removal_after(
+                revision, now=now
+            ):
                 continue
             message = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=packet.data)
             self.transport.send(requester, message)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
@@ -28,8 +28,9 @@
     """
     The members of each process, and the dispatch of messages between processes.
 
-    No heartbeats are sent: a process that starts knows all hosts of the site, and
-    learns of a host that is added after a random time.
+    No heartbeats are sent: a process that starts knows the hosts of the site, and a
+    balancer learns of an agent that is added after a random time. Agents don't know
+    each other, since they exchange no heartbeats.
     """
 
     def __init__(
@@ -47,16 +48,20 @@
         self.members: dict[str, Members] = {}
 
     def create_members(self, host: str) -> Members:
-        """Return members with all hosts of the site for a process that starts."""
+        """Return members for a process that starts; agents know only balancers."""
         members = self.members[host] = Members(own_host=host)
-        for other in (*self.balancer_hosts, *self.agent_hosts):
+        agents = self.agent_hosts if host in self.balancer_hosts else []
+        for other in (*self.balancer_hosts, *agents):
             members.record_heartbeat(other, self._create_heartbeat(other))
         return members
 
     def introduce(self, host: str, nursery: trio.Nursery, *, max_lag_s: float) -> None:
-        """Let each process learn of a new host within ``max_lag_s``."""
-        for members in list(self.members.values()):
-            nursery.start_soon(self._record_heartbeat_late, members, host, max_lag_s)
+        """Let each balancer learn of a new agent within ``max_lag_s``."""
+        for process_host, members in list(self.members.items()):
+            if process_host in self.balancer_hosts:
+                nursery.start_soon(
+                    self._record_heartbeat_late, members, host, max_lag_s
+                )
 
     def dispatch(
         self,
--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -54,6 +54,8 @@
         # trio's clock.
         self.listed_at: float | None = None
         self.removed_at: dict[str, float] = {}
+        # Revision of the last removal.
+        self.removed_revision = 0
         # Starts that another one has replaced, by name, in milliseconds of Unix time.
         self.replaced_starts: dict[str, set[int]] = {}
         # Newest start of a backend server at each host.
@@ -75,7 +77,7 @@
         names = {change.name for change in listing.documents}
         removed = self.documents.keys() - names
         for name in removed:
-            self._remove(name)
+            self._remove(name, revision=listing.revision)
         for name in self.ignored_documents.keys() - names:
             del self.ignored_documents[name]
         applied = [change for change in listing.documents if self._apply(change)]
@@ -97,20 +99,20 @@
         for change in newer:
             self.changed_revision = change.revision
             if change.document is None:
-                self._remove(change.name)
+                self._remove(change.name, revision=change.revision)
                 is_changed = True
             else:
                 is_changed |= self._apply(change)
         self.revision = max(self.revision, changes.revision)
         return is_changed
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, *, revision: int) -> None:
         """Remove a backend server whose document was removed."""
         self.documents.pop(name, None)
         self.ignored_documents.pop(name, None)
-        self._remove_record(name)
+        self._remove_record(name, revision=revision)
 
-    def _remove_record(self, name: str) -> None:
+    def _remove_record(self, name: str, *, revision: int) -> None:
         """Remove a record, and remember it for ``REMOVED_RECORD_S``."""
         now = trio.current_time()
         self.removed_records = {
@@ -122,6 +124,7 @@
         if record is not None:
             self.removed_records[name] = RemovedRecord(record=record, removed_at=now)
             self.removed_at[record.host] = now
+            self.removed_revision = max(self.removed_revision, revision)
         remembered = self.records.keys() | self.removed_records.keys()
         for forgotten in self.replaced_starts.keys() - remembered:
             del self.replaced_starts[forgotten]
@@ -208,7 +211,7 @@
         """Remove the backend server of an invalid document."""
         self.documents[change.name] = change
         self.ignored_documents[change.name] = change.document or b""
-        self._remove_record(change.name)
+        self._remove_record(change.name, revision=change.revision)
         logger.warning(
             "published document is invalid and was not applied",
             extra={
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -129,6 +129,12 @@
         """Whether a backend server at a host was removed after ``moment``."""
         return self.removed_at.get(host, float("-inf")) > moment
 
+    def has_removal_after(self, revision: int, *, now: float) -> bool:
+        """Whether a backend server was removed after a revision, and just now."""
+        if revision >= self.backend_topic.removed_revision:
+            return False
+        return now - max(self.removed_at.values()) <= REMOVAL_GRACE_S
+
     def export(self, topic: Topic) -> Listing:
         """Return a topic as a listing that another process can apply."""
         state = self.topics[topic]
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -20,10 +20,11 @@
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
     replied that their backend server doesn't hold the flow. ``delegated_hosts`` had a
-    published backend server when the lookup was first delegated. ``buffered`` packets
-    are sent once the owner is known. ``is_fleet_wide`` is set when the lookup is
-    extended from the flow's candidates to all agents, ``has_no_owner`` when it failed
-    and the flow is reset. Times are those of trio's clock, in seconds.
+    published backend server whenever the lookup was delegated, None if it wasn't.
+    ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
+    when the lookup is extended from the flow's candidates to all agents,
+    ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
+    clock, in seconds.
     """
 
     key: FlowKey
@@ -33,7 +34,7 @@
     buffered: list[Packet] = attrs.field(factory=list)
     queried: set[str] = attrs.field(factory=set)
     denied_by: set[str] = attrs.field(factory=set)
-    delegated_hosts: frozenset[str] = frozenset()
+    delegated_hosts: frozenset[str] | None = None
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -117,7 +117,7 @@
         if lookup is None or lookup.has_no_owner:
             return
         lookup.is_fleet_wide = True
-        lookup.denied_by |= lookup.delegated_hosts
+        lookup.denied_by |= lookup.delegated_hosts or frozenset()
         others = self._possible_owners(lookup) - lookup.denied_by
         pending = {host for host in others if not self._is_ruled_out(host, now=now)}
         if not pending:
@@ -167,8 +167,11 @@
         lookup.queried |= agents
         if self.use_delegate and len(agents - lookup.denied_by) > MAX_DIRECT_QUERIES:
             delegate = self._choose_delegate(lookup, agents)
-            if not lookup.delegated_hosts:
-                lookup.delegated_hosts = self.register.find_published_hosts()
+            published = self.register.find_published_hosts()
+            if lookup.delegated_hosts is not None:
+                # The result may be that of any of the delegates.
+                published &= lookup.delegated_hosts
+            lookup.delegated_hosts = published
             self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
             self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
             return
--- a/tests/oleanderweir_agent/forwarding/test_lookup_outcomes.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_outcomes.py
@@ -1,5 +1,9 @@
 from __future__ import annotations
 
+import trio
+import trio.testing
+
+from oleanderweir.desired_state import REMOVAL_GRACE_S
 from oleanderweir.desired_state import Topic
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
@@ -41,3 +45,31 @@
     queried = {address[0] for _, address in bench.peer_socket.sent}
     assert "10.0.0.4" in queried
     assert "10.0.9.2" not in queried
+
+
+async def test_a_failed_lookup_denies_no_backend_server_published_for_the_balancer(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in HOSTS}
+    publish(bench.register, backends=backends)
+    del backends["b10.0.0.3"]
+    publish(bench.register, backends=backends, revision=20)
+
+    # The balancer doesn't know yet that an entry lapsed: it takes all for queried.
+    _fail_lookup(bench, version=10)
+    held_nowhere = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+    assert held_nowhere not in bench.to_peers()
+
+    _fail_lookup(bench, version=20)
+    assert held_nowhere in bench.to_peers()
+
+    await trio.sleep(REMOVAL_GRACE_S + 0.1)
+    _fail_lookup(bench, version=10)
+    assert held_nowhere in bench.to_peers()
+
+
+def _fail_lookup(bench: AgentBench, *, version: int) -> None:
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST, version=version)
+    for host in HOSTS[:2]:
+        bench.agent.on_message(host, DENIAL)
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -55,6 +55,23 @@
     assert [host for host, _ in bench.deliveries()] == [OWNER]
 
 
+async def test_a_second_delegate_resets_no_flow_whose_owner_lapsed_meanwhile(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    look_up(bench)
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(0.2)
+    bench.balancer.retry_lookups()
+    [(second, _)] = bench.deliveries()
+
+    bench.return_packet(second, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+
 async def test_a_departed_agent_does_not_delay_the_reset_after_a_delegated_lookup(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
--- a/tests/oleanderweir_bench/packet_path/test_scenarios.py
+++ b/tests/oleanderweir_bench/packet_path/test_scenarios.py
@@ -78,3 +78,16 @@
     )
 
     assert result.violations == 0
+
+
+def test_lapsed_entries_reset_no_flow_in_a_fleet_with_delegated_lookups() -> None:
+    result = run_scenario(
+        "lapse-entries",
+        seed=3,
+        uses_rendezvous_hash=False,
+        callers=30,
+        backends=MAX_DIRECT_QUERIES + 5,
+        requests_per_flow=3,
+    )
+
+    assert result.violations == 0
