Keep the negative result of an ownership check for the life of a flow

What callers could see: for 2 s three or more packets of an open flow reached other backend servers and none its own, while the agent of its own was being restarted.

Cause: an agent forwards a packet of an unknown flow to its backend server and, if it is returned, denies the flow for 5 s from then on. The next query is forwarded again. While agents are restarted in turn, every balancer without the owner in its cache queries the whole fleet; results from an earlier lookup of the flow expire in the 2 s in which the owner's agent doesn't read. Class: a proof that doesn't age was discarded by age: a backend server can hold the flow only if its opening packet passes the agent, which discards the result.

Now results are kept for FlowTtlS. Checks that aren't answered are still dropped after 5 s.

Ruled out: repeated queries that wait in the socket of a starting agent: they only raise a count that one lookup exceeds anyway.

test_a_flow_of_another_backend_server_does_not_reach_this_one_again failed before (the packet was forwarded); test_a_flow_opened_after_a_negative_result_is_not_denied passed before too.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -6,7 +6,6 @@
 
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
-from oleanderweir_agent.forwarding.ownership_checker import NOT_HELD_TTL_S
 
 
 if TYPE_CHECKING:
@@ -22,6 +21,10 @@
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
+# An unpublished backend server that has sent nothing for this long gets no queries.
+WITHDRAWN_SILENCE_S = 5.0
+
+
 class FlowPacketHandler:
     """
     Forwards callers' packets of flows that the backend server holds, or may hold.
@@ -133,5 +136,5 @@
         """Whether the backend server is no longer published and sends nothing."""
         return (
             self.admission.is_unpublished(now=now)
-            and now - self.liveness.last_packet_at > NOT_HELD_TTL_S
+            and now - self.liveness.last_packet_at > WITHDRAWN_SILENCE_S
         )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -15,8 +15,8 @@
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
 
 
-# How long a flow counts as not held after the backend server returned a packet of it.
-NOT_HELD_TTL_S = 5.0
+# How long a check waits for the backend server.
+CHECK_TTL_S = 5.0
 
 
 class OwnershipChecker:
@@ -24,12 +24,15 @@
     Forwards packets of unknown flows to the backend server.
 
     The backend server answers a packet of a flow that it holds, and returns any other.
-    A negative result is cached for ``NOT_HELD_TTL_S``. The length of a checker is the
-    number of pending checks.
+    A negative result holds until the flow is opened there, and is cached for
+    ``flow_ttl_s``: a packet of a flow should reach no other backend server again while
+    the agent of its own is being restarted. The length of a checker is the number of
+    pending checks.
     """
 
-    def __init__(self, *, transport: AgentTransport) -> None:
+    def __init__(self, *, transport: AgentTransport, flow_ttl_s: float) -> None:
         self.transport = transport
+        self.flow_ttl_s = flow_ttl_s
         # Pending checks, by flow.
         self.checks: dict[FlowKey, OwnershipCheck] = {}
         # When the backend server was last seen not to hold a flow, by flow.
@@ -62,9 +65,9 @@
         self.not_held_since.pop(key, None)
 
     def is_not_held(self, key: FlowKey, *, now: float) -> bool:
-        """Whether the backend server was recorded as not holding the flow recently."""
+        """Whether the backend server was recorded as not holding the flow."""
         since = self.not_held_since.get(key)
-        return since is not None and now - since < NOT_HELD_TTL_S
+        return since is not None and now - since < self.flow_ttl_s
 
     def deny_all(self, *, started_before: float = math.inf) -> None:
         """Deny pending checks; used when the backend server can't answer them."""
@@ -80,11 +83,12 @@
             )
 
     def expire(self, *, now: float) -> None:
-        """Drop negative results and checks older than ``NOT_HELD_TTL_S``."""
-        limit = now - NOT_HELD_TTL_S
+        """Drop old negative results, and checks that were not answered."""
+        limit = now - self.flow_ttl_s
         self.not_held_since = {
             key: since for key, since in self.not_held_since.items() if since > limit
         }
+        limit = now - CHECK_TTL_S
         self.checks = {
             key: check for key, check in self.checks.items() if check.started_at > limit
         }
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -45,7 +45,7 @@
     openings = PendingOpenings()
     dispatcher = RequestDispatcher(register=register, transport=transport)
     liveness = BackendLiveness()
-    ownership = OwnershipChecker(transport=transport)
+    ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
     acceptance = Acceptance(admission=admission, liveness=liveness)
     report_builder = ReportBuilder(
         service=service, table=table, dispatcher=dispatcher, acceptance=acceptance
--- a/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
+++ b/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
@@ -7,7 +7,10 @@
 from oleanderweir.peering.messages import ReturnReason
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
 from tests.oleanderweir_agent.forwarding.bench import simulate_backend_crash
+from tests.oleanderweir_agent.forwarding.packets import OPENED
+from tests.oleanderweir_agent.forwarding.packets import OPENING
 from tests.oleanderweir_agent.forwarding.packets import REQUEST
+from tests.oleanderweir_agent.forwarding.packets import encode_returned
 
 
 if TYPE_CHECKING:
@@ -25,3 +28,38 @@
 
     denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
     assert denial in bench.to_peers()
+
+
+async def test_a_flow_of_another_backend_server_does_not_reach_this_one_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    assert bench.to_backend() == [REQUEST]
+    bench.agent.on_backend_packet(encode_returned(payload_bytes=900, acknowledged=6))
+    await bench.pass_time(6.0)
+    bench.agent.expire()
+    bench.to_peers()
+
+    # The agent of its own backend server doesn't reply yet.
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    assert bench.to_backend() == []
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    assert bench.to_peers() == [denial]
+
+
+async def test_a_flow_opened_after_a_negative_result_is_not_denied(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    bench.agent.on_backend_packet(encode_returned(payload_bytes=900, acknowledged=6))
+    await bench.pass_time(6.0)
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    bench.to_backend()
+
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    assert bench.to_backend() == [REQUEST]
