Split the endpoint of an agent into table, acceptor and sender

PacketEndpoint had four jobs: routing packets, holding the connections, opening them and sending envelopes. It now routes only. ConnectionTable holds the connections with their IDs, ConnectionAcceptor replies to Initial packets and opens connections, and EnvelopeSender sends. CallerConnection takes the table and a PacketSender instead of a ConnectionTransport, and leaves the requests on its streams to RequestStreams.

The tests move with the code; each one keeps its assertions.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -125,12 +125,13 @@
             return
         self.service_host.drain.begin(drain_period_s=math.inf, is_final=True)
         await self.service_host.drain.wait_finished()
+        connections = self.service_host.endpoint.table
         # Relayed requests run at peers, so the drain state doesn't count them.
-        await self.service_host.endpoint.wait_requests_completed()
+        await connections.wait_requests_completed()
         # The last responses are written, but callers may not have received them.
         with trio.move_on_after(FLUSH_TIMEOUT_S):
-            await self.service_host.endpoint.wait_acknowledged()
-        self.service_host.endpoint.close_connections(reason="shutting down")
+            await connections.wait_acknowledged()
+        connections.close_all(reason="shutting down")
         # The connection tasks need time to send their CONNECTION_CLOSE frames.
         await trio.sleep(CLOSE_DELAY_S)
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/agent_metrics.py
@@ -66,3 +66,7 @@
             "Drains that began, by ticket or by signal.",
             registry=registry,
         )
+
+    def count_drop(self, reason: DropReason) -> None:
+        """Count a dropped packet."""
+        self.dropped[reason].inc()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
@@ -120,7 +120,7 @@
             codec=LoadReportCodec(key_ring=key_ring),
             metrics=metrics,
             random_source=random_source,
-            count_sessions=lambda: len(self.endpoint.connections),
+            count_sessions=lambda: len(self.endpoint.table.connections),
         )
         runner = LocalRunner(
             backend=backend,
@@ -199,7 +199,7 @@
         """Notify peers and callers immediately that this backend server is draining."""
         self.metrics.drains.inc()
         self.load_exchange.send_report()
-        self.endpoint.send_goaway()
+        self.endpoint.table.send_goaway()
 
     async def _close_drained_sessions(self) -> None:
         """Close the remaining connections whenever a drain period has passed."""
@@ -208,5 +208,5 @@
             with trio.move_on_at(self.drain.deadline):
                 await self.drain.changed.wait()
             if self.drain.has_period_passed:
-                self.endpoint.close_connections(reason="drain period over")
+                self.endpoint.table.close_all(reason="drain period over")
                 await self.drain.changed.wait()
--- a/tests/oleanderweir_agent/quic/endpoint_bench.py
+++ b/tests/oleanderweir_agent/quic/endpoint_bench.py
@@ -9,6 +9,7 @@
 import trio.testing
 from aioquic.h3.connection import H3_ALPN
 from aioquic.h3.connection import H3Connection
+from aioquic.h3.events import HeadersReceived
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
 from aioquic.quic.events import ConnectionTerminated
@@ -199,6 +200,15 @@
     def is_terminated(self) -> bool:
         return any(isinstance(event, ConnectionTerminated) for event in self.events)
 
+    @property
+    def statuses(self) -> list[bytes]:
+        """The status of each response received so far."""
+        return [
+            dict(event.headers)[b":status"]
+            for event in self.events
+            if isinstance(event, HeadersReceived)
+        ]
+
     def datagrams(self) -> list[bytes]:
         """Return the packets that the caller sends now."""
         sent = self.quic.datagrams_to_send(trio.current_time())
@@ -214,6 +224,13 @@
             self.events.extend(self.h3.handle_event(event))
             event = self.quic.next_event()
 
+    async def receive_retry(self, agent: AgentBench) -> bytes:
+        """Receive an agent's Retry; return the Initial packet with its token."""
+        (initial,) = self.datagrams()
+        self.receive(await agent.receive(initial))
+        (with_token,) = self.datagrams()
+        return with_token
+
     def request(self, path: str = "/", *, body: bytes = b"") -> int:
         """Send a request; return its stream ID."""
         stream_id: int = self.quic.get_next_available_stream_id()
--- a/tests/oleanderweir_agent/quic/test_return_path.py
+++ b/tests/oleanderweir_agent/quic/test_return_path.py
@@ -9,6 +9,7 @@
 from oleanderweir_agent.quic.balancer_registry import RECENT_WINDOW_S
 from oleanderweir_agent.quic.balancer_registry import BalancerRegistry
 from oleanderweir_agent.quic.caller_connection import CallerConnection
+from oleanderweir_agent.quic.connection_table import ConnectionTable
 from oleanderweir_agent.quic.return_path import ReturnPath
 from tests.oleanderweir_agent.quic.connection_pair import ConnectionPair
 
@@ -26,18 +27,10 @@
 FIRST_LATE_TICK = 14
 
 
-class RecordingTransport:
+class RecordingSender:
     def __init__(self) -> None:
         self.balancers: list[tuple[str, int]] = []
 
-    def add_connection_id(
-        self, connection_id: bytes, connection: CallerConnection
-    ) -> None:
-        pass
-
-    def remove_connection_id(self, connection_id: bytes) -> None:
-        pass
-
     def send(
         self,
         *,
@@ -63,12 +56,13 @@
     registry = BalancerRegistry()
     registry.record(LIVE)
     registry.record(DEAD)
-    transport = RecordingTransport()
+    sender = RecordingSender()
     connection = CallerConnection(
         quic=pair.server,
         service=Service(name="horaflujo", address=SocketAddress.parse("192.0.2.1:443")),
         return_path=ReturnPath(registry=registry, balancer=DEAD),
-        transport=transport,
+        table=ConnectionTable(),
+        sender=sender,
         handler=UnusedHandler(),
     )
     stream_id = pair.server.get_next_available_stream_id()
@@ -77,13 +71,13 @@
         nursery.start_soon(connection.run)
         for number in range(TICKS):
             if number == FIRST_LATE_TICK:
-                transport.balancers.clear()
+                sender.balancers.clear()
             pair.server.send_stream_data(stream_id, b"tick\n")
             connection.wake()
             await trio.sleep(1.0)
         nursery.cancel_scope.cancel()
 
-    assert set(transport.balancers) == {DEAD, LIVE}
+    assert set(sender.balancers) == {DEAD, LIVE}
 
 
 def test_a_single_balancer_stays_selected() -> None:
--- a/tests/oleanderweir_agent/quic/test_stream_responder.py
+++ b/tests/oleanderweir_agent/quic/test_stream_responder.py
@@ -52,7 +52,7 @@
 @pytest.fixture
 def agent(nursery: trio.Nursery) -> AgentBench:
     bench = AgentBench()
-    bench.endpoint.handler = PathEchoHandler()
+    bench.endpoint.acceptor.handler = PathEchoHandler()
     nursery.start_soon(bench.endpoint.run)
     return bench
 
@@ -95,7 +95,7 @@
 async def test_a_large_response_arrives_in_order_and_is_buffered_up_to_the_limit(
     agent: AgentBench, autojump_clock: MockClock
 ) -> None:
-    handler = agent.endpoint.handler
+    handler = agent.endpoint.acceptor.handler
     assert isinstance(handler, PathEchoHandler)
     caller = CallerBench()
     await caller.exchange(agent)
