Create and count rejections in one place

Admission, FeedAdmission and LocalRunner each counted a rejection and built its error. RequestMetrics.create_rejection now does both for all three.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
@@ -19,7 +19,6 @@
 from oleanderweir_agent.queueing.slot_queue import SlotQueue
 from oleanderweir_agent.verdicts import RejectionReason
 from oleanderweir_agent.verdicts import RequestMetrics
-from oleanderweir_agent.verdicts import RequestRejectedError
 
 
 if TYPE_CHECKING:
@@ -176,21 +175,21 @@
     def check_state(self, request: WorkRequest) -> None:
         """Raise ``RequestRejectedError`` for a reason independent of the queue."""
         if self.drain.is_draining:
-            raise self.create_rejection(RejectionReason.DRAINING)
+            raise self.metrics.create_rejection(RejectionReason.DRAINING)
         if request.deadline <= trio.current_time():
-            raise self.create_rejection(RejectionReason.DEADLINE_PAST)
+            raise self.metrics.create_rejection(RejectionReason.DEADLINE_PAST)
         if not self.health.is_usable and not request.ignores_health:
-            raise self.create_rejection(RejectionReason.BACKEND_DEAD)
+            raise self.metrics.create_rejection(RejectionReason.BACKEND_DEAD)
 
     def check_queue(self, waiting: WaitingRequest) -> None:
         """Raise ``RequestRejectedError`` if the queue is full or the wait too long."""
         wait_s = self.forecast.conservative_wait_s(self.snapshot(), waiting)
         if len(self.queue.waiting) >= self.max_waiting:
-            raise self.create_rejection(
+            raise self.metrics.create_rejection(
                 RejectionReason.QUEUE_FULL, retry_after_s=wait_s
             )
         if wait_s > waiting.request.max_wait_s:
-            raise self.create_rejection(
+            raise self.metrics.create_rejection(
                 RejectionReason.WAIT_TOO_LONG, retry_after_s=wait_s
             )
         late_s = trio.current_time() + wait_s - waiting.latest_start
@@ -198,20 +197,13 @@
         if late_s <= 0.0 or waiting.request.arrived_at is not None:
             return
         if self.pause_s > 0.0:
-            raise self.create_rejection(
+            raise self.metrics.create_rejection(
                 RejectionReason.BACKEND_PAUSED, retry_after_s=self.pause_s
             )
-        raise self.create_rejection(
+        raise self.metrics.create_rejection(
             RejectionReason.DEADLINE_UNREACHABLE, retry_after_s=late_s
         )
 
-    def create_rejection(
-        self, reason: RejectionReason, *, retry_after_s: float | None = None
-    ) -> RequestRejectedError:
-        """Count a rejection and return the error to raise."""
-        self.metrics.count_rejection(reason)
-        return RequestRejectedError(reason=reason, retry_after_s=retry_after_s)
-
     def dispatch(self) -> None:
         """Start queued requests, in the order of the policy, while slots are free."""
         if self.pause_s <= 0.0:
@@ -247,7 +239,7 @@
     def reject_waiting(self, waiting: WaitingRequest, reason: RejectionReason) -> None:
         """Remove a request from the queue and reject it."""
         self.queue.remove(waiting)
-        waiting.rejection = self.create_rejection(
+        waiting.rejection = self.metrics.create_rejection(
             reason, retry_after_s=waiting.expected_s
         )
         waiting.decided.set()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/feed_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/feed_admission.py
@@ -10,7 +10,6 @@
 from oleanderweir_agent.drain import DrainState
 from oleanderweir_agent.verdicts import RejectionReason
 from oleanderweir_agent.verdicts import RequestMetrics
-from oleanderweir_agent.verdicts import RequestRejectedError
 
 
 if TYPE_CHECKING:
@@ -35,9 +34,9 @@
         use.
         """
         if self.drain.is_draining:
-            raise self.create_rejection(RejectionReason.DRAINING)
+            raise self.metrics.create_rejection(RejectionReason.DRAINING)
         if self.open_feeds >= self.connections:
-            raise self.create_rejection(RejectionReason.CONNECTIONS_FULL)
+            raise self.metrics.create_rejection(RejectionReason.CONNECTIONS_FULL)
         self.open_feeds += 1
         self.drain.on_work_started()
         try:
@@ -45,8 +44,3 @@
         finally:
             self.open_feeds -= 1
             self.drain.on_work_completed()
-
-    def create_rejection(self, reason: RejectionReason) -> RequestRejectedError:
-        """Count a rejection and return the error to raise."""
-        self.metrics.count_rejection(reason)
-        return RequestRejectedError(reason=reason)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/local_runner.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/local_runner.py
@@ -107,8 +107,8 @@
         try:
             exchange = await self.backend.connect()
         except BackendUnreachableError as error:
-            raise self._create_rejection(
-                RejectionReason.BACKEND_UNREACHABLE, error.message
+            raise self.admission.metrics.create_rejection(
+                RejectionReason.BACKEND_UNREACHABLE, message=error.message
             ) from error
         async with exchange:
             data = self._encode(exchange, request)
@@ -128,8 +128,8 @@
         try:
             return exchange.encode(request)
         except InvalidRequestError as error:
-            raise self._create_rejection(
-                RejectionReason.INVALID_REQUEST, error.message
+            raise self.admission.metrics.create_rejection(
+                RejectionReason.INVALID_REQUEST, message=error.message
             ) from error
 
     async def _read_head(
@@ -166,31 +166,21 @@
         if head.first(NOT_RUN_HEADER) is None:
             return
         progress.confirm_not_run()
-        raise self._create_rejection(
+        raise self.admission.metrics.create_rejection(
             RejectionReason.BACKEND_SHED,
-            "the backend server shed the request with status 503; retry later",
+            message="the backend server shed the request with status 503; retry later",
             retry_after_s=_parse_seconds(head.first(RETRY_AFTER_HEADER)),
         )
 
-    def _create_rejection(
-        self,
-        reason: RejectionReason,
-        message: str,
-        retry_after_s: float | None = None,
-    ) -> RequestRejectedError:
-        """Count a rejection and return its error."""
-        self.admission.metrics.count_rejection(reason)
-        return RequestRejectedError(
-            reason=reason, message=message, retry_after_s=retry_after_s
-        )
-
     def _create_deadline_error(
         self, progress: RequestProgress
     ) -> RequestRejectedError | RequestFailedError:
         """Return the error for a request whose deadline passed after admission."""
         message = "the deadline passed during the request; set a longer timeout"
         if progress.verdict is Verdict.NOT_RUN:
-            return self._create_rejection(RejectionReason.DEADLINE_PAST, message)
+            return self.admission.metrics.create_rejection(
+                RejectionReason.DEADLINE_PAST, message=message
+            )
         return RequestFailedError(
             reason=FailureReason.DEADLINE_EXCEEDED, message=message
         )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/request_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/request_metrics.py
@@ -8,6 +8,8 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client import Counter
 
+from oleanderweir_agent.verdicts.exceptions import RequestRejectedError
+
 
 if TYPE_CHECKING:
     from oleanderweir_agent.verdicts.failure_reason import FailureReason
@@ -55,9 +57,18 @@
             registry=self.registry,
         )
 
-    def count_rejection(self, reason: RejectionReason) -> None:
-        """Count one request that was rejected and did not run."""
+    def create_rejection(
+        self,
+        reason: RejectionReason,
+        *,
+        message: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> RequestRejectedError:
+        """Count one request that is rejected, and return the error to raise."""
         self.rejections.labels(reason=reason.value).inc()
+        return RequestRejectedError(
+            reason=reason, message=message, retry_after_s=retry_after_s
+        )
 
     def count_failure(self, reason: FailureReason) -> None:
         """Count one request that failed and may have run."""
