--- a/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/queueing/admission.py
@@ -13,6 +13,7 @@
 from oleanderweir_agent.health import HealthState
 from oleanderweir_agent.limits import ColdStartRamp
 from oleanderweir_agent.limits import WorkResult
+from oleanderweir_agent.queueing.arrival_check import ArrivalCheck
 from oleanderweir_agent.queueing.busy_meter import BusyMeter
 from oleanderweir_agent.queueing.queue_forecast import QueueForecast
 from oleanderweir_agent.queueing.service_time_model import ServiceTimeModel
@@ -59,6 +60,7 @@
     health: BackendHealth = attrs.field()
     queue: SlotQueue = attrs.field(init=False)
     forecast: QueueForecast = attrs.field(init=False)
+    arrival_check: ArrivalCheck = attrs.field(init=False)
 
     @health.default
     def _make_health(self) -> BackendHealth:
@@ -69,6 +71,7 @@
         self.forecast = QueueForecast(
             service_times=self.service_times, policy=self.policy
         )
+        self.arrival_check = ArrivalCheck(forecast=self.forecast, metrics=self.metrics)
         self.drain.listeners.append(self.reject_all_for_drain)
 
     @property
@@ -168,7 +171,9 @@
         self.check_state(request)
         waiting = self.forecast.make_waiting_request(request)
         if self.pause_s > 0.0 or not self.queue.can_start(waiting, limit=self.limit):
-            self.check_queue(waiting)
+            self.arrival_check.check(
+                waiting, self.snapshot(), max_waiting=self.max_waiting
+            )
         self.queue.insert(waiting)
         return waiting
 
@@ -181,29 +186,6 @@
         if not self.health.is_usable and not request.ignores_health:
             raise self.metrics.create_rejection(RejectionReason.BACKEND_DEAD)
 
-    def check_queue(self, waiting: WaitingRequest) -> None:
-        """Raise ``RequestRejectedError`` if the queue is full or the wait too long."""
-        wait_s = self.forecast.conservative_wait_s(self.snapshot(), waiting)
-        if len(self.queue.waiting) >= self.max_waiting:
-            raise self.metrics.create_rejection(
-                RejectionReason.QUEUE_FULL, retry_after_s=wait_s
-            )
-        if wait_s > waiting.request.max_wait_s:
-            raise self.metrics.create_rejection(
-                RejectionReason.WAIT_TOO_LONG, retry_after_s=wait_s
-            )
-        late_s = trio.current_time() + wait_s - waiting.latest_start
-        # A request that this queue accepted before is not rejected by a later forecast.
-        if late_s <= 0.0 or waiting.request.arrived_at is not None:
-            return
-        if self.pause_s > 0.0:
-            raise self.metrics.create_rejection(
-                RejectionReason.BACKEND_PAUSED, retry_after_s=self.pause_s
-            )
-        raise self.metrics.create_rejection(
-            RejectionReason.DEADLINE_UNREACHABLE, retry_after_s=late_s
-        )
-
     def dispatch(self) -> None:
         """Start queued requests, in the order of the policy, while slots are free."""
         if self.pause_s <= 0.0:
