Split sending from a session with a peer

SessionSender decides what a session sends next and MessageStream encodes, limits and charges each message; PeerSession keeps the hellos, the heartbeats and the dispatch of received messages. Both places that merge entries of the peer use merging().

--- a/packages/oleanderweir/src/oleanderweir/replication/peer_session.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/peer_session.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import attrs
@@ -13,34 +13,27 @@
 from oleanderweir.replication.exceptions import PeerClosedError
 from oleanderweir.replication.exceptions import PeerUnavailableError
 from oleanderweir.replication.hello_conversion import parse_hello
+from oleanderweir.replication.message_stream import MessageStream
 from oleanderweir.replication.messages import BucketContents
 from oleanderweir.replication.messages import BucketDigests
 from oleanderweir.replication.messages import BucketRequest
 from oleanderweir.replication.messages import EntryBatch
 from oleanderweir.replication.messages import Heartbeat
 from oleanderweir.replication.messages import Hello
-from oleanderweir.replication.metrics import ENTRIES_PUSHED
-from oleanderweir.replication.metrics import REPAIRS_DEFERRED
 from oleanderweir.replication.session_repair import SessionRepair
+from oleanderweir.replication.session_sender import SessionSender
 from oleanderweir.tickets import decode_entries
-from oleanderweir.tickets import encode_entries
 
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
-    from collections.abc import Iterable
+    from collections.abc import Iterator
 
     from oleanderweir.membership import InstanceRecord
     from oleanderweir.replication.messages import PeerMessage
     from oleanderweir.replication.peer_stream import PeerStream
     from oleanderweir.replication.replication_context import ReplicationContext
-    from oleanderweir.tickets import Entry
-    from oleanderweir.tickets import EntryKey
-
-
-FRAMING_BYTES = 120
-ENTRIES_PER_BATCH = 50
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -62,15 +55,18 @@
     instance: InstanceRecord | None = None
     is_peer_ready: bool = False
     is_merging: bool = False
-    queued_messages: deque[PeerMessage] = attrs.field(factory=deque)
-    pending_entries: dict[EntryKey, Entry] = attrs.field(factory=dict)
+    messages: MessageStream = attrs.field(init=False)
     repair: SessionRepair = attrs.field(init=False)
-    work_available: trio.Event = attrs.field(factory=trio.Event)
+    sender: SessionSender = attrs.field(init=False)
     failure: OleanderweirError | None = None
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
     def __attrs_post_init__(self) -> None:
+        self.messages = MessageStream(context=self.context, stream=self.stream)
         self.repair = SessionRepair(session=self)
+        self.sender = SessionSender(
+            context=self.context, messages=self.messages, repair=self.repair
+        )
 
     async def run(self) -> None:
         """Run the session until it closes; raise the error that closed it."""
@@ -79,7 +75,7 @@
         try:
             with self.scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._run_part, self._send_messages)
+                    nursery.start_soon(self._run_part, self.sender.run)
                     if self.is_dialler:
                         nursery.start_soon(self._run_part, self._send_heartbeats)
                     await self._run_part(self._receive_messages)
@@ -88,16 +84,10 @@
         if self.failure is not None:
             raise self.failure
 
-    def push(self, entries: Iterable[Entry]) -> None:
-        """Queue entries for the peer; only the last entry of each key is sent."""
-        for entry in entries:
-            self.pending_entries[entry.key] = entry
-        self.work_available.set()
-
     def compare_registers(self) -> None:
         """Compare registers now if this side dialled."""
         if self.is_dialler:
-            self.enqueue(self.heartbeat())
+            self.sender.enqueue(self.heartbeat())
 
     def close(self, reason: str) -> None:
         """Close the session with a ``PeerClosedError``."""
@@ -106,11 +96,6 @@
         )
         self.scope.cancel()
 
-    def enqueue(self, message: PeerMessage) -> None:
-        """Queue a message for sending."""
-        self.queued_messages.append(message)
-        self.work_available.set()
-
     def heartbeat(self) -> Heartbeat:
         """Return a heartbeat with the current state of this process."""
         digest = self.context.digest()
@@ -120,6 +105,15 @@
             is_ready=self.context.boot_gate.is_ready,
         )
 
+    @contextmanager
+    def merging(self) -> Iterator[None]:
+        """Mark the entries merged in the block as received from this peer."""
+        self.is_merging = True
+        try:
+            yield
+        finally:
+            self.is_merging = False
+
     async def _run_part(self, part: Callable[[], Awaitable[None]]) -> None:
         """Run one part of the session; its error closes the session."""
         try:
@@ -131,8 +125,8 @@
     async def _exchange_hellos(self) -> None:
         """Send a hello and receive the peer's within the timeout."""
         with trio.move_on_after(self.context.settings.hello_timeout_s):
-            await self._send(self.context.hello)
-            message = await self._receive()
+            await self.messages.send(self.context.hello)
+            message = await self.messages.receive()
             if not isinstance(message, Hello):
                 raise InvalidPeerMessageError(
                     f"peer sent {type(message).__name__} as its first message, "
@@ -151,7 +145,7 @@
         timeout_s = self.context.settings.receive_timeout_s
         while True:
             with trio.move_on_after(timeout_s) as scope:
-                message = await self._receive()
+                message = await self.messages.receive()
             if scope.cancelled_caught:
                 raise PeerUnavailableError(f"received no message for {timeout_s} s")
             self._dispatch(message)
@@ -175,85 +169,16 @@
     def _merge_batch(self, batch: EntryBatch) -> None:
         """Merge entries that the peer pushed."""
         entries = decode_entries(batch.entries)
-        for entry in entries:
-            # The peer has this entry, so the pending one is redundant.
-            pending = self.pending_entries.get(entry.key)
-            if pending is not None and pending.ticket <= entry.ticket:
-                del self.pending_entries[entry.key]
-        self.is_merging = True
-        try:
-            with self.context.updating_register() as register:
-                register.merge(entries)
-        finally:
-            self.is_merging = False
+        self.sender.discard_known(entries)
+        with self.merging(), self.context.updating_register() as register:
+            register.merge(entries)
 
     async def _send_heartbeats(self) -> None:
         """Compare registers periodically, more often while they differ."""
         settings = self.context.settings
         while True:
-            self.enqueue(self.heartbeat())
+            self.sender.enqueue(self.heartbeat())
             interval_s = settings.heartbeat_interval_s
             if not self.repair.is_synchronized and not self.repair.is_peer_booting:
                 interval_s = settings.repair_interval_s
             await trio.sleep(interval_s * self.context.random.uniform(0.8, 1.0))
-
-    async def _send_messages(self) -> None:
-        """Send queued messages first, then changed entries, then whole buckets."""
-        while True:
-            await self._wait_for_messages()
-            message = await self._next_message()
-            if message is not None:
-                await self.context.budget.wait()
-                await self._send(message)
-
-    async def _wait_for_messages(self) -> None:
-        """Wait for something to send; buckets also wait for the budget reserve."""
-        if self.queued_messages or self.pending_entries:
-            return
-        delay_s = float("inf")
-        if self.repair.buckets_to_send:
-            budget = self.context.budget
-            delay_s = budget.delay_s(reserve_bytes=budget.repair_reserve_bytes)
-            if delay_s == 0:
-                return
-            REPAIRS_DEFERRED.inc()
-        self.work_available = trio.Event()
-        with trio.move_on_after(delay_s):
-            await self.work_available.wait()
-
-    async def _next_message(self) -> PeerMessage | None:
-        """Return the next message to send, if any."""
-        if self.queued_messages:
-            return self.queued_messages.popleft()
-        if self.pending_entries:
-            # Waiting briefly collects entries that change together into one batch.
-            await trio.sleep(self.context.settings.batch_delay_s)
-            return self._next_batch()
-        return self.repair.next_contents()
-
-    def _next_batch(self) -> EntryBatch | None:
-        """Remove the oldest pending entries and return them as a batch."""
-        keys = list(self.pending_entries)[:ENTRIES_PER_BATCH]
-        if not keys:
-            return None
-        entries = [self.pending_entries.pop(key) for key in keys]
-        ENTRIES_PUSHED.inc(len(entries))
-        return EntryBatch(entries=encode_entries(entries))
-
-    async def _send(self, message: PeerMessage) -> None:
-        """Send one message within the timeout."""
-        data = self.context.codec.encode(message)
-        self.context.budget.charge(len(data) + FRAMING_BYTES, direction="sent")
-        timeout_s = self.context.settings.send_timeout_s
-        with trio.move_on_after(timeout_s) as scope:
-            await self.stream.send(data)
-        if scope.cancelled_caught:
-            raise PeerUnavailableError(
-                f"sending to the peer timed out after {timeout_s} s"
-            )
-
-    async def _receive(self) -> PeerMessage:
-        """Receive one message."""
-        data = await self.stream.receive()
-        self.context.budget.charge(len(data) + FRAMING_BYTES, direction="received")
-        return self.context.codec.decode(data)
--- a/packages/oleanderweir/src/oleanderweir/replication/session_repair.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/session_repair.py
@@ -67,10 +67,10 @@
     def _reply_to_heartbeat(self, *, is_equal: bool) -> None:
         """Reply to a heartbeat of the dialling side."""
         if is_equal or self._is_settling() or self._is_only_self_booting():
-            self.session.enqueue(self.session.heartbeat())
+            self.session.sender.enqueue(self.session.heartbeat())
             return
         register = self.context.register
-        self.session.enqueue(
+        self.session.sender.enqueue(
             BucketDigests(
                 digests=register.bucket_digests(),
                 floor=self.context.digest().floor,
@@ -152,9 +152,9 @@
         for bucket in self.claimed_buckets:
             self.differing_buckets.remove(bucket)
         if self.claimed_buckets:
-            self.session.enqueue(BucketRequest(buckets=self.claimed_buckets))
+            self.session.sender.enqueue(BucketRequest(buckets=self.claimed_buckets))
         elif not self.differing_buckets:
-            self.session.enqueue(self.session.heartbeat())
+            self.session.sender.enqueue(self.session.heartbeat())
 
     def on_bucket_request(self, request: BucketRequest) -> None:
         """Queue the requested buckets, at most ``BUCKETS_PER_REQUEST``."""
@@ -166,7 +166,7 @@
         for number in request.buckets[:BUCKETS_PER_REQUEST]:
             if number not in self.buckets_to_send:
                 self.buckets_to_send.append(number)
-        self.session.work_available.set()
+        self.session.sender.wake()
 
     def next_contents(self) -> BucketContents | None:
         """Return the next queued buckets with their entries, if any."""
@@ -189,12 +189,9 @@
 
     def on_bucket_contents(self, message: BucketContents) -> None:
         """Merge whole buckets, then request the next ones if this side dialled."""
-        self.session.is_merging = True
-        try:
+        with self.session.merging():
             for content in message.buckets:
                 self._merge_bucket(content)
-        finally:
-            self.session.is_merging = False
         if not self.session.is_dialler:
             return
         self.context.bucket_claims.release(self.claimed_buckets)
@@ -220,7 +217,7 @@
         stored = {entry.digest for entry in register.bucket_entries(content.number)}
         if self.session.is_dialler and stored != received:
             self.buckets_to_send.append(content.number)
-            self.session.work_available.set()
+            self.session.sender.wake()
 
     def _record_comparison(self, is_equal: bool) -> None:  # noqa: FBT001
         """Record the result of a comparison; call ``on_synchronized`` if equal."""
--- a/packages/oleanderweir/src/oleanderweir/replication/session_table.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/session_table.py
@@ -60,7 +60,7 @@
             if session.peer is None or session.peer.name in reached:
                 continue
             reached.add(session.peer.name)
-            session.push(batch)
+            session.sender.push(batch)
 
     def compare_registers(self) -> None:
         """Compare registers on every session that this process dialled."""
