--- a/tests/oleanderweir/replication/memory_transport.py
+++ b/tests/oleanderweir/replication/memory_transport.py
@@ -33,6 +33,14 @@
     is_cut: Callable[[str, str], bool] = lambda source, target: False
     servers: dict[str, MemoryTransport] = attrs.field(factory=dict)
 
+    def isolate(self, address: str) -> None:
+        """Separate one address from all others."""
+        self.is_cut = lambda source, target: address in {source, target}
+
+    def heal(self) -> None:
+        """End the separation of addresses."""
+        self.is_cut = lambda source, target: False
+
     async def wait_connected(self, source: str, target: str) -> None:
         while self.is_cut(source, target):
             await trio.sleep(0.1)
--- a/tests/oleanderweir/replication/test_replicator.py
+++ b/tests/oleanderweir/replication/test_replicator.py
@@ -34,13 +34,19 @@
     await cluster.wait_ready()
 
 
+async def replicate_ticket(cluster: Cluster) -> int:
+    """Publish a ticket; fail if it isn't in force everywhere within the target."""
+    ticket = cluster.platform.publish("a")
+    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    return ticket
+
+
 @pytest.mark.parametrize("zones", [1, 3], ids=["one zone", "three zones"])
 async def test_ticket_reaches_all_processes_within_target(
     autojump_clock: MockClock, cluster: Cluster, zones: int
 ) -> None:
     await start_ready(cluster, 15, zones=zones)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_three_readers_per_zone_watch_the_configuration_service(
@@ -60,16 +66,14 @@
     for number, node in cluster.nodes.items():
         if number % 3:
             node.reader.stale_at = 1
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_partitioned_zone_keeps_its_state_and_merges_after_the_partition(
     autojump_clock: MockClock, cluster: Cluster
 ) -> None:
     await start_ready(cluster, 10, zones=2)
-    before = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", before, within_s=REPLICATION_TARGET_S)
+    before = await replicate_ticket(cluster)
     zone = {
         str(n.replicator.own_record.peer_address)
         for number, n in cluster.nodes.items()
@@ -84,7 +88,7 @@
     tickets = {number: n.ticket_of("a") for number, n in cluster.nodes.items()}
     assert set(tickets.values()) == {before, ticket}
     assert all(tickets[n] == (before if n % 2 else ticket) for n in tickets)
-    cluster.network.is_cut = lambda source, target: False
+    cluster.network.heal()
     await cluster.wait_replicated("a", ticket, within_s=RECOVERY_TIMEOUT_S)
 
 
@@ -93,16 +97,14 @@
 ) -> None:
     await start_ready(cluster, 8, zones=1)
     frozen = cluster.nodes.pop(3)
-    address = str(frozen.replicator.own_record.peer_address)
-    cluster.network.is_cut = lambda source, target: address in {source, target}
+    cluster.network.isolate(str(frozen.replicator.own_record.peer_address))
     frozen.reader.stale_at = 1
     for _ in range(2):
-        ticket = cluster.platform.publish("a")
-        await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+        ticket = await replicate_ticket(cluster)
         await trio.sleep(20)
     assert frozen.ticket_of("a") == 1
     cluster.nodes[3] = frozen
-    cluster.network.is_cut = lambda source, target: False
+    cluster.network.heal()
     await cluster.wait_replicated("a", ticket, within_s=RECOVERY_TIMEOUT_S)
 
 
@@ -110,8 +112,7 @@
     autojump_clock: MockClock, cluster: Cluster
 ) -> None:
     await start_ready(cluster, 12, zones=1)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    ticket = await replicate_ticket(cluster)
     cluster.platform.is_down = True
     record = cluster.nodes[5].replicator.own_record
     cluster.stop(5, is_listed=True)
@@ -126,8 +127,7 @@
     autojump_clock: MockClock, cluster: Cluster
 ) -> None:
     await start_ready(cluster, 12, zones=2)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    ticket = await replicate_ticket(cluster)
     for number in range(0, 12, 2):
         cluster.stop(number)
         record = make_record(100 + number, zone=f"zone-{number // 2 % 2}")
@@ -147,8 +147,7 @@
     await start_ready(cluster, 12, zones=1)
     await cluster.start_one(50, make_record(50, zone="zone-0"))
     await cluster.wait_ready()
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_stopped_but_listed_instances_do_not_block_tickets(
@@ -158,8 +157,7 @@
     for number in range(0, 12, 2):
         cluster.stop(number, is_listed=True)
     await trio.sleep(10)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_reserves_become_readers_when_all_readers_stop_but_stay_listed(
@@ -172,8 +170,7 @@
             cluster.stop(number, is_listed=True)
     assert len(cluster.nodes) == 9
     await trio.sleep(10)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_empty_instance_list_is_ignored(
@@ -183,8 +180,7 @@
     await start_ready(cluster, 6, zones=1)
     cluster.platform.instances.clear()
     await trio.sleep(20)
-    ticket = cluster.platform.publish("a")
-    await cluster.wait_replicated("a", ticket, within_s=REPLICATION_TARGET_S)
+    await replicate_ticket(cluster)
 
 
 async def test_booting_process_without_reachable_peers_is_not_ready(
@@ -192,13 +188,11 @@
 ) -> None:
     await start_ready(cluster, 6, zones=1)
     record = make_record(50, zone="zone-0")
-    cluster.network.is_cut = lambda source, target: (
-        str(record.peer_address) in {source, target}
-    )
+    cluster.network.isolate(str(record.peer_address))
     node = await cluster.start_one(50, record)
     await trio.sleep(60)
     assert not node.replicator.is_ready
-    cluster.network.is_cut = lambda source, target: False
+    cluster.network.heal()
     await cluster.wait_ready()
 
 
