Deliver versions in time though the answers to all watches were lost

Seen by callers and operators: the store lost its answers for a second while it acknowledged a version. Connections stayed open, so nothing failed; the version came into force at no process for up to 28 s, or later than 4 s after the last lost answer.

Cause: an unanswered watch was taken for a quiet one.

Ruled out: keepalive probes, which a live connection answers. A shorter watch at every process: 12,600 processes would exceed the 2,000 calls per second.

Why it works: a reader's watch of the desired state takes at most 1.4 s too, so an answer is missed at most 3.4 s after the call, and the reader announces a new version to its members at once, instead of with its next heartbeat. A process that becomes a reader ends its long watch. At rest this adds 3 / 1.4 calls per second for the whole fleet. The stand-in can lose the answers to calls that were made before.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -9,7 +9,6 @@
 
 from oleanderweir.desired_state.exceptions import HistoryLostError
 from oleanderweir.desired_state.exceptions import SourceUnavailableError
-from oleanderweir.desired_state.topic import Topic
 
 
 if TYPE_CHECKING:
@@ -20,16 +19,16 @@
     from oleanderweir.desired_state.state_register import StateRegister
     from oleanderweir.desired_state.state_source import StateSource
     from oleanderweir.desired_state.topic import Changes
+    from oleanderweir.desired_state.topic import Topic
 
 
 logger = logging.getLogger(__name__)
 
-# Maximum wait of one watch. Its connection may be dead without an error. The watch of a
-# topic that only a few processes read is therefore short, so that its changes arrive
-# within the permitted four seconds even then; a topic that every process reads can wait
-# longer, because peers distribute its changes too and the short watch of a reader tells
-# when connections were lost.
-WATCH_WAIT_S = {Topic.DESIRED_STATE: 28.0, Topic.BACKEND_SERVERS: 1.8}
+# Maximum wait of one watch. Its answer may be lost without an error.
+WATCH_WAIT_S = 28.0
+# The same at a reader. The other processes learn of each change from the readers, so
+# that it arrives in time even if the answers to all watches were lost.
+READER_WATCH_WAIT_S = 1.4
 # Maximum wait of the first watch after a pause or a failure.
 FIRST_WATCH_WAIT_S = 0.1
 # Delay between a watch that returned changes and the next one. Changes come in bursts,
@@ -48,6 +47,7 @@
     Failed calls are retried with exponential backoff and jitter, up to ``MAX_RETRY_S``.
     So are listings while the history is lost again before any watch succeeds.
     After the first listing, the topic is only read while ``status.should_read`` is set.
+    ``reader_status`` tells whether the process is a reader, on which its peers rely.
     ``on_changes`` receives the changes of each watch, and the lowest revision at which
     another process has missed none before them.
     """
@@ -59,6 +59,7 @@
         source: StateSource,
         register: StateRegister,
         status: ReaderStatus,
+        reader_status: ReaderStatus,
         on_changes: Callable[[Changes, int], None],
         random_source: random.Random,
     ) -> None:
@@ -67,6 +68,7 @@
         self.register = register
         self.random_source = random_source
         self.status = status
+        self.reader_status = reader_status
         self.on_changes = on_changes
         self.is_outage_logged = False
         self.must_list = True
@@ -74,7 +76,8 @@
         # Whether the history was lost since the last successful watch.
         self.is_history_lost = False
         # Called when the history was lost or the source answers again: the watches of
-        # other topics may have lost their history or connection without an error.
+        # other topics may have lost their history or connection without an error. Also
+        # called when the process becomes a reader, whose watches are shorter.
         self.on_watch_lost: Callable[[], None] = lambda: None
         self.watch_scope = trio.CancelScope()
         self.is_interrupted = False
@@ -97,10 +100,8 @@
     async def _step(self) -> None:
         """Make one call to the source and apply its result."""
         if not self.status.should_read and not self.must_list:
-            self.status.is_connected = False
-            await trio.sleep(IDLE_CHECK_S)
-            return
-        if self.must_list:
+            await self._wait_to_read()
+        elif self.must_list:
             listing = await self.source.list(self.topic)
             self.register.apply_listing(listing, origin="source")
             self.must_list = False
@@ -108,16 +109,22 @@
         else:
             await self._watch()
 
+    async def _wait_to_read(self) -> None:
+        """Wait until this process reads the topic."""
+        self.status.is_connected = False
+        while not self.status.should_read:
+            await trio.sleep(IDLE_CHECK_S)
+        self._report_lost_watch()
+
     async def _watch(self) -> None:
         """Watch the topic once and apply the changes."""
-        # A short first watch soon sets ``is_connected``, on which peers rely.
-        is_short = self.is_interrupted or not self.status.is_connected
+        wait_s = self._next_wait_s()
         self.is_interrupted = False
         with trio.CancelScope() as self.watch_scope:
             changes = await self.source.watch(
                 self.topic,
                 after=self.register.revision(self.topic),
-                wait_s=FIRST_WATCH_WAIT_S if is_short else WATCH_WAIT_S[self.topic],
+                wait_s=wait_s,
             )
         if self.watch_scope.cancelled_caught:
             return
@@ -129,6 +136,14 @@
         if changes.changes:
             await trio.sleep(BATCHING_DELAY_S)
 
+    def _next_wait_s(self) -> float:
+        """Return the maximum wait of the next watch."""
+        if self.is_interrupted or not self.status.is_connected:
+            # It soon sets ``is_connected``, on which peers rely.
+            return FIRST_WATCH_WAIT_S
+        is_reader = self.reader_status.should_read
+        return READER_WATCH_WAIT_S if is_reader else WATCH_WAIT_S
+
     async def _on_history_lost(self, error: HistoryLostError) -> None:
         """List the topic next: at once the first time, then with backoff."""
         logger.warning(
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -74,6 +74,7 @@
                 source=source,
                 register=register,
                 status=status,
+                reader_status=heartbeat_sender.status,
                 on_changes=self._send_changes,
                 random_source=random_source,
             )
@@ -131,10 +132,10 @@
             follower.interrupt_watch()
 
     def on_state_change(self, topic: Topic) -> None:
-        """Notify the program of a change, and send heartbeats to new hosts in it."""
+        """Notify the program and the peers of a change."""
         if self.program is not None:
             self.program.on_state_change(topic)
-            self.heartbeat_sender.discover_peers()
+            self.heartbeat_sender.on_state_change(topic)
 
     def _send_changes(self, changes: Changes, base: int) -> None:
         self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -142,6 +142,16 @@
             self._send_heartbeat(host, requests_reply=False, lists_hosts=True)
         self.synchronizer.on_heartbeat(host, heartbeat, nursery)
 
+    def on_state_change(self, topic: Topic) -> None:
+        """
+        Send heartbeats to new hosts; as a reader, announce a new desired state.
+
+        The watches of members may not deliver it in time.
+        """
+        self.discover_peers()
+        if topic is Topic.DESIRED_STATE and self.status.should_read:
+            self._send_heartbeats()
+
     def _send_heartbeat(
         self, host: str, *, requests_reply: bool, lists_hosts: bool
     ) -> None:
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -78,6 +78,7 @@
         source=source,
         register=make_register(),
         status=ReaderStatus(should_read=should_read),
+        reader_status=ReaderStatus(should_read=should_read),
         on_changes=lambda changes, base: reported.append((changes, base)),
         random_source=random.Random(1),
     )
@@ -180,6 +181,59 @@
     assert source.waits[0] + 2.0 < 4.0
 
 
+async def test_every_watch_of_a_reader_is_shorter_than_those_of_others(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    waits: list[float] = []
+    for is_reader in (True, False):
+        source = FakeSource(make_listing(10))
+        follower = StateFollower(
+            topic=Topic.DESIRED_STATE,
+            source=source,
+            register=make_register(),
+            status=ReaderStatus(),
+            reader_status=ReaderStatus(should_read=is_reader),
+            on_changes=lambda changes, base: None,
+            random_source=random.Random(1),
+        )
+        with trio.move_on_after(10):
+            await follower.run()
+        waits += source.waits
+
+    # The client waits two more seconds for the response.
+    assert waits[0] + 2.0 < 4.0
+    assert waits[0] < waits[1]
+
+
+async def test_other_watches_are_checked_once_the_process_becomes_a_reader(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    status = ReaderStatus(should_read=False)
+    source = FakeSource(make_listing(10))
+    follower = StateFollower(
+        topic=TOPIC,
+        source=source,
+        register=make_register(),
+        status=status,
+        reader_status=status,
+        on_changes=lambda changes, base: None,
+        random_source=random.Random(1),
+    )
+    checked_after: list[int] = []
+    follower.on_watch_lost = lambda: checked_after.append(len(source.calls))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await trio.sleep(1)
+        assert checked_after == []
+        status.should_read = True
+        await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+
+    assert source.calls == ["list", "watch 10"]
+    assert checked_after == [1]
+
+
 async def test_changes_in_quick_succession_are_batched(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -223,6 +277,7 @@
         source=source,
         register=make_register(),
         status=ReaderStatus(),
+        reader_status=ReaderStatus(),
         on_changes=lambda changes, base: None,
         random_source=random.Random(1),
     )
@@ -317,6 +372,7 @@
         source=source,
         register=make_register(),
         status=ReaderStatus(),
+        reader_status=ReaderStatus(),
         on_changes=lambda changes, base: None,
         random_source=random.Random(1),
     )
@@ -340,6 +396,7 @@
         source=source,
         register=make_register(),
         status=ReaderStatus(),
+        reader_status=ReaderStatus(),
         on_changes=lambda changes, base: None,
         random_source=random.Random(1),
     )
--- a/tests/oleanderweir/peering/heartbeat_bench.py
+++ b/tests/oleanderweir/peering/heartbeat_bench.py
@@ -11,6 +11,7 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.peering import HeartbeatSender
 from oleanderweir.peering import Members
+from oleanderweir.peering import decode_message
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
 from tests.oleanderweir.desired_state.fakes import make_register
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering import StateClient
+    from oleanderweir.peering.messages import Message
 
 
 OWN_HOST = "10.0.0.1"
@@ -63,6 +65,14 @@
             random_source=random.Random(1),
         )
 
+    def pop_messages(self, host: str) -> list[Message]:
+        """Return the messages to a host, and forget all that were sent so far."""
+        return [
+            decode_message(data)
+            for data, address in self.socket.pop_sent()
+            if address[0] == host
+        ]
+
 
 def make_heartbeat(
     *,
--- a/tests/oleanderweir/peering/test_heartbeat_sender.py
+++ b/tests/oleanderweir/peering/test_heartbeat_sender.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from oleanderweir.peering import decode_message
+from oleanderweir.desired_state import Topic
 from oleanderweir.peering.heartbeat_sender import HEARTBEAT_INTERVAL_S
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
@@ -87,11 +87,7 @@
 
     await run_for(bench, READER_DELAY_S[PeerRole.BALANCER] + 0.3)
 
-    messages = [
-        decode_message(data)
-        for data, address in bench.socket.pop_sent()
-        if address[0] == PEER
-    ]
+    messages = bench.pop_messages(PEER)
     assert any(
         isinstance(message, Heartbeat) and message.reads_source for message in messages
     )
@@ -107,9 +103,22 @@
 
     await run_for(bench, 0.05)
 
-    messages = [
-        decode_message(data)
-        for data, address in bench.socket.pop_sent()
-        if address[0] == PEER
-    ]
+    messages = bench.pop_messages(PEER)
     assert [m.desired_version for m in messages if isinstance(m, Heartbeat)] == [7]
+
+
+async def test_a_reader_announces_a_new_version_at_once() -> None:
+    for is_reader in (True, False):
+        bench = HeartbeatSenderBench()
+        bench.status.should_read = is_reader
+        bench.members.record_heartbeat(PEER, make_heartbeat())
+        publish(bench.register, version=7, revision=20)
+
+        bench.heartbeat_sender.on_state_change(Topic.DESIRED_STATE)
+
+        versions = [
+            message.desired_version
+            for message in bench.pop_messages(PEER)
+            if isinstance(message, Heartbeat)
+        ]
+        assert versions == ([7] if is_reader else [])
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -96,6 +96,12 @@
         for stream in self.store_streams:
             self.nursery.start_soon(stream.run_silent)
 
+    def set_conditions(self, condition: StoreCondition) -> None:
+        """Change how the store serves all processes whose calls it doesn't reject."""
+        for number, before in self.store.conditions.items():
+            if before is not StoreCondition.BUSY:
+                self.store.conditions[number] = condition
+
     def start(
         self,
         number: int,
@@ -190,6 +196,7 @@
                 source=source,
                 register=self.register,
                 status=status,
+                reader_status=statuses[Topic.BACKEND_SERVERS],
                 on_changes=self.send_changes,
                 random_source=random_source,
             )
@@ -230,6 +237,7 @@
                 self.send_to(encode_message(report), (host, PEER_PORT))
 
     def on_change(self, topic: Topic) -> None:
+        self.heartbeat_sender.on_state_change(topic)
         self.fleet.versions[self.host].append(self.register.version)
         for name, record in self.register.backends.items():
             known = self.fleet.records.setdefault((self.host, name), [])
--- a/tests/oleanderweir_standins/test_restored_store.py
+++ b/tests/oleanderweir_standins/test_restored_store.py
@@ -187,6 +187,25 @@
         await fleet.stand_by(fleet.version, within_s=max(APPLY_S, STABLE_S - delay_s))
 
 
+@pytest.mark.parametrize("lost_for_s", [0.5, 1.0, 2.0, 4.0, 7.0])
+@pytest.mark.parametrize("delay_s", [0.1, 0.5, 0.9, 1.3, 1.7])
+async def test_a_version_whose_delivery_was_lost_is_in_force_in_time(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    delay_s: float,
+    lost_for_s: float,
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        await trio.sleep(delay_s)
+        fleet.set_conditions(StoreCondition.LOSING)
+        await trio.sleep(lost_for_s / 2)
+        write_routes(fleet, 4)
+        await trio.sleep(lost_for_s / 2)
+        fleet.set_conditions(StoreCondition.SERVING)
+
+        await fleet.stand_by(fleet.version, within_s=STABLE_S)
+
+
 async def watch_states(fleet: Fleet, seen: set[BackendState]) -> None:
     """Add each state that any process has for any backend server to a set."""
     while True:
