Await the reply of a live agent before a flow is reset

What callers could see: a reset of an open flow (flow_not_held) of a sound backend server whose entry is missing: it lapsed more than 2.5 s ago although the backend server runs, the balancer hasn't received the entry of a new one yet, or the agent reported no flows before its backend server started.

Cause: a lookup ruled out such an agent even while the agent was alive and was being queried, so that the denials of the others reset the flow before the owner's claim arrived. After the negative result of a delegate, the owner wasn't queried at all. Class: a missing entry for a removal, and a report without its age.

Now an agent that was heard within the report interval's silence limit is awaited for up to a second, and is queried after a delegated lookup. A live agent denies by itself within a tick if its backend server has stopped; the second is for one that hangs. Silent and departed agents are ruled out as before, and so is one that reported no flows within 0.1 s before the lookup.

test_a_live_agent_is_awaited_although_its_entry_lapsed_long_ago, test_a_report_before_its_backend_server_started_rules_no_live_agent_out and test_a_live_agent_is_queried_after_a_delegate_although_its_entry_lapsed failed before (a reset, or no query). test_a_live_unpublished_agent_that_does_not_reply_delays_a_reset_briefly bounds the delay.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -10,6 +10,7 @@
 from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.report_interval import silence_s
 
 
 if TYPE_CHECKING:
@@ -28,6 +29,11 @@
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
+# How long a lookup waits for a live agent whose backend server isn't published. A
+# running one answers at once, and the agent denies for one that has stopped.
+UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
+# A backend server takes longer from its start until it is published and gets a flow.
+FRESH_REPORT_S = 0.1
 
 
 class OwnerLookup:
@@ -119,7 +125,9 @@
         lookup.is_fleet_wide = True
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
         others = self._possible_owners(lookup) - lookup.denied_by
-        pending = {host for host in others if not self._is_ruled_out(host, now=now)}
+        pending = {
+            host for host in others if not self._is_ruled_out(lookup, host, now=now)
+        }
         if not pending:
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
@@ -206,36 +214,47 @@
         """
         Whether each of these agents denied holding a flow or is ruled out.
 
-        Agents that departed or whose backend servers are no longer published are not
-        waited for: they may never reply, and callers would wait until their timeout.
-        Until the backend
-        servers have been listed, the known agents may be a small part of the fleet, so
-        their denials are not conclusive.
+        Agents that departed, and silent ones whose backend servers are no longer
+        published, are not waited for: they may never reply, and callers would wait
+        until their timeout. Until the backend servers have been listed, the known
+        agents may be a small part of the fleet, so their denials are not conclusive.
         """
         if not agents or self.register.listed_at is None:
             return False
         pending = agents - lookup.denied_by
-        return all(self._is_ruled_out(host, now=now) for host in pending)
+        return all(self._is_ruled_out(lookup, host, now=now) for host in pending)
 
-    def _is_ruled_out(self, host: str, *, now: float) -> bool:
+    def _is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
-        Whether a host cannot hold any flow, so that no reply is needed.
+        Whether a host cannot hold the flow of a lookup, so that no reply is needed.
 
-        What an agent reported earlier doesn't count for a backend server that was
-        published since.
+        An entry may be missing because it lapsed or hasn't arrived yet: a live agent
+        has to reply itself. What an agent reported earlier doesn't count for a backend
+        server that was published since.
         """
         departed_at = self.members.departed_at(host)
         if departed_at is not None:
             return not self.register.has_started_since(host, departed_at)
         if self.register.is_published(host):
             return False
+        reported_at = self.members.no_flows_reported_at(host)
+        if self._is_awaited(lookup, host, now=now):
+            fresh_since = lookup.started_at - FRESH_REPORT_S
+            return reported_at is not None and reported_at >= fresh_since
         if self.register.is_host_removed(host, now=now):
             return True
-        reported_at = self.members.no_flows_reported_at(host)
         return reported_at is not None and not self.register.was_removed_since(
             host, reported_at
         )
 
+    def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
+        """Whether the reply of an agent without a published backend server may come."""
+        silence_limit_s = silence_s(len(self.register.backends))
+        return (
+            now - lookup.started_at < UNPUBLISHED_REPLY_TIMEOUT_S
+            and self.members.was_heard_since(host, now - silence_limit_s)
+        )
+
     def _possible_owners(self, lookup: Lookup) -> set[str]:
         """
         Return the agents whose backend servers may hold a flow.
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -3,6 +3,7 @@
 import trio
 import trio.testing
 
+from oleanderweir.desired_state import REMOVAL_GRACE_S
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
 from tests.oleanderweir.desired_state.fakes import backend_document
@@ -86,3 +87,21 @@
     bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
 
     assert len(bench.resets()) == 1
+
+
+async def test_a_live_agent_is_queried_after_a_delegate_although_its_entry_lapsed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    bench.members.record_activity(OWNER)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
+    bench.return_packet(OWNER, ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -268,3 +268,64 @@
     bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_live_agent_is_awaited_although_its_entry_lapsed_long_ago(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.record_heartbeat("10.0.0.2", make_agent_heartbeat())
+    # The source rejects the writes of a backend server that serves on.
+    bench.publish(backends={"b0": backend_document(host="10.0.0.1")}, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    bench.members.record_activity("10.0.0.2")
+    bench.balancer.on_caller_packet(REQUEST)
+    assert "10.0.0.2" in {host for host, _ in bench.deliveries()}
+
+    bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+    assert bench.resets() == []
+
+    bench.return_packet("10.0.0.2", ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
+async def test_a_report_before_its_backend_server_started_rules_no_live_agent_out(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.record_heartbeat(
+        "10.0.0.3", make_agent_heartbeat(holds_no_flows=True)
+    )
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    # Its backend server has started; other balancers have received the entry already.
+    bench.members.record_activity("10.0.0.3")
+    bench.balancer.on_caller_packet(REQUEST)
+    assert len(bench.deliveries()) == 3
+
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+
+    assert bench.resets() == []
+
+
+async def test_a_live_unpublished_agent_that_does_not_reply_delays_a_reset_briefly(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.members.record_heartbeat("10.0.0.3", make_agent_heartbeat())
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    bench.members.record_activity("10.0.0.3")
+    bench.balancer.on_caller_packet(REQUEST)
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    bench.socket.pop_sent()
+
+    for _ in range(40):
+        await trio.sleep(0.05)
+        bench.members.record_activity("10.0.0.3")
+        bench.balancer.retry_lookups()
+
+    assert len(bench.resets()) == 1
