Ask a backend server that listens before its agent denies a flow

What callers could see: a reset of an open flow (flow_not_held) that was idle, after the agent of its backend server was restarted while the entry had lapsed.

Cause: an agent whose backend server hasn't been published for 2.5 s and has sent nothing for 5 s (or since the start of the agent) denied every flow that it has no entry of, without asking the backend server. Class: a missing entry for a proof that the backend server has stopped.

Now it denies only if no probe was accepted since the backend server last stopped. Otherwise it forwards the packet, which the backend server answers or returns, and probes the port at the next tick: after a refusal it denies, as before.

Ruled out: that a new flow is opened at a backend server that has left. Opening packets don't take this path, and packets of open flows may reach a backend server that drains.

test_an_unpublished_backend_server_that_listens_is_asked_for_an_idle_flow failed before (assert [] == [REQUEST]: the agent denied) and passes now. test_a_query_is_denied_when_the_backend_server_is_no_longer_published, without an accepted probe, passes before and after.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -58,6 +58,9 @@
         # Whether the last conclusive probe was refused, and no packet was received
         # since.
         self.is_refused = False
+        # Whether it may have stopped although no packet is unanswered, until the next
+        # conclusive probe.
+        self.is_doubted = False
         # Whether a probe was accepted since the backend server last stopped, and when.
         self.was_accepted = False
         self.accepted_at = float("-inf")
@@ -71,11 +74,15 @@
             self.unanswered_payloads_since = now
         self.unanswered_payloads += 1
 
+    def on_doubt(self) -> None:
+        """Record that a packet came although the backend server may have stopped."""
+        self.is_doubted = True
+
     def needs_probe(self, *, now: float) -> bool:
         """Whether the backend server should be probed now."""
         if now - self.probed_at < PROBE_INTERVAL_S:
             return False
-        if self.is_refused or not self.was_accepted:
+        if self.is_refused or self.is_doubted or not self.was_accepted:
             return True
         if (
             self.unanswered_openings
@@ -92,6 +99,7 @@
         self.probed_at = now
         if outcome is ProbeOutcome.SILENT:
             return
+        self.is_doubted = False
         self.is_refused = outcome is ProbeOutcome.REFUSED
         if outcome is ProbeOutcome.ACCEPTED:
             self.was_accepted = True
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -21,7 +21,7 @@
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
-# An unpublished backend server that has sent nothing for this long gets no queries.
+# An unpublished backend server that has sent nothing for this long may have stopped.
 WITHDRAWN_SILENCE_S = 5.0
 
 
@@ -93,8 +93,11 @@
         self, host: str, packet: Packet, message: Delivery, *, now: float
     ) -> None:
         """Start an ownership check of an unknown flow, or return its packet at once."""
+        is_withdrawn = self._is_withdrawn(now)
+        if is_withdrawn:
+            self.liveness.on_doubt()
         is_not_held = self.ownership.is_not_held(packet.key, now=now)
-        if is_not_held or self._is_withdrawn(now):
+        if is_not_held or (is_withdrawn and not self.liveness.was_accepted):
             self.transport.return_packet(
                 host, packet.key, packet.data, ReturnReason.NOT_HELD
             )
--- a/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
@@ -7,6 +7,7 @@
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import encode_packet
@@ -139,6 +140,28 @@
     assert REQUEST in bench.to_backend()
 
 
+async def test_an_unpublished_backend_server_that_listens_is_asked_for_an_idle_flow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    publish(bench.register, backends={"b1": backend_document(host="10.0.0.1")})
+    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
+    publish(bench.register, backends={}, revision=11)
+    await bench.pass_time(6.0)
+    bench.to_peers()
+
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    assert bench.to_backend() == [REQUEST]
+    assert bench.to_peers() == []
+    # It may have stopped since the last probe.
+    assert bench.agent.liveness.needs_probe(now=trio.current_time())
+    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
+    await bench.pass_time(0.05)
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    assert denial in bench.to_peers()
+
+
 async def test_a_pause_of_the_agent_does_not_lose_flows(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
