Forget rejected openings by their age, not by their number

What callers could see: a reset (refused_everywhere) of a flow that a slow backend server has just opened, while many opening packets are returned as busy or full.

Cause: a balancer that had recorded the attempts of more than 2,048 flows forgot all of them, once a second, also those of the last milliseconds. It then no longer knew the agents that had left the opening packet unanswered, nor when it was first placed, and took three more refusals for the only outcomes. The attempts of other flows were kept for minutes. Class: an outcome without its age.

Now attempts are kept for 2 s after the last one; callers give up after 1.4 s. This bounds the memory by the rate of rejections.

Ruled out: attempts whose first placement isn't known expire no earlier, since the time of the last one counts.

test_an_unanswered_opening_is_not_forgotten_because_of_many_other_refusals (a reset) and test_refusals_are_not_kept_after_the_caller_has_given_up (one entry left) failed before.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -18,12 +18,14 @@
     """
     Agents that returned the opening packet of a flow.
 
-    ``started_at`` is when it was first placed, in seconds of trio's clock.
+    ``started_at`` is when it was first placed, ``updated_at`` when it was last
+    returned, in seconds of trio's clock.
     Those in ``refused`` could not accept it; those in ``busy`` would have queued it.
     The backend servers of those in ``unanswered`` may still accept it, late.
     """
 
     started_at: float
+    updated_at: float
     refused: set[str] = attrs.field(factory=set)
     unanswered: set[str] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -33,8 +33,9 @@
 
 # Packets queued after a start until the first published state arrives.
 MAX_QUEUED_PACKETS = 2048
-# Flows with rejected opening packets whose attempts are recorded.
-MAX_REJECTED_FLOWS = 2048
+# How long attempts are kept after the last one: callers give up a flow that isn't open
+# after 1.4 s.
+ATTEMPTS_TTL_S = 2.0
 # Spreads callers over the shares of a route (Knuth's multiplicative hash).
 SHARE_HASH_FACTOR = 2654435761
 SHARE_HASH_SHIFT = 8
@@ -135,8 +136,12 @@
         self.owner_lookup.expire(now=now)
         hosts = {r.host for r in self.register.backends.values()}
         self.placement.discard_absent(hosts | set(self.members.members))
-        if len(self.attempts) > MAX_REJECTED_FLOWS:
-            self.attempts.clear()
+        limit = now - ATTEMPTS_TTL_S
+        self.attempts = {
+            key: attempts
+            for key, attempts in self.attempts.items()
+            if attempts.updated_at > limit
+        }
 
     def _open(self, packet: Packet, *, now: float) -> None:
         """Place a new flow, or send a repeated opening packet to the same agent."""
@@ -168,7 +173,9 @@
     def _place(self, packet: Packet, route: Route, *, now: float) -> None:
         """Select the backend server of a new flow and send it the opening packet."""
         key = packet.key
-        attempts = self.attempts.get(key) or OpeningAttempts(started_at=now)
+        attempts = self.attempts.get(key) or OpeningAttempts(
+            started_at=now, updated_at=now
+        )
         number = int.from_bytes(key[:6], "big") * SHARE_HASH_FACTOR >> SHARE_HASH_SHIFT
         service = route.choose_service(number)
         record = self._select_backend(service, key, attempts, now=now)
@@ -273,8 +280,9 @@
     ) -> None:
         """Place an opening packet again, or reset its flow after the last attempt."""
         attempts = self.attempts.setdefault(
-            packet.key, OpeningAttempts(started_at=placed_at)
+            packet.key, OpeningAttempts(started_at=placed_at, updated_at=now)
         )
+        attempts.updated_at = now
         if reason is ReturnReason.BUSY:
             attempts.busy.add(host)
         elif reason is ReturnReason.UNANSWERED:
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -4,9 +4,11 @@
 import trio.testing
 
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_balancer.forwarding.opening_attempts import MAX_REFUSALS
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir.flows.fakes import make_key
+from tests.oleanderweir_balancer.forwarding.bench import CALLER_PORT
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 
 
@@ -75,3 +77,44 @@
     bench.return_packet(slow, ReturnReason.FULL, OPENING)
 
     assert bench.resets() == []
+
+
+async def test_an_unanswered_opening_is_not_forgotten_because_of_many_other_refusals(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 7)))
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(late, _)] = bench.deliveries()
+    bench.return_packet(late, ReturnReason.UNANSWERED, OPENING)
+    [(host, _)] = bench.deliveries()
+    for number in range(2, 4000):
+        other = encode_packet(make_key(number), is_opening=True)
+        bench.balancer.on_caller_packet(other)
+        [(refusing, _)] = bench.deliveries()
+        bench.return_packet(refusing, ReturnReason.BUSY, other)
+        bench.socket.pop_sent()
+
+    bench.balancer.expire()
+
+    for _ in range(MAX_REFUSALS):
+        bench.return_packet(host, ReturnReason.FULL, OPENING)
+        for _, (receiver, port) in bench.socket.pop_sent():
+            assert port != CALLER_PORT
+            host = receiver
+
+
+async def test_refusals_are_not_kept_after_the_caller_has_given_up(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(host, _)] = bench.deliveries()
+    bench.return_packet(host, ReturnReason.FULL, OPENING)
+    bench.socket.pop_sent()
+    for _ in range(3):
+        await trio.sleep(1.0)
+        bench.balancer.expire()
+
+    assert bench.balancer.attempts == {}
