Place openings that waited for the published state by their age

What callers could see: a reset (refused_everywhere, no_backend_server) of a flow that was opened through another balancer with a copy of the opening packet, while a balancer without published state is being started.

Cause: opening packets that wait for the published state were placed later as if they had just arrived, so that the rule of (no reset once a copy may have opened the flow) counted from the placement. They were placed however long they had waited, also for callers that had given up. Class: an outcome without its age.

Now they count from their arrival, and those older than 1.4 s, after which callers give up, are dropped.

Ruled out: packets of open flows aren't affected, since lookups hold them for 3 s. Not covered, as before: packets that waited unread in the socket of a process that starts.

test_an_opening_that_waited_for_the_published_state_resets_no_flow (a reset) and test_an_opening_that_waited_until_its_caller_gave_up_is_not_placed (a delivery) failed before.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -18,8 +18,8 @@
     """
     Agents that returned the opening packet of a flow.
 
-    ``started_at`` is when it was first placed, ``updated_at`` when it was last
-    returned, in seconds of trio's clock.
+    ``started_at`` is when it arrived or was first placed, ``updated_at`` when it was
+    last placed from the queue or returned, in seconds of trio's clock.
     Those in ``refused`` could not accept it; those in ``busy`` would have queued it.
     The backend servers of those in ``unanswered`` may still accept it, late.
     """
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -16,6 +16,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.flow_cache import FlowCache
 from oleanderweir_balancer.forwarding.opening_attempts import OpeningAttempts
+from oleanderweir_balancer.forwarding.queued_opening import QueuedOpening
 
 
 if TYPE_CHECKING:
@@ -31,10 +32,11 @@
     from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
 
 
-# Packets queued after a start until the first published state arrives.
-MAX_QUEUED_PACKETS = 2048
-# How long attempts are kept after the last one: callers give up a flow that isn't open
-# after 1.4 s.
+# Opening packets queued after a start until the first published state arrives.
+MAX_QUEUED_OPENINGS = 2048
+# Callers give up a flow that isn't open after this time.
+OPENING_LIFETIME_S = 1.4
+# How long attempts are kept after the last one.
 ATTEMPTS_TTL_S = 2.0
 # Spreads callers over the shares of a route (Knuth's multiplicative hash).
 SHARE_HASH_FACTOR = 2654435761
@@ -70,7 +72,7 @@
         self.owner_lookup = OwnerLookup(
             register=register, members=members, transport=transport, use_delegate=True
         )
-        self.queued_packets: list[Packet] = []
+        self.queued_openings: list[QueuedOpening] = []
         self.attempts: dict[FlowKey, OpeningAttempts] = {}
         self.last_caller_packet_at = float("-inf")
 
@@ -115,15 +117,16 @@
         self.owner_lookup.on_owner(owner, key, now=now)
 
     def on_state_change(self, topic: Topic) -> None:
-        """Update the fleet size, send deferred queries and forward queued packets."""
+        """Update the fleet size, send deferred queries and place queued openings."""
         del topic
+        now = trio.current_time()
         self.placement.set_fleet_size(len(self.register.backends))
-        self.owner_lookup.query_deferred(now=trio.current_time())
-        if not self.is_ready or not self.queued_packets:
+        self.owner_lookup.query_deferred(now=now)
+        if not self.is_ready or not self.queued_openings:
             return
-        queued, self.queued_packets = self.queued_packets, []
-        for packet in queued:
-            self.on_caller_packet(packet.data)
+        queued, self.queued_openings = self.queued_openings, []
+        for opening in queued:
+            self._open_queued(opening, now=now)
 
     def retry_lookups(self) -> None:
         """Query again for flows whose owner is not known yet."""
@@ -146,7 +149,7 @@
     def _open(self, packet: Packet, *, now: float) -> None:
         """Place a new flow, or send a repeated opening packet to the same agent."""
         if self.register.desired is None or not self._has_backend_listing():
-            self._queue_packet(packet)
+            self._queue_opening(packet, now=now)
             return
         if self._is_late_copy(packet):
             return
@@ -216,9 +219,20 @@
         """Whether the published backend servers were read at least once."""
         return self.register.revision(Topic.BACKEND_SERVERS) > 0
 
-    def _queue_packet(self, packet: Packet) -> None:
-        if len(self.queued_packets) < MAX_QUEUED_PACKETS:
-            self.queued_packets.append(packet)
+    def _queue_opening(self, packet: Packet, *, now: float) -> None:
+        if len(self.queued_openings) < MAX_QUEUED_OPENINGS:
+            opening = QueuedOpening(packet=packet, arrived_at=now)
+            self.queued_openings.append(opening)
+
+    def _open_queued(self, opening: QueuedOpening, *, now: float) -> None:
+        """Place a queued opening packet, by its age, unless its caller has given up."""
+        if now - opening.arrived_at > OPENING_LIFETIME_S:
+            return
+        packet = opening.packet
+        self.attempts.setdefault(
+            packet.key, OpeningAttempts(started_at=opening.arrived_at, updated_at=now)
+        )
+        self._open(packet, now=now)
 
     def _on_returned_packet(
         self, host: str, returned: ReturnedPacket, *, now: float
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -3,6 +3,7 @@
 import trio
 import trio.testing
 
+from oleanderweir.desired_state import Topic
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.opening_attempts import MAX_REFUSALS
 from tests.oleanderweir.desired_state.fakes import backend_document
@@ -118,3 +119,33 @@
         bench.balancer.expire()
 
     assert bench.balancer.attempts == {}
+
+
+async def test_an_opening_that_waited_for_the_published_state_resets_no_flow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 7)))
+    bench.balancer.on_caller_packet(OPENING)
+    # Another balancer places the caller's copy in the meantime.
+    await trio.sleep(0.5)
+    bench.publish()
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+
+    for _ in range(MAX_REFUSALS):
+        [(host, _)] = bench.deliveries()
+        bench.return_packet(host, ReturnReason.FULL, OPENING)
+
+    assert bench.resets() == []
+
+
+async def test_an_opening_that_waited_until_its_caller_gave_up_is_not_placed(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.balancer.on_caller_packet(OPENING)
+    await trio.sleep(1.5)
+
+    bench.publish()
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+
+    assert bench.deliveries() == []
