Issue peer certificates with one certificate authority

The replication experiment built certificates with code of its own beside that of CertificateAuthority, and a test wrote the same three files a third time. CertificateAuthority.write_peer_credentials serves all of them.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/keys/certificate_authority.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/keys/certificate_authority.py
@@ -12,6 +12,7 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from oleanderweir.replication import PeerCredentials
 from oleanderweir_bench.keys.certificate_files import CertificateFiles
 from oleanderweir_bench.keys.key_pair import KeyPair
 
@@ -97,6 +98,15 @@
         path.write_bytes(self.certificate_pem)
         return path
 
+    def write_peer_credentials(self, folder: Path) -> PeerCredentials:
+        """Write the certificates of instances into ``folder``; return their paths."""
+        files = self.write(folder, "instance")
+        return PeerCredentials(
+            certificate_path=str(files.certificate),
+            key_path=str(files.private_key),
+            authority_path=str(self.write_authority(folder)),
+        )
+
     def build_authority_certificate(self) -> x509.Certificate:
         """Return the self-signed certificate of the authority."""
         builder = self.create_builder(self.name, self.private_key.public_key())
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/replication/replication_experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/replication/replication_experiment.py
@@ -11,11 +11,11 @@
 import attrs
 import trio
 
+from oleanderweir_bench.keys import CertificateAuthority
 from oleanderweir_bench.platform import ConfigurationServiceStandIn
 from oleanderweir_bench.platform import serve_application
 from oleanderweir_bench.replication.fleet import Fleet
 from oleanderweir_bench.replication.node import LOOPBACK
-from oleanderweir_bench.replication.peer_certificates import write_peer_credentials
 from oleanderweir_bench.replication.replication_result import ReplicationResult
 from oleanderweir_bench.replication.usage_per_node import UsagePerNode
 from oleanderweir_bench.replication.worker_plan import WorkerPlan
@@ -74,7 +74,8 @@
                 address = await nursery.start(serve, stand_in)
                 urls.append(f"http://{address}")
             with tempfile.TemporaryDirectory() as folder:
-                credentials = write_peer_credentials(Path(folder))
+                authority = CertificateAuthority()
+                credentials = authority.write_peer_credentials(Path(folder))
                 worker_plan = WorkerPlan(
                     configuration_url=urls[0],
                     instance_list_url=urls[1],
--- a/tests/oleanderweir/replication/test_grpc_peer_transport.py
+++ b/tests/oleanderweir/replication/test_grpc_peer_transport.py
@@ -14,7 +14,7 @@
 from oleanderweir.replication import PeerCredentials
 from oleanderweir.replication import PeerUnavailableError
 from oleanderweir.replication.peer_message_codec import MAX_ENCODED_BYTES
-from oleanderweir_bench.replication.peer_certificates import write_peer_credentials
+from oleanderweir_bench.keys import CertificateAuthority
 
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
         port = probe.getsockname()[1]
     return GrpcPeerTransport(
         bind_address=SocketAddress(host="127.0.0.1", port=port),
-        credentials=write_peer_credentials(folder),
+        credentials=CertificateAuthority().write_peer_credentials(folder),
     )
 
 
--- a/tests/oleanderweir_agent/peers/test_grpc_relay_connector.py
+++ b/tests/oleanderweir_agent/peers/test_grpc_relay_connector.py
@@ -6,7 +6,6 @@
 import trio_asyncio
 
 from oleanderweir.replication import GrpcPeerTransport
-from oleanderweir.replication import PeerCredentials
 from oleanderweir.replication import PeerUnavailableError
 from oleanderweir.replication import StreamService
 from oleanderweir_agent.peers.grpc_relay_connector import RELAY_METHOD
@@ -30,19 +29,9 @@
     del stream
 
 
-def make_credentials(folder: Path) -> PeerCredentials:
-    authority = CertificateAuthority()
-    files = authority.write(folder, "instance")
-    return PeerCredentials(
-        certificate_path=str(files.certificate),
-        key_path=str(files.private_key),
-        authority_path=str(authority.write_authority(folder)),
-    )
-
-
 async def test_offers_share_one_channel_and_close_independently(tmp_path: Path) -> None:
     address = find_free_address()
-    credentials = make_credentials(tmp_path)
+    credentials = CertificateAuthority().write_peer_credentials(tmp_path)
     transport = GrpcPeerTransport(
         bind_address=address,
         credentials=credentials,
@@ -64,7 +53,9 @@
 
 
 async def test_a_peer_that_does_not_listen_is_unavailable(tmp_path: Path) -> None:
-    connector = GrpcRelayConnector(credentials=make_credentials(tmp_path))
+    connector = GrpcRelayConnector(
+        credentials=CertificateAuthority().write_peer_credentials(tmp_path)
+    )
 
     async with trio_asyncio.open_loop():
         with pytest.raises(PeerUnavailableError):
@@ -80,11 +71,13 @@
     address = find_free_address()
     transport = GrpcPeerTransport(
         bind_address=address,
-        credentials=make_credentials(foreign),
+        credentials=CertificateAuthority().write_peer_credentials(foreign),
         other_services=[StreamService(method=RELAY_METHOD, handler=echo)],
     )
     async with trio_asyncio.open_loop(), transport.serve(ignore):
-        connector = GrpcRelayConnector(credentials=make_credentials(own))
+        connector = GrpcRelayConnector(
+            credentials=CertificateAuthority().write_peer_credentials(own)
+        )
         with pytest.raises(PeerUnavailableError):
             async with connector.connect(address):
                 raise AssertionError
