Take the start of balancers and agents out of Deployment

InstanceProcesses starts the processes of the instances, as PlatformProcesses starts the stand-ins; Deployment keeps what runs and in which order it starts.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/deployment.py
@@ -2,24 +2,18 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TYPE_CHECKING
 
 import httpx
 
 from oleanderweir.configuration import Service
-from oleanderweir.membership import InstanceRecord
-from oleanderweir.membership import InstanceRole
-from oleanderweir.membership import InstanceState
 from oleanderweir_bench.callers import Http3Caller
 from oleanderweir_bench.deployment.address_plan import FABRIC_HOST
 from oleanderweir_bench.deployment.address_plan import AddressPlan
 from oleanderweir_bench.deployment.balancer_kind import BalancerKind
-from oleanderweir_bench.deployment.commands import agent_command
-from oleanderweir_bench.deployment.commands import balancer_command
-from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
 from oleanderweir_bench.deployment.deployed_server import DeployedServer
 from oleanderweir_bench.deployment.fabric_control import FabricControl
+from oleanderweir_bench.deployment.instance_processes import InstanceProcesses
 from oleanderweir_bench.deployment.platform_operator import PlatformOperator
 from oleanderweir_bench.deployment.platform_processes import PlatformProcesses
 from oleanderweir_bench.deployment.ticket_writer import TicketWriter
@@ -27,17 +21,11 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
     from pathlib import Path
 
     from oleanderweir.configuration import BackendServer
-    from oleanderweir.net import SocketAddress
+    from oleanderweir_bench.deployment.deployed_balancer import DeployedBalancer
     from oleanderweir_bench.processes import ProcessSupervisor
-    from oleanderweir_bench.processes import SupervisedProcess
-
-
-REGION = "central-chile"
-SECRET_BYTES = 32
 
 
 class Deployment:
@@ -62,9 +50,7 @@
         self.platform = PlatformProcesses(supervisor=supervisor)
         self.folder = folder
         self.slots = slots
-        self.balancer_kind = balancer_kind
         self.authority = CertificateAuthority()
-        self.keys = f"1:{secrets.token_hex(SECRET_BYTES)}"
         self.tickets = TicketWriter()
         self.plan = AddressPlan()
         self.service = Service(
@@ -79,9 +65,14 @@
         self.fabric = FabricControl(address=self.plan.allocate(FABRIC_HOST))
         self.balancers: dict[str, DeployedBalancer] = {}
         self.servers: dict[str, DeployedServer] = {}
-        self.certificate = self.authority.write(folder, service_name)
-        self.peer_certificate = self.authority.write(folder, "instance")
-        self.authority_path = self.authority.write_authority(folder)
+        self.instances = InstanceProcesses(
+            supervisor=supervisor,
+            plan=self.plan,
+            operator=self.operator,
+            certificate=self.authority.write(folder, service_name),
+            peer_credentials=self.authority.write_peer_credentials(folder),
+            balancer_kind=balancer_kind,
+        )
         self.tickets_folder = folder / "tickets"
         self.tickets_folder.mkdir()
 
@@ -117,27 +108,8 @@
 
     async def start_balancer(self, number: int) -> DeployedBalancer:
         """Start a balancer; the fabric does not send packets to it yet."""
-        name = f"balancer-{number}"
-        host = self.plan.balancer_host(number)
-        admin_address = self.plan.allocate(host)
-        record = self.make_instance_record(
-            name,
-            InstanceRole.BALANCER,
-            number,
-            data_address=self.plan.allocate(host),
-            peer_address=self.plan.allocate(host),
-        )
-        process = await self.start_instance(
-            record,
-            balancer_command(self.balancer_kind),
-            f"--bind-host={host}",
-            f"--back-address={record.data_address}",
-            f"--admin-address={admin_address}",
-        )
-        balancer = DeployedBalancer(
-            name=name, host=host, admin_address=admin_address, process=process
-        )
-        self.balancers[name] = balancer
+        balancer = await self.instances.start_balancer(number)
+        self.balancers[balancer.name] = balancer
         return balancer
 
     async def start_server(self, number: int) -> DeployedServer:
@@ -149,22 +121,8 @@
         backend_process = await self.platform.start_backend_server(
             entry.name, self.service.name, backend_address, entry.slots
         )
-        record = self.make_instance_record(
-            f"agent-{number}",
-            InstanceRole.AGENT,
-            number,
-            data_address=entry.agent_address,
-            peer_address=entry.peer_address,
-        )
-        agent_process = await self.start_instance(
-            record,
-            agent_command(),
-            f"--backend-server={entry.name}",
-            f"--agent-address={entry.agent_address}",
-            f"--backend-address={backend_address}",
-            f"--admin-address={admin_address}",
-            f"--tls-certificate={self.certificate.certificate}",
-            f"--tls-private-key={self.certificate.private_key}",
+        agent_process = await self.instances.start_agent(
+            number, entry, backend_address=backend_address, admin_address=admin_address
         )
         server = DeployedServer(
             entry=entry,
@@ -176,27 +134,6 @@
         self.servers[entry.name] = server
         return server
 
-    async def start_instance(
-        self, record: InstanceRecord, command: Sequence[str], *arguments: str
-    ) -> SupervisedProcess:
-        """Add an instance to the list, and start it with the flags of all instances."""
-        await self.operator.add_instance(record)
-        shared_flags = [
-            f"--instance-name={record.name}",
-            f"--availability-zone={record.availability_zone}",
-            f"--region={record.region}",
-            f"--peer-address={record.peer_address}",
-            f"--configuration-url=http://{self.configuration_address}",
-            f"--peer-tls-certificate={self.peer_certificate.certificate}",
-            f"--peer-tls-private-key={self.peer_certificate.private_key}",
-            f"--peer-tls-ca={self.authority_path}",
-        ]
-        return await self.supervisor.start(
-            record.name,
-            [*command, *shared_flags, *arguments],
-            environment={"OLEANDERWEIR_KEYS": self.keys},
-        )
-
     async def wait_balancer(self, balancer: DeployedBalancer) -> None:
         """Wait until a balancer is ready; raise ``ProcessFailedError`` if it fails."""
         await balancer.process.wait_http(f"http://{balancer.admin_address}/ready")
@@ -245,26 +182,6 @@
             server_name=self.service.name,
         )
 
-    def make_instance_record(
-        self,
-        name: str,
-        role: InstanceRole,
-        number: int,
-        *,
-        data_address: SocketAddress,
-        peer_address: SocketAddress,
-    ) -> InstanceRecord:
-        """Return the record of an instance for the instance list."""
-        return InstanceRecord(
-            name=name,
-            role=role,
-            region=REGION,
-            availability_zone=self.plan.availability_zone(number),
-            peer_address=peer_address,
-            data_address=data_address,
-            state=InstanceState.LIVE,
-        )
-
     def make_entry(self, number: int) -> BackendServer:
         """Return the ticket entry of a backend server, the same on each call."""
         return self.plan.backend_server(self.service.name, number, self.slots)
