Query agents with lapsed entries a few at a time after a delegate

What callers could see: a reset of an open flow (flow_not_held), or no answer for up to 3 s, if the entries of more than three sound backend servers are missing, as after an outage of the source.

Cause: after the negative result of a delegate, a balancer queried the agents that the delegate may not know only if they were at most three. Otherwise it delegated again, to agents that know as little, until the missing entries ruled them out, so that the owner was never asked.

Now it queries them in the order of the flow's ranking, three at a time, and the next three when these have denied. A flow is placed on one of the first six hosts of the ranking, so that the owner is found after few queries, and a lookup on a small balancer doesn't send the caller's packet to the whole fleet at once.

Ruled out: querying all of them at once, since after an outage that all entries lapse in, each lookup would send up to 91 packets from the smallest balancer.

test_each_of_many_agents_with_lapsed_entries_is_queried_after_a_delegate failed before (assert 0 < 0: no query); it also shows that the flow is reset once all have denied.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -20,7 +20,9 @@
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
     replied that their backend server doesn't hold the flow. ``delegated_hosts`` had a
-    published backend server whenever the lookup was delegated, None if it wasn't.
+    published backend server whenever the lookup was delegated, None if it wasn't;
+    ``unlisted`` are the last agents that were queried since delegates may not know
+    them.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
     ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
@@ -35,6 +37,7 @@
     queried: set[str] = attrs.field(factory=set)
     denied_by: set[str] = attrs.field(factory=set)
     delegated_hosts: frozenset[str] | None = None
+    unlisted: set[str] = attrs.field(factory=set)
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -111,6 +111,8 @@
             self.look_up(packet, now=now)
         elif self._is_denied_by_all(lookup, self._possible_owners(lookup), now=now):
             self._widen_or_fail(lookup, packet, now=now)
+        elif lookup.unlisted and lookup.unlisted <= lookup.denied_by:
+            self._query_unlisted(lookup, packet, now=now)
 
     def on_no_owner(self, packet: Packet, *, now: float) -> None:
         """
@@ -124,15 +126,7 @@
             return
         lookup.is_fleet_wide = True
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
-        others = self._possible_owners(lookup) - lookup.denied_by
-        pending = {
-            host for host in others if not self._is_ruled_out(lookup, host, now=now)
-        }
-        if not pending:
-            lookup.has_no_owner = True
-            self.transport.on_no_owner(packet)
-        elif len(pending) <= MAX_DIRECT_QUERIES:
-            self._send_queries(lookup, packet, pending, now=now)
+        self._query_unlisted(lookup, packet, now=now)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
@@ -187,6 +181,24 @@
             self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
         self.transport.log("flow_lookup", packet.key, asked=len(agents))
 
+    def _query_unlisted(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
+        """Query the next agents that delegates may not know; fail after the last."""
+        pending = {
+            host
+            for host in self._possible_owners(lookup) - lookup.denied_by
+            if not self._is_ruled_out(lookup, host, now=now)
+        }
+        if not pending:
+            lookup.has_no_owner = True
+            self.transport.on_no_owner(packet)
+            return
+        hosts = candidate_hosts(lookup.key, pending, count=MAX_DIRECT_QUERIES)
+        lookup.unlisted = set(hosts)
+        lookup.queried |= lookup.unlisted
+        for host in hosts:
+            self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
+        self.transport.log("flow_lookup", packet.key, asked=len(hosts))
+
     def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
         """Return the delegate: the next agent of the ranking at each attempt."""
         ranked = candidate_hosts(lookup.key, agents, count=lookup.attempts)
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -4,9 +4,11 @@
 import trio.testing
 
 from oleanderweir.desired_state import REMOVAL_GRACE_S
+from oleanderweir.lookups import MAX_DIRECT_QUERIES
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
 from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir_balancer.forwarding.bench import CALLER_PORT
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 from tests.oleanderweir_balancer.forwarding.bench import make_agent_heartbeat
@@ -105,3 +107,33 @@
     assert [host for host, _ in bench.deliveries()] == [OWNER]
     bench.return_packet(OWNER, ReturnReason.NOT_HELD, REQUEST)
     assert len(bench.resets()) == 1
+
+
+async def test_each_of_many_agents_with_lapsed_entries_is_queried_after_a_delegate(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    lapsed = {f"10.0.1.{n}" for n in range(1, 9)}
+    entries = {f"b{host}": backend_document(host=host) for host in lapsed}
+    bench.publish(backends={**OTHERS, **entries})
+    for host in lapsed:
+        bench.members.record_heartbeat(host, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    for host in lapsed:
+        bench.members.record_activity(host)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    queried: list[str] = []
+    while len(queried) < len(lapsed):
+        sent = bench.socket.pop_sent()
+        batch = [host for _, (host, port) in sent if port != CALLER_PORT]
+        assert 0 < len(batch) <= MAX_DIRECT_QUERIES
+        assert len(sent) == len(batch)
+        queried += batch
+        for host in batch:
+            bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert set(queried) == lapsed
+    assert len(bench.resets()) == 1
