Count the time of a reply from the query, not from the start of a lookup

What callers could see: a reset of an open flow (flow_not_held) whose owner has no published entry, if the first delegates of the lookup don't reply, as while agents are restarted.

If the negative result of a delegate came later, such an agent was ruled out although no query had been sent to it. Class: a missing answer for a denial.

Now the second counts from the first query that the balancer itself sent to that agent.

Ruled out: lookups that never end. Each negative result leads to queries of up to three more agents, and a lookup ends after 3 s in any case.

test_a_live_agent_is_queried_even_after_a_late_result_of_a_delegate failed before (no query; a reset). The field asked of flow_lookup now counts the queries sent, without agents that had denied before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -22,7 +22,7 @@
     replied that their backend server doesn't hold the flow. ``delegated_hosts`` had a
     published backend server whenever the lookup was delegated, None if it wasn't;
     ``unlisted`` are the last agents that were queried since delegates may not know
-    them.
+    them. ``first_query_at`` is when each agent was first queried without a delegate.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
     ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
@@ -38,6 +38,7 @@
     denied_by: set[str] = attrs.field(factory=set)
     delegated_hosts: frozenset[str] | None = None
     unlisted: set[str] = attrs.field(factory=set)
+    first_query_at: dict[str, float] = attrs.field(factory=dict)
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -29,7 +29,7 @@
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
-# How long a lookup waits for a live agent whose backend server isn't published. A
+# How long a query waits for a live agent whose backend server isn't published. A
 # running one answers at once, and the agent denies for one that has stopped.
 UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
 # A backend server takes longer from its start until it is published and gets a flow.
@@ -177,9 +177,7 @@
             self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
             self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
             return
-        for host in sorted(agents - lookup.denied_by):
-            self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
-        self.transport.log("flow_lookup", packet.key, asked=len(agents))
+        self._query(lookup, packet, sorted(agents - lookup.denied_by), now=now)
 
     def _query_unlisted(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Query the next agents that delegates may not know; fail after the last."""
@@ -195,7 +193,14 @@
         hosts = candidate_hosts(lookup.key, pending, count=MAX_DIRECT_QUERIES)
         lookup.unlisted = set(hosts)
         lookup.queried |= lookup.unlisted
+        self._query(lookup, packet, hosts, now=now)
+
+    def _query(
+        self, lookup: Lookup, packet: Packet, hosts: list[str], *, now: float
+    ) -> None:
+        """Send a packet as a query to each of these agents."""
         for host in hosts:
+            lookup.first_query_at.setdefault(host, now)
             self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
         self.transport.log("flow_lookup", packet.key, asked=len(hosts))
 
@@ -260,10 +265,15 @@
         )
 
     def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
-        """Whether the reply of an agent without a published backend server may come."""
+        """
+        Whether to await an agent without a published backend server.
+
+        The time counts from its first query: a delegate may not have queried it.
+        """
         silence_limit_s = silence_s(len(self.register.backends))
+        queried_at = lookup.first_query_at.get(host, now)
         return (
-            now - lookup.started_at < UNPUBLISHED_REPLY_TIMEOUT_S
+            now - queried_at < UNPUBLISHED_REPLY_TIMEOUT_S
             and self.members.was_heard_since(host, now - silence_limit_s)
         )
 
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -137,3 +137,24 @@
             bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
     assert set(queried) == lapsed
     assert len(bench.resets()) == 1
+
+
+async def test_a_live_agent_is_queried_even_after_a_late_result_of_a_delegate(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    look_up(bench)
+    # The first delegates are being restarted.
+    for _ in range(4):
+        await trio.sleep(0.4)
+        bench.balancer.retry_lookups()
+    *_, (delegate, _) = bench.deliveries()
+    bench.members.record_activity(OWNER)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
