Ignore the negative result of a delegate of an earlier lookup

What callers could see: a reset of an open flow (flow_not_held) whose backend server was published, or published again, while an earlier lookup of the flow was unanswered.

Cause: a balancer took a late negative result of a lookup that had timed out for that of the lookup in progress, and counted it for all that was published when the latter was delegated. Without a lookup in progress it started one that held back the opening packets of the flow for 3 s. Class: an outcome without its age.

Now a result counts only if its sender is a delegate of the lookup in progress. Otherwise the lookup goes on with its retries.

Ruled out: results of several delegates of one lookup. They cover what was published at all of its delegations. Not covered: the first delegate, which is the same in each lookup of a flow; a result of it would have to be 3 s late.

test_a_late_result_of_an_earlier_lookup_does_not_count_for_the_current_one failed before (a reset).

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -249,7 +249,7 @@
             # The caller has acknowledged the answer to another copy.
             return
         if reason is ReturnReason.HELD_NOWHERE:
-            self._on_no_owner(packet, now=now)
+            self._on_no_owner(host, packet, now=now)
             return
         # Unknown if an earlier agent of the flow returns the packet.
         placed_at = float("-inf")
@@ -271,11 +271,11 @@
         else:
             self.owner_lookup.on_denial(host, packet, now=now)
 
-    def _on_no_owner(self, packet: Packet, *, now: float) -> None:
+    def _on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
         """Fail the lookup of a flow, unless its owner was found in the meantime."""
         flow = self.cache.flows.get(packet.key)
         if flow is None:
-            self.owner_lookup.on_no_owner(packet, now=now)
+            self.owner_lookup.on_no_owner(host, packet, now=now)
         else:
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -19,9 +19,11 @@
 
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
-    replied that their backend server doesn't hold the flow. ``delegated_hosts`` had a
-    published backend server whenever the lookup was delegated, None if it wasn't;
-    ``unlisted`` are the last agents that were queried since delegates may not know
+    replied that their backend server doesn't hold the flow. ``delegates`` are the
+    agents that the lookup was delegated to, ``delegated_hosts`` had a published backend
+    server each time, None if it wasn't delegated.
+
+    ``unlisted`` are the last agents that were queried because delegates may not know
     them. ``first_query_at`` is when each agent was first queried without a delegate.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
@@ -36,6 +38,7 @@
     buffered: list[Packet] = attrs.field(factory=list)
     queried: set[str] = attrs.field(factory=set)
     denied_by: set[str] = attrs.field(factory=set)
+    delegates: set[str] = attrs.field(factory=set)
     delegated_hosts: frozenset[str] | None = None
     unlisted: set[str] = attrs.field(factory=set)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -114,15 +114,17 @@
         elif lookup.unlisted and lookup.unlisted <= lookup.denied_by:
             self._query_unlisted(lookup, packet, now=now)
 
-    def on_no_owner(self, packet: Packet, *, now: float) -> None:
+    def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
         """
         Process the negative result of a delegate; query the agents it may not know.
 
         An agent knows those of published backend servers and few others. A backend
-        server may hold flows although its entry lapsed, or was published later.
+        server may hold flows although its entry lapsed, or was published later. The
+        result of an earlier lookup is ignored: it doesn't cover what was published
+        when this one was delegated.
         """
-        lookup = self.lookups.open(packet.key, now=now)
-        if lookup is None or lookup.has_no_owner:
+        lookup = self.lookups.lookups.get(packet.key)
+        if lookup is None or lookup.has_no_owner or host not in lookup.delegates:
             return
         lookup.is_fleet_wide = True
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
@@ -174,6 +176,7 @@
                 # The result may be that of any of the delegates.
                 published &= lookup.delegated_hosts
             lookup.delegated_hosts = published
+            lookup.delegates.add(delegate)
             self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
             self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
             return
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -158,3 +158,23 @@
     bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
 
     assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+
+async def test_a_late_result_of_an_earlier_lookup_does_not_count_for_the_current_one(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=OTHERS)
+    look_up(bench)
+    await trio.sleep(1.5)
+    bench.balancer.retry_lookups()
+    [(late, _)] = bench.deliveries()
+    await trio.sleep(1.6)
+    bench.balancer.expire()
+    # This delegate hadn't received the entry of the owner when it was asked.
+    bench.publish(backends=ALL, revision=20)
+    assert look_up(bench) != late
+
+    bench.return_packet(late, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert bench.resets() == []
