Reset no flow while a process still discovers its peers

What callers could see: a reset of an open flow (flow_not_held) through a balancer that has just started, while the entry of the flow's sound backend server had lapsed.

Cause: a balancer that starts receives the published backend servers in one reply, and learns of the agents without an entry from the hosts that its peers list, a part of them at a time. Until those have replied it doesn't query them, but took the denials of the published ones for those of all. Class: the denials of some agents for those of all.

Now denials aren't conclusive for 0.3 s after a peer listed a host that hasn't replied yet. The lookup goes on with its retries and queries the new members.

Ruled out: a fixed time after the start, which would delay the resets of lost flows after each start of a balancer. A listed host that has gone delays them by 0.3 s once, since its first listing counts.

test_a_balancer_that_discovers_agents_resets_no_flow_of_a_lapsed_entry and test_a_balancer_that_discovers_agents_resets_no_flow_after_a_delegate failed before (a reset each). test_a_listed_host_that_never_replies_delays_a_reset_briefly bounds the delay to 0.8 s with the retries.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -189,6 +189,8 @@
             for host in self._possible_owners(lookup) - lookup.denied_by
             if not self._is_ruled_out(lookup, host, now=now)
         }
+        if not pending and not self._knows_all_agents():
+            return
         if not pending:
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
@@ -236,14 +238,19 @@
 
         Agents that departed, and silent ones whose backend servers are no longer
         published, are not waited for: they may never reply, and callers would wait
-        until their timeout. Until the backend servers have been listed, the known
-        agents may be a small part of the fleet, so their denials are not conclusive.
+        until their timeout. Until the backend servers have been listed, and while this
+        process discovers members, the known agents may be a part of the fleet, so
+        their denials are not conclusive.
         """
-        if not agents or self.register.listed_at is None:
+        if not agents or not self._knows_all_agents():
             return False
         pending = agents - lookup.denied_by
         return all(self._is_ruled_out(lookup, host, now=now) for host in pending)
 
+    def _knows_all_agents(self) -> bool:
+        """Whether the backend servers were listed, and no members are discovered."""
+        return self.register.listed_at is not None and not self.members.is_discovering()
+
     def _is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
         Whether a host cannot hold the flow of a lookup, so that no reply is needed.
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import trio
 import trio.testing
 
@@ -178,3 +179,21 @@
     bench.return_packet(late, ReturnReason.HELD_NOWHERE, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_balancer_that_discovers_agents_resets_no_flow_after_a_delegate(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    reply = attrs.evolve(make_agent_heartbeat(), agents=(OWNER,))
+    bench.members.record_heartbeat("10.0.0.1", reply)
+    bench.publish(backends=OTHERS)
+    delegate = look_up(bench)
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+    assert bench.resets() == []
+
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    await trio.sleep(0.15)
+    bench.balancer.retry_lookups()
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import attrs
 import trio
 import trio.testing
 
@@ -329,3 +330,45 @@
         bench.balancer.retry_lookups()
 
     assert len(bench.resets()) == 1
+
+
+async def test_a_balancer_that_discovers_agents_resets_no_flow_of_a_lapsed_entry(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    # The balancer has just started: its peers list an agent that it doesn't know yet.
+    reply = attrs.evolve(make_agent_heartbeat(), agents=("10.0.0.99",))
+    bench.members.record_heartbeat("10.0.0.1", reply)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert bench.resets() == []
+
+    bench.members.record_heartbeat("10.0.0.99", make_agent_heartbeat())
+    await trio.sleep(0.15)
+    bench.balancer.retry_lookups()
+
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.99"]
+    bench.return_packet("10.0.0.99", ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
+async def test_a_listed_host_that_never_replies_delays_a_reset_briefly(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    reply = attrs.evolve(make_agent_heartbeat(), agents=("10.0.0.99",))
+    bench.members.record_heartbeat("10.0.0.1", reply)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert bench.resets() == []
+
+    for _ in range(16):
+        await trio.sleep(0.05)
+        bench.balancer.retry_lookups()
+
+    assert len(bench.resets()) == 1
