Let each soak reserve the loopback addresses that it uses

Cause: the block of addresses was the process ID modulo 200, so that two soaks could choose the same one.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/exceptions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/exceptions.py
@@ -13,6 +13,12 @@
     code: ClassVar[str] = "bind_failed"
 
 
+class NoAddressBlockError(OleanderweirError):
+    """Every block of loopback addresses is in use."""
+
+    code: ClassVar[str] = "no_address_block"
+
+
 class ProcessFailedError(OleanderweirError):
     """A child process exited early or did not become ready in time."""
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -11,6 +11,7 @@
 import trio
 
 from oleanderweir_bench.processes import ProcessSupervisor
+from oleanderweir_bench.soak.address_block import reserve_block
 from oleanderweir_bench.soak.faults import FAULTS
 from oleanderweir_bench.soak.faults import drain_and_stop
 from oleanderweir_bench.soak.faults import restore_store
@@ -37,10 +38,6 @@
 RESTORE_SEED_OFFSET = 1_000_000
 MAX_LINES_PER_EXIT = 20
 MAX_LOG_LINES = 100
-# Soaks use the addresses 127.<block>.0.0/16; the block depends on the process ID, so
-# that soaks can run in parallel.
-FIRST_BLOCK = 16
-BLOCKS = 200
 
 
 class Soak:
@@ -125,8 +122,10 @@
 
 async def run_soak(plan: SoakPlan) -> SoakReport:
     """Run one plan with its own processes, and stop them all at the end."""
-    block = FIRST_BLOCK + os.getpid() % BLOCKS
-    with tempfile.TemporaryDirectory() as folder:
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        reserve_block(preferred=os.getpid()) as block,
+    ):
         async with ProcessSupervisor() as supervisor, trio.open_nursery() as nursery:
             site = SoakSite(
                 plan=plan,
