Keep an open flow whose opening packet is still queued

Callers: packets of an open flow could go to another backend server. A balancer without published state queues the first opening packet of a flow. The caller's copy opens the flow through another balancer, and its next packets make this one look up and cache the owner. Once the state arrived, the balancer took the queued packet for a new flow at the same port, forgot the owner and placed the flow a second time.

Only copies were recognized as late. Now an opening packet is late, too, if it arrived before its flow was claimed.

Evidence: test_a_queued_opening_packet_moves_no_flow_that_was_claimed_meanwhile failed before (placed at 10.0.0.1) and passes now; test_an_opening_packet_that_arrived_after_a_claim_opens_a_new_flow passes before and after.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -89,7 +89,7 @@
         now = trio.current_time()
         self.last_caller_packet_at = now
         if packet.is_opening:
-            self._open(packet, now=now)
+            self._open(packet, arrived_at=now, now=now)
             return
         flow = self.cache.get(packet.key, now=now)
         if flow is None:
@@ -146,12 +146,12 @@
             if attempts.updated_at > limit
         }
 
-    def _open(self, packet: Packet, *, now: float) -> None:
+    def _open(self, packet: Packet, *, arrived_at: float, now: float) -> None:
         """Place a new flow, or send a repeated opening packet to the same agent."""
         if self.register.desired is None or not self._has_backend_listing():
             self._queue_opening(packet, now=now)
             return
-        if self._is_late_copy(packet):
+        if self._is_late(packet, arrived_at=arrived_at):
             return
         route = self.register.desired.routes.get(route_address(packet.key))
         if route is None:
@@ -166,12 +166,16 @@
             return
         self._place(packet, route, now=now)
 
-    def _is_late_copy(self, packet: Packet) -> bool:
-        """Whether an opening packet is a copy whose flow is open already."""
+    def _is_late(self, packet: Packet, *, arrived_at: float) -> bool:
+        """Whether an opening packet is placed after another copy opened its flow."""
         if self.owner_lookup.is_in_progress(packet.key):
             return True
-        # A caller's first opening packet has sent no copies before.
-        return packet.acknowledged > 0 and self.cache.is_open(packet.key)
+        flow = self.cache.flows.get(packet.key)
+        if flow is None or not flow.is_open:
+            return False
+        # The first opening packet of a new flow, by a caller that uses a port again,
+        # arrives after the earlier flow and is no copy.
+        return packet.acknowledged > 0 or arrived_at < flow.stored_at
 
     def _place(self, packet: Packet, route: Route, *, now: float) -> None:
         """Select the backend server of a new flow and send it the opening packet."""
@@ -232,7 +236,7 @@
         self.attempts.setdefault(
             packet.key, OpeningAttempts(started_at=opening.arrived_at, updated_at=now)
         )
-        self._open(packet, now=now)
+        self._open(packet, arrived_at=opening.arrived_at, now=now)
 
     def _on_returned_packet(
         self, host: str, returned: ReturnedPacket, *, now: float
@@ -306,7 +310,7 @@
         if attempts.is_exhausted:
             self._give_up(packet, attempts, reason="refused_everywhere", now=now)
             return
-        self._open(packet, now=now)
+        self._open(packet, arrived_at=attempts.started_at, now=now)
 
     def _give_up(
         self, packet: Packet, attempts: OpeningAttempts, *, reason: str, now: float
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -4,6 +4,8 @@
 import trio.testing
 
 from oleanderweir.desired_state import Topic
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.opening_attempts import MAX_REFUSALS
 from tests.oleanderweir.desired_state.fakes import backend_document
@@ -16,6 +18,7 @@
 KEY = make_key(1)
 OPENING = encode_packet(KEY, is_opening=True)
 COPY = encode_packet(KEY, is_opening=True, acknowledged=1)
+REQUEST = encode_packet(KEY, payload_bytes=100)
 
 
 async def test_refusals_of_a_copy_do_not_reset_a_flow_placed_by_another_balancer() -> (
@@ -149,3 +152,36 @@
     bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
 
     assert bench.deliveries() == []
+
+
+async def test_a_queued_opening_packet_moves_no_flow_that_was_claimed_meanwhile(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 7)))
+    bench.balancer.on_caller_packet(OPENING)
+    await trio.sleep(0.3)
+    # The caller's copy opened the flow through another balancer.
+    bench.balancer.on_message("10.0.0.2", OwnerNotice(key=KEY))
+    bench.publish()
+
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+
+    assert bench.deliveries() == []
+    bench.balancer.on_caller_packet(REQUEST)
+    [(host, message)] = bench.deliveries()
+    assert host == "10.0.0.2"
+    assert message.purpose is DeliveryPurpose.CONTINUE
+
+
+async def test_an_opening_packet_that_arrived_after_a_claim_opens_a_new_flow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_message("10.0.0.2", OwnerNotice(key=KEY))
+    await trio.sleep(1.0)
+
+    bench.balancer.on_caller_packet(OPENING)
+
+    [(_, message)] = bench.deliveries()
+    assert message.purpose is DeliveryPurpose.OPEN
