Reset no flow whose copy reaches a balancer that has no route yet

Callers: a flow could be reset although it was open. Its first opening packet was placed by a balancer that knew a new route; a copy, or the first packet after a wait for the published state, came to a balancer with an older desired state, which reset the flow as no_route.

A first opening packet without a route is still reset at once.

Evidence: test_a_copy_without_a_route_in_an_older_state_resets_no_open_flow and test_a_queued_opening_packet_without_a_route_resets_no_open_flow failed before (a reset) and pass now; test_a_new_flow_without_a_route_is_reset_at_once passes before and after.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -155,7 +155,8 @@
             return
         route = self.register.desired.routes.get(route_address(packet.key))
         if route is None:
-            self.transport.send_reset(packet, reason="no_route")
+            attempts = self._find_attempts(packet.key, now=now)
+            self._give_up(packet, attempts, reason="no_route", now=now)
             return
         if self.cache.is_open(packet.key):
             # The caller uses the port of an earlier flow again.
@@ -180,9 +181,7 @@
     def _place(self, packet: Packet, route: Route, *, now: float) -> None:
         """Select the backend server of a new flow and send it the opening packet."""
         key = packet.key
-        attempts = self.attempts.get(key) or OpeningAttempts(
-            started_at=now, updated_at=now
-        )
+        attempts = self._find_attempts(key, now=now)
         number = int.from_bytes(key[:6], "big") * SHARE_HASH_FACTOR >> SHARE_HASH_SHIFT
         service = route.choose_service(number)
         record = self._select_backend(service, key, attempts, now=now)
@@ -205,6 +204,10 @@
             busy=len(attempts.busy),
         )
 
+    def _find_attempts(self, key: FlowKey, *, now: float) -> OpeningAttempts:
+        """Return the attempts of a flow, or new ones, which aren't recorded yet."""
+        return self.attempts.get(key) or OpeningAttempts(started_at=now, updated_at=now)
+
     def _select_backend(
         self, service: str, key: FlowKey, attempts: OpeningAttempts, *, now: float
     ) -> BackendRecord | None:
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -19,6 +19,8 @@
 OPENING = encode_packet(KEY, is_opening=True)
 COPY = encode_packet(KEY, is_opening=True, acknowledged=1)
 REQUEST = encode_packet(KEY, payload_bytes=100)
+# Routes without that of the flow.
+OTHER_ROUTE = {2: "feed"}
 
 
 async def test_refusals_of_a_copy_do_not_reset_a_flow_placed_by_another_balancer() -> (
@@ -185,3 +187,38 @@
 
     [(_, message)] = bench.deliveries()
     assert message.purpose is DeliveryPurpose.OPEN
+
+
+async def test_a_copy_without_a_route_in_an_older_state_resets_no_open_flow() -> None:
+    bench = BalancerBench()
+    # Another balancer knows the route already, and has placed the first packet.
+    bench.publish(routes=OTHER_ROUTE)
+
+    bench.balancer.on_caller_packet(COPY)
+
+    assert bench.resets() == []
+
+
+async def test_a_queued_opening_packet_without_a_route_resets_no_open_flow(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.balancer.on_caller_packet(OPENING)
+    await trio.sleep(0.3)
+    bench.publish(
+        routes=OTHER_ROUTE, backends={"b0": backend_document(host="10.0.0.1")}
+    )
+
+    bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
+
+    assert bench.balancer.queued_openings == []
+    assert bench.resets() == []
+
+
+async def test_a_new_flow_without_a_route_is_reset_at_once() -> None:
+    bench = BalancerBench()
+    bench.publish(routes=OTHER_ROUTE)
+
+    bench.balancer.on_caller_packet(OPENING)
+
+    assert len(bench.resets()) == 1
