Presume no crash of a backend server whose connections aren't refused

Callers: open flows of a running backend server could be reset (flow_lost, or flow_not_held after a false denial). Its answers didn't reach its agent for half a second while two new flows were opened, and the probe of its port was late, as on a busy machine, or was not answered, as with a full queue of new connections.

The agent presumed a crash unless a probe had been accepted since the first unanswered opening packet: a missing outcome was taken for a refusal. The design page says already that an unanswered probe proves nothing.

Now a crash is presumed only if the last conclusive probe was refused and no packet came since. Unanswered opening packets alone keep new flows away, as before.

Ruled out: that flows of crashed backend servers are reset later. The agent probes within 0.1 s of the first unanswered opening packet, and a crash refuses at once.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -5,10 +5,11 @@
 new flows would be placed there, and callers of its old flows would wait until their
 timeouts expire. Only unanswered opening packets count as a sign of a crash, since a
 running backend server answers each of them at once; a long request or the last
-acknowledgements of an answer may get no packet in return for longer. A refused
-connection proves that the backend server has stopped, if it accepted connections
-before and has sent nothing for ``QUIET_S``: a backend server that is starting may
-receive packets before it listens.
+acknowledgements of an answer may get no packet in return for longer. Together with a
+refused connection they are taken for a crash; alone they only keep new flows away. A
+refused connection proves that the backend server has stopped, if it accepted
+connections before and has sent nothing for ``QUIET_S``: a backend server that is
+starting may receive packets before it listens.
 """
 
 from __future__ import annotations
@@ -61,9 +62,8 @@
         # Whether it may have stopped although no packet is unanswered, until the next
         # conclusive probe.
         self.is_doubted = False
-        # Whether a probe was accepted since the backend server last stopped, and when.
+        # Whether a probe was accepted since the backend server last stopped.
         self.was_accepted = False
-        self.accepted_at = float("-inf")
         # Whether a probe proved that the backend server has stopped; no packet was
         # received and no probe accepted since.
         self.has_stopped = False
@@ -103,7 +103,6 @@
         self.is_refused = outcome is ProbeOutcome.REFUSED
         if outcome is ProbeOutcome.ACCEPTED:
             self.was_accepted = True
-            self.accepted_at = now
             self.has_stopped = False
         elif self.was_accepted and now - self.last_packet_at > QUIET_S:
             self.was_accepted = False
@@ -135,14 +134,11 @@
         """
         Whether the backend server has stopped, or is presumed to have.
 
-        A backend server that accepts connections is running and still holds its flows,
-        even if its packets don't reach the agent.
+        A crash is presumed only after a refused connection: one that listens is running
+        and holds its flows, even if its packets don't reach the agent, its probe is
+        late, or its queue of new connections is full.
         """
-        if self.has_stopped:
-            return True
-        return (
-            self.is_unresponsive() and self.accepted_at < self.unanswered_openings_since
-        )
+        return self.has_stopped or (self.is_refused and self.is_unresponsive())
 
     def is_unresponsive(self) -> bool:
         """Whether several opening packets are unanswered for over ``DOWN_AFTER_S``."""
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -15,6 +15,7 @@
 from oleanderweir_agent.forwarding import AgentTransport
 from oleanderweir_agent.forwarding import FlowAdmission
 from oleanderweir_agent.forwarding import PacketAgentSettings
+from oleanderweir_agent.forwarding import ProbeOutcome
 from oleanderweir_agent.forwarding import create_packet_agent
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
@@ -123,6 +124,9 @@
         opening = encode_packet(make_key(number), is_opening=True)
         bench.deliver(DeliveryPurpose.OPEN, opening)
         await bench.pass_time(0.3)
+        bench.agent.on_probe_outcome(
+            ProbeOutcome.REFUSED, checked_at=trio.current_time()
+        )
     bench.to_peers()
 
 
--- a/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
@@ -84,6 +84,28 @@
     assert bench.to_peers() == [ReturnedPacket(reason=ReturnReason.LOST, data=again)]
 
 
+async def test_a_late_probe_loses_no_flow_of_a_running_backend_server(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    await bench.pass_time(0.1)
+    # Its answers are lost, and the agent is too busy to probe it.
+    for number in (2, 3):
+        opening = encode_packet(make_key(number), is_opening=True)
+        bench.deliver(DeliveryPurpose.OPEN, opening)
+    await bench.pass_time(0.6)
+    bench.to_peers()
+
+    again = request(1, sequence=901)
+    bench.deliver(DeliveryPurpose.CONTINUE, again)
+
+    assert bench.to_peers() == []
+    assert bench.to_backend()[-1] == again
+
+
 async def test_a_long_request_alone_does_not_mark_the_backend_server_as_down(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
