--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -8,6 +8,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from oleanderweir.desired_state import HistoryLostError
 from oleanderweir.desired_state import SourceBusyError
@@ -21,6 +22,10 @@
     from collections.abc import AsyncIterator
 
 
+# How long machines take to be in touch with the store again after the last fault.
+STABLE_S = 4.0
+
+
 def make_item(key: str, revision: int) -> dict[str, Any]:
     value = base64.b64encode(b"{}").decode()
     return {"Key": key, "Value": value, "Revision": revision, "Lease": 0}
@@ -177,3 +182,18 @@
     async with serve(first, last) as (client, _):
         with pytest.raises(SourceUnavailableError):
             await client.list(Topic.BACKEND_SERVERS)
+
+
+async def test_a_watch_whose_opening_packet_is_lost_fails_before_its_wait_ends(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def connect(host: str, port: int) -> trio.SocketStream:
+        # The packet is sent again after 1, 3, 7 and 15 seconds.
+        await trio.sleep(15)
+        raise AssertionError("the client waited too long for a connection")
+
+    monkeypatch.setattr(trio, "open_tcp_stream", connect)
+    client = StoreClient(address=SocketAddress(host="127.0.0.1", port=1))
+
+    with trio.fail_after(STABLE_S), pytest.raises(SourceUnavailableError):
+        await client.watch(Topic.DESIRED_STATE, after=1, wait_s=28.0)
