Send eras and versions of any size to peers

Seen in a test: a store whose era is 2^24 or more, or a version of 2^64 or more, ended every process at its next heartbeat with OverflowError. A store that counts its eras from a time stamp would have stopped the system at its first listing.

The platform says that the era rises, not where it starts.

The fleet of the tests encodes the state that it fetches now, as processes do.

Ruled out: fewer bits for the revision, which only moves the limit.

Why it works: integers beyond 64 bits are packed as an extension of MessagePack with as many bytes as they need; all others are packed as before.

--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -14,6 +14,8 @@
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import StateUpdate
+from oleanderweir.peering.packing import pack
+from oleanderweir.peering.packing import unpack
 
 
 # The first element of each datagram. A number is never reused for another type.
@@ -37,14 +39,13 @@
     """Return the datagram of a message: its type code, then its fields in order."""
     message_type = type(message)
     values = [getattr(message, name) for name in FIELDS[message_type]]
-    packed: bytes = msgpack.packb([CODES[message_type], *values])
-    return packed
+    return pack([CODES[message_type], *values])
 
 
 def decode_message(datagram: bytes) -> Message:
     """Return the message of a datagram; raise ``InvalidMessageError`` if invalid."""
     try:
-        code, *values = msgpack.unpackb(datagram)
+        code, *values = unpack(datagram)
         message_type = TYPES[code]
         return message_type(**dict(zip(FIELDS[message_type], values, strict=True)))
     except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
--- a/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
@@ -14,6 +14,8 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.peering.exceptions import InvalidMessageError
 from oleanderweir.peering.exceptions import PeerUnavailableError
+from oleanderweir.peering.packing import pack
+from oleanderweir.peering.packing import unpack
 
 
 if TYPE_CHECKING:
@@ -54,14 +56,14 @@
 def encode_listing(listing: Listing) -> bytes:
     """Return the frame with the state of a topic."""
     documents = [[c.name, c.revision, c.document] for c in listing.documents]
-    body: bytes = msgpack.packb([listing.topic.value, listing.revision, documents])
+    body = pack([listing.topic.value, listing.revision, documents])
     return LENGTH.pack(len(body)) + body
 
 
 def decode_listing(body: bytes) -> Listing:
     """Return the state of a topic from a frame body; raise ``InvalidMessageError``."""
     try:
-        topic, revision, documents = msgpack.unpackb(body)
+        topic, revision, documents = unpack(body)
         return Listing(
             topic=Topic(topic),
             revision=revision,
--- a/tests/oleanderweir/peering/test_message_codec.py
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -2,10 +2,12 @@
 
 import contextlib
 
+import attrs
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oleanderweir.desired_state import make_position
 from oleanderweir.flows import FlowKey
 from oleanderweir.peering import InvalidMessageError
 from oleanderweir.peering import decode_message
@@ -19,8 +21,20 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir.peering.messages import StateUpdate
 
 
+HEARTBEAT = Heartbeat(
+    role=PeerRole.AGENT,
+    availability_zone="a",
+    service="feed",
+    desired_version=4,
+    backends_revision=5,
+    balancers=("10.0.0.1",),
+    agents=(),
+    requests_reply=True,
+    reads_source=False,
+)
 MESSAGES: list[Message] = [
     Delivery(purpose=DeliveryPurpose.QUERY, version=3, data=b"packet"),
     ReturnedPacket(reason=ReturnReason.DRAINING, data=b"packet"),
@@ -33,17 +47,7 @@
         service_ms=50.5,
         is_accepting=True,
     ),
-    Heartbeat(
-        role=PeerRole.AGENT,
-        availability_zone="a",
-        service="feed",
-        desired_version=4,
-        backends_revision=5,
-        balancers=("10.0.0.1",),
-        agents=(),
-        requests_reply=True,
-        reads_source=False,
-    ),
+    HEARTBEAT,
 ]
 
 
@@ -65,3 +69,20 @@
         decode_message(b"no message")
 
     assert raised.value.code == "invalid_peer_message"
+
+
+@pytest.mark.parametrize("history", [2**24 - 1, 2**24, 2**41])
+def test_a_position_of_any_history_fits_a_message(history: int) -> None:
+    position = make_position(history=history, revision=7)
+    messages: list[Message] = [
+        attrs.evolve(HEARTBEAT, backends_revision=position),
+        StateUpdate(base=position, revision=position + 1, name="b1", document=b"{}"),
+    ]
+
+    assert [decode_message(encode_message(m)) for m in messages] == messages
+
+
+def test_a_version_of_any_size_fits_a_message() -> None:
+    heartbeat = attrs.evolve(HEARTBEAT, desired_version=2**64)
+
+    assert decode_message(encode_message(heartbeat)) == heartbeat
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -22,7 +22,10 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import StateUpdate
 from oleanderweir.peering.report_interval import KEEPALIVE_S
+from oleanderweir.peering.state_exchange import LENGTH
 from oleanderweir.peering.state_exchange import REQUEST_TIMEOUT_S
+from oleanderweir.peering.state_exchange import decode_listing
+from oleanderweir.peering.state_exchange import encode_listing
 from oleanderweir_platform.store_client import StoreClient
 from oleanderweir_platform.store_documents import StoreDecoder
 from oleanderweir_standins import EmulatedTcpStream
@@ -266,6 +269,6 @@
         if not self.fleet.can_reach(self.host, host):
             await trio.sleep(REQUEST_TIMEOUT_S)
             raise PeerUnavailableError("no route to the peer")
-        listing = self.fleet.processes[host].register.export(topic)
+        frame = encode_listing(self.fleet.processes[host].register.export(topic))
         await trio.sleep(0.001 + self.fleet.max_delay_s)
-        return listing
+        return decode_listing(frame[LENGTH.size :])
--- a/tests/oleanderweir_standins/test_restored_store.py
+++ b/tests/oleanderweir_standins/test_restored_store.py
@@ -27,14 +27,18 @@
 
 
 @asynccontextmanager
-async def open_fleet(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Fleet]:
+async def open_fleet(
+    monkeypatch: pytest.MonkeyPatch, *, era: int = 1
+) -> AsyncIterator[Fleet]:
     """
     Run three processes, and a fourth whose calls are rejected by the store.
 
-    The copy to which ``restore`` returns is older than the last two versions.
+    The store begins in ``era``. The copy to which ``restore`` returns is older than the
+    last two versions.
     """
     async with trio.open_nursery() as nursery:
         fleet = Fleet(nursery=nursery, monkeypatch=monkeypatch)
+        fleet.store.contents.era = era
         write_routes(fleet, 1)
         fleet.store.write_backend_server(make_record("b1"))
         for number in (1, 2, 3):
@@ -89,6 +93,18 @@
     assert fleet.regressions() == {}
 
 
+@pytest.mark.parametrize("era", [2**24 - 1, 2**24, 2**41])
+async def test_an_era_of_any_size_ends_no_process(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch, era: int
+) -> None:
+    async with open_fleet(monkeypatch, era=era) as fleet:
+        await restore(fleet, seed=1)
+        write_routes(fleet, 4)
+        await fleet.stand_by(fleet.version, within_s=APPLY_S)
+        fleet.start(5)
+        await fleet.stand_by(fleet.version, within_s=APPLY_S)
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_a_process_that_starts_after_a_restore_gets_the_version_of_its_peers(
     autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch, seed: int
