--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -197,3 +197,21 @@
 
     with trio.fail_after(STABLE_S), pytest.raises(SourceUnavailableError):
         await client.watch(Topic.DESIRED_STATE, after=1, wait_s=28.0)
+
+
+async def test_a_document_beside_the_desired_state_is_not_taken_for_it() -> None:
+    keys = ("op/config", "op/config-next")
+    events = [make_item(key, 21) for key in keys]
+    responses = (
+        make_response(200, make_page(20, *keys, truncated=True)),
+        make_response(200, make_page(20, "op/config/2")),
+        make_response(200, {"events": events, "StoreRevision": 21}),
+    )
+    async with serve(*responses) as (client, targets):
+        listing = await client.list(Topic.DESIRED_STATE)
+        changes = await client.watch(Topic.DESIRED_STATE, after=20, wait_s=1.0)
+
+    assert [change.name for change in listing.documents] == ["op/config"]
+    assert "after=op%2Fconfig-next" in targets[1]
+    assert [change.name for change in changes.changes] == ["op/config"]
+    assert changes.revision == 21
