Let the emulated site run whole programs, link faults and closing callers

Processes of a site with runs_programs exchange heartbeats, probe their backend servers, expire what they keep and get the published state after their start, as the programs do. Links lose, duplicate and reorder datagrams, or are cut between two hosts. Callers repeat final packets until they are acknowledged, pause for long and use ports again. Resets and stray packets can be judged by whether the hosts were disturbed. The existing scenarios run as before.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/caller_starter.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/caller_starter.py
@@ -39,7 +39,11 @@
         result: SiteResult,
         holds_flow: Callable[[FlowKey], bool],
         on_false_reset: Callable[[FlowKey], None] = lambda _: None,
+        is_judged: Callable[[FlowKey, str], bool] = lambda _, __: True,
+        caller_type: type[EmulatedCaller] = EmulatedCaller,
     ) -> None:
+        self.is_judged = is_judged
+        self.caller_type = caller_type
         self.nursery = nursery
         self.random_source = random_source
         self.port = port
@@ -59,7 +63,7 @@
         requests_per_flow: float = float("inf"),
     ) -> None:
         """Start a caller that sends requests until a time of trio's clock."""
-        caller = EmulatedCaller(
+        caller = self.caller_type(
             host=host,
             route=route,
             port=self.port,
@@ -70,6 +74,7 @@
             result=self.result,
             holds_flow=self.holds_flow,
             on_false_reset=self.on_false_reset,
+            is_judged=self.is_judged,
             requests_per_flow=requests_per_flow,
             random_source=random.Random(self.random_source.random()),
         )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
@@ -13,6 +13,8 @@
 from oleanderweir_agent.forwarding import PacketAgent
 from oleanderweir_agent.forwarding import PacketAgentSettings
 from oleanderweir_agent.forwarding import create_packet_agent
+from oleanderweir_agent.forwarding.agent_program import AgentProgram
+from oleanderweir_bench.packet_path.emulated_probe import EmulatedProbe
 from oleanderweir_bench.packet_path.running_agent import RunningAgent
 from oleanderweir_bench.packet_path.site_settings import BACKEND_PORT
 from oleanderweir_bench.packet_path.site_settings import CALLER_PORT
@@ -26,6 +28,7 @@
 if TYPE_CHECKING:
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
+    from oleanderweir_agent.forwarding import BackendProbe
     from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
     from oleanderweir_bench.packet_path.emulated_peers import EmulatedPeers
     from oleanderweir_bench.packet_path.published_state import PublishedState
@@ -50,6 +53,8 @@
         self.published = published
         self.peers = peers
         self.running: dict[str, RunningAgent] = {}
+        # Services of the backend servers by host, other than ``SERVICE``.
+        self.services: dict[str, str] = {}
 
     def start(self, host: str) -> None:
         """Start an agent without flows; it processes the packets in its sockets."""
@@ -58,6 +63,14 @@
         register.on_change = lambda _: agent.on_state_change()
         agent.on_state_change()
         running = self.running[host] = RunningAgent(agent=agent)
+        heartbeats = self.peers.heartbeats
+        if heartbeats is not None:
+            heartbeats.follow_changes(host, lambda _: agent.on_state_change())
+            running.heartbeat_sender = heartbeats.senders[host]
+            running.heartbeat_sender.holds_no_flows = lambda: agent.holds_no_flows
+            running.probe = EmulatedProbe(
+                address=(host, BACKEND_PORT), network=self.network
+            )
         self._listen(host, agent)
         self.nursery.start_soon(running.run)
 
@@ -77,6 +90,16 @@
             running.agent.on_tick()
             self._listen(host, running.agent)
 
+    async def drain(self, host: str) -> None:
+        """Forward the last packets, as an agent does that is about to stop."""
+        running = self.running[host]
+        program = AgentProgram(
+            agent=running.agent,
+            backend_socket=self._create_socket(host),
+            probe=cast("BackendProbe", running.probe),
+        )
+        await program.drain()
+
     def stop(self, host: str) -> None:
         """Kill an agent; its backend server keeps running."""
         self.running.pop(host).scope.cancel()
@@ -84,14 +107,15 @@
         self.network.stop_listening((host, OUTBOUND_PORT))
 
     def _create(self, host: str, register: StateRegister) -> PacketAgent:
+        service = self.services.get(host, SERVICE)
         return create_packet_agent(
-            service=SERVICE,
+            service=service,
             flow_ttl_s=FLOW_TTL_S,
             codec=self.codec,
             register=register,
-            members=self.peers.create_members(host),
+            members=self.peers.create_members(host, service=service),
             admission=FlowAdmission(
-                register=register, service=SERVICE, host=host, port=BACKEND_PORT
+                register=register, service=service, host=host, port=BACKEND_PORT
             ),
             transport=AgentTransport(
                 settings=PacketAgentSettings(
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -34,13 +34,14 @@
     State of one flow.
 
     ``initial_sequence`` is the backend server's own first sequence number,
-    ``received_up_to`` the caller's next expected one. ``is_open`` is set once the
-    caller has acknowledged the opening, ``is_answered`` while no received request
-    awaits its response.
+    ``caller_sequence`` the caller's, and ``received_up_to`` the caller's next expected
+    one. ``is_open`` is set once the caller has acknowledged the opening,
+    ``is_answered`` while no received request awaits its response.
     """
 
     initial_sequence: int
     received_up_to: int = 0
+    caller_sequence: int = 0
     is_open: bool = False
     is_answered: bool = True
 
@@ -141,10 +142,19 @@
 
     def _open_flow(self, packet: Packet) -> None:
         flow = self.flows.get(packet.key)
-        if flow is None:
+        ended = self.ended.get(packet.key)
+        if flow is None and ended is not None and self._is_copy(ended, packet):
+            return
+        if flow is None or not self._is_copy(flow, packet):
+            if flow is not None and flow.is_open:
+                return
+            # An opening packet that is no copy belongs to a new flow of the port.
+            self.ended.pop(packet.key, None)
             sequence = self.random_source.randrange(1, 1 << 11) * SEQUENCE_SPACING
             flow = ServedFlow(
-                initial_sequence=sequence, received_up_to=packet.sequence + 1
+                initial_sequence=sequence,
+                received_up_to=packet.sequence + 1,
+                caller_sequence=packet.sequence,
             )
             self.flows[packet.key] = flow
         delay_s = self.random_source.choice(self.opening_delays_s)
@@ -153,6 +163,10 @@
         else:
             self._send(packet.key, flow, is_opening=True)
 
+    def _is_copy(self, flow: ServedFlow, packet: Packet) -> bool:
+        """Whether an opening packet is a copy of the one that opened a flow."""
+        return packet.sequence == flow.caller_sequence
+
     async def _answer_late(
         self, key: FlowKey, flow: ServedFlow, delay_s: float
     ) -> None:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backends.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backends.py
@@ -5,9 +5,11 @@
 import random
 from typing import TYPE_CHECKING
 
+from oleanderweir.flows import route_address
 from oleanderweir_bench.packet_path.emulated_backend import EmulatedBackendServer
 from oleanderweir_bench.packet_path.site_settings import BACKEND_PORT
 from oleanderweir_bench.packet_path.site_settings import OUTBOUND_PORT
+from oleanderweir_bench.packet_path.site_settings import ROUTE
 from oleanderweir_bench.packet_path.site_settings import SERVICE
 from oleanderweir_bench.packet_path.site_settings import SLOTS
 from oleanderweir_bench.packet_path.stray_packet_watch import StrayPacketWatch
@@ -38,11 +40,15 @@
         self.result = result
         self.servers: dict[str, EmulatedBackendServer] = {}
         self.stray_packets = StrayPacketWatch(find_owner=self.find_owner)
+        # Services that each route has led to, by its address.
+        self.allowed_services: dict[bytes, set[str]] = {ROUTE: {SERVICE}}
+        # Requests that any of the backend servers has started.
+        self.started_requests: set[tuple[FlowKey, int]] = set()
 
-    def start(self, host: str) -> None:
+    def start(self, host: str, *, service: str = SERVICE) -> None:
         """Start a backend server with a random speed on a new host."""
-        self.servers[host] = EmulatedBackendServer(
-            service=SERVICE,
+        server = self.servers[host] = EmulatedBackendServer(
+            service=service,
             host=host,
             port=BACKEND_PORT,
             agent=(host, OUTBOUND_PORT),
@@ -52,8 +58,10 @@
             codec=self.codec,
             result=self.result,
             random_source=random.Random(self.random_source.random()),
+            on_opening=lambda packet: self._on_opening(service, packet),
             on_flow_packet=lambda packet: self._on_flow_packet(host, packet),
         )
+        server.started_requests = self.started_requests
 
     def find_owner(self, key: FlowKey) -> str | None:
         """Return the host whose backend server holds a flow."""
@@ -66,6 +74,10 @@
         """Whether any backend server holds a flow."""
         return self.find_owner(key) is not None
 
+    def _on_opening(self, service: str, packet: Packet) -> None:
+        allowed = self.allowed_services.get(route_address(packet.key), set())
+        self.result.foreign_runs += service not in allowed
+
     def _on_flow_packet(self, host: str, packet: Packet) -> None:
         self.stray_packets.on_packet(host, packet.key)
         self.result.stray_flows = len(self.stray_packets.stray)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from itertools import count
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -12,9 +13,12 @@
 from oleanderweir_balancer.forwarding import PacketBalancer
 from oleanderweir_balancer.forwarding import PacketBalancerSettings
 from oleanderweir_balancer.forwarding import PlacementPolicy
+from oleanderweir_balancer.forwarding.balancer_program import BalancerProgram
 from oleanderweir_bench.packet_path.site_settings import AVAILABILITY_ZONE
 from oleanderweir_bench.packet_path.site_settings import CALLER_PORT
+from oleanderweir_bench.packet_path.site_settings import EXPIRY_TICKS
 from oleanderweir_bench.packet_path.site_settings import FLOW_TTL_S
+from oleanderweir_bench.packet_path.site_settings import GRACE_S
 from oleanderweir_bench.packet_path.site_settings import PEER_PORT
 from oleanderweir_bench.packet_path.site_settings import TICK_S
 from oleanderweir_bench.packet_path.virtual_network import VirtualSocket
@@ -23,6 +27,7 @@
 if TYPE_CHECKING:
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
+    from oleanderweir.peering import HeartbeatSender
     from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
     from oleanderweir_bench.packet_path.emulated_peers import EmulatedPeers
     from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
@@ -52,32 +57,86 @@
         self.published = published
         self.peers = peers
         self.scopes: dict[str, trio.CancelScope] = {}
+        self.running: dict[str, PacketBalancer] = {}
+        self.paused: set[str] = set()
 
     def start(self, host: str) -> None:
         """Start a balancer with an empty cache, and put it into rotation."""
         register = self.published.create_register(host)
-        balancer = self._create(host, register)
+        balancer = self.running[host] = self._create(host, register)
         register.on_change = balancer.on_state_change
-        self.network.listen(
-            (host, CALLER_PORT), lambda _, data: balancer.on_caller_packet(data)
-        )
-        self.network.listen(
-            (host, PEER_PORT),
-            lambda source, data: self.peers.dispatch(host, balancer, source, data),
-        )
+        self._listen(host, balancer)
         scope = self.scopes[host] = trio.CancelScope()
+        heartbeats = self.peers.heartbeats
+        if heartbeats is not None:
+            heartbeats.follow_changes(host, balancer.on_state_change)
+            sender = heartbeats.senders[host]
+            self.nursery.start_soon(self._run_program, host, sender, scope)
+            return
         self.nursery.start_soon(_retry_lookups, balancer, scope)
         if host not in self.router.hosts:
             self.router.hosts.append(host)
 
+    def bind(self, host: str) -> None:
+        """Keep the packets to a balancer that is paused or about to start."""
+        self.network.hold((host, CALLER_PORT))
+        self.network.hold((host, PEER_PORT))
+
+    async def pause(self, host: str, seconds: float) -> None:
+        """Pause a balancer; datagrams wait in its sockets."""
+        balancer = self.running[host]
+        self.paused.add(host)
+        self.bind(host)
+        await trio.sleep(seconds)
+        self.paused.discard(host)
+        self._listen(host, balancer)
+
+    async def drain(self, host: str) -> None:
+        """Wait as a balancer does that is about to stop."""
+        program = BalancerProgram(
+            balancer=self.running[host],
+            packet_socket=cast(
+                "UdpSocket", VirtualSocket(network=self.network, host=host)
+            ),
+            grace_s=GRACE_S,
+        )
+        await program.drain()
+
     def stop(self, host: str, *, stays_in_rotation: bool = False) -> None:
         """Kill a balancer; with ``stays_in_rotation``, routers keep sending to it."""
         self.scopes[host].cancel()
+        self.paused.discard(host)
+        self.running.pop(host, None)
         self.network.stop_listening((host, CALLER_PORT))
         self.network.stop_listening((host, PEER_PORT))
         if not stays_in_rotation and host in self.router.hosts:
             self.router.hosts.remove(host)
 
+    def _listen(self, host: str, balancer: PacketBalancer) -> None:
+        self.network.listen(
+            (host, CALLER_PORT), lambda _, data: balancer.on_caller_packet(data)
+        )
+        self.network.listen(
+            (host, PEER_PORT),
+            lambda source, data: self.peers.dispatch(host, balancer, source, data),
+        )
+
+    async def _run_program(
+        self, host: str, sender: HeartbeatSender, scope: trio.CancelScope
+    ) -> None:
+        """Run the periodic work of a balancer's process until the scope is closed."""
+        balancer = self.running[host]
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sender.run)
+                for step in count(1):
+                    await trio.sleep(TICK_S)
+                    if host in self.paused:
+                        continue
+                    balancer.retry_lookups()
+                    if step % EXPIRY_TICKS == 0:
+                        balancer.expire()
+
     def _create(self, host: str, register: StateRegister) -> PacketBalancer:
         return PacketBalancer(
             flow_ttl_s=FLOW_TTL_S,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -38,7 +38,8 @@
     Keeps a flow open for ``requests_per_flow`` and sends a request after each pause.
 
     When a flow is reset, the caller opens another one within the request's timeout. It
-    calls ``on_false_reset`` for a reset of a flow that a backend server holds.
+    calls ``on_false_reset`` for a reset of a flow that a backend server holds, unless
+    ``is_judged`` exempts it, by the flow and the sender of the reset.
     """
 
     def __init__(
@@ -55,8 +56,10 @@
         holds_flow: Callable[[FlowKey], bool],
         random_source: random.Random,
         on_false_reset: Callable[[FlowKey], None] = lambda _: None,
+        is_judged: Callable[[FlowKey, str], bool] = lambda _, __: True,
         requests_per_flow: float = float("inf"),
     ) -> None:
+        self.is_judged = is_judged
         self.host = host
         self.route = route
         self.balancer_port = balancer_port
@@ -80,13 +83,12 @@
 
     def on_datagram(self, source: str, data: bytes) -> None:
         """Receive a datagram."""
-        del source
         packet = self.codec.decode_from_backend_server(data)
         if packet is None or packet.key != self.key:
             return
         self.result.altered += not (packet.is_reset or self.codec.is_intact(packet))
         if packet.is_reset:
-            self._record_reset()
+            self._record_reset(source)
         elif packet.is_opening and self.server_sequence is None:
             self.server_sequence = packet.sequence
         elif packet.payload_bytes and self._is_from_owner(packet):
@@ -131,15 +133,23 @@
         if self.requests_on_flow < self.requests_per_flow:
             self._send()
         else:
-            self._send(is_final=True)
-            self.key = None
+            self._close()
         return True
 
+    def _next_port(self) -> int:
+        """Return the port of the next flow."""
+        self.caller_port += 1
+        return self.caller_port
+
+    def _close(self) -> None:
+        """Close the flow after its last response."""
+        self._send(is_final=True)
+        self.key = None
+
     async def _open(self) -> bool:
         """Open a flow; return whether it succeeded."""
-        self.caller_port += 1
         packed = bytes(int(part) for part in self.host.split("."))
-        caller = packed + self.caller_port.to_bytes(2, "big")
+        caller = packed + self._next_port().to_bytes(2, "big")
         self.key = make_flow_key(caller=caller, route=self.route)
         self.sequence = self.random_source.randrange(1 << 30)
         self.server_sequence = None
@@ -181,13 +191,20 @@
         """Whether the backend server that accepted the opening sent a packet."""
         return packet.sequence == self.server_sequence
 
-    def _record_reset(self) -> None:
+    def _record_reset(self, source: str) -> None:
         self.is_reset = True
-        if self.key is None or self.server_sequence is None:
+        if self.key is not None:
+            self.record_false_reset(self.key, self.server_sequence, source)
+
+    def record_false_reset(
+        self, key: FlowKey, server_sequence: int | None, source: str
+    ) -> None:
+        """Count a reset from a host if a backend server holds the open flow."""
+        if server_sequence is None or not self.holds_flow(key):
             return
-        if self.holds_flow(self.key):
+        if self.is_judged(key, source):
             self.result.false_resets += 1
-            self.on_false_reset(self.key)
+            self.on_false_reset(key)
 
     def _send(
         self,
@@ -202,7 +219,26 @@
         balancer = self.router.choose(self.key)
         if balancer is None:
             return
-        data = self.codec.encode(
+        data = self._encode(
+            is_opening=is_opening,
+            is_final=is_final,
+            retransmissions=retransmissions,
+            payload_bytes=payload_bytes,
+        )
+        self.network.send(self.host, data, (balancer, self.balancer_port))
+
+    def _encode(
+        self,
+        *,
+        is_opening: bool = False,
+        is_final: bool = False,
+        retransmissions: int = 0,
+        payload_bytes: int = 0,
+    ) -> bytes:
+        """Return the next packet of the flow."""
+        if self.key is None:
+            raise ValueError("no flow is open or being opened")
+        return self.codec.encode(
             self.key,
             PacketHeader(
                 is_opening=is_opening,
@@ -217,7 +253,6 @@
             ),
             is_from_caller=True,
         )
-        self.network.send(self.host, data, (balancer, self.balancer_port))
 
     async def _wait(self, seconds: float) -> None:
         """Wait up to ``seconds`` for an opening packet, a response or a reset."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
@@ -22,6 +22,7 @@
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding import PacketAgent
     from oleanderweir_balancer.forwarding import PacketBalancer
+    from oleanderweir_bench.packet_path.emulated_heartbeats import EmulatedHeartbeats
 
 
 class EmulatedPeers:
@@ -30,7 +31,8 @@
 
     No heartbeats are sent: a process that starts knows the hosts of the site, and a
     balancer learns of an agent that is added after a random time. Agents don't know
-    each other, since they exchange no heartbeats.
+    each other, since they exchange no heartbeats. With ``heartbeats``, processes find
+    each other as the programs do.
     """
 
     def __init__(
@@ -39,7 +41,11 @@
         balancer_hosts: Sequence[str],
         agent_hosts: Sequence[str],
         random_source: random.Random,
+        nursery: trio.Nursery,
+        heartbeats: EmulatedHeartbeats | None = None,
     ) -> None:
+        self.nursery = nursery
+        self.heartbeats = heartbeats
         # The current hosts; the site adds and removes agents.
         self.balancer_hosts = balancer_hosts
         self.agent_hosts = agent_hosts
@@ -47,19 +53,26 @@
         # Members by the host of the process that knows them.
         self.members: dict[str, Members] = {}
 
-    def create_members(self, host: str) -> Members:
+    def create_members(self, host: str, *, service: str = "") -> Members:
         """Return members for a process that starts; agents know only balancers."""
+        if self.heartbeats is not None:
+            role = PeerRole.AGENT if service else PeerRole.BALANCER
+            sender = self.heartbeats.create(host, role=role, service=service)
+            self.members[host] = sender.members
+            return sender.members
         members = self.members[host] = Members(own_host=host)
         agents = self.agent_hosts if host in self.balancer_hosts else []
         for other in (*self.balancer_hosts, *agents):
             members.record_heartbeat(other, self._create_heartbeat(other))
         return members
 
-    def introduce(self, host: str, nursery: trio.Nursery, *, max_lag_s: float) -> None:
+    def introduce(self, host: str, *, max_lag_s: float) -> None:
         """Let each balancer learn of a new agent within ``max_lag_s``."""
+        if self.heartbeats is not None:
+            return
         for process_host, members in list(self.members.items()):
             if process_host in self.balancer_hosts:
-                nursery.start_soon(
+                self.nursery.start_soon(
                     self._record_heartbeat_late, members, host, max_lag_s
                 )
 
@@ -72,6 +85,10 @@
     ) -> None:
         """Dispatch a message to the process on a host, as a process does."""
         message: Message = decode_message(data)
+        if self.heartbeats is not None and isinstance(message, Heartbeat):
+            sender = self.heartbeats.senders[host]
+            sender.on_heartbeat(source, message, self.nursery)
+            return
         if isinstance(message, Departure):
             self.members[host].record_departure(source)
             return
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -15,9 +15,13 @@
 from oleanderweir_bench.packet_path.emulated_agents import EmulatedAgents
 from oleanderweir_bench.packet_path.emulated_backends import EmulatedBackends
 from oleanderweir_bench.packet_path.emulated_balancers import EmulatedBalancers
+from oleanderweir_bench.packet_path.emulated_caller import EmulatedCaller
 from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
+from oleanderweir_bench.packet_path.emulated_heartbeats import EmulatedHeartbeats
 from oleanderweir_bench.packet_path.emulated_peers import EmulatedPeers
+from oleanderweir_bench.packet_path.emulated_readiness import EmulatedReadiness
 from oleanderweir_bench.packet_path.emulated_router import EmulatedRouter
+from oleanderweir_bench.packet_path.fault_record import FaultRecord
 from oleanderweir_bench.packet_path.published_state import PublishedState
 from oleanderweir_bench.packet_path.routes import make_route
 from oleanderweir_bench.packet_path.site_result import SiteResult
@@ -31,6 +35,9 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from oleanderweir.flows import FlowKey
     from oleanderweir_bench.packet_path.emulated_backend import EmulatedBackendServer
     from oleanderweir_bench.packet_path.running_agent import RunningAgent
 
@@ -41,6 +48,8 @@
 
     There is no store: the published state is written into the register of each
     process, at its start and after each change. Scenarios use the operations below.
+    With ``runs_programs``, the processes do all that the programs do: they exchange
+    heartbeats, probe backend servers, and get the published state after their start.
     """
 
     def __init__(
@@ -51,7 +60,10 @@
         balancers: int = 3,
         backends: int = 4,
         uses_rendezvous_hash: bool = True,
+        runs_programs: bool = False,
     ) -> None:
+        self.runs_programs = runs_programs
+        self.faults = FaultRecord()
         self.nursery = nursery
         self.random_source = random.Random(seed)
         self.network = VirtualNetwork(
@@ -60,6 +72,8 @@
         self.codec = EmulatedPacketCodec()
         self.router = EmulatedRouter(uses_rendezvous_hash=uses_rendezvous_hash)
         self.result = SiteResult()
+        # Flows that were reset although a backend server held them.
+        self.falsely_reset: list[FlowKey] = []
         self.balancer_hosts = [f"10.0.1.{n}" for n in range(1, balancers + 1)]
         self.agent_hosts = [f"10.0.2.{n}" for n in range(1, backends + 1)]
         self.published = PublishedState(
@@ -71,10 +85,19 @@
                 idle_timeout_s=15.0,
             ),
         )
+        self.published.is_watched = runs_programs
+        heartbeats = EmulatedHeartbeats(
+            seeds=self.balancer_hosts,
+            random_source=random.Random(seed),
+            network=self.network,
+            published=self.published,
+        )
         self.peers = EmulatedPeers(
             balancer_hosts=self.balancer_hosts,
             agent_hosts=self.agent_hosts,
             random_source=self.random_source,
+            nursery=nursery,
+            heartbeats=heartbeats if runs_programs else None,
         )
         self.backends = EmulatedBackends(
             random_source=self.random_source,
@@ -98,6 +121,11 @@
             published=self.published,
             peers=self.peers,
         )
+        self.readiness = EmulatedReadiness(
+            router=self.router,
+            hosts=self.balancer_hosts,
+            balancers=self.balancer_processes,
+        )
         self._start()
 
     @property
@@ -153,14 +181,19 @@
         self.published.records[host] = record
         self.published.publish()
 
-    def add_backend(self, host: str) -> None:
+    def add_backend(
+        self, host: str, *, service: str = SERVICE, started_at_ms: int = 1
+    ) -> None:
         """Start a backend server with its agent on a new host, and publish it."""
         self.agent_hosts.append(host)
-        self.backends.start(host)
+        self.agent_processes.services[host] = service
+        self.backends.start(host, service=service)
         self.start_agent(host)
-        self.published.records[host] = _make_record(host)
+        self.published.records[host] = _make_record(
+            host, service=service, started_at_ms=started_at_ms
+        )
         self.published.publish()
-        self.peers.introduce(host, self.nursery, max_lag_s=self.published.max_lag_s)
+        self.peers.introduce(host, max_lag_s=self.published.max_lag_s)
 
     def remove_backend(self, host: str) -> None:
         """Stop a drained backend server and its agent, which departs."""
@@ -174,7 +207,14 @@
     # Callers
 
     def start_callers(
-        self, count: int, *, until: float, requests_per_flow: float = float("inf")
+        self,
+        count: int,
+        *,
+        until: float,
+        requests_per_flow: float = float("inf"),
+        caller_type: type[EmulatedCaller] = EmulatedCaller,
+        routes: Sequence[bytes] = (ROUTE,),
+        block: int = 0,
     ) -> None:
         """Start callers that send requests until ``until``, a time of trio's clock."""
         callers = CallerStarter(
@@ -186,16 +226,28 @@
             codec=self.codec,
             result=self.result,
             holds_flow=self.backends.holds_flow,
+            on_false_reset=self.falsely_reset.append,
+            is_judged=self._is_judged,
+            caller_type=caller_type,
         )
         for number in range(count):
             callers.start(
-                f"100.64.{number // 250}.{number % 250 + 1}",
-                route=ROUTE,
+                f"100.{64 + block}.{number // 250}.{number % 250 + 1}",
+                route=routes[number % len(routes)],
                 until=until,
                 requests_per_flow=requests_per_flow,
             )
 
+    def _is_judged(self, key: FlowKey, host: str) -> bool:
+        """Whether a reset of a flow counts that a host sent."""
+        owner = self.backends.find_owner(key)
+        return owner is not None and self._are_undisturbed(owner, host)
+
+    def _are_undisturbed(self, owner: str, host: str) -> bool:
+        return self.faults.is_undisturbed(owner) and self.faults.is_undisturbed(host)
+
     def _start(self) -> None:
+        self.backends.stray_packets.is_judged = self._are_undisturbed
         for host in self.agent_hosts:
             self.backends.start(host)
             self.published.records[host] = _make_record(host)
@@ -203,18 +255,24 @@
             self.start_agent(host)
         for host in self.balancer_hosts:
             self.start_balancer(host)
+        if self.runs_programs:
+            self.published.publish()
+            self.nursery.start_soon(self.readiness.run)
 
 
-def _make_record(host: str) -> BackendRecord:
+def _make_record(
+    host: str, *, service: str = SERVICE, started_at_ms: int = 1
+) -> BackendRecord:
+    number = f"-{started_at_ms}" if started_at_ms > 1 else ""
     return BackendRecord(
-        identifier=f"server-{host}",
-        service=SERVICE,
+        identifier=f"server-{host}{number}",
+        service=service,
         host=host,
         port=BACKEND_PORT,
         availability_zone=AVAILABILITY_ZONE,
         slots=SLOTS,
         state=BackendState.READY,
         cold_remaining_s=0.0,
-        started_at_ms=1,
+        started_at_ms=started_at_ms,
         sequence=1,
     )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_settings.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_settings.py
@@ -14,3 +14,7 @@
 SLOTS = 4
 FLOW_TTL_S = 60.0
 TICK_S = 0.05
+# Ticks between two expiries of what a process keeps.
+EXPIRY_TICKS = 20
+# Time between the signal to stop a process and its end.
+GRACE_S = 5.0
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/stray_packet_watch.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/stray_packet_watch.py
@@ -29,17 +29,22 @@
 
 
 class StrayPacketWatch:
-    """Counts stray flows; ``find_owner`` returns the host that has a flow open."""
+    """
+    Counts stray flows; ``find_owner`` returns the host that has a flow open.
+
+    Packets at a host count only if ``is_judged`` is true for the owner and that host.
+    """
 
     def __init__(self, *, find_owner: Callable[[FlowKey], str | None]) -> None:
         self.find_owner = find_owner
+        self.is_judged: Callable[[str, str], bool] = lambda _, __: True
         self.packets: dict[FlowKey, StrayPackets] = {}
         self.stray: set[FlowKey] = set()
 
     def on_packet(self, host: str, key: FlowKey) -> None:
         """Record that a packet of a flow has reached a backend server."""
         owner = self.find_owner(key)
-        if owner is None or owner == host:
+        if owner is None or owner == host or not self.is_judged(owner, host):
             self.packets.pop(key, None)
             return
         now = trio.current_time()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     import random
 
+    from oleanderweir_bench.packet_path.link_faults import LinkFaults
+
 
 ONE_WAY_DELAY_S = 0.001
 
@@ -27,12 +29,16 @@
     Datagrams to addresses without a listener are dropped. Those to a held address wait
     in its socket and are delivered in order once it is listened to. A share of
     ``loss_rate`` of all datagrams is lost; this requires ``random_source``.
+    ``link_faults`` and ``cuts``, pairs of hosts that don't reach each other, apply to
+    datagrams between hosts only.
     """
 
     def __init__(self, *, nursery: trio.Nursery, random_source: random.Random) -> None:
         self.nursery = nursery
         self.random_source = random_source
         self.loss_rate = 0.0
+        self.link_faults: LinkFaults | None = None
+        self.cuts: set[frozenset[str]] = set()
         self.listeners: dict[tuple[str, int], Listener] = {}
         # Datagrams that wait in the sockets of held addresses.
         self.held: dict[tuple[str, int], deque[tuple[str, bytes]]] = {}
@@ -59,7 +65,15 @@
         """Send a datagram from a host."""
         if self.loss_rate and self.random_source.random() < self.loss_rate:
             return
-        self.nursery.start_soon(self._deliver, source, data, address)
+        delays_s = [ONE_WAY_DELAY_S]
+        if source != address[0]:
+            delays_s = self._draw_delays_s(source, address[0])
+        for delay_s in delays_s:
+            self.nursery.start_soon(self._deliver, source, data, address, delay_s)
+
+    def is_cut(self, host: str, other: str) -> bool:
+        """Whether two hosts don't reach each other."""
+        return frozenset((host, other)) in self.cuts
 
     def start_soon(
         self, task: Callable[..., Awaitable[None]], *arguments: object
@@ -67,10 +81,20 @@
         """Run a task of a host in the network's nursery."""
         self.nursery.start_soon(task, *arguments)
 
+    def _draw_delays_s(self, host: str, other: str) -> list[float]:
+        """Return the delay of each copy of a datagram between hosts."""
+        if self.is_cut(host, other):
+            return []
+        faults, source = self.link_faults, self.random_source
+        if faults is None:
+            return [ONE_WAY_DELAY_S]
+        copies = faults.draw_copies(source)
+        return [ONE_WAY_DELAY_S + faults.draw_delay_s(source) for _ in range(copies)]
+
     async def _deliver(
-        self, source: str, data: bytes, address: tuple[str, int]
+        self, source: str, data: bytes, address: tuple[str, int], delay_s: float
     ) -> None:
-        await trio.sleep(ONE_WAY_DELAY_S)
+        await trio.sleep(delay_s)
         on_datagram = self.listeners.get(address)
         if on_datagram is not None:
             on_datagram(source, data)
