Keep flows of ports that are used again apart from ended ones

Callers that used a port again saw a reset of the new flow, or got no answer, if the router moved it to a balancer that had carried the ended flow of the same port: its cache named the backend server of the ended flow, whose agent took the packet for one of that flow and forwarded the reset of its backend server. Final packets of the new flow went to the old backend server until the caller gave up. An opening packet at an agent with an entry of the closed flow was dropped as a late copy, and opened the flow 0.2 s later.

The acknowledgement of a packet tells which of two flows of a port it belongs to. An agent now returns a packet of a later flow with NOT_HELD, so that the balancer looks its owner up, and forwards the first opening packet of a port whose flow has ended.

Ruled out: a denial by the owner, which got no packet.

Not mended: a backend server acknowledges the final packet of a later flow if its agent has dropped the entry of the ended flow.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -57,6 +57,11 @@
     ) -> None:
         """Forward a packet if the backend server holds its flow, or may hold it."""
         flow = self.table.get(packet.key)
+        if flow is not None and flow.is_of_later_flow(packet):
+            # This agent would have seen the later flow if it had been opened here.
+            self.remover.remove(packet.key, now=now)
+            self.ownership.record_not_held(packet.key, now=now)
+            flow = None
         if flow is None:
             self._check_ownership(host, packet, message, now=now)
         elif self.liveness.is_down():
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -16,6 +16,8 @@
 CLOSED_FLOW_TTL_S = 5.0
 # Sequence numbers of packets have 32 bits and wrap around.
 SEQUENCE_MODULUS = 2**32
+# Acknowledgements of one flow that are in flight at the same time differ by less.
+MAX_ACKNOWLEDGED_DISTANCE = 76_800
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -82,6 +84,13 @@
         ahead = (sequence - self.received_up_to) % SEQUENCE_MODULUS
         return not 0 < ahead < SEQUENCE_MODULUS // 2
 
+    def is_of_later_flow(self, packet: Packet) -> bool:
+        """Whether a caller's packet belongs to a flow that uses the port again."""
+        if not self.is_closed:
+            return False
+        ahead = (packet.acknowledged - self.caller_acknowledged) % SEQUENCE_MODULUS
+        return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
+
     def describe_progress(self) -> dict[str, bool]:
         """Return how far the flow is established, as inputs of log lines."""
         return {
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -64,8 +64,12 @@
         """Forward an opening packet to the backend server, or return it if rejected."""
         existing = self.table.get(packet.key)
         if existing is not None and existing.is_confirmed:
-            # A late copy: the flow is open already.
-            return
+            if not existing.is_closed or packet.acknowledged > 0:
+                # A late copy: the flow is open already, or has ended.
+                return
+            # The caller uses the port of an ended flow again.
+            self.remover.remove(packet.key, now=now)
+            existing = None
         reason = self._find_rejection(existing, packet, message)
         if reason is ReturnReason.BUSY:
             # The balancer placed the flow by an older report: send it a new one.
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/closing_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/closing_caller.py
@@ -60,7 +60,10 @@
         if packet.is_reset:
             del self.closing[packet.key]
             self.record_false_reset(packet.key, flow.server_sequence, source)
-        elif packet.acknowledged > flow.sequence:
+        elif (
+            packet.sequence == flow.server_sequence
+            and packet.acknowledged > flow.sequence
+        ):
             del self.closing[packet.key]
             self.free_ports.append(int.from_bytes(packet.key[4:6], "big"))
 
