--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/closing_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/closing_caller.py
@@ -49,12 +49,16 @@
         super().__init__(**arguments)
         self.closing: dict[FlowKey, ClosingFlow] = {}
         self.free_ports: list[int] = []
+        # The flow that its backend server has closed.
+        self.closed_key: FlowKey | None = None
 
     def on_datagram(self, source: str, data: bytes) -> None:
         """Receive a datagram."""
         packet = self.codec.decode_from_backend_server(data)
         flow = None if packet is None else self.closing.get(packet.key)
         if packet is None or flow is None:
+            if packet is not None and packet.is_final and self._is_from_owner(packet):
+                self.closed_key = packet.key
             super().on_datagram(source, data)
             return
         if packet.is_reset:
@@ -73,6 +77,8 @@
         await trio.sleep(random_source.uniform(0, MEAN_PAUSE_S))
         while trio.current_time() < until:
             await self._request()
+            if self.key is not None and self.key == self.closed_key:
+                self._close()
             pause_s = random_source.uniform(0.5, 1.5) * MEAN_PAUSE_S
             if random_source.random() < LONG_PAUSE_SHARE:
                 pause_s = random_source.uniform(pause_s, MAX_PAUSE_S)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -90,11 +90,14 @@
         self.busy = 0
         self.started_requests: set[tuple[FlowKey, int]] = set()
         self.incarnation = 0
+        # While draining, a response also closes its flow.
+        self.is_draining = False
         self.start()
 
     def start(self) -> None:
         """Start or restart, without flows."""
         self.incarnation += 1
+        self.is_draining = False
         self.flows = {}
         self.ended = {}
         self.waiting.clear()
@@ -214,7 +217,9 @@
         self.busy -= 1
         if flow is not None and self.flows.get(key) is flow:
             flow.is_answered = True
-            self._send(key, flow, payload_bytes=RESPONSE_BYTES)
+            self._send(
+                key, flow, payload_bytes=RESPONSE_BYTES, is_final=self.is_draining
+            )
         self._start_next()
 
     def _send(
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
@@ -71,6 +71,7 @@
             "replace_service": self.replace_service,
             "restart_agent": self.restart_agent,
             "restart_balancer": self.restart_balancer,
+            "return_late": self.return_late,
             "roll_agents": self.roll_agents,
         }
 
@@ -205,6 +206,15 @@
         await self.site.lapse(host, self._draw(0.1, 1.9))
         self.busy_hosts.discard(host)
 
+    async def return_late(self) -> None:
+        """Let an entry lapse for longer than the store's entries are missing."""
+        host = self._take(self.site.agent_hosts)
+        if host is None:
+            return
+        with self.site.faults.fault(host):
+            await self.site.lapse(host, self._draw(2.5, 6.0))
+        self.busy_hosts.discard(host)
+
     async def delay_openings(self) -> None:
         """Make a backend server answer opening packets late at times."""
         server = self.site.servers[self.random_source.choice(self.site.agent_hosts)]
@@ -247,6 +257,7 @@
                 record, state=BackendState.DRAINING, sequence=record.sequence + 1
             )
         )
+        self.site.servers[host].is_draining = True
         await trio.sleep(self._draw(1.0, 4.0))
         self.site.servers[host].stop()
         await self.site.agent_processes.drain(host)
