Give the phases of the replication experiment typed outcomes

Phases returned tuples of up to four values. The stand-ins, their counts and the published tickets move to PlatformStandIns, and publish_in_turn serves single tickets as well as those of the freeze.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/replication/replication_experiment.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/replication/replication_experiment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import tempfile
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -12,11 +11,14 @@
 import trio
 
 from oleanderweir_bench.keys import CertificateAuthority
-from oleanderweir_bench.platform import ConfigurationServiceStandIn
-from oleanderweir_bench.platform import serve_application
+from oleanderweir_bench.replication.burst_outcome import BurstOutcome
 from oleanderweir_bench.replication.fleet import Fleet
-from oleanderweir_bench.replication.node import LOOPBACK
+from oleanderweir_bench.replication.freeze_outcome import FreezeOutcome
+from oleanderweir_bench.replication.platform_stand_ins import PlatformStandIns
+from oleanderweir_bench.replication.platform_stand_ins import serve_stand_in
+from oleanderweir_bench.replication.replacement_outcome import ReplacementOutcome
 from oleanderweir_bench.replication.replication_result import ReplicationResult
+from oleanderweir_bench.replication.rest_outcome import RestOutcome
 from oleanderweir_bench.replication.usage_per_node import UsagePerNode
 from oleanderweir_bench.replication.worker_plan import WorkerPlan
 from oleanderweir_bench.replication.worker_process import WorkerProcess
@@ -32,20 +34,6 @@
 SETTLE_S = 5.0
 
 
-def make_ticket(number: int, service_names: list[str]) -> str:
-    """Return a ticket with the named services as JSON text."""
-    services = {
-        name: {
-            "address": f"10.{number % 250}.{index // 250}.{index % 250 + 1}:443",
-            "request_timeout_s": 10.0,
-            "retry_ratio": 0.1,
-            "feed_paths": ["/ticks", "/feed"],
-        }
-        for index, name in enumerate(service_names)
-    }
-    return json.dumps({"ticket": number, "services": services})
-
-
 @attrs.define(kw_only=True, eq=False)
 class ReplicationExperiment:
     """
@@ -57,8 +45,7 @@
 
     plan: ReplicationPlan
     fleet: Fleet
-    configuration: ConfigurationServiceStandIn
-    instances: ConfigurationServiceStandIn
+    platform: PlatformStandIns
 
     @classmethod
     @asynccontextmanager
@@ -66,30 +53,12 @@
         cls, plan: ReplicationPlan
     ) -> AsyncIterator[ReplicationExperiment]:
         """Start the stand-ins and the workers; stop them on exit."""
-        configuration = ConfigurationServiceStandIn()
-        instances = ConfigurationServiceStandIn()
+        platform = PlatformStandIns()
+        fleet = Fleet(workers=[], instances=platform.instances.state)
+        experiment = cls(plan=plan, fleet=fleet, platform=platform)
         async with trio.open_nursery() as nursery:
-            urls = []
-            for stand_in in (configuration, instances):
-                address = await nursery.start(serve, stand_in)
-                urls.append(f"http://{address}")
             with tempfile.TemporaryDirectory() as folder:
-                authority = CertificateAuthority()
-                credentials = authority.write_peer_credentials(Path(folder))
-                worker_plan = WorkerPlan(
-                    configuration_url=urls[0],
-                    instance_list_url=urls[1],
-                    certificate_path=credentials.certificate_path,
-                    key_path=credentials.key_path,
-                    authority_path=credentials.authority_path,
-                )
-                fleet = Fleet(workers=[], instances=instances.state)
-                experiment = cls(
-                    plan=plan,
-                    fleet=fleet,
-                    configuration=configuration,
-                    instances=instances,
-                )
+                worker_plan = await make_worker_plan(platform, Path(folder), nursery)
                 try:
                     await experiment.start_workers(nursery, worker_plan)
                     yield experiment
@@ -112,180 +81,173 @@
         """Run every phase and return the measurements."""
         boot_s = await self.boot()
         await trio.sleep(SETTLE_S)
-        rest_reads_per_s, rest = await self.measure_rest()
+        rest = await self.measure_rest()
         before = await self.fleet.fetch_usages()
         spread_s = await self.publish_singles()
-        singles = await self.usage_since(before)
+        singles_usage = await self.usage_since(before)
         before = await self.fleet.fetch_usages()
-        burst_s, is_burst_complete = await self.publish_burst()
-        burst = await self.usage_since(before)
-        peak = self.peak_reads_per_s()
-        watches = self.configuration.meter.waiting_watches
-        frozen, frozen_spread_s, catch_up_s = await self.freeze_worker()
+        burst = await self.publish_burst()
+        burst_usage = await self.usage_since(before)
+        peak_reads_per_s = self.platform.peak_reads_per_s
+        waiting_watches = self.platform.waiting_watches
+        freeze = await self.freeze_worker()
         before = await self.fleet.fetch_usages()
-        replaced, ready_s, is_ready, is_kept = await self.replace_half()
-        replacement = await self.usage_since(before)
-        surplus_bytes_per_s = replacement.control_bytes_per_s - rest.control_bytes_per_s
-        surplus_bytes = surplus_bytes_per_s * replacement.duration_s
+        replacement = await self.replace_half()
+        replacement_usage = await self.usage_since(before)
         return ReplicationResult(
             node_count=self.plan.node_count,
             boot_s=boot_s,
             spread_s=spread_s,
             missed=self.plan.single_tickets - len(spread_s),
-            rest=rest,
-            singles=singles,
-            burst=burst,
-            burst_s=burst_s,
-            is_burst_complete=is_burst_complete,
-            rest_reads_per_s=rest_reads_per_s,
-            peak_reads_per_s=peak,
-            waiting_watches=watches,
-            frozen=frozen,
-            frozen_spread_s=frozen_spread_s,
-            catch_up_s=catch_up_s,
-            replaced=replaced,
-            replacement_bytes=surplus_bytes * self.plan.node_count / replaced,
-            replaced_ready_s=ready_s,
-            is_replacement_ready=is_ready,
-            is_ticket_kept=is_kept,
+            rest=rest.usage,
+            singles=singles_usage,
+            burst=burst_usage,
+            burst_s=burst.burst_s,
+            is_burst_complete=burst.is_complete,
+            rest_reads_per_s=rest.reads_per_s,
+            peak_reads_per_s=peak_reads_per_s,
+            waiting_watches=waiting_watches,
+            frozen=freeze.frozen,
+            frozen_spread_s=freeze.spread_s,
+            catch_up_s=freeze.catch_up_s,
+            replaced=replacement.replaced,
+            replacement_bytes=self.bytes_per_replaced_node(
+                replacement.replaced, during=replacement_usage, rest=rest.usage
+            ),
+            replaced_ready_s=replacement.ready_s,
+            is_replacement_ready=replacement.is_ready,
+            is_ticket_kept=replacement.is_ticket_kept,
         )
 
     async def boot(self) -> float:
         """Start every node at once; return the seconds until all are ready."""
         for _ in range(self.plan.preset_tickets):
-            self.publish(self.plan.services_per_ticket)
+            self.platform.publish(self.plan.services_per_ticket)
         started_s = self.fleet.now_s()
         await self.fleet.start(self.plan.node_count)
         await self.fleet.wait_ready(timeout_s=self.plan.timeout_s)
         return self.fleet.now_s() - started_s
 
-    def publish(self, service_count: int = 1) -> int:
-        """Publish the next ticket; return its number."""
-        number = self.configuration.state.highest_ticket + 1
-        names = [f"service-{number}-{n}" for n in range(service_count)]
-        return self.configuration.state.publish(make_ticket(number, names))
-
-    async def measure_rest(self) -> tuple[float, UsagePerNode]:
-        """
-        Return reads per second and usage per node while nothing changes.
-
-        A waiting watch counts as one read per second.
-        """
+    async def measure_rest(self) -> RestOutcome:
+        """Measure reads and usage while nothing changes."""
         before = await self.fleet.fetch_usages()
-        calls_before = self.count_calls()
+        calls_before = self.platform.count_calls()
         await trio.sleep(self.plan.rest_s)
         usage = await self.usage_since(before)
-        waiting = self.configuration.meter.waiting_watches
-        return (self.count_calls() - calls_before) / usage.duration_s + waiting, usage
+        waiting = self.platform.waiting_watches
+        calls = self.platform.count_calls() - calls_before
+        return RestOutcome(reads_per_s=calls / usage.duration_s + waiting, usage=usage)
 
     async def publish_singles(self) -> list[float]:
+        """Publish single tickets; return the seconds until each was in force."""
+        return await self.publish_in_turn(
+            self.plan.single_tickets, interval_s=self.plan.single_interval_s
+        )
+
+    async def publish_in_turn(
+        self, count: int, *, interval_s: float, names: frozenset[str] | None = None
+    ) -> list[float]:
         """
         Publish tickets one at a time.
 
-        Return the seconds until each was in force on the last node, without tickets
-        that missed the timeout.
+        Return the seconds until each was in force on the last of the named nodes, by
+        default of all, without tickets that missed the timeout.
         """
         spread_s = []
-        for _ in range(self.plan.single_tickets):
+        for _ in range(count):
             published_s = self.fleet.now_s()
-            ticket = self.publish()
-            if await self.fleet.wait_in_force([ticket], timeout_s=self.plan.timeout_s):
-                spread_s.append(self.fleet.last_in_force_s(ticket) - published_s)
-            await trio.sleep(self.plan.single_interval_s)
+            ticket = self.platform.publish()
+            if await self.fleet.wait_in_force(
+                [ticket], timeout_s=self.plan.timeout_s, names=names
+            ):
+                spread_s.append(self.fleet.last_in_force_s(ticket, names) - published_s)
+            await trio.sleep(interval_s)
         return spread_s
 
-    async def publish_burst(self) -> tuple[float, bool]:
-        """
-        Publish many tickets at once.
-
-        Return the seconds until all were in force on every node, and whether that was
-        within the timeout.
-        """
+    async def publish_burst(self) -> BurstOutcome:
+        """Publish many tickets at once."""
         published_s = self.fleet.now_s()
-        tickets = [self.publish() for _ in range(self.plan.burst_tickets)]
+        tickets = [self.platform.publish() for _ in range(self.plan.burst_tickets)]
         is_complete = await self.fleet.wait_in_force(
             tickets, timeout_s=self.plan.timeout_s
         )
-        return self.fleet.now_s() - published_s, is_complete
-
-    async def freeze_worker(self) -> tuple[int, list[float], float]:
-        """
-        Freeze one worker, publish tickets meanwhile, then resume the worker.
+        return BurstOutcome(
+            burst_s=self.fleet.now_s() - published_s, is_complete=is_complete
+        )
 
-        Return the number of frozen nodes, the seconds until each ticket was in force
-        on the last running node, and the seconds that the frozen nodes needed to
-        catch up.
-        """
+    async def freeze_worker(self) -> FreezeOutcome:
+        """Freeze one worker, publish tickets meanwhile, then resume the worker."""
         worker = self.fleet.workers[-1]
         running = self.fleet.names_on_other_workers(worker)
         worker.freeze()
-        spread_s = []
-        for _ in range(self.plan.frozen_tickets):
-            published_s = self.fleet.now_s()
-            ticket = self.publish()
-            if await self.fleet.wait_in_force(
-                [ticket], timeout_s=self.plan.timeout_s, names=running
-            ):
-                spread_s.append(
-                    self.fleet.last_in_force_s(ticket, running) - published_s
-                )
-            await trio.sleep(self.plan.freeze_s / self.plan.frozen_tickets)
+        spread_s = await self.publish_in_turn(
+            self.plan.frozen_tickets,
+            interval_s=self.plan.freeze_s / self.plan.frozen_tickets,
+            names=running,
+        )
         thawed_s = self.fleet.now_s()
         worker.thaw()
-        await self.fleet.wait_in_force([ticket], timeout_s=self.plan.timeout_s)
-        catch_up_s = self.fleet.now_s() - thawed_s
-        return self.plan.node_count - len(running), spread_s, catch_up_s
+        await self.fleet.wait_in_force(
+            [self.platform.newest_ticket], timeout_s=self.plan.timeout_s
+        )
+        return FreezeOutcome(
+            frozen=self.plan.node_count - len(running),
+            spread_s=spread_s,
+            catch_up_s=self.fleet.now_s() - thawed_s,
+        )
 
-    async def replace_half(self) -> tuple[int, float, bool, bool]:
+    async def replace_half(self) -> ReplacementOutcome:
         """
         Replace half of the nodes while the configuration service has faults.
 
-        It is down for the first quarter and serves stale state for the second. Return
-        the number of replaced nodes, the seconds until all were ready, whether they
-        were ready within the timeout, and whether the newest ticket is in force on
-        every node.
+        It is down for the first quarter and serves stale state for the second.
         """
-        newest = self.configuration.state.highest_ticket
+        newest = self.platform.newest_ticket
+        conditions = self.platform.configuration.conditions
         started_s = self.fleet.now_s()
         old = sorted(self.fleet.plans)[: self.plan.node_count // 2]
         half = len(old) // 2
         is_ready = True
-        self.configuration.conditions.is_down = True
+        conditions.is_down = True
         for names in (old[:half], old[half:]):
             await self.fleet.stop(names)
             await self.fleet.start(len(names))
             timeout_s = self.plan.timeout_s
             is_ready &= await self.fleet.wait_ready(timeout_s=timeout_s)
-            self.configuration.conditions.is_down = False
-            self.configuration.conditions.stale_at = self.plan.preset_tickets
+            conditions.is_down = False
+            conditions.stale_at = self.plan.preset_tickets
         ready_s = self.fleet.now_s() - started_s
         await trio.sleep(SETTLE_S)
-        return len(old), ready_s, is_ready, self.fleet.is_in_force(newest)
+        return ReplacementOutcome(
+            replaced=len(old),
+            ready_s=ready_s,
+            is_ready=is_ready,
+            is_ticket_kept=self.fleet.is_in_force(newest),
+        )
 
     async def usage_since(self, before: list[WorkerUsage]) -> UsagePerNode:
         """Return the usage per node since an earlier reading."""
         after = await self.fleet.fetch_usages()
         return UsagePerNode.between(before, after, node_count=self.plan.node_count)
 
-    def count_calls(self) -> int:
-        """Return the number of calls to both stand-ins so far."""
-        meters = (self.configuration.meter, self.instances.meter)
-        return sum(sum(meter.calls.values()) for meter in meters)
-
-    def peak_reads_per_s(self) -> int:
-        """Return the higher of the stand-ins' peak reads per second."""
-        return max(
-            self.configuration.meter.peak_reads_per_s,
-            self.instances.meter.peak_reads_per_s,
-        )
-
-
-async def serve(
-    stand_in: ConfigurationServiceStandIn,
-    *,
-    task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve a stand-in on a free port of the loopback address."""
-    await serve_application(
-        stand_in.application, host=LOOPBACK, port=0, task_status=task_status
+    def bytes_per_replaced_node(
+        self, replaced: int, *, during: UsagePerNode, rest: UsagePerNode
+    ) -> float:
+        """Return the control bytes of all nodes beyond those of the time at rest."""
+        surplus_bytes_per_s = during.control_bytes_per_s - rest.control_bytes_per_s
+        surplus_bytes = surplus_bytes_per_s * during.duration_s
+        return surplus_bytes * self.plan.node_count / replaced
+
+
+async def make_worker_plan(
+    platform: PlatformStandIns, folder: Path, nursery: trio.Nursery
+) -> WorkerPlan:
+    """Serve the stand-ins and write the peer credentials for the workers."""
+    credentials = CertificateAuthority().write_peer_credentials(folder)
+    return WorkerPlan(
+        configuration_url=await serve_stand_in(platform.configuration, nursery),
+        instance_list_url=await serve_stand_in(platform.instances, nursery),
+        certificate_path=credentials.certificate_path,
+        key_path=credentials.key_path,
+        authority_path=credentials.authority_path,
     )
