Name the sizes of the simulated services

Two experiments listed the same four pairs of numbers, and three passed such pairs around and formatted them alike; ServiceSize replaces the pairs. partial replaces a closure in each of the three.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/imbalance.py
@@ -4,6 +4,7 @@
 
 import random
 import statistics
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,8 @@
 from oleanderweir_bench.experiments.policy_set import PolicySet
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.service_size import SERVICE_SIZES
+from oleanderweir_bench.experiments.service_size import ServiceSize
 from oleanderweir_bench.experiments.simulated_service import SimulatedService
 from oleanderweir_bench.experiments.speeds import geometric_speeds
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
@@ -27,7 +30,6 @@
     from oleanderweir_agent.load import BackendChooser
 
 
-SIZES = ((7, 4), (3, 4), (7, 3), (3, 3))
 LOAD = 0.7
 WORK_S = 0.1
 DEADLINE_S = 10.0
@@ -110,29 +112,27 @@
             f"seed {self.seed}",
             headings=HEADINGS,
         )
-        for server_count, slots in SIZES:
+        for size in SERVICE_SIZES:
             for policies in POLICIES:
-                self.add_row(table, server_count, slots, policies)
+                self.add_row(table, size, policies)
         return table
 
     def add_row(
-        self, table: ResultTable, server_count: int, slots: int, policies: PolicySet
+        self, table: ResultTable, size: ServiceSize, policies: PolicySet
     ) -> None:
         """Run one simulation and add its row."""
-
-        async def run_steady() -> SimulatedService:
-            return await self.run_steady(server_count, slots, policies)
-
-        service = run_in_virtual_time(run_steady, seed=self.seed)
+        service = run_in_virtual_time(
+            partial(self.run_steady, size, policies), seed=self.seed
+        )
         slot_use = [
-            agent.backend_server.busy_s / (slots * self.measured_s)
+            agent.backend_server.busy_s / (size.slots * self.measured_s)
             for agent in service.agents
         ]
         records = [r for r in service.records if r.job.arrived_at >= self.warm_up_s]
         answered = [r for r in records if r.outcome is JobOutcome.ANSWERED]
         relayed = sum(record.is_relayed for record in records)
         table.add(
-            f"{server_count} x {slots}",
+            str(size),
             policies.name,
             f"{max(slot_use) / statistics.fmean(slot_use):.2f}",
             " ".join(f"{share:.2f}" for share in slot_use),
@@ -142,14 +142,14 @@
         )
 
     async def run_steady(
-        self, server_count: int, slots: int, policies: PolicySet
+        self, size: ServiceSize, policies: PolicySet
     ) -> SimulatedService:
         """Send demand at a constant rate; measure the use of slots after a warm-up."""
         source = random.Random(self.seed)
         service = SimulatedService(
             policies=policies,
-            speeds=geometric_speeds(server_count),
-            slots=slots,
+            speeds=geometric_speeds(size.server_count),
+            slots=size.slots,
             random=random.Random(source.random()),
         )
         rate = LOAD * service.capacity / WORK_S
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,6 +19,8 @@
 from oleanderweir_bench.experiments.policy_set import PolicySet
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.service_size import SERVICE_SIZES
+from oleanderweir_bench.experiments.service_size import ServiceSize
 from oleanderweir_bench.experiments.simulated_backend_server import BACKLOG
 from oleanderweir_bench.experiments.simulated_service import SimulatedService
 from oleanderweir_bench.experiments.speeds import geometric_speeds
@@ -29,7 +32,6 @@
     from oleanderweir_bench.experiments.job_record import JobRecord
 
 
-SIZES = ((7, 4), (3, 4), (7, 3), (3, 3))
 BASE_LOAD = 0.7
 PEAK_FACTOR = 4.0
 BASE_LOAD_S = 6.0
@@ -111,20 +113,18 @@
             f"seed {self.seed}",
             headings=HEADINGS,
         )
-        for server_count, slots in SIZES:
+        for size in SERVICE_SIZES:
             for policies in POLICIES:
-                self.add_row(table, server_count, slots, policies)
+                self.add_row(table, size, policies)
         return table
 
     def add_row(
-        self, table: ResultTable, server_count: int, slots: int, policies: PolicySet
+        self, table: ResultTable, size: ServiceSize, policies: PolicySet
     ) -> None:
         """Run one load peak and add its row."""
-
-        async def run_peak() -> SimulatedService:
-            return await self.run_peak(server_count, slots, policies)
-
-        service = run_in_virtual_time(run_peak, seed=self.seed)
+        service = run_in_virtual_time(
+            partial(self.run_peak, size, policies), seed=self.seed
+        )
         measured_from = self.base_load_s + RISE_S * (1.0 / BASE_LOAD - 1.0) / (
             PEAK_FACTOR - 1.0
         )
@@ -142,9 +142,7 @@
         ]
         work_s = sum(record.job.work_s for record in answered)
         goodput = work_s / (service.capacity * (measured_until - measured_from))
-        table.add(
-            f"{server_count} x {slots}", policies.name, *self.cells(goodput, records)
-        )
+        table.add(str(size), policies.name, *self.cells(goodput, records))
 
     def cells(self, goodput: float, records: list[JobRecord]) -> list[str]:
         """Return the measured values of one row."""
@@ -166,15 +164,15 @@
         ]
 
     async def run_peak(
-        self, server_count: int, slots: int, policies: PolicySet
+        self, size: ServiceSize, policies: PolicySet
     ) -> SimulatedService:
         """Send demand at the base load, at the peak, and at the base load again."""
         source = random.Random(self.seed)
         service = SimulatedService(
             policies=policies,
-            speeds=geometric_speeds(server_count),
-            slots=slots,
-            true_slots=max(1, round(slots * self.true_slots_share)),
+            speeds=geometric_speeds(size.server_count),
+            slots=size.slots,
+            true_slots=max(1, round(size.slots * self.true_slots_share)),
             backlog=self.backlog,
             random=random.Random(source.random()),
         )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/stragglers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 
 import attrs
 import trio
@@ -14,12 +15,16 @@
 from oleanderweir_bench.experiments.policy_set import PolicySet
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.service_size import ServiceSize
 from oleanderweir_bench.experiments.simulated_service import SimulatedService
 from oleanderweir_bench.experiments.speeds import geometric_speeds
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
 
 
-SIZES = ((7, 3), (3, 3))
+SIZES = (
+    ServiceSize(server_count=7, slots=3),
+    ServiceSize(server_count=3, slots=3),
+)
 LOAD = 0.7
 WORK_S = 0.05
 DEADLINE_S = 10.0
@@ -87,37 +92,30 @@
             f"load {LOAD:.0%}, seed {self.seed}",
             headings=HEADINGS,
         )
-        for server_count, slots in SIZES:
-            self.add_rows(table, server_count, slots)
+        for size in SIZES:
+            self.add_rows(table, size)
         return table
 
-    def add_rows(self, table: ResultTable, server_count: int, slots: int) -> None:
+    def add_rows(self, table: ResultTable, size: ServiceSize) -> None:
         """Add the rows of one size."""
-        baseline_s = self.add_row(
-            table, server_count, slots, NO_STRAGGLERS, POLICIES[1]
-        )
+        baseline_s = self.add_row(table, size, NO_STRAGGLERS, POLICIES[1])
         for mix in MIXES:
             for policies in POLICIES:
-                self.add_row(
-                    table, server_count, slots, mix, policies, baseline_s=baseline_s
-                )
+                self.add_row(table, size, mix, policies, baseline_s=baseline_s)
 
     def add_row(
         self,
         table: ResultTable,
-        server_count: int,
-        slots: int,
+        size: ServiceSize,
         mix: StragglerMix,
         policies: PolicySet,
         *,
         baseline_s: float | None = None,
     ) -> float:
         """Run one simulation, add its row and return the short p99 in seconds."""
-
-        async def run_mix() -> SimulatedService:
-            return await self.run_mix(server_count, slots, mix, policies)
-
-        service = run_in_virtual_time(run_mix, seed=self.seed)
+        service = run_in_virtual_time(
+            partial(self.run_mix, size, mix, policies), seed=self.seed
+        )
         measured_from = WARM_UP_S
         records = [r for r in service.records if r.job.arrived_at >= measured_from]
         answered = [r for r in records if r.outcome is JobOutcome.ANSWERED]
@@ -125,7 +123,7 @@
         long = [r.latency_s for r in answered if r.job.is_long]
         p99_s = quantile(short, 0.99)
         table.add(
-            f"{server_count} x {slots}",
+            str(size),
             mix.name,
             policies.name,
             f"{quantile(short, 0.5) * 1000:.0f}",
@@ -137,14 +135,14 @@
         return p99_s
 
     async def run_mix(
-        self, server_count: int, slots: int, mix: StragglerMix, policies: PolicySet
+        self, size: ServiceSize, mix: StragglerMix, policies: PolicySet
     ) -> SimulatedService:
         """Send demand at a constant rate and wait until it is completed."""
         source = random.Random(self.seed)
         service = SimulatedService(
             policies=policies,
-            speeds=geometric_speeds(server_count),
-            slots=slots,
+            speeds=geometric_speeds(size.server_count),
+            slots=size.slots,
             random=random.Random(source.random()),
         )
         mean_work_s = WORK_S * (1.0 + mix.long_share * (LONG_FACTOR - 1.0))
--- a/tests/oleanderweir_bench/experiments/test_experiments.py
+++ b/tests/oleanderweir_bench/experiments/test_experiments.py
@@ -13,6 +13,7 @@
 from oleanderweir_bench.experiments import imbalance
 from oleanderweir_bench.experiments import peak
 from oleanderweir_bench.experiments.quantile import quantile
+from oleanderweir_bench.experiments.service_size import ServiceSize
 
 
 def test_peak_experiment_is_reproducible_for_a_seed() -> None:
@@ -20,7 +21,8 @@
     for _ in range(2):
         table = ResultTable(title="t", headings=peak.HEADINGS)
         experiment = PeakExperiment(seed=3, base_load_s=1.0, peak_s=0.5)
-        experiment.add_row(table, 2, 2, peak.AGENT_POLICIES)
+        size = ServiceSize(server_count=2, slots=2)
+        experiment.add_row(table, size, peak.AGENT_POLICIES)
         tables.append(table.render())
 
     assert tables[0] == tables[1]
@@ -29,8 +31,9 @@
 def test_least_wait_uses_backend_servers_more_evenly_than_random() -> None:
     table = ResultTable(title="t", headings=imbalance.HEADINGS)
     experiment = ImbalanceExperiment(seed=3, warm_up_s=5.0, measured_s=10.0)
-    experiment.add_row(table, 3, 3, imbalance.POLICIES[0])
-    experiment.add_row(table, 3, 3, imbalance.AGENT_POLICIES)
+    size = ServiceSize(server_count=3, slots=3)
+    experiment.add_row(table, size, imbalance.POLICIES[0])
+    experiment.add_row(table, size, imbalance.AGENT_POLICIES)
 
     random_share, least_wait_share = (float(row[2]) for row in table.rows)
 
