--- a/packages/oleanderweir/src/oleanderweir/replication/replicator.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/replicator.py
@@ -8,24 +8,18 @@
 import attrs
 import trio
 
-from oleanderweir.exceptions import OleanderweirError
 from oleanderweir.membership import Membership
 from oleanderweir.replication.configuration_follower import ConfigurationFollower
 from oleanderweir.replication.control_budget import ControlBudget
 from oleanderweir.replication.dialler_pool import DiallerPool
-from oleanderweir.replication.exceptions import PeerClosedError
 from oleanderweir.replication.hello_conversion import make_hello
 from oleanderweir.replication.instance_list_poller import InstanceListPoller
 from oleanderweir.replication.metrics import PAUSES
-from oleanderweir.replication.metrics import SESSIONS_ENDED
-from oleanderweir.replication.metrics import SESSIONS_OPENED
-from oleanderweir.replication.metrics import SESSIONS_REFUSED
 from oleanderweir.replication.peer_boot_tracker import PeerBootTracker
-from oleanderweir.replication.peer_dialler import PeerDialler
 from oleanderweir.replication.peer_selection import PeerSelection
-from oleanderweir.replication.peer_session import PeerSession
 from oleanderweir.replication.replication_context import ReplicationContext
 from oleanderweir.replication.replication_settings import ReplicationSettings
+from oleanderweir.replication.session_opener import SessionOpener
 from oleanderweir.replication.session_table import SessionTable
 
 
@@ -34,7 +28,6 @@
 
     from oleanderweir.membership import InstanceListSource
     from oleanderweir.membership import InstanceRecord
-    from oleanderweir.replication.peer_stream import PeerStream
     from oleanderweir.replication.peer_transport import PeerTransport
     from oleanderweir.replication.ticket_source import TicketSource
     from oleanderweir.tickets import BootGate
@@ -79,6 +72,7 @@
     peer_boot: PeerBootTracker = attrs.field(init=False)
     follower: ConfigurationFollower = attrs.field(init=False)
     list_poller: InstanceListPoller = attrs.field(init=False)
+    session_opener: SessionOpener = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(
@@ -116,6 +110,13 @@
             settings=self.settings,
             random=self.random,
         )
+        self.session_opener = SessionOpener(
+            context=self.context,
+            membership=self.membership,
+            transport=self.transport,
+            peer_boot=self.peer_boot,
+            sessions=self.sessions,
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -134,7 +135,7 @@
         self.register.listeners.append(self._on_new_entries)
         try:
             async with (
-                self.transport.serve(self._accept_session),
+                self.transport.serve(self.session_opener.accept),
                 trio.open_nursery() as nursery,
             ):
                 nursery.start_soon(self.list_poller.run)
@@ -152,47 +153,12 @@
         if self.boot_gate.is_ready:
             self.sessions.push(entries)
 
-    async def _accept_session(self, stream: PeerStream) -> None:
-        """Run a session that a peer dialled, up to ``max_sessions`` at a time."""
-        if len(self.sessions.sessions) >= self.settings.max_sessions:
-            SESSIONS_REFUSED.labels(reason="too_many_sessions").inc()
-            return
-        session = PeerSession(
-            context=self.context,
-            stream=stream,
-            is_dialler=False,
-            on_hello=self._on_hello,
-            on_synchronized=self._on_synchronized,
-        )
-        try:
-            await session.run()
-        except OleanderweirError as error:
-            SESSIONS_ENDED.labels(reason=error.code).inc()
-        except trio.Cancelled:
-            # The transport cancels the session when its connection is lost.
-            SESSIONS_ENDED.labels(reason=PeerClosedError.code).inc()
-            raise
-        finally:
-            self.sessions.discard(session)
-
-    def _on_hello(self, session: PeerSession) -> None:
-        """Add the peer to the membership and the session to the table."""
-        side = "dialler" if session.is_dialler else "acceptor"
-        SESSIONS_OPENED.labels(side=side).inc()
-        if session.instance is not None:
-            self.membership.record_observed(session.instance)
-        self.sessions.add(session)
-
-    def _on_synchronized(self, session: PeerSession) -> None:
-        """Renew the lease of the peer and record that the registers are equal."""
-        if session.instance is not None:
-            self.membership.record_observed(session.instance)
-        self.peer_boot.on_synchronized(session)
-
     async def _maintain_sessions(self) -> None:
         """Dial the selected peers; reselect periodically and on membership changes."""
         async with trio.open_nursery() as nursery:
-            pool = DiallerPool(nursery=nursery, make_dialler=self._make_dialler)
+            pool = DiallerPool(
+                nursery=nursery, make_dialler=self.session_opener.make_dialler
+            )
             selected_version = -1
             selected_at = 0.0
             while True:
@@ -214,18 +180,6 @@
         self.follower.set_reader(is_reader=is_reader)
         self.list_poller.set_reader(is_reader=is_reader)
 
-    def _make_dialler(self, record: InstanceRecord) -> PeerDialler:
-        """Return the dialler of one peer."""
-        return PeerDialler(
-            record=record,
-            context=self.context,
-            membership=self.membership,
-            transport=self.transport,
-            on_hello=self._on_hello,
-            on_synchronized=self._on_synchronized,
-            on_close=self.sessions.discard,
-        )
-
     async def _follow_configuration(self) -> None:
         """Follow the configuration service, after waiting for state from peers."""
         with trio.move_on_after(self.settings.peer_boot_timeout_s):
