--- a/tests/oleanderweir_agent/quic/conftest.py
+++ b/tests/oleanderweir_agent/quic/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
+from tests.oleanderweir_agent.quic.agent_bench import AgentBench
 
 
 if TYPE_CHECKING:
--- a/tests/oleanderweir_agent/quic/test_caller_connection.py
+++ b/tests/oleanderweir_agent/quic/test_caller_connection.py
@@ -5,10 +5,10 @@
 import trio
 import trio.testing
 
-from tests.oleanderweir_agent.quic.endpoint_bench import BALANCER
-from tests.oleanderweir_agent.quic.endpoint_bench import OTHER_BALANCER
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
-from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+from tests.oleanderweir_agent.quic.agent_bench import BALANCER
+from tests.oleanderweir_agent.quic.agent_bench import OTHER_BALANCER
+from tests.oleanderweir_agent.quic.agent_bench import AgentBench
+from tests.oleanderweir_agent.quic.caller_bench import CallerBench
 
 
 if TYPE_CHECKING:
--- a/tests/oleanderweir_agent/quic/test_connection_acceptor.py
+++ b/tests/oleanderweir_agent/quic/test_connection_acceptor.py
@@ -10,10 +10,10 @@
 
 from oleanderweir_agent.drop_reason import DropReason
 from oleanderweir_agent.quic import connection_acceptor
-from tests.oleanderweir_agent.quic.endpoint_bench import OTHER_SERVICE
-from tests.oleanderweir_agent.quic.endpoint_bench import SERVICE
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
-from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+from tests.oleanderweir_agent.quic.agent_bench import OTHER_SERVICE
+from tests.oleanderweir_agent.quic.agent_bench import SERVICE
+from tests.oleanderweir_agent.quic.agent_bench import AgentBench
+from tests.oleanderweir_agent.quic.caller_bench import CallerBench
 
 
 if TYPE_CHECKING:
--- a/tests/oleanderweir_agent/quic/test_connection_table.py
+++ b/tests/oleanderweir_agent/quic/test_connection_table.py
@@ -4,13 +4,14 @@
 
 import trio
 
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
-from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+from tests.oleanderweir_agent.quic.caller_bench import CallerBench
 
 
 if TYPE_CHECKING:
     from trio.testing import MockClock
 
+    from tests.oleanderweir_agent.quic.agent_bench import AgentBench
+
 
 H3_REQUEST_CANCELLED = 0x10C
 
--- a/tests/oleanderweir_agent/quic/test_packet_endpoint.py
+++ b/tests/oleanderweir_agent/quic/test_packet_endpoint.py
@@ -7,11 +7,11 @@
 
 from oleanderweir_agent.drop_reason import DropReason
 from tests.oleanderweir.helpers import NEW_KEY
-from tests.oleanderweir_agent.quic.endpoint_bench import BALANCER
-from tests.oleanderweir_agent.quic.endpoint_bench import OTHER_BALANCER
-from tests.oleanderweir_agent.quic.endpoint_bench import OTHER_SERVICE
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
-from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+from tests.oleanderweir_agent.quic.agent_bench import BALANCER
+from tests.oleanderweir_agent.quic.agent_bench import OTHER_BALANCER
+from tests.oleanderweir_agent.quic.agent_bench import OTHER_SERVICE
+from tests.oleanderweir_agent.quic.agent_bench import AgentBench
+from tests.oleanderweir_agent.quic.caller_bench import CallerBench
 
 
 if TYPE_CHECKING:
--- a/tests/oleanderweir_agent/quic/test_stream_responder.py
+++ b/tests/oleanderweir_agent/quic/test_stream_responder.py
@@ -10,8 +10,8 @@
 from oleanderweir_agent.quic.stream_responder import MAX_BUFFERED_BYTES
 from oleanderweir_agent.quic.stream_responder import StreamResponder
 from oleanderweir_agent.requests import ResponseHead
-from tests.oleanderweir_agent.quic.endpoint_bench import AgentBench
-from tests.oleanderweir_agent.quic.endpoint_bench import CallerBench
+from tests.oleanderweir_agent.quic.agent_bench import AgentBench
+from tests.oleanderweir_agent.quic.caller_bench import CallerBench
 
 
 if TYPE_CHECKING:
