--- a/tests/oleanderweir/event_log/test_rate_limit_filter.py
+++ b/tests/oleanderweir/event_log/test_rate_limit_filter.py
@@ -3,14 +3,7 @@
 import logging
 
 from oleanderweir.event_log import RateLimitFilter
-
-
-class FakeClock:
-    def __init__(self) -> None:
-        self.now = 0.0
-
-    def __call__(self) -> float:
-        return self.now
+from tests.oleanderweir.helpers import FakeClock
 
 
 def make_record(code: str) -> logging.LogRecord:
--- a/tests/oleanderweir/logs/test_repeat_filter.py
+++ b/tests/oleanderweir/logs/test_repeat_filter.py
@@ -12,6 +12,7 @@
 from oleanderweir.logs.repeat_filter import MAX_KEYS
 from oleanderweir.logs.repeat_filter import MAX_MESSAGES_PER_WINDOW
 from oleanderweir.logs.repeat_filter import WINDOW_S
+from tests.oleanderweir.helpers import FakeClock
 from tests.oleanderweir.settings.builders import build_settings
 
 
@@ -19,14 +20,6 @@
     from collections.abc import Iterator
 
 
-class FakeClock:
-    def __init__(self) -> None:
-        self.now = 100.0
-
-    def __call__(self) -> float:
-        return self.now
-
-
 @pytest.fixture
 def logger() -> Iterator[logging.Logger]:
     logger = logging.getLogger("tests.repeat_filter")
@@ -51,7 +44,7 @@
 def test_repeated_messages_are_suppressed_and_counted(
     level: int, logger: logging.Logger
 ) -> None:
-    clock = FakeClock()
+    clock = FakeClock(now=100.0)
     repeat_filter, stream = attach(logger, clock)
 
     for peer in range(100):
@@ -69,7 +62,7 @@
 def test_a_new_window_reports_the_previous_one_and_passes_messages(
     logger: logging.Logger,
 ) -> None:
-    clock = FakeClock()
+    clock = FakeClock(now=100.0)
     _, stream = attach(logger, clock)
     for _ in range(MAX_MESSAGES_PER_WINDOW + 1):
         logger.warning("late")
@@ -84,7 +77,7 @@
 
 
 def test_debug_messages_and_other_codes_pass(logger: logging.Logger) -> None:
-    _, stream = attach(logger, FakeClock())
+    _, stream = attach(logger, FakeClock(now=100.0))
 
     for _ in range(20):
         logger.debug("routine")
@@ -97,7 +90,7 @@
 def test_messages_beyond_the_key_limit_pass_and_memory_is_bounded(
     logger: logging.Logger,
 ) -> None:
-    repeat_filter, stream = attach(logger, FakeClock())
+    repeat_filter, stream = attach(logger, FakeClock(now=100.0))
 
     for number in range(MAX_KEYS + 10):
         logger.error(f"kind {number}")
--- a/tests/oleanderweir/replication/test_grpc_peer_transport.py
+++ b/tests/oleanderweir/replication/test_grpc_peer_transport.py
@@ -1,13 +1,11 @@
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import pytest
 import trio
 
 from oleanderweir.net import AddressInUseError
-from oleanderweir.net import SocketAddress
 from oleanderweir.replication import GrpcPeerTransport
 from oleanderweir.replication import InvalidPeerCredentialsError
 from oleanderweir.replication import PeerClosedError
@@ -15,6 +13,7 @@
 from oleanderweir.replication import PeerUnavailableError
 from oleanderweir.replication.peer_message_codec import MAX_ENCODED_BYTES
 from oleanderweir_bench.keys import CertificateAuthority
+from tests.oleanderweir.helpers_admin import find_free_address
 
 
 if TYPE_CHECKING:
@@ -25,11 +24,8 @@
 
 def make_transport(folder: Path) -> GrpcPeerTransport:
     folder.mkdir(exist_ok=True)
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port = probe.getsockname()[1]
     return GrpcPeerTransport(
-        bind_address=SocketAddress(host="127.0.0.1", port=port),
+        bind_address=find_free_address(),
         credentials=CertificateAuthority().write_peer_credentials(folder),
     )
 
