--- a/packages/oleanderweir-bench/src/oleanderweir_bench/backend/application.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/backend/application.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import TYPE_CHECKING
 
 import cattrs
@@ -19,6 +18,8 @@
 from oleanderweir_bench.backend.bulletin import BULLETIN
 from oleanderweir_bench.backend.feed_source import FeedSource
 from oleanderweir_bench.backend.load_snapshot import LoadSnapshot
+from oleanderweir_bench.backend.request_numbers import read_number
+from oleanderweir_bench.backend.request_numbers import read_timeout_ms
 from oleanderweir_bench.backend.run_outcome import RunOutcome
 from oleanderweir_bench.backend.run_request import RunRequest
 
@@ -218,32 +219,3 @@
 def make_bad_request_response(message: str) -> Response:
     """Return the response to an invalid request, which was not run."""
     return PlainTextResponse(message + "\n", status_code=400, headers=NOT_RUN_HEADERS)
-
-
-def read_number(request: Request, name: str, default: float) -> float | None:
-    """Return a number from the query, or ``default``; None if it is not finite."""
-    return parse_number(request.query_params.get(name), default)
-
-
-def read_timeout_ms(request: Request) -> float | None:
-    """
-    Return the time until the deadline, which is infinite without the header.
-
-    Return None if the header is not a number of at least 0.
-    """
-    text = request.headers.get("request-timeout-ms")
-    if text is None:
-        return math.inf
-    value = parse_number(text, math.inf)
-    return value if value is not None and value >= 0 else None
-
-
-def parse_number(text: str | None, default: float) -> float | None:
-    """Return the finite number in ``text``, or None; without a text, ``default``."""
-    if text is None:
-        return default
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if math.isfinite(value) else None
