--- a/packages/oleanderweir/src/oleanderweir/replication/replicator.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/replicator.py
@@ -19,7 +19,7 @@
 from oleanderweir.replication.peer_selection import PeerSelection
 from oleanderweir.replication.replication_context import ReplicationContext
 from oleanderweir.replication.replication_settings import ReplicationSettings
-from oleanderweir.replication.session_opener import SessionOpener
+from oleanderweir.replication.session_manager import SessionManager
 from oleanderweir.replication.session_table import SessionTable
 
 
@@ -72,7 +72,7 @@
     peer_boot: PeerBootTracker = attrs.field(init=False)
     follower: ConfigurationFollower = attrs.field(init=False)
     list_poller: InstanceListPoller = attrs.field(init=False)
-    session_opener: SessionOpener = attrs.field(init=False)
+    session_manager: SessionManager = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.membership = Membership(
@@ -110,7 +110,7 @@
             settings=self.settings,
             random=self.random,
         )
-        self.session_opener = SessionOpener(
+        self.session_manager = SessionManager(
             context=self.context,
             membership=self.membership,
             transport=self.transport,
@@ -135,7 +135,7 @@
         self.register.listeners.append(self._on_new_entries)
         try:
             async with (
-                self.transport.serve(self.session_opener.accept),
+                self.transport.serve(self.session_manager.accept),
                 trio.open_nursery() as nursery,
             ):
                 nursery.start_soon(self.list_poller.run)
@@ -157,7 +157,7 @@
         """Dial the selected peers; reselect periodically and on membership changes."""
         async with trio.open_nursery() as nursery:
             pool = DiallerPool(
-                nursery=nursery, make_dialler=self.session_opener.make_dialler
+                nursery=nursery, make_dialler=self.session_manager.make_dialler
             )
             selected_version = -1
             selected_at = 0.0
--- a/packages/oleanderweir/src/oleanderweir/replication/session_opener.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/session_manager.py
@@ -1,4 +1,4 @@
-"""Opens the sessions of a process with its peers."""
+"""Runs the sessions of a process with its peers."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 @attrs.frozen(kw_only=True, eq=False)
-class SessionOpener:
+class SessionManager:
     """
     Accepts sessions that peers dial, and creates the diallers of the others.
 
