--- a/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/relay_outcome.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/metrics/relay_outcome.py
@@ -8,6 +8,6 @@
 class RelayOutcome(Enum):
     """The outcome of a relay; values are metric labels."""
 
-    TAKEN = "taken"
-    REFUSED = "refused"
+    ACCEPTED = "taken"
+    REJECTED = "refused"
     LOST = "lost"
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_dispatcher.py
@@ -109,11 +109,11 @@
                 max_wait_s=offer.request.max_wait_s,
             )
         except RequestRejectedError:
-            self.metrics.relays[RelayOutcome.REFUSED].inc()
+            self.metrics.relays[RelayOutcome.REJECTED].inc()
             return False
         except RequestFailedError as error:
             if error.reason is FailureReason.PEER_LOST:
                 self.metrics.relays[RelayOutcome.LOST].inc()
             raise
-        self.metrics.relays[RelayOutcome.TAKEN].inc()
+        self.metrics.relays[RelayOutcome.ACCEPTED].inc()
         return True
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/job_outcome.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/job_outcome.py
@@ -6,9 +6,9 @@
 
 
 class JobOutcome(enum.Enum):
-    """The outcome of a simulated request; ``REFUSED`` means rejected and not run."""
+    """The outcome of a simulated request; a rejected one did not run."""
 
     ANSWERED = "answered"
-    REFUSED = "refused"
+    REJECTED = "refused"
     LATE = "late"
     FAILED = "failed"
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/peak.py
@@ -147,9 +147,9 @@
     def cells(self, goodput: float, records: list[JobRecord]) -> list[str]:
         """Return the measured values of one row."""
         rejection_latencies_s = [
-            r.latency_s for r in records if r.outcome is JobOutcome.REFUSED
+            r.latency_s for r in records if r.outcome is JobOutcome.REJECTED
         ]
-        admitted = [r for r in records if r.outcome is not JobOutcome.REFUSED]
+        admitted = [r for r in records if r.outcome is not JobOutcome.REJECTED]
         late_count = sum(record.outcome is JobOutcome.LATE for record in admitted)
         slow_count = sum(
             latency_s > REJECTION_GOAL_S for latency_s in rejection_latencies_s
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_agent.py
@@ -71,7 +71,7 @@
         try:
             return await self.run(request, job)
         except RequestRejectedError:
-            return JobOutcome.REFUSED
+            return JobOutcome.REJECTED
 
     async def serve_in_group(
         self, relay: RelayPolicy, request: WorkRequest, job: Job
@@ -99,7 +99,7 @@
             outcome = await self.relay_to_peer(offer, job)
             if outcome is not None:
                 return outcome, True
-        return JobOutcome.REFUSED, False
+        return JobOutcome.REJECTED, False
 
     async def relay_to_peer(self, offer: PeerOffer, job: Job) -> JobOutcome | None:
         """Relay a job to a peer; return None if the peer rejects it."""
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/platform/read_meter.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/platform/read_meter.py
@@ -27,7 +27,7 @@
 
     max_reads_per_s: int = MAX_READS_PER_S
     calls: Counter[str] = attrs.field(factory=Counter)
-    refused: int = 0
+    rejected: int = 0
     waiting_watches: int = 0
     peak_reads_per_s: int = 0
     second: int = 0
@@ -45,7 +45,7 @@
         self.peak_reads_per_s = max(self.peak_reads_per_s, reads_per_s)
         is_admitted = reads_per_s <= self.max_reads_per_s
         if not is_admitted:
-            self.refused += 1
+            self.rejected += 1
         return is_admitted
 
     @contextmanager
--- a/tests/oleanderweir_agent/metrics/test_agent_metrics.py
+++ b/tests/oleanderweir_agent/metrics/test_agent_metrics.py
@@ -15,6 +15,6 @@
         registry.get_sample_value(
             "oleanderweir_agent_relays_total", {"outcome": outcome.value}
         )
-        for outcome in (RelayOutcome.TAKEN, RelayOutcome.REFUSED, RelayOutcome.LOST)
+        for outcome in (RelayOutcome.ACCEPTED, RelayOutcome.REJECTED, RelayOutcome.LOST)
     ]
     assert relays == [0, 0, 1]
--- a/tests/oleanderweir_bench/platform/test_configuration_service_stand_in.py
+++ b/tests/oleanderweir_bench/platform/test_configuration_service_stand_in.py
@@ -153,7 +153,7 @@
     assert await reader.read_tickets(0) == ()
 
     assert stand_in.meter.calls == {"/v1/tickets": 3}
-    assert stand_in.meter.refused == 1
+    assert stand_in.meter.rejected == 1
 
 
 async def test_watch_ends_when_the_service_goes_down() -> None:
