--- a/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/callers/http3_caller.py
@@ -16,6 +16,7 @@
 from aioquic.quic.events import StreamDataReceived
 from aioquic.quic.events import StreamReset
 
+from oleanderweir_bench.background_nursery import BackgroundNursery
 from oleanderweir_bench.callers.control_stream_reader import ControlStreamReader
 from oleanderweir_bench.callers.exceptions import CallerTimeoutError
 from oleanderweir_bench.callers.exceptions import SessionClosedError
@@ -85,9 +86,9 @@
         self.close_error: SessionClosedError | None = None
 
     async def __aenter__(self) -> Self:
-        self.nursery_manager = trio.open_nursery()
-        self.nursery = await self.nursery_manager.__aenter__()
-        self.nursery.start_soon(self.session.run)
+        self.background = BackgroundNursery()
+        nursery = await self.background.open()
+        nursery.start_soon(self.session.run)
         try:
             await self.connect()
         except BaseException:
@@ -108,11 +109,8 @@
         self.on_connection_closed(
             SessionClosedError(error_code=0, reason="closed by the caller")
         )
-        self.nursery.cancel_scope.cancel()
         try:
-            # The exception of the body is not passed to the nursery, which would wrap
-            # it in an exception group.
-            await self.nursery_manager.__aexit__(None, None, None)
+            await self.background.close()
         finally:
             self.session.close(ErrorCode.H3_NO_ERROR)
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/processes/process_supervisor.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from oleanderweir_bench.background_nursery import BackgroundNursery
 from oleanderweir_bench.processes import launcher
 from oleanderweir_bench.processes.output_line import OutputLine
 from oleanderweir_bench.processes.supervised_process import SupervisedProcess
@@ -39,8 +40,8 @@
         self.processes: list[SupervisedProcess] = []
 
     async def __aenter__(self) -> Self:
-        self.nursery_manager = trio.open_nursery()
-        self.nursery = await self.nursery_manager.__aenter__()
+        self.background = BackgroundNursery()
+        self.nursery = await self.background.open()
         return self
 
     async def __aexit__(
@@ -51,10 +52,7 @@
     ) -> None:
         with trio.CancelScope(shield=True):
             await self.stop_all()
-        self.nursery.cancel_scope.cancel()
-        # The exception of the body is not passed to the nursery, which would wrap it in
-        # an exception group.
-        await self.nursery_manager.__aexit__(None, None, None)
+        await self.background.close()
 
     async def start_module(
         self, name: str, module: str, *arguments: str
