Claim no new flow by the entry of an abandoned one

What callers could see: a reset of a new flow, or no answer, if they use a port again whose earlier flow they gave up without a final packet or a reset.

Cause: tells a later flow by its acknowledgements, but only once both ends have closed the earlier one. An agent that has an established entry of an abandoned flow claimed the new one at once, and forwarded the reset with which its backend server answered. Class: presence in the agent's table for ownership.

Now a query whose acknowledgement is too far from the last one of an established flow is forwarded to the backend server without a claim, as for a flow that isn't established. If the backend server returns or resets it, the agent denies the flow and withholds the reset.

Ruled out: that an open flow is lost by this. The query reaches the backend server as before, and its next packet is the claim. An entry without a known acknowledgement claims as before. Not covered: a backend server that still sends packets of the abandoned flow after the query counts as proof, and an opening packet at the agent of an abandoned flow is dropped as a late copy.

test_an_abandoned_flow_is_not_claimed_for_a_new_one_of_the_same_port failed before (an owner notice); test_a_query_of_an_established_flow_is_claimed_at_once passed before too.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -82,7 +82,8 @@
         """
         check = self.ownership.pop(key)
         flow = self.table.get(key)
-        if check is None and flow is not None and flow.is_established:
+        is_held = flow is not None and flow.is_established and not flow.claimants
+        if check is None and is_held:
             return False
         logger.info(
             "reset withheld from the caller: another backend server may hold the flow",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -71,13 +71,14 @@
             self._forward(host, flow, packet, now=now)
         elif flow.is_closed:
             self.ownership.start(host, packet, now=now)
-        elif flow.is_established:
+        elif flow.is_established and not flow.may_be_of_later_flow(packet):
             self._forward(host, flow, packet, now=now)
             self.transport.send_owner_notice(
                 host, packet.key, **flow.describe_progress()
             )
         else:
-            # The caller may have acknowledged another backend server's answer.
+            # The caller may have acknowledged another backend server's answer, now or
+            # in a later flow of the same port.
             flow.claimants[host] = packet.data
             self._dispatch(flow, packet, now=now)
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -86,8 +86,14 @@
 
     def is_of_later_flow(self, packet: Packet) -> bool:
         """Whether a caller's packet belongs to a flow that uses the port again."""
-        if not self.is_closed:
-            return False
+        return self.is_closed and self._is_far_from(packet)
+
+    def may_be_of_later_flow(self, packet: Packet) -> bool:
+        """Whether a packet doesn't follow what the caller sent, if that is known."""
+        return self.caller_acknowledged != 0 and self._is_far_from(packet)
+
+    def _is_far_from(self, packet: Packet) -> bool:
+        """Whether a caller's acknowledgement is too far from the last one."""
         ahead = (packet.acknowledged - self.caller_acknowledged) % SEQUENCE_MODULUS
         return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
 
--- a/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
@@ -264,3 +264,42 @@
     bench.deliver(DeliveryPurpose.QUERY, request(1, sequence=70000))
 
     assert bench.to_peers() == []
+
+
+async def test_an_abandoned_flow_is_not_claimed_for_a_new_one_of_the_same_port() -> (
+    None
+):
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+    bench.agent.on_backend_packet(ANSWER)
+    bench.to_peers()
+    bench.to_callers()
+    # The caller has given up that flow, and opened another one elsewhere.
+    new = encode_packet(
+        KEY, payload_bytes=900, sequence=5_000_000, acknowledged=7_000_000
+    )
+
+    bench.deliver(DeliveryPurpose.QUERY, new)
+
+    assert bench.to_backend()[-1] == new
+    assert bench.to_peers() == []
+    bench.agent.on_backend_packet(encode_packet(KEY, is_reset=True))
+    assert bench.to_callers() == []
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=new)
+    assert bench.to_peers() == [denial]
+
+
+async def test_a_query_of_an_established_flow_is_claimed_at_once() -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+    bench.agent.on_backend_packet(ANSWER)
+    bench.to_peers()
+
+    bench.deliver(
+        DeliveryPurpose.QUERY,
+        encode_packet(KEY, payload_bytes=900, sequence=900, acknowledged=606),
+    )
+
+    assert bench.to_peers() == [OwnerNotice(key=KEY)]
