--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -14,6 +14,7 @@
 from oleanderweir.desired_state import SourceBusyError
 from oleanderweir.desired_state import SourceUnavailableError
 from oleanderweir.desired_state import Topic
+from oleanderweir.desired_state import make_position
 from oleanderweir.net import SocketAddress
 from oleanderweir_platform.store_client import StoreClient
 
@@ -215,3 +216,36 @@
     assert "after=op%2Fconfig-next" in targets[1]
     assert [change.name for change in changes.changes] == ["op/config"]
     assert changes.revision == 21
+
+
+async def test_a_watch_loses_its_history_however_many_restores_it_missed() -> None:
+    body = make_response(200, {"events": [], "StoreRevision": 21}, era=4)
+    async with serve(body) as (client, _):
+        with pytest.raises(HistoryLostError):
+            await client.watch(
+                Topic.DESIRED_STATE,
+                after=make_position(history=2, revision=20),
+                wait_s=1.0,
+            )
+
+
+async def test_a_watch_without_an_era_loses_its_history() -> None:
+    body = make_response(200, {"events": [], "StoreRevision": 21})
+    async with serve(body) as (client, _):
+        with pytest.raises(HistoryLostError):
+            await client.watch(
+                Topic.DESIRED_STATE,
+                after=make_position(history=2, revision=20),
+                wait_s=1.0,
+            )
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+async def test_a_failed_call_of_another_era_loses_no_history(status: int) -> None:
+    async with serve(make_response(status, {}, era=4)) as (client, _):
+        with pytest.raises(SourceUnavailableError):
+            await client.watch(
+                Topic.DESIRED_STATE,
+                after=make_position(history=2, revision=20),
+                wait_s=1.0,
+            )
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -44,6 +44,8 @@
 
 
 PEER_PORT = 7720
+# Delays before the packets that open a connection, while they aren't answered.
+OPENING_DELAYS_S = (0, 1, 2, 4, 8, 16)
 
 
 class Fleet:
@@ -72,18 +74,29 @@
         self.max_delay_s = 0.0
         self.loss = 0.0
         self.cut_hosts: set[str] = set()
-        # All connections to the store that are not closed.
-        self.store_streams: set[EmulatedTcpStream] = set()
+        # The connections to the store that are not closed, with their ports.
+        self.store_streams: dict[EmulatedTcpStream, int] = {}
         # Times of all fetches from peers.
         self.fetched_at: list[float] = []
         monkeypatch.setattr(trio, "open_tcp_stream", self.connect)
 
     async def connect(self, host: str, port: int) -> trio.abc.Stream:
-        """Connect the caller to the store, which knows each process by its port."""
+        """
+        Connect the caller to the store, which knows each process by its port.
+
+        Opening packets that are dropped are sent again, as by a kernel.
+        """
+        for delay_s in OPENING_DELAYS_S:
+            await trio.sleep(delay_s)
+            if self.store.conditions[port] is not StoreCondition.UNREACHABLE:
+                return self._open_store_stream(port)
+        raise TimeoutError("the store is unreachable")
+
+    def _open_store_stream(self, port: int) -> EmulatedTcpStream:
         client_end, server_end = trio.testing.memory_stream_pair()
         server_stream = cast("trio.SocketStream", server_end)
         stream = EmulatedTcpStream(stream=client_end)
-        self.store_streams.add(stream)
+        self.store_streams[stream] = port
         self.nursery.start_soon(self._serve_store, port, server_stream, stream)
         return stream
 
@@ -91,13 +104,22 @@
         self, port: int, server_stream: trio.SocketStream, stream: EmulatedTcpStream
     ) -> None:
         await self.store._serve(port, server_stream)
-        self.store_streams.discard(stream)
-
-    def silence_connections(self) -> None:
-        """Send nothing more on the open connections to the store; serve new ones."""
-        self.store.silence_connections()
-        for stream in self.store_streams:
-            self.nursery.start_soon(stream.run_silent)
+        self.store_streams.pop(stream)
+
+    def silence_connections(self, number: int | None = None) -> None:
+        """Deliver nothing more on open connections of all processes, or of one."""
+        for stream, port in self.store_streams.items():
+            if number in (None, port) and not stream.is_silent:
+                self.nursery.start_soon(stream.run_silent)
+
+    async def cut(self, number: int, *, for_s: float) -> None:
+        """Cut a process off from its peers and the store."""
+        self.cut_hosts.add(host_of(number))
+        self.store.conditions[number] = StoreCondition.UNREACHABLE
+        self.silence_connections(number)
+        await trio.sleep(for_s)
+        self.store.conditions[number] = StoreCondition.SERVING
+        self.cut_hosts.discard(host_of(number))
 
     def set_conditions(self, condition: StoreCondition) -> None:
         """Change how the store serves all processes whose calls it doesn't reject."""
