Record in a soak when its own process didn't run, and when the drain starts

Its events show that the soak itself stood still: a suspension of at most 3 s took 6.25 s, a loss of packets of at most 3 s took 5.68 s and 6.58 s. Whether it also stood still while a backend server drained, the events didn't tell; the store, the routers and the callers are part of that process.

Events now contain each time for which it didn't run, and the start of the drain. No check changes.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -19,6 +19,7 @@
 from oleanderweir_bench.soak.soak_site import FEED
 from oleanderweir_bench.soak.soak_site import SoakSite
 from oleanderweir_bench.soak.soak_site import copy_result
+from oleanderweir_bench.soak.stall_watch import StallWatch
 
 
 if TYPE_CHECKING:
@@ -60,12 +61,14 @@
         await trio.sleep(STARTUP_S)
         self.started_at = trio.current_time()
         site.nursery.start_soon(self._restart_exited)
+        site.nursery.start_soon(StallWatch(on_stall=self._record_stall).run)
         site.start_callers()
         async with trio.open_nursery() as nursery:
             await self._inject_faults(nursery)
         faults_ended_at = trio.current_time()
         await trio.sleep(FAULT_FREE_BEFORE_DRAIN_S)
         feed = [backend for backend in site.backends if backend.server.service == FEED]
+        self._record_event(f"{feed[0].server.host} drains")
         await drain_and_stop(feed[0])
         await trio.sleep_until(faults_ended_at + plan.recovery_s)
         before = copy_result(site.result)
@@ -116,6 +119,9 @@
         lines = list(process.running.lines)[-MAX_LINES_PER_EXIT:]
         self.log.extend(f"{process.host}: {line.text}" for line in lines)
 
+    def _record_stall(self, seconds: float) -> None:
+        self._record_event(f"the soak itself didn't run for {seconds:.2f} s")
+
     def _record_event(self, event: str) -> None:
         self.events.append(f"{trio.current_time() - self.started_at:.2f} {event}")
 
