Count late openings of a soak by the time for which its store ran

Cause: the machine gave the soak's own process no processor for seconds. The store is part of that process, so that nobody could learn of the drain; afterwards the check counted the pause as time for which the change had been published.

The bound of 3 s stays, and so does every other condition: only the time for which the process didn't run, in pauses of 0.5 s or more, is left out.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -19,7 +19,6 @@
 from oleanderweir_bench.soak.soak_site import FEED
 from oleanderweir_bench.soak.soak_site import SoakSite
 from oleanderweir_bench.soak.soak_site import copy_result
-from oleanderweir_bench.soak.stall_watch import StallWatch
 
 
 if TYPE_CHECKING:
@@ -61,7 +60,8 @@
         await trio.sleep(STARTUP_S)
         self.started_at = trio.current_time()
         site.nursery.start_soon(self._restart_exited)
-        site.nursery.start_soon(StallWatch(on_stall=self._record_stall).run)
+        site.stall_watch.on_stall = self._record_stall
+        site.nursery.start_soon(site.stall_watch.run)
         site.start_callers()
         async with trio.open_nursery() as nursery:
             await self._inject_faults(nursery)
