Check the backend servers after each round of faults too

4 s after the faults, each process has the running backend servers and no others. The same check of test_restores_in_series is shared, unchanged.

--- a/tests/oleanderweir_standins/disturbance.py
+++ b/tests/oleanderweir_standins/disturbance.py
@@ -40,6 +40,14 @@
         self.started_ms = 1000
         self.route_count = 1
 
+    @property
+    def backend_states(self) -> dict[str, tuple[BackendState, int]]:
+        """States and starts of the running backend servers, as processes know them."""
+        return {
+            f"servers/{record.identifier}": (record.state, record.started_at_ms)
+            for record in self.running.values()
+        }
+
     async def run(self) -> None:
         actions: list[Callable[[], Awaitable[None]]] = [
             self.restore,
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -37,6 +37,7 @@
     import pytest
 
     from oleanderweir.desired_state import BackendRecord
+    from oleanderweir.desired_state import BackendState
     from oleanderweir.desired_state import Changes
     from oleanderweir.desired_state import Listing
     from oleanderweir.net import UdpSocket
@@ -230,6 +231,14 @@
         for follower in self.followers:
             follower.on_watch_lost = self.interrupt_watches
 
+    @property
+    def backend_states(self) -> dict[str, tuple[BackendState, int]]:
+        """States and starts of the published backend servers."""
+        return {
+            name: (record.state, record.started_at_ms)
+            for name, record in self.register.backends.items()
+        }
+
     def send_changes(self, changes: Changes, base: int) -> None:
         self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
 
--- a/tests/oleanderweir_standins/test_restores_in_series.py
+++ b/tests/oleanderweir_standins/test_restores_in_series.py
@@ -64,12 +64,8 @@
         fetches_before = len(fleet.fetched_at)
         await trio.sleep(APPLY_S)
 
-        expected = {f"servers/{r.identifier}": r for r in disturbance.running.values()}
         for process in fleet.processes.values():
-            known = process.register.backends
-            assert {name: (r.state, r.started_at_ms) for name, r in known.items()} == {
-                name: (r.state, r.started_at_ms) for name, r in expected.items()
-            }
+            assert process.backend_states == disturbance.backend_states
         fetches = len(fleet.fetched_at) - fetches_before
         assert fetches / APPLY_S <= MAX_CALM_FETCHES_PER_S
         assert fleet.regressions() == {}
--- a/tests/oleanderweir_standins/test_rounds_of_faults.py
+++ b/tests/oleanderweir_standins/test_rounds_of_faults.py
@@ -139,5 +139,7 @@
 
             in_force = {h: p.register.version for h, p in fleet.processes.items()}
             assert in_force == dict.fromkeys(in_force, fleet.version)
+            for process in fleet.processes.values():
+                assert process.backend_states == disturbance.backend_states
         assert fleet.regressions() == {}
         nursery.cancel_scope.cancel()
