Query the flow tables of agents before their backend servers

Packets of idle flows reached only other backend servers for seconds, though their own was sound. While agents are restarted as planned, the queries of a lookup wait in the socket of an agent that starts; it forwards them all to its backend server after the owner was found and the flow has become idle. The next lookup then reaches more backend servers before the owner, as restarted agents have forgotten their negative results: three packets at others and none at its own for over 2 s.

A query is now answered from the agent's flow table first. Only if no agent has an entry are the backend servers asked of those agents that have replied.

The test of idle flows failed before: four packets at other backend servers since the last one at the owner. Ruled out: packets sent by a balancer's cache, and lookups that left the owner out.

A lookup of a flow whose owner's agent was restarted takes one round trip more, or 0.1 s more while another agent doesn't reply.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -25,6 +25,8 @@
 
     ``unlisted`` are the last agents that were queried because delegates may not know
     them. ``first_query_at`` is when each agent was first queried without a delegate.
+    ``unknown_to`` are the agents that replied that they have no entry of the flow,
+    ``checked`` those whose backend servers were asked after that.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
     ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
@@ -42,6 +44,8 @@
     delegated_hosts: frozenset[str] | None = None
     unlisted: set[str] = attrs.field(factory=set)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
+    unknown_to: set[str] = attrs.field(factory=set)
+    checked: set[str] = attrs.field(factory=set)
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -113,6 +113,15 @@
             self._widen_or_fail(lookup, packet, now=now)
         elif lookup.unlisted and lookup.unlisted <= lookup.denied_by:
             self._query_unlisted(lookup, packet, now=now)
+        else:
+            self._check_backends(lookup, packet, now=now)
+
+    def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
+        """Record that an agent has no entry; its backend server may hold the flow."""
+        lookup = self.lookups.lookups.get(packet.key)
+        if lookup is not None and not lookup.has_no_owner:
+            lookup.unknown_to.add(host)
+            self._check_backends(lookup, packet, now=now)
 
     def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
         """
@@ -203,12 +212,34 @@
     def _query(
         self, lookup: Lookup, packet: Packet, hosts: list[str], *, now: float
     ) -> None:
-        """Send a packet as a query to each of these agents."""
+        """
+        Send a packet as a query to each of these agents.
+
+        Only agents that have replied have their backend servers asked: a query may wait
+        in the socket of an agent that starts, until long after the owner was found.
+        """
         for host in hosts:
             lookup.first_query_at.setdefault(host, now)
-            self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
+            purpose = DeliveryPurpose.TABLE_QUERY
+            if host in lookup.unknown_to:
+                purpose = DeliveryPurpose.QUERY
+                lookup.checked.add(host)
+            self.transport.deliver(host, packet, purpose)
         self.transport.log("flow_lookup", packet.key, asked=len(hosts))
 
+    def _check_backends(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
+        """
+        Have backend servers asked whose agents have no entry of a flow.
+
+        In the first round, this waits for the replies of all agents: the packet reaches
+        no other backend server if the agent of the owner has an entry.
+        """
+        hosts = lookup.unknown_to - lookup.denied_by - lookup.checked
+        awaited = set(lookup.first_query_at) - lookup.denied_by - lookup.unknown_to
+        is_complete = all(self._is_ruled_out(lookup, h, now=now) for h in awaited)
+        if hosts and (is_complete or lookup.attempts > 1):
+            self._query(lookup, packet, sorted(hosts), now=now)
+
     def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
         """Return the delegate: the next agent of the ranking at each attempt."""
         ranked = candidate_hosts(lookup.key, agents, count=lookup.attempts)
