Record that a caller closed a flow which an ownership check restored

Callers that used a port again saw a reset of the new flow, if the agent of the ended one had been restarted before it ended: the agent learned of the flow from its final packet, kept an entry that never counted as closed, and claimed the new flow. The ownership check now hands on that its packet was final, and the acknowledgement of the caller.

Ruled out: a reset of the ownership check that wasn't withheld.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -129,6 +129,8 @@
             flow.opening = None
         if check is not None:
             claimants.add(check.balancer)
+            flow.caller_acknowledged = check.acknowledged
+            flow.caller_closed |= check.is_final
         if not flow.is_confirmed and not claimants:
             return
         flow.is_established = True
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -49,6 +49,8 @@
             data=packet.data,
             started_at=now,
             end_sequence=end_sequence if packet.payload_bytes else None,
+            acknowledged=packet.acknowledged,
+            is_final=packet.is_final,
         )
         self.transport.forward_to_backend(packet.data)
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -17,6 +17,7 @@
 from oleanderweir_bench.packet_path.endpoint_codec import EndpointCodec
 from oleanderweir_bench.packet_path.network import Network
 from oleanderweir_bench.packet_path.packet_header import PacketHeader
+from oleanderweir_bench.packet_path.random_series import run_random_series
 from oleanderweir_bench.packet_path.routes import make_route
 from oleanderweir_bench.packet_path.scenarios import FLOW_SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
@@ -41,5 +42,6 @@
     "VirtualNetwork",
     "encode_packet",
     "make_route",
+    "run_random_series",
     "run_scenario",
 ]
--- a/tests/oleanderweir_bench/packet_path/test_reused_ports.py
+++ b/tests/oleanderweir_bench/packet_path/test_reused_ports.py
@@ -43,9 +43,16 @@
 
 
 async def use_port_again(
-    backends: int, act: Callable[[EmulatedSite, ClosingCaller], Awaitable[None]]
+    backends: int,
+    act: Callable[[EmulatedSite, ClosingCaller], Awaitable[None]],
+    *,
+    restarts_agent: bool = False,
 ) -> None:
-    """Close a flow of a caller, and open another one of its port elsewhere."""
+    """
+    Close a flow of a caller, and open another one of its port elsewhere.
+
+    With ``restarts_agent``, the agent of the first flow is restarted before.
+    """
     async with trio.open_nursery() as nursery:
         site = EmulatedSite(nursery=nursery, seed=1, balancers=2, backends=backends)
         caller = make_caller(site)
@@ -53,6 +60,10 @@
         site.router.hosts = [first]
         await caller._request()
         owner = site.backends.find_owner(KEY)
+        if restarts_agent:
+            assert owner is not None
+            site.stop_agent(owner)
+            site.start_agent(owner)
         caller._close()
         await trio.sleep(0.5)
         if backends > 1:
@@ -82,6 +93,17 @@
     run_in_virtual_time(partial(use_port_again, 8, send_request), seed=1)
 
 
+def test_a_flow_that_ended_after_a_restart_of_its_agent_resets_no_later_flow() -> None:
+    async def send_request(site: EmulatedSite, caller: ClosingCaller) -> None:
+        await caller._request()
+        assert site.result.false_resets == 0
+        assert site.result.in_time == 3
+
+    run_in_virtual_time(
+        partial(use_port_again, 8, send_request, restarts_agent=True), seed=1
+    )
+
+
 def test_a_balancer_that_cached_an_ended_flow_closes_a_later_flow_of_its_port() -> None:
     async def close(site: EmulatedSite, caller: ClosingCaller) -> None:
         caller._close()
