--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -71,11 +71,12 @@
         """
         with trio.move_on_after(self.grace_s - GRACE_MARGIN_S):
             await trio.sleep(ROUTER_REMOVAL_DELAY_S)
-            while self._idle_s() < IDLE_S:
-                await trio.sleep(IDLE_S - self._idle_s())
+            while trio.current_time() < self._idle_at():
+                await trio.sleep_until(self._idle_at())
 
-    def _idle_s(self) -> float:
-        return trio.current_time() - self.balancer.last_caller_packet_at
+    def _idle_at(self) -> float:
+        """Return when callers will have sent nothing for ``IDLE_S``."""
+        return self.balancer.last_caller_packet_at + IDLE_S
 
     async def _receive(self) -> None:
         while True:
