Ask backend servers with a caller's request rather than its acknowledgement

After a move, a caller's acknowledgement often comes right before its request. If the owner's agent had been restarted, the round of queries to backend servers carried the acknowledgement, which a backend server doesn't answer, and the owner was found 0.1 s later with the retry. The round now carries the packet that a retry would carry. The new test failed before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -238,7 +238,8 @@
         awaited = set(lookup.first_query_at) - lookup.denied_by - lookup.unknown_to
         is_complete = all(self._is_ruled_out(lookup, h, now=now) for h in awaited)
         if hosts and (is_complete or lookup.attempts > 1):
-            self._query(lookup, packet, sorted(hosts), now=now)
+            # A backend server answers a later packet rather than an acknowledgement.
+            self._query(lookup, lookup.query or packet, sorted(hosts), now=now)
 
     def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
         """Return the delegate: the next agent of the ranking at each attempt."""
--- a/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
+++ b/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
@@ -47,6 +47,20 @@
     assert len(bench.resets()) == 1
 
 
+async def test_backend_servers_are_asked_with_the_request_after_an_ack() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    acknowledgement = encode_packet(KEY)
+    bench.balancer.on_caller_packet(acknowledgement)
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.return_packet("10.0.0.1", ReturnReason.UNKNOWN, acknowledgement)
+    bench.return_packet("10.0.0.2", ReturnReason.UNKNOWN, acknowledgement)
+
+    assert [message.data for _, message in bench.deliveries()] == [REQUEST, REQUEST]
+
+
 async def test_an_agent_without_an_entry_is_asked_again_if_another_stays_silent(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
