Forget the owner of a flow some seconds after its caller's final packet

Callers that used a port again could not close the new flow for as long as they tried: the router moved it to a balancer that had cached the owner of the ended flow of the port, and whose agent had dropped its entry. A backend server acknowledges any final packet of a flow that has ended there, which the agent took for proof. The final packets reached another backend server, and none its own, for over 9 s.

A balancer now drops the entry 4 s after the last packet of a flow that its caller has closed, sooner than agents drop closed flows. A later packet is looked up in the flow tables.

The virtual-time test failed before. Ruled out: a denial by the owner's agent, which got no packet.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
 
+# How long the owner of a flow is cached after its caller's final packet: less than
+# agents keep closed flows, so that they still know which flow of a port a packet is of.
+CLOSED_BY_CALLER_TTL_S = 4.0
+
 
 @attrs.define(kw_only=True, eq=False)
 class CachedFlow:
@@ -17,13 +21,20 @@
     The agent of a flow; ``stored_at`` and ``used_at`` are trio time in seconds.
 
     ``is_open`` is set once the caller has acknowledged the opening, or an agent has
-    claimed the flow.
+    claimed the flow, ``is_closed_by_caller`` once the caller has sent a final packet.
     """
 
     agent: str
     stored_at: float
     used_at: float
     is_open: bool = False
+    is_closed_by_caller: bool = False
+
+    def is_expired(self, *, idle_timeout_s: float, now: float) -> bool:
+        """Whether the entry was not used for too long."""
+        if self.is_closed_by_caller:
+            idle_timeout_s = min(idle_timeout_s, CLOSED_BY_CALLER_TTL_S)
+        return now - self.used_at > idle_timeout_s
 
 
 class FlowCache:
@@ -57,6 +68,8 @@
 
     def expire(self, *, now: float) -> None:
         """Remove the entries that were not used for ``idle_timeout_s`` seconds."""
-        limit = now - self.idle_timeout_s
-        for key in [k for k, flow in self.flows.items() if flow.used_at < limit]:
-            del self.flows[key]
+        self.flows = {
+            key: flow
+            for key, flow in self.flows.items()
+            if not flow.is_expired(idle_timeout_s=self.idle_timeout_s, now=now)
+        }
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -96,6 +96,7 @@
             self.owner_lookup.look_up(packet, now=now)
         else:
             flow.is_open = True
+            flow.is_closed_by_caller |= packet.is_final
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
     def on_message(self, host: str, message: Message) -> None:
--- a/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
+++ b/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
@@ -7,6 +7,7 @@
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir.peering.report_interval import MIN_SILENCE_S
+from oleanderweir_balancer.forwarding.flow_cache import CLOSED_BY_CALLER_TTL_S
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
@@ -142,3 +143,26 @@
         "10.0.0.1",
         "10.0.0.2",
     } - {former}
+
+
+async def test_an_owner_is_cached_for_some_seconds_after_a_final_packet(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_message("10.0.0.2", OwnerNotice(key=KEY))
+    final = encode_packet(KEY, is_final=True)
+    bench.balancer.on_caller_packet(final)
+    bench.deliveries()
+
+    await trio.sleep(CLOSED_BY_CALLER_TTL_S)
+    bench.balancer.expire()
+    bench.balancer.on_caller_packet(final)
+    assert [host for host, _ in bench.deliveries()] == ["10.0.0.2"]
+
+    await trio.sleep(CLOSED_BY_CALLER_TTL_S + 0.1)
+    bench.balancer.expire()
+    bench.balancer.on_caller_packet(final)
+    assert {message.purpose for _, message in bench.deliveries()} == {
+        DeliveryPurpose.TABLE_QUERY
+    }
--- a/tests/oleanderweir_bench/packet_path/test_reused_ports.py
+++ b/tests/oleanderweir_bench/packet_path/test_reused_ports.py
@@ -47,6 +47,7 @@
     act: Callable[[EmulatedSite, ClosingCaller], Awaitable[None]],
     *,
     restarts_agent: bool = False,
+    pause_s: float = 0.5,
 ) -> None:
     """
     Close a flow of a caller, and open another one of its port elsewhere.
@@ -65,7 +66,11 @@
             site.stop_agent(owner)
             site.start_agent(owner)
         caller._close()
-        await trio.sleep(0.5)
+        await trio.sleep(pause_s)
+        for balancer in site.balancer_processes.running.values():
+            balancer.expire()
+        for running in site.agents.values():
+            running.agent.expire()
         if backends > 1:
             assert owner is not None
             site.drain(owner)
@@ -120,3 +125,13 @@
         assert site.result.in_time == 3
 
     run_in_virtual_time(partial(use_port_again, 1, send_request), seed=1)
+
+
+def test_a_flow_is_closed_long_after_an_earlier_flow_of_its_port_ended() -> None:
+    async def close(site: EmulatedSite, caller: ClosingCaller) -> None:
+        caller._close()
+        await trio.sleep(1.0)
+        assert not caller.closing
+        assert not site.backends.holds_flow(KEY)
+
+    run_in_virtual_time(partial(use_port_again, 8, close, pause_s=6.0), seed=1)
