Take no acknowledgement of an earlier flow of a port for proof

Callers that used a port again could not close the new flow if the router moved it to a balancer that had carried an earlier flow of the port, but not its final packet: its cache kept the owner. The backend server there acknowledges any final packet of a flow that has ended, and the agent took that for proof that it holds the flow.

The answer to an ownership check now counts only if it acknowledges bytes near those of the caller's packet. Any other is withheld like a reset, and the agent denies the flow.

The virtual-time test failed before. Ruled out: an answer that acknowledges the final packet.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -68,7 +68,8 @@
         if packet.is_returned:
             self._on_returned(packet, now=now)
             return
-        if packet.is_reset and self._is_reset_of_another(packet.key, now=now):
+        is_doubtful = packet.is_reset or self.ownership.is_answered_for_another(packet)
+        if is_doubtful and self._is_reset_of_another(packet.key, now=now):
             return
         self.transport.forward_to_caller(packet.key, data)
         self._update_from_backend(packet, now=now)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+from oleanderweir_agent.forwarding.flow_table import MAX_ACKNOWLEDGED_DISTANCE
+from oleanderweir_agent.forwarding.flow_table import SEQUENCE_MODULUS
+
+
+if TYPE_CHECKING:
+    from oleanderweir.flows import Packet
+
 
 @attrs.frozen(kw_only=True)
 class OwnershipCheck:
@@ -12,13 +21,22 @@
 
     ``balancer`` is the host of the peer that waits for the result, ``data`` the packet.
     ``started_at`` is in seconds of trio's clock. ``end_sequence`` is the sequence
-    number after the packet's payload, None without payload. ``acknowledged`` is that of
-    the next byte that the caller expects, ``is_final`` whether it has closed the flow.
+    number after the packet's payload, None without payload, and ``sequence`` that of
+    the packet. ``acknowledged`` is that of the next byte that the caller expects,
+    ``is_final`` whether it has closed the flow.
     """
 
     balancer: str
     data: bytes
     started_at: float
     end_sequence: int | None
+    sequence: int
     acknowledged: int
     is_final: bool
+
+    def is_answered_for_another(self, answer: Packet) -> bool:
+        """Whether an answer acknowledges bytes far from those of the packet."""
+        if not answer.is_acknowledging or answer.is_opening:
+            return False
+        ahead = (answer.acknowledged - self.sequence) % SEQUENCE_MODULUS
+        return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -49,11 +49,17 @@
             data=packet.data,
             started_at=now,
             end_sequence=end_sequence if packet.payload_bytes else None,
+            sequence=packet.sequence,
             acknowledged=packet.acknowledged,
             is_final=packet.is_final,
         )
         self.transport.forward_to_backend(packet.data)
 
+    def is_answered_for_another(self, answer: Packet) -> bool:
+        """Whether the answer to a check is one of an ended flow of the same port."""
+        check = self.checks.get(answer.key)
+        return check is not None and check.is_answered_for_another(answer)
+
     def pop(self, key: FlowKey) -> OwnershipCheck | None:
         """Remove and return the pending check of a flow, if there is one."""
         return self.checks.pop(key, None)
--- a/tests/oleanderweir_bench/packet_path/test_reused_ports.py
+++ b/tests/oleanderweir_bench/packet_path/test_reused_ports.py
@@ -48,11 +48,13 @@
     *,
     restarts_agent: bool = False,
     pause_s: float = 0.5,
+    closes_elsewhere: bool = False,
 ) -> None:
     """
     Close a flow of a caller, and open another one of its port elsewhere.
 
-    With ``restarts_agent``, the agent of the first flow is restarted before.
+    With ``restarts_agent``, the agent of the first flow is restarted before. With
+    ``closes_elsewhere``, its final packet moves to the other balancer.
     """
     async with trio.open_nursery() as nursery:
         site = EmulatedSite(nursery=nursery, seed=1, balancers=2, backends=backends)
@@ -65,6 +67,8 @@
             assert owner is not None
             site.stop_agent(owner)
             site.start_agent(owner)
+        if closes_elsewhere:
+            site.router.hosts = [second]
         caller._close()
         await trio.sleep(pause_s)
         for balancer in site.balancer_processes.running.values():
@@ -135,3 +139,17 @@
         assert not site.backends.holds_flow(KEY)
 
     run_in_virtual_time(partial(use_port_again, 8, close, pause_s=6.0), seed=1)
+
+
+def test_a_flow_is_closed_after_an_earlier_one_of_its_port_was_closed_elsewhere() -> (
+    None
+):
+    async def close(site: EmulatedSite, caller: ClosingCaller) -> None:
+        caller._close()
+        await trio.sleep(1.0)
+        assert not caller.closing
+        assert not site.backends.holds_flow(KEY)
+
+    run_in_virtual_time(
+        partial(use_port_again, 8, close, pause_s=6.0, closes_elsewhere=True), seed=1
+    )
