--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
@@ -38,7 +38,8 @@
     """
     Disturbs a site at random; each fault and change takes effect for some time.
 
-    No host has two of them at once, except that ``SiteChanges`` and links overlap all.
+    A process has at most one restart, pause or crash at a time; changes of links, routes,
+    rotation and published state overlap these.
     """
 
     def __init__(
@@ -50,7 +51,7 @@
         self.busy_hosts: set[str] = set()
         self.started_ms = 1000
         self.host_number = 200
-        # Names of the faults, by the time of their start.
+        # When each fault was started, in seconds of trio's clock, and its name.
         self.log: list[tuple[float, str]] = []
         self.actions: dict[str, Callable[[], Awaitable[None]]] = {
             "add_backend": self.add_backend,
@@ -200,7 +201,6 @@
         if host is None:
             return
         record = self.site.published.records[host]
-        # Entries are back two seconds after the store; until then they are missing.
         record = attrs.evolve(record, sequence=record.sequence + 1)
         self.site.published.records[host] = record
         await self.site.lapse(host, self._draw(0.1, 1.9))
