--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_faults.py
@@ -38,8 +38,8 @@
     """
     Disturbs a site at random; each fault and change takes effect for some time.
 
-    A process has at most one restart, pause or crash at a time; changes of links, routes,
-    rotation and published state overlap these.
+    A process has at most one restart, pause or crash at a time; changes of links,
+    routes, rotation and published state overlap these.
     """
 
     def __init__(
