--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
@@ -19,6 +19,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from oleanderweir_bench.packet_path.site_result import SiteResult
 
 
@@ -40,8 +42,14 @@
     calm: SiteResult
 
 
-def run_random_series(*, seed: int, faults_s: float = 12.0) -> SeriesResult:
-    """Disturb a site at random; its size, hash mode and faults depend on the seed."""
+def run_random_series(
+    *, seed: int, faults_s: float = 12.0, names: Collection[str] = ()
+) -> SeriesResult:
+    """
+    Disturb a site at random; its size, hash mode and faults depend on the seed.
+
+    ``names`` selects faults and changes by name; by default all are used.
+    """
 
     async def simulate() -> SeriesResult:
         random_source = random.Random(seed)
@@ -59,6 +67,8 @@
             faults = RandomFaults(
                 site=site, random_source=random_source, max_backends=backends + 8
             )
+            if names:
+                faults.actions = {name: faults.actions[name] for name in names}
             await trio.sleep(START_S)
             _start_callers(site, until=trio.current_time() + 10 * faults_s)
             await faults.run(faults_s)
