Separate the possible owners of a flow from the queries of its lookup

Which agents may own a flow, are ruled out or have yet to reply is decided by PossibleOwners; OwnerLookup sends the queries and completes the lookups.

No change of behaviour.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -4,13 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
-from oleanderweir.flows import route_address
 from oleanderweir.lookups.lookup_table import LookupTable
+from oleanderweir.lookups.possible_owners import PossibleOwners
 from oleanderweir.peering.messages import DeliveryPurpose
-from oleanderweir.peering.messages import PeerRole
-from oleanderweir.peering.report_interval import silence_s
 
 
 if TYPE_CHECKING:
@@ -29,11 +26,6 @@
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
-# How long a query waits for a live agent whose backend server isn't published. A
-# running one answers at once, and the agent denies for one that has stopped.
-UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
-# A backend server takes longer from its start until it is published and gets a flow.
-FRESH_REPORT_S = 0.1
 
 
 class OwnerLookup:
@@ -57,9 +49,9 @@
         use_delegate: bool,
     ) -> None:
         self.register = register
-        self.members = members
         self.transport = transport
         self.use_delegate = use_delegate
+        self.possible_owners = PossibleOwners(register=register, members=members)
         self.lookups = LookupTable()
 
     def is_in_progress(self, key: FlowKey) -> bool:
@@ -76,10 +68,10 @@
         if lookup.has_no_owner:
             self.transport.on_no_owner(packet)
             return
-        agents = self._possible_owners(lookup)
+        agents = self.possible_owners.find(lookup)
         if not agents or not self.lookups.is_due(lookup, now=now):
             self.lookups.buffer(lookup, packet)
-        elif self._is_denied_by_all(lookup, agents, now=now):
+        elif self.possible_owners.is_denied_by_all(lookup, agents, now=now):
             # The agents that have not replied are ruled out as owners.
             self._widen_or_fail(lookup, packet, now=now)
         else:
@@ -109,7 +101,9 @@
         lookup.denied_by.add(host)
         if not lookup.queried:
             self.look_up(packet, now=now)
-        elif self._is_denied_by_all(lookup, self._possible_owners(lookup), now=now):
+        elif self.possible_owners.is_denied_by_all(
+            lookup, self.possible_owners.find(lookup), now=now
+        ):
             self._widen_or_fail(lookup, packet, now=now)
         elif lookup.unlisted and lookup.unlisted <= lookup.denied_by:
             self._query_unlisted(lookup, packet, now=now)
@@ -142,7 +136,7 @@
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
         for lookup in self.lookups.deferred():
-            agents = self._possible_owners(lookup)
+            agents = self.possible_owners.find(lookup)
             if agents:
                 self._send_queries(lookup, lookup.buffered.pop(0), agents, now=now)
 
@@ -152,10 +146,10 @@
             lookup.is_fleet_wide = (
                 lookup.is_fleet_wide or lookup.attempts >= TARGETED_ATTEMPTS
             )
-            agents = self._possible_owners(lookup)
+            agents = self.possible_owners.find(lookup)
             if lookup.query is None:
                 continue
-            if self._is_denied_by_all(lookup, agents, now=now):
+            if self.possible_owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
                 self._send_queries(lookup, lookup.query, agents, now=now)
@@ -195,10 +189,10 @@
         """Query the next agents that delegates may not know; fail after the last."""
         pending = {
             host
-            for host in self._possible_owners(lookup) - lookup.denied_by
-            if not self._is_ruled_out(lookup, host, now=now)
+            for host in self.possible_owners.find(lookup) - lookup.denied_by
+            if not self.possible_owners.is_ruled_out(lookup, host, now=now)
         }
-        if not pending and not self._knows_all_agents():
+        if not pending and not self.possible_owners.knows_all_agents():
             return
         if not pending:
             lookup.has_no_owner = True
@@ -236,7 +230,9 @@
         """
         hosts = lookup.unknown_to - lookup.denied_by - lookup.checked
         awaited = set(lookup.first_query_at) - lookup.denied_by - lookup.unknown_to
-        is_complete = all(self._is_ruled_out(lookup, h, now=now) for h in awaited)
+        is_complete = all(
+            self.possible_owners.is_ruled_out(lookup, h, now=now) for h in awaited
+        )
         if hosts and (is_complete or lookup.attempts > 1):
             # A backend server answers a later packet rather than an acknowledgement.
             self._query(lookup, lookup.query or packet, sorted(hosts), now=now)
@@ -250,8 +246,8 @@
         """Query all agents; fail the lookup if all of them have denied."""
         if not lookup.is_fleet_wide:
             lookup.is_fleet_wide = True
-            others = self._possible_owners(lookup)
-            if not self._is_denied_by_all(lookup, others, now=now):
+            others = self.possible_owners.find(lookup)
+            if not self.possible_owners.is_denied_by_all(lookup, others, now=now):
                 self._send_queries(lookup, packet, others, now=now)
                 return
         if not packet.is_retransmitted and not lookup.buffered:
@@ -261,81 +257,3 @@
             return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
-
-    def _is_denied_by_all(
-        self, lookup: Lookup, agents: set[str], *, now: float
-    ) -> bool:
-        """
-        Whether each of these agents denied holding a flow or is ruled out.
-
-        Agents that departed, and silent ones whose backend servers are no longer
-        published, are not waited for: they may never reply, and callers would wait
-        until their timeout. Until the backend servers have been listed, and while this
-        process discovers members, the known agents may be a part of the fleet, so
-        their denials are not conclusive.
-        """
-        if not agents or not self._knows_all_agents():
-            return False
-        pending = agents - lookup.denied_by
-        return all(self._is_ruled_out(lookup, host, now=now) for host in pending)
-
-    def _knows_all_agents(self) -> bool:
-        """Whether the backend servers were listed, and no members are discovered."""
-        return self.register.listed_at is not None and not self.members.is_discovering()
-
-    def _is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
-        """
-        Whether a host cannot hold the flow of a lookup, so that no reply is needed.
-
-        An entry may be missing because it lapsed or hasn't arrived yet: a live agent
-        has to reply itself. What an agent reported earlier doesn't count for a backend
-        server that was published since.
-        """
-        departed_at = self.members.departed_at(host)
-        if departed_at is not None:
-            return not self.register.has_started_since(host, departed_at)
-        if self.register.is_published(host):
-            return False
-        reported_at = self.members.no_flows_reported_at(host)
-        if self._is_awaited(lookup, host, now=now):
-            fresh_since = lookup.started_at - FRESH_REPORT_S
-            return reported_at is not None and reported_at >= fresh_since
-        if self.register.is_host_removed(host, now=now):
-            return True
-        return reported_at is not None and not self.register.was_removed_since(
-            host, reported_at
-        )
-
-    def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
-        """
-        Whether to await an agent without a published backend server.
-
-        The time counts from its first query: a delegate may not have queried it.
-        """
-        silence_limit_s = silence_s(len(self.register.backends))
-        queried_at = lookup.first_query_at.get(host, now)
-        return (
-            now - queried_at < UNPUBLISHED_REPLY_TIMEOUT_S
-            and self.members.was_heard_since(host, now - silence_limit_s)
-        )
-
-    def _possible_owners(self, lookup: Lookup) -> set[str]:
-        """
-        Return the agents whose backend servers may hold a flow.
-
-        A flow stays on its backend server when its route moves to another service, so
-        former services of the route are included. A fleet-wide lookup, or one without
-        candidates, includes all agents.
-        """
-        hosts: set[str] = set()
-        if not lookup.is_fleet_wide:
-            for service in self.register.services_of(route_address(lookup.key)):
-                agents = {r.host for r in self.register.backends_of(service)}
-                agents.update(self.members.agents_of(service))
-                hosts.update(
-                    candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
-                )
-        if hosts:
-            return hosts
-        agents = {r.host for r in self.register.backends.values()}
-        return agents | set(self.members.hosts(PeerRole.AGENT))
--- /dev/null
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -0,0 +1,113 @@
+"""The agents that may own the flow of a lookup."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.flows import LOOKUP_CANDIDATES
+from oleanderweir.flows import candidate_hosts
+from oleanderweir.flows import route_address
+from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.report_interval import silence_s
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.lookups.lookup import Lookup
+    from oleanderweir.peering import Members
+
+
+# How long a query waits for a live agent whose backend server isn't published. A
+# running one answers at once, and the agent denies for one that has stopped.
+UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
+# A backend server takes longer from its start until it is published and gets a flow.
+FRESH_REPORT_S = 0.1
+
+
+class PossibleOwners:
+    """
+    Determines which agents may own a flow, and which of them are ruled out.
+
+    Both depend on the published backend servers, on the members that this process has
+    heard from, and on the replies recorded in the lookup.
+    """
+
+    def __init__(self, *, register: StateRegister, members: Members) -> None:
+        self.register = register
+        self.members = members
+
+    def find(self, lookup: Lookup) -> set[str]:
+        """
+        Return the agents whose backend servers may hold a flow.
+
+        A flow stays on its backend server when its route moves to another service, so
+        former services of the route are included. A fleet-wide lookup, or one without
+        candidates, includes all agents.
+        """
+        hosts: set[str] = set()
+        if not lookup.is_fleet_wide:
+            for service in self.register.services_of(route_address(lookup.key)):
+                agents = {r.host for r in self.register.backends_of(service)}
+                agents.update(self.members.agents_of(service))
+                hosts.update(
+                    candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
+                )
+        if hosts:
+            return hosts
+        agents = {r.host for r in self.register.backends.values()}
+        return agents | set(self.members.hosts(PeerRole.AGENT))
+
+    def is_denied_by_all(self, lookup: Lookup, agents: set[str], *, now: float) -> bool:
+        """
+        Whether each of these agents denied holding a flow or is ruled out.
+
+        Agents that departed, and silent ones whose backend servers are no longer
+        published, are not waited for: they may never reply, and callers would wait
+        until their timeout. Until the backend servers have been listed, and while this
+        process discovers members, the known agents may be a part of the fleet, so
+        their denials are not conclusive.
+        """
+        if not agents or not self.knows_all_agents():
+            return False
+        pending = agents - lookup.denied_by
+        return all(self.is_ruled_out(lookup, host, now=now) for host in pending)
+
+    def is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
+        """
+        Whether a host cannot hold the flow of a lookup, so that no reply is needed.
+
+        An entry may be missing because it lapsed or hasn't arrived yet: a live agent
+        has to reply itself. What an agent reported earlier doesn't count for a backend
+        server that was published since.
+        """
+        departed_at = self.members.departed_at(host)
+        if departed_at is not None:
+            return not self.register.has_started_since(host, departed_at)
+        if self.register.is_published(host):
+            return False
+        reported_at = self.members.no_flows_reported_at(host)
+        if self._is_awaited(lookup, host, now=now):
+            fresh_since = lookup.started_at - FRESH_REPORT_S
+            return reported_at is not None and reported_at >= fresh_since
+        if self.register.is_host_removed(host, now=now):
+            return True
+        return reported_at is not None and not self.register.was_removed_since(
+            host, reported_at
+        )
+
+    def knows_all_agents(self) -> bool:
+        """Whether the backend servers were listed, and no members are discovered."""
+        return self.register.listed_at is not None and not self.members.is_discovering()
+
+    def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
+        """
+        Whether to await an agent without a published backend server.
+
+        The time counts from its first query: a delegate may not have queried it.
+        """
+        silence_limit_s = silence_s(len(self.register.backends))
+        queried_at = lookup.first_query_at.get(host, now)
+        return (
+            now - queried_at < UNPUBLISHED_REPLY_TIMEOUT_S
+            and self.members.was_heard_since(host, now - silence_limit_s)
+        )
