Separate the placing of opening packets from the routing of other packets

OpeningPlacer queues opening packets until the published state arrives, places them, records the attempts and gives up; PacketBalancer routes packets and returned packets.

No change of behaviour. Two assertions of test_opening_copies read the attempts and the queue where they are now; they are as strict.

--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -0,0 +1,210 @@
+"""Places the opening packets of new flows on backend servers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.desired_state import Topic
+from oleanderweir.flows import route_address
+from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_balancer.forwarding.opening_attempts import OpeningAttempts
+from oleanderweir_balancer.forwarding.queued_opening import QueuedOpening
+
+
+if TYPE_CHECKING:
+    from oleanderweir.desired_state import BackendRecord
+    from oleanderweir.desired_state import Route
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.flows import FlowKey
+    from oleanderweir.flows import Packet
+    from oleanderweir.lookups import OwnerLookup
+    from oleanderweir_balancer.forwarding.balancer_transport import BalancerTransport
+    from oleanderweir_balancer.forwarding.flow_cache import FlowCache
+    from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
+
+
+# Opening packets queued after a start until the first published state arrives.
+MAX_QUEUED_OPENINGS = 2048
+# Callers give up a flow that isn't open after this time.
+OPENING_LIFETIME_S = 1.4
+# How long attempts are kept after the last one.
+ATTEMPTS_TTL_S = 2.0
+# Spreads callers over the shares of a route (Knuth's multiplicative hash).
+SHARE_HASH_FACTOR = 2654435761
+SHARE_HASH_SHIFT = 8
+
+
+class OpeningPlacer:
+    """
+    Places opening packets by load, and again if an agent returns them.
+
+    They are queued until the published state arrives. A flow that can't be placed is
+    reset, unless a backend server may still open it. The flow cache and the lookups
+    are those of the balancer: a copy of an opening packet whose flow is open already,
+    or is being looked up, isn't placed.
+    """
+
+    def __init__(
+        self,
+        *,
+        register: StateRegister,
+        placement: PlacementPolicy,
+        transport: BalancerTransport,
+        cache: FlowCache,
+        owner_lookup: OwnerLookup,
+    ) -> None:
+        self.register = register
+        self.placement = placement
+        self.transport = transport
+        self.cache = cache
+        self.owner_lookup = owner_lookup
+        self.queued_openings: list[QueuedOpening] = []
+        self.attempts: dict[FlowKey, OpeningAttempts] = {}
+
+    def open(self, packet: Packet, *, arrived_at: float, now: float) -> None:
+        """Place a new flow, or send a repeated opening packet to the same agent."""
+        if self.register.desired is None or not self._has_backend_listing():
+            self._queue_opening(packet, now=now)
+            return
+        if self._is_late(packet, arrived_at=arrived_at):
+            return
+        route = self.register.desired.routes.get(route_address(packet.key))
+        if route is None:
+            attempts = self._find_attempts(packet.key, now=now)
+            self._give_up(packet, attempts, reason="no_route", now=now)
+            return
+        if self.cache.is_open(packet.key):
+            # The caller uses the port of an earlier flow again.
+            self.cache.discard(packet.key)
+        flow = self.cache.get(packet.key, now=now)
+        if flow is not None and not self.placement.is_silent(flow.agent, now=now):
+            self.transport.deliver(flow.agent, packet, DeliveryPurpose.OPEN)
+            return
+        self._place(packet, route, now=now)
+
+    def retry(
+        self,
+        host: str,
+        packet: Packet,
+        reason: ReturnReason,
+        *,
+        placed_at: float,
+        now: float,
+    ) -> None:
+        """Place an opening packet again, or reset its flow after the last attempt."""
+        attempts = self.attempts.setdefault(
+            packet.key, OpeningAttempts(started_at=placed_at, updated_at=now)
+        )
+        attempts.updated_at = now
+        if reason is ReturnReason.BUSY:
+            attempts.busy.add(host)
+        elif reason is ReturnReason.UNANSWERED:
+            attempts.unanswered.add(host)
+        else:
+            attempts.refused.add(host)
+        if attempts.is_exhausted:
+            self._give_up(packet, attempts, reason="refused_everywhere", now=now)
+            return
+        self.open(packet, arrived_at=attempts.started_at, now=now)
+
+    def place_queued(self, *, now: float) -> None:
+        """Place the opening packets that were queued."""
+        queued, self.queued_openings = self.queued_openings, []
+        for opening in queued:
+            self._open_queued(opening, now=now)
+
+    def expire(self, *, now: float) -> None:
+        """Remove attempts that were last updated over ``ATTEMPTS_TTL_S`` ago."""
+        limit = now - ATTEMPTS_TTL_S
+        self.attempts = {
+            key: attempts
+            for key, attempts in self.attempts.items()
+            if attempts.updated_at > limit
+        }
+
+    def _is_late(self, packet: Packet, *, arrived_at: float) -> bool:
+        """Whether an opening packet is placed after another copy opened its flow."""
+        if self.owner_lookup.is_in_progress(packet.key):
+            return True
+        flow = self.cache.flows.get(packet.key)
+        if flow is None or not flow.is_open:
+            return False
+        # The first opening packet of a new flow, by a caller that uses a port again,
+        # arrives after the earlier flow and is no copy.
+        return packet.acknowledged > 0 or arrived_at < flow.stored_at
+
+    def _place(self, packet: Packet, route: Route, *, now: float) -> None:
+        """Select the backend server of a new flow and send it the opening packet."""
+        key = packet.key
+        attempts = self._find_attempts(key, now=now)
+        number = int.from_bytes(key[:6], "big") * SHARE_HASH_FACTOR >> SHARE_HASH_SHIFT
+        service = route.choose_service(number)
+        record = self._select_backend(service, key, attempts, now=now)
+        if record is None:
+            self._give_up(packet, attempts, reason="no_backend_server", now=now)
+            return
+        self.cache.put(key, record.host, now=now, is_open=False)
+        purpose = DeliveryPurpose.OPEN
+        if attempts.must_accept(record.host):
+            purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        self.transport.deliver(record.host, packet, purpose)
+        self.transport.log(
+            "flow_placed",
+            key,
+            service=service,
+            agent=record.host,
+            backend_server=record.identifier,
+            copies=packet.acknowledged,
+            refused=len(attempts.refused | attempts.unanswered),
+            busy=len(attempts.busy),
+        )
+
+    def _select_backend(
+        self, service: str, key: FlowKey, attempts: OpeningAttempts, *, now: float
+    ) -> BackendRecord | None:
+        """Return the next backend server; a busy one again only if no other is left."""
+        candidates = self.register.backends_of(service)
+        return self.placement.place(
+            candidates, key=key, excluding=attempts.excluded, now=now
+        ) or self.placement.place(
+            candidates,
+            key=key,
+            excluding=attempts.refused | attempts.unanswered,
+            now=now,
+        )
+
+    def _find_attempts(self, key: FlowKey, *, now: float) -> OpeningAttempts:
+        """Return the attempts of a flow, or new ones, which aren't recorded yet."""
+        return self.attempts.get(key) or OpeningAttempts(started_at=now, updated_at=now)
+
+    def _has_backend_listing(self) -> bool:
+        """Whether the published backend servers were read at least once."""
+        return self.register.revision(Topic.BACKEND_SERVERS) > 0
+
+    def _queue_opening(self, packet: Packet, *, now: float) -> None:
+        """Queue an opening packet, unless too many are queued."""
+        if len(self.queued_openings) < MAX_QUEUED_OPENINGS:
+            opening = QueuedOpening(packet=packet, arrived_at=now)
+            self.queued_openings.append(opening)
+
+    def _open_queued(self, opening: QueuedOpening, *, now: float) -> None:
+        """Place a queued opening packet, by its age, unless its caller has given up."""
+        if now - opening.arrived_at > OPENING_LIFETIME_S:
+            return
+        packet = opening.packet
+        self.attempts.setdefault(
+            packet.key, OpeningAttempts(started_at=opening.arrived_at, updated_at=now)
+        )
+        self.open(packet, arrived_at=opening.arrived_at, now=now)
+
+    def _give_up(
+        self, packet: Packet, attempts: OpeningAttempts, *, reason: str, now: float
+    ) -> None:
+        """Reset a flow that can't be placed, unless it may open late somewhere."""
+        self.attempts.pop(packet.key, None)
+        # Another balancer may have placed an earlier copy.
+        if attempts.may_have_opened(now=now) or packet.acknowledged > 0:
+            self.transport.log("opening_unanswered", packet.key, reason=reason)
+        else:
+            self.transport.send_reset(packet, reason=reason)
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -123,7 +123,7 @@
         await trio.sleep(1.0)
         bench.balancer.expire()
 
-    assert bench.balancer.attempts == {}
+    assert bench.balancer.opening_placer.attempts == {}
 
 
 async def test_an_opening_that_waited_for_the_published_state_resets_no_flow(
@@ -211,7 +211,7 @@
 
     bench.balancer.on_state_change(Topic.BACKEND_SERVERS)
 
-    assert bench.balancer.queued_openings == []
+    assert bench.balancer.opening_placer.queued_openings == []
     assert bench.resets() == []
 
 
