Separate random faults of balancers, agents, backend servers and the network

RandomFaults draws the time and kind of each fault. The faults themselves are in BalancerFaults, AgentFaults, BackendFaults, NetworkFaults and StateChanges (routes and late changes); DisturbedHosts reserves the hosts.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
@@ -12,10 +12,10 @@
 from oleanderweir_bench.packet_path.closing_caller import ClosingCaller
 from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
 from oleanderweir_bench.packet_path.fault_record import STABLE_S
-from oleanderweir_bench.packet_path.random_faults import MOVING_ROUTE
-from oleanderweir_bench.packet_path.random_faults import REMOVED_ROUTE
 from oleanderweir_bench.packet_path.random_faults import RandomFaults
 from oleanderweir_bench.packet_path.site_settings import ROUTE
+from oleanderweir_bench.packet_path.state_changes import MOVING_ROUTE
+from oleanderweir_bench.packet_path.state_changes import REMOVED_ROUTE
 
 
 if TYPE_CHECKING:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_settings.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_settings.py
@@ -4,6 +4,7 @@
 
 
 SERVICE = "feed"
+OTHER_SERVICE = "archive"
 AVAILABILITY_ZONE = "a"
 ROUTE = bytes([198, 18, 0, 1]) + (443).to_bytes(2, "big")
 CALLER_PORT = 8172
