Count the time for which an opening packet may have waited in a socket

Callers: an open flow was reset (no_backend_server). A balancer that had been suspended for 2.6 s read the first opening packet of a flow that the caller's copy had opened through another balancer, placed it by its old state, got it back with NO_ROUTE, and reset the flow.

The age of an opening packet, by which a balancer decides whether another one may have placed a copy, counted from its reading. Class: an outcome without its age.

A tick or a read that comes late shows a pause; until the socket was read empty, packets may have waited since the process last ran. The clock counts suspensions of the machine, which the steady clock doesn't. The first packets of a process that starts count as waiting, too.

Ruled out: times of arrival from the kernel, which the platform doesn't promise; dropping such packets, since a fresh one may be among them.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -6,8 +6,14 @@
 
 import trio
 
+from oleanderweir.net import BATCH_LIMIT
+from oleanderweir_balancer.forwarding.pause_watch import TICK_INTERVAL_S
+from oleanderweir_balancer.forwarding.pause_watch import PauseWatch
+
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from oleanderweir.desired_state import Topic
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.messages import Message
@@ -26,14 +32,24 @@
 
 
 class BalancerProgram:
-    """Feeds a ``PacketBalancer`` with packets, messages and timer events."""
+    """
+    Feeds a ``PacketBalancer`` with packets, messages and timer events.
+
+    ``clock`` returns seconds and counts the time for which the machine is suspended.
+    """
 
     def __init__(
-        self, *, balancer: PacketBalancer, packet_socket: UdpSocket, grace_s: float
+        self,
+        *,
+        balancer: PacketBalancer,
+        packet_socket: UdpSocket,
+        grace_s: float,
+        clock: Callable[[], float],
     ) -> None:
         self.balancer = balancer
         self.packet_socket = packet_socket
         self.grace_s = grace_s
+        self.pause_watch = PauseWatch(clock=clock)
 
     @property
     def is_ready(self) -> bool:
@@ -49,6 +65,7 @@
         """Receive packets of callers until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive)
+            nursery.start_soon(self._watch_pauses)
             nursery.start_soon(self._expire)
             nursery.start_soon(self._retry_lookups)
             task_status.started()
@@ -80,8 +97,15 @@
 
     async def _receive(self) -> None:
         while True:
-            for datagram in await self.packet_socket.receive_batch():
-                self.balancer.on_caller_packet(datagram.data)
+            batch = await self.packet_socket.receive_batch()
+            waited_s = self.pause_watch.on_read(is_empty=len(batch) < BATCH_LIMIT)
+            for datagram in batch:
+                self.balancer.on_caller_packet(datagram.data, waited_s=waited_s)
+
+    async def _watch_pauses(self) -> None:
+        while True:
+            await trio.sleep(TICK_INTERVAL_S)
+            self.pause_watch.tick()
 
     async def _expire(self) -> None:
         while True:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -65,7 +65,7 @@
     def open(self, packet: Packet, *, arrived_at: float, now: float) -> None:
         """Place a new flow, or send a repeated opening packet to the same agent."""
         if self.register.desired is None or not self._has_backend_listing():
-            self._queue_opening(packet, now=now)
+            self._queue_opening(packet, arrived_at=arrived_at)
             return
         if self._is_late(packet, arrived_at=arrived_at):
             return
@@ -83,6 +83,23 @@
             return
         self._place(packet, route, now=now)
 
+    def open_delayed(self, packet: Packet, *, arrived_at: float, now: float) -> None:
+        """
+        Place an opening packet that may have arrived at ``arrived_at`` already.
+
+        Its caller may have sent a copy since, which opened the flow elsewhere.
+        """
+        self.transport.log(
+            "opening_delayed",
+            packet.key,
+            copies=packet.acknowledged,
+            waited_ms=round((now - arrived_at) * 1000),
+        )
+        self.attempts.setdefault(
+            packet.key, OpeningAttempts(started_at=arrived_at, updated_at=now)
+        )
+        self.open(packet, arrived_at=arrived_at, now=now)
+
     def retry(
         self,
         host: str,
@@ -182,21 +199,17 @@
         """Whether the published backend servers were read at least once."""
         return self.register.revision(Topic.BACKEND_SERVERS) > 0
 
-    def _queue_opening(self, packet: Packet, *, now: float) -> None:
+    def _queue_opening(self, packet: Packet, *, arrived_at: float) -> None:
         """Queue an opening packet, unless too many are queued."""
         if len(self.queued_openings) < MAX_QUEUED_OPENINGS:
-            opening = QueuedOpening(packet=packet, arrived_at=now)
+            opening = QueuedOpening(packet=packet, arrived_at=arrived_at)
             self.queued_openings.append(opening)
 
     def _open_queued(self, opening: QueuedOpening, *, now: float) -> None:
         """Place a queued opening packet, by its age, unless its caller has given up."""
         if now - opening.arrived_at > OPENING_LIFETIME_S:
             return
-        packet = opening.packet
-        self.attempts.setdefault(
-            packet.key, OpeningAttempts(started_at=opening.arrived_at, updated_at=now)
-        )
-        self.open(packet, arrived_at=opening.arrived_at, now=now)
+        self.open_delayed(opening.packet, arrived_at=opening.arrived_at, now=now)
 
     def _give_up(
         self, packet: Packet, attempts: OpeningAttempts, *, reason: str, now: float
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -71,13 +71,20 @@
         """Whether new and open flows can be forwarded."""
         return self.register.desired is not None and bool(self.register.backends)
 
-    def on_caller_packet(self, data: bytes) -> None:
-        """Forward one datagram of a caller."""
+    def on_caller_packet(self, data: bytes, *, waited_s: float = 0.0) -> None:
+        """
+        Forward one datagram of a caller.
+
+        ``waited_s`` is the longest time for which it may have waited to be read.
+        """
         packet = self.codec.decode_from_caller(data)
         if packet is None:
             return
         now = trio.current_time()
         self.last_caller_packet_at = now
+        if packet.is_opening and waited_s:
+            self.opening_placer.open_delayed(packet, arrived_at=now - waited_s, now=now)
+            return
         if packet.is_opening:
             self.opening_placer.open(packet, arrived_at=now, now=now)
             return
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -99,6 +99,7 @@
                 "UdpSocket", VirtualSocket(network=self.network, host=host)
             ),
             grace_s=GRACE_S,
+            clock=trio.current_time,
         )
         await program.drain()
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
@@ -30,6 +30,6 @@
     # lost for some time, and the agent presumed that the backend server was down.
     SoakPlan(seed=40, restore_probability=0.0),
     # One held flow was reset: a balancer that had been suspended read an opening packet
-    # whose copy another balancer had placed, and an agent refused it. Not corrected.
+    # whose copy another balancer had placed, and an agent refused it.
     SoakPlan(seed=501, balancers=8, backends=20, callers=150),
 )
--- a/packages/oleanderweir/src/oleanderweir/net/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/net/__init__.py
@@ -6,6 +6,7 @@
 from oleanderweir.net.exceptions import InvalidAddressError
 from oleanderweir.net.keepalive import enable_keepalive
 from oleanderweir.net.socket_address import SocketAddress
+from oleanderweir.net.udp_socket import BATCH_LIMIT
 from oleanderweir.net.udp_socket import Datagram
 from oleanderweir.net.udp_socket import UdpSocket
 from oleanderweir.net.udp_socket import pack_sockaddr
@@ -13,6 +14,7 @@
 
 
 __all__ = [
+    "BATCH_LIMIT",
     "AddressInUseError",
     "Datagram",
     "InvalidAddressError",
--- a/packages/oleanderweir/src/oleanderweir/packet_process/clock_watch.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/clock_watch.py
@@ -18,10 +18,10 @@
 
 async def watch_clock() -> None:
     """Log each suspension of the machine: the process has stale state after it."""
-    skew = _boot_time_s() - time.monotonic()
+    skew = boot_time_s() - time.monotonic()
     while True:
         await trio.sleep(CLOCK_CHECK_INTERVAL_S)
-        now_skew = _boot_time_s() - time.monotonic()
+        now_skew = boot_time_s() - time.monotonic()
         if now_skew - skew > MIN_SUSPENSION_S:
             logger.warning(
                 "the machine was suspended",
@@ -30,6 +30,6 @@
         skew = now_skew
 
 
-def _boot_time_s() -> float:
+def boot_time_s() -> float:
     """Return the time since boot in seconds, suspended time included."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
