Query no agents that reported no flows after a loss of power

Lost flows were reset late.

Now a report counts for 2.5 s, which covers the interval of heartbeats, and only balancers wait for discovered hosts.

Evidence: test_a_loss_of_all_power_leads_to_no_queries_of_agents_without_flows failed before (no reset, but queries).

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -51,7 +51,10 @@
         self.register = register
         self.transport = transport
         self.use_delegate = use_delegate
-        self.possible_owners = PossibleOwners(register=register, members=members)
+        # The result of a delegate covers published backend servers only.
+        self.possible_owners = PossibleOwners(
+            register=register, members=members, awaits_discovery=use_delegate
+        )
         self.lookups = LookupTable()
 
     def is_in_progress(self, key: FlowKey) -> bool:
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -20,8 +20,9 @@
 # How long a query waits for a live agent whose backend server isn't published. A
 # running one answers at once, and the agent denies for one that has stopped.
 UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
-# A backend server takes longer from its start until it is published and gets a flow.
-FRESH_REPORT_S = 0.1
+# Age up to which a report counts that an agent holds no flows. Agents report with each
+# heartbeat, every two seconds.
+FRESH_REPORT_S = 2.5
 
 
 class PossibleOwners:
@@ -29,12 +30,16 @@
     Determines which agents may own a flow, and which of them are ruled out.
 
     Both depend on the published backend servers, on the members that this process has
-    heard from, and on the replies recorded in the lookup.
+    heard from, and on the replies recorded in the lookup. With ``awaits_discovery``,
+    denials aren't conclusive while hosts that peers listed haven't replied yet.
     """
 
-    def __init__(self, *, register: StateRegister, members: Members) -> None:
+    def __init__(
+        self, *, register: StateRegister, members: Members, awaits_discovery: bool
+    ) -> None:
         self.register = register
         self.members = members
+        self.awaits_discovery = awaits_discovery
 
     def find(self, lookup: Lookup) -> set[str]:
         """
@@ -97,7 +102,9 @@
 
     def knows_all_agents(self) -> bool:
         """Whether the backend servers were listed, and no members are discovered."""
-        return self.register.listed_at is not None and not self.members.is_discovering()
+        if self.register.listed_at is None:
+            return False
+        return not (self.awaits_discovery and self.members.is_discovering())
 
     def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -9,6 +9,7 @@
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import encode_packet
+from tests.oleanderweir_balancer.forwarding.bench import CALLER_PORT
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
 from tests.oleanderweir_balancer.forwarding.bench import MIXED
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
@@ -372,3 +373,23 @@
         bench.balancer.retry_lookups()
 
     assert len(bench.resets()) == 1
+
+
+async def test_a_loss_of_all_power_leads_to_no_queries_of_agents_without_flows(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    # All entries have lapsed, and the agents run again before their backend servers.
+    bench.publish(backends={}, revision=20)
+    await trio.sleep(0.5)
+    for host in LARGE_FLEET:
+        bench.members.record_heartbeat(host, make_agent_heartbeat(holds_no_flows=True))
+    await trio.sleep(1.9)
+    for host in LARGE_FLEET:
+        bench.members.record_activity(host)
+
+    bench.balancer.on_caller_packet(REQUEST)
+
+    assert len(bench.socket.pop_sent_to(CALLER_PORT)) == 1
+    assert bench.deliveries() == []
