--- a/packages/oleanderweir/src/oleanderweir/lookups/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/__init__.py
@@ -7,7 +7,6 @@
 from oleanderweir.lookups.lookup_transport import LookupTransport
 from oleanderweir.lookups.owner_lookup import MAX_DIRECT_QUERIES
 from oleanderweir.lookups.owner_lookup import OwnerLookup
-from oleanderweir.lookups.possible_owners import PossibleOwners
 
 
 __all__ = [
@@ -16,5 +15,4 @@
     "Lookup",
     "LookupTable",
     "OwnerLookup",
-    "PossibleOwners",
 ]
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
+from oleanderweir.flows import route_address
 from oleanderweir.lookups.lookup_table import LookupTable
-from oleanderweir.lookups.possible_owners import PossibleOwners
 from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import PeerRole
 
 
 if TYPE_CHECKING:
@@ -49,12 +51,9 @@
         use_delegate: bool,
     ) -> None:
         self.register = register
+        self.members = members
         self.transport = transport
         self.use_delegate = use_delegate
-        # The result of a delegate covers published backend servers only.
-        self.possible_owners = PossibleOwners(
-            register=register, members=members, awaits_discovery=use_delegate
-        )
         self.lookups = LookupTable()
 
     def is_in_progress(self, key: FlowKey) -> bool:
@@ -71,10 +70,10 @@
         if lookup.has_no_owner:
             self.transport.on_no_owner(packet)
             return
-        agents = self.possible_owners.find(lookup)
+        agents = self._possible_owners(lookup)
         if not agents or not self.lookups.is_due(lookup, now=now):
             self.lookups.buffer(lookup, packet)
-        elif self.possible_owners.is_denied_by_all(lookup, agents, now=now):
+        elif self._is_denied_by_all(lookup, agents, now=now):
             # The agents that have not replied are ruled out as owners.
             self._widen_or_fail(lookup, packet, now=now)
         else:
@@ -104,21 +103,8 @@
         lookup.denied_by.add(host)
         if not lookup.queried:
             self.look_up(packet, now=now)
-        elif self.possible_owners.is_denied_by_all(
-            lookup, self.possible_owners.find(lookup), now=now
-        ):
+        elif self._is_denied_by_all(lookup, self._possible_owners(lookup), now=now):
             self._widen_or_fail(lookup, packet, now=now)
-        elif lookup.unlisted and lookup.unlisted <= lookup.denied_by:
-            self._query_unlisted(lookup, packet, now=now)
-        else:
-            self._check_backends(lookup, packet, now=now)
-
-    def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
-        """Record that an agent has no entry; its backend server may hold the flow."""
-        lookup = self.lookups.lookups.get(packet.key)
-        if lookup is not None and not lookup.has_no_owner:
-            lookup.unknown_to.add(host)
-            self._check_backends(lookup, packet, now=now)
 
     def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
         """
@@ -134,12 +120,18 @@
             return
         lookup.is_fleet_wide = True
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
-        self._query_unlisted(lookup, packet, now=now)
+        others = self._possible_owners(lookup) - lookup.denied_by
+        pending = {host for host in others if not self._is_ruled_out(host, now=now)}
+        if not pending:
+            lookup.has_no_owner = True
+            self.transport.on_no_owner(packet)
+        elif len(pending) <= MAX_DIRECT_QUERIES:
+            self._send_queries(lookup, packet, pending, now=now)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
         for lookup in self.lookups.deferred():
-            agents = self.possible_owners.find(lookup)
+            agents = self._possible_owners(lookup)
             if agents:
                 self._send_queries(lookup, lookup.buffered.pop(0), agents, now=now)
 
@@ -149,10 +141,10 @@
             lookup.is_fleet_wide = (
                 lookup.is_fleet_wide or lookup.attempts >= TARGETED_ATTEMPTS
             )
-            agents = self.possible_owners.find(lookup)
+            agents = self._possible_owners(lookup)
             if lookup.query is None:
                 continue
-            if self.possible_owners.is_denied_by_all(lookup, agents, now=now):
+            if self._is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
                 self._send_queries(lookup, lookup.query, agents, now=now)
@@ -186,59 +178,9 @@
             self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
             self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
             return
-        self._query(lookup, packet, sorted(agents - lookup.denied_by), now=now)
-
-    def _query_unlisted(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
-        """Query the next agents that delegates may not know; fail after the last."""
-        pending = {
-            host
-            for host in self.possible_owners.find(lookup) - lookup.denied_by
-            if not self.possible_owners.is_ruled_out(lookup, host, now=now)
-        }
-        if not pending and not self.possible_owners.knows_all_agents():
-            return
-        if not pending:
-            lookup.has_no_owner = True
-            self.transport.on_no_owner(packet)
-            return
-        hosts = candidate_hosts(lookup.key, pending, count=MAX_DIRECT_QUERIES)
-        lookup.unlisted = set(hosts)
-        lookup.queried |= lookup.unlisted
-        self._query(lookup, packet, hosts, now=now)
-
-    def _query(
-        self, lookup: Lookup, packet: Packet, hosts: list[str], *, now: float
-    ) -> None:
-        """
-        Send a packet as a query to each of these agents.
-
-        Only agents that have replied have their backend servers asked: a query may wait
-        in the socket of an agent that starts, until long after the owner was found.
-        """
-        for host in hosts:
-            lookup.first_query_at.setdefault(host, now)
-            purpose = DeliveryPurpose.TABLE_QUERY
-            if host in lookup.unknown_to:
-                purpose = DeliveryPurpose.QUERY
-                lookup.checked.add(host)
-            self.transport.deliver(host, packet, purpose)
-        self.transport.log("flow_lookup", packet.key, asked=len(hosts))
-
-    def _check_backends(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
-        """
-        Have backend servers asked whose agents have no entry of a flow.
-
-        In the first round, this waits for the replies of all agents: the packet reaches
-        no other backend server if the agent of the owner has an entry.
-        """
-        hosts = lookup.unknown_to - lookup.denied_by - lookup.checked
-        awaited = set(lookup.first_query_at) - lookup.denied_by - lookup.unknown_to
-        is_complete = all(
-            self.possible_owners.is_ruled_out(lookup, h, now=now) for h in awaited
-        )
-        if hosts and (is_complete or lookup.attempts > 1):
-            # A backend server answers a later packet rather than an acknowledgement.
-            self._query(lookup, lookup.query or packet, sorted(hosts), now=now)
+        for host in sorted(agents - lookup.denied_by):
+            self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
+        self.transport.log("flow_lookup", packet.key, asked=len(agents))
 
     def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
         """Return the delegate: the next agent of the ranking at each attempt."""
@@ -249,8 +191,8 @@
         """Query all agents; fail the lookup if all of them have denied."""
         if not lookup.is_fleet_wide:
             lookup.is_fleet_wide = True
-            others = self.possible_owners.find(lookup)
-            if not self.possible_owners.is_denied_by_all(lookup, others, now=now):
+            others = self._possible_owners(lookup)
+            if not self._is_denied_by_all(lookup, others, now=now):
                 self._send_queries(lookup, packet, others, now=now)
                 return
         if not packet.is_retransmitted and not lookup.buffered:
@@ -260,3 +202,60 @@
             return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
+
+    def _is_denied_by_all(
+        self, lookup: Lookup, agents: set[str], *, now: float
+    ) -> bool:
+        """
+        Whether each of these agents denied holding a flow or is ruled out.
+
+        Agents that departed or whose backend servers are no longer published are not
+        waited for: they may never reply, and callers would wait until their timeout.
+        Until the backend
+        servers have been listed, the known agents may be a small part of the fleet, so
+        their denials are not conclusive.
+        """
+        if not agents or self.register.listed_at is None:
+            return False
+        pending = agents - lookup.denied_by
+        return all(self._is_ruled_out(host, now=now) for host in pending)
+
+    def _is_ruled_out(self, host: str, *, now: float) -> bool:
+        """
+        Whether a host cannot hold any flow, so that no reply is needed.
+
+        What an agent reported earlier doesn't count for a backend server that was
+        published since.
+        """
+        departed_at = self.members.departed_at(host)
+        if departed_at is not None:
+            return not self.register.has_started_since(host, departed_at)
+        if self.register.is_published(host):
+            return False
+        if self.register.is_host_removed(host, now=now):
+            return True
+        reported_at = self.members.no_flows_reported_at(host)
+        return reported_at is not None and not self.register.was_removed_since(
+            host, reported_at
+        )
+
+    def _possible_owners(self, lookup: Lookup) -> set[str]:
+        """
+        Return the agents whose backend servers may hold a flow.
+
+        A flow stays on its backend server when its route moves to another service, so
+        former services of the route are included. A fleet-wide lookup, or one without
+        candidates, includes all agents.
+        """
+        hosts: set[str] = set()
+        if not lookup.is_fleet_wide:
+            for service in self.register.services_of(route_address(lookup.key)):
+                agents = {r.host for r in self.register.backends_of(service)}
+                agents.update(self.members.agents_of(service))
+                hosts.update(
+                    candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
+                )
+        if hosts:
+            return hosts
+        agents = {r.host for r in self.register.backends.values()}
+        return agents | set(self.members.hosts(PeerRole.AGENT))
