Fail a lookup at once if its delegate found no owner and most entries are missing

Callers: after a loss of all power, lost flows were reset late, and processes were busy with their lookups.

Cause: since, the negative result of a delegate completes a lookup only once the agents that the delegate may not know have denied. With more than three of them, none was queried, and the lookup was delegated again until its timeout, each time to the whole fleet.

Up to three agents are queried as before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -122,10 +122,12 @@
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
         others = self._possible_owners(lookup) - lookup.denied_by
         pending = {host for host in others if not self._is_ruled_out(host, now=now)}
-        if not pending:
+        # If many entries are missing, most backend servers have stopped: queries of all
+        # their agents, for each lookup, would be too many.
+        if not pending or len(pending) > MAX_DIRECT_QUERIES:
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
-        elif len(pending) <= MAX_DIRECT_QUERIES:
+        else:
             self._send_queries(lookup, packet, pending, now=now)
 
     def query_deferred(self, *, now: float) -> None:
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -197,3 +197,22 @@
     bench.balancer.retry_lookups()
 
     assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+
+async def test_a_loss_of_all_power_leads_to_no_repeated_lookups_of_lost_flows(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    # All backend servers have stopped with their machines; the agents run again.
+    for host in LARGE_FLEET:
+        bench.members.record_heartbeat(host, make_agent_heartbeat())
+    bench.publish(backends={}, revision=20)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert len(bench.resets()) == 1
+    await trio.sleep(0.5)
+    bench.balancer.retry_lookups()
+    assert bench.deliveries() == []
