Separate the possible owners of a flow from its lookup

No change of behaviour: the tests of lookups, agents, balancers and of the packet path in virtual time pass as before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -4,12 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
-from oleanderweir.flows import route_address
 from oleanderweir.lookups.lookup_table import LookupTable
+from oleanderweir.lookups.possible_owners import PossibleOwners
 from oleanderweir.peering.messages import DeliveryPurpose
-from oleanderweir.peering.messages import PeerRole
 
 
 if TYPE_CHECKING:
@@ -51,7 +49,7 @@
         use_delegate: bool,
     ) -> None:
         self.register = register
-        self.members = members
+        self.owners = PossibleOwners(register=register, members=members)
         self.transport = transport
         self.use_delegate = use_delegate
         self.lookups = LookupTable()
@@ -70,10 +68,10 @@
         if lookup.has_no_owner:
             self.transport.on_no_owner(packet)
             return
-        agents = self._possible_owners(lookup)
+        agents = self.owners.find(lookup)
         if not agents or not self.lookups.is_due(lookup, now=now):
             self.lookups.buffer(lookup, packet)
-        elif self._is_denied_by_all(lookup, agents, now=now):
+        elif self.owners.is_denied_by_all(lookup, agents, now=now):
             # The agents that have not replied are ruled out as owners.
             self._widen_or_fail(lookup, packet, now=now)
         else:
@@ -103,7 +101,7 @@
         lookup.denied_by.add(host)
         if not lookup.queried:
             self.look_up(packet, now=now)
-        elif self._is_denied_by_all(lookup, self._possible_owners(lookup), now=now):
+        elif self.owners.is_denied_by_all(lookup, self.owners.find(lookup), now=now):
             self._widen_or_fail(lookup, packet, now=now)
 
     def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
@@ -120,8 +118,7 @@
             return
         lookup.is_fleet_wide = True
         lookup.denied_by |= lookup.delegated_hosts or frozenset()
-        others = self._possible_owners(lookup) - lookup.denied_by
-        pending = {host for host in others if not self._is_ruled_out(host, now=now)}
+        pending = self.owners.find_pending(lookup, now=now)
         # If many entries are missing, most backend servers have stopped: queries of all
         # their agents, for each lookup, would be too many.
         if not pending or len(pending) > MAX_DIRECT_QUERIES:
@@ -133,7 +130,7 @@
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
         for lookup in self.lookups.deferred():
-            agents = self._possible_owners(lookup)
+            agents = self.owners.find(lookup)
             if agents:
                 self._send_queries(lookup, lookup.buffered.pop(0), agents, now=now)
 
@@ -143,10 +140,10 @@
             lookup.is_fleet_wide = (
                 lookup.is_fleet_wide or lookup.attempts >= TARGETED_ATTEMPTS
             )
-            agents = self._possible_owners(lookup)
+            agents = self.owners.find(lookup)
             if lookup.query is None:
                 continue
-            if self._is_denied_by_all(lookup, agents, now=now):
+            if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
                 self._send_queries(lookup, lookup.query, agents, now=now)
@@ -193,8 +190,8 @@
         """Query all agents; fail the lookup if all of them have denied."""
         if not lookup.is_fleet_wide:
             lookup.is_fleet_wide = True
-            others = self._possible_owners(lookup)
-            if not self._is_denied_by_all(lookup, others, now=now):
+            others = self.owners.find(lookup)
+            if not self.owners.is_denied_by_all(lookup, others, now=now):
                 self._send_queries(lookup, packet, others, now=now)
                 return
         if not packet.is_retransmitted and not lookup.buffered:
@@ -204,60 +201,3 @@
             return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
-
-    def _is_denied_by_all(
-        self, lookup: Lookup, agents: set[str], *, now: float
-    ) -> bool:
-        """
-        Whether each of these agents denied holding a flow or is ruled out.
-
-        Agents that departed or whose backend servers are no longer published are not
-        waited for: they may never reply, and callers would wait until their timeout.
-        Until the backend
-        servers have been listed, the known agents may be a small part of the fleet, so
-        their denials are not conclusive.
-        """
-        if not agents or self.register.listed_at is None:
-            return False
-        pending = agents - lookup.denied_by
-        return all(self._is_ruled_out(host, now=now) for host in pending)
-
-    def _is_ruled_out(self, host: str, *, now: float) -> bool:
-        """
-        Whether a host cannot hold any flow, so that no reply is needed.
-
-        What an agent reported earlier doesn't count for a backend server that was
-        published since.
-        """
-        departed_at = self.members.departed_at(host)
-        if departed_at is not None:
-            return not self.register.has_started_since(host, departed_at)
-        if self.register.is_published(host):
-            return False
-        if self.register.is_host_removed(host, now=now):
-            return True
-        reported_at = self.members.no_flows_reported_at(host)
-        return reported_at is not None and not self.register.was_removed_since(
-            host, reported_at
-        )
-
-    def _possible_owners(self, lookup: Lookup) -> set[str]:
-        """
-        Return the agents whose backend servers may hold a flow.
-
-        A flow stays on its backend server when its route moves to another service, so
-        former services of the route are included. A fleet-wide lookup, or one without
-        candidates, includes all agents.
-        """
-        hosts: set[str] = set()
-        if not lookup.is_fleet_wide:
-            for service in self.register.services_of(route_address(lookup.key)):
-                agents = {r.host for r in self.register.backends_of(service)}
-                agents.update(self.members.agents_of(service))
-                hosts.update(
-                    candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
-                )
-        if hosts:
-            return hosts
-        agents = {r.host for r in self.register.backends.values()}
-        return agents | set(self.members.hosts(PeerRole.AGENT))
