Query the flow tables of agents before their backend servers, in one round each

Cause: a query waits in the socket of an agent that starts, which forwards it to its backend server long after the owner was found (a message that is read without its age). What is new: a lookup takes its next step only once no reply is outstanding.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -21,6 +21,7 @@
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
+QUERIES = frozenset({DeliveryPurpose.QUERY, DeliveryPurpose.TABLE_QUERY})
 # An unpublished backend server that has sent nothing for this long may have stopped.
 WITHDRAWN_SILENCE_S = 5.0
 
@@ -67,10 +68,10 @@
         elif self.liveness.is_down():
             self.remover.remove(packet.key, now=now)
             self.remover.return_unheld(host, flow, packet.data)
-        elif message.purpose is not DeliveryPurpose.QUERY:
+        elif message.purpose not in QUERIES:
             self._forward(host, flow, packet, now=now)
         elif flow.is_closed:
-            self.ownership.start(host, packet, now=now)
+            self._check_backend(host, packet, message, now=now)
         elif flow.is_established and not flow.may_be_of_later_flow(packet):
             self._forward(host, flow, packet, now=now)
             self.transport.send_owner_notice(
@@ -111,6 +112,17 @@
             self.transport.return_packet(
                 host, packet.key, packet.data, ReturnReason.NOT_TRIED
             )
+        else:
+            self._check_backend(host, packet, message, now=now)
+
+    def _check_backend(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
+        """Ask the backend server whether it holds a flow, unless the query forbids."""
+        if message.purpose is DeliveryPurpose.TABLE_QUERY:
+            self.transport.return_packet(
+                host, packet.key, packet.data, ReturnReason.UNKNOWN
+            )
         else:
             self.ownership.start(host, packet, now=now)
 
@@ -121,7 +133,7 @@
         If the route leads to another service, only a query is forwarded: the flow may
         have been opened before the route moved.
         """
-        is_query = message.purpose is DeliveryPurpose.QUERY
+        is_query = message.purpose in QUERIES
         version = message.version
         return not is_query and not self.admission.allows_route(
             packet.key, version=version
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -69,10 +69,15 @@
         self.owner_lookup.on_owner(host, notice.key, now=trio.current_time())
 
     def on_denial(self, host: str, returned: ReturnedPacket) -> None:
-        """Process the denial of an agent."""
+        """Process the denial of an agent, or its reply that it has no entry."""
         packet = self.codec.decode_from_caller(returned.data)
-        if packet is not None and packet.key in self.requesters:
-            self.owner_lookup.on_denial(host, packet, now=trio.current_time())
+        if packet is None or packet.key not in self.requesters:
+            return
+        now = trio.current_time()
+        if returned.reason is ReturnReason.UNKNOWN:
+            self.owner_lookup.on_unknown(host, packet, now=now)
+        else:
+            self.owner_lookup.on_denial(host, packet, now=now)
 
     def retry(self, *, now: float) -> None:
         """Repeat queries that were not answered."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -150,6 +150,9 @@
         if packet.is_opening and self._is_open(packet.key):
             # The caller has acknowledged the answer to another copy.
             return
+        if reason is ReturnReason.UNKNOWN:
+            self.owner_lookup.on_unknown(host, packet, now=now)
+            return
         if reason is ReturnReason.HELD_NOWHERE:
             self._on_no_owner(host, packet, now=now)
             return
--- a/packages/oleanderweir/src/oleanderweir/lookups/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/__init__.py
@@ -5,8 +5,8 @@
 from oleanderweir.lookups.lookup import Lookup
 from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.lookups.lookup_transport import LookupTransport
-from oleanderweir.lookups.owner_lookup import MAX_DIRECT_QUERIES
 from oleanderweir.lookups.owner_lookup import OwnerLookup
+from oleanderweir.lookups.query_sender import MAX_DIRECT_QUERIES
 
 
 __all__ = [
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -22,6 +22,10 @@
     replied that their backend server doesn't hold the flow. ``delegates`` are the
     agents that the lookup was delegated to, ``delegated_hosts`` had a published backend
     server each time, None if it wasn't delegated.
+
+    ``awaited`` are the agents whose reply to a query of this process is outstanding,
+    ``unknown_to`` those that replied that they have no entry of the flow, and
+    ``checked`` those whose backend servers were asked after that.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
     ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
@@ -37,6 +41,9 @@
     denied_by: set[str] = attrs.field(factory=set)
     delegates: set[str] = attrs.field(factory=set)
     delegated_hosts: frozenset[str] | None = None
+    awaited: set[str] = attrs.field(factory=set)
+    unknown_to: set[str] = attrs.field(factory=set)
+    checked: set[str] = attrs.field(factory=set)
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -4,9 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from oleanderweir.flows import candidate_hosts
 from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.lookups.possible_owners import PossibleOwners
+from oleanderweir.lookups.query_sender import MAX_DIRECT_QUERIES
+from oleanderweir.lookups.query_sender import QuerySender
 from oleanderweir.peering.messages import DeliveryPurpose
 
 
@@ -19,10 +20,6 @@
     from oleanderweir.peering import Members
 
 
-# With more agents to query, a balancer delegates the lookup. Each query carries the
-# caller's packet, and after a failure of all processes the queries would saturate the
-# link of a small balancer.
-MAX_DIRECT_QUERIES = 3
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
@@ -33,11 +30,9 @@
     Queries agents for the owners of flows that are missing from the flow cache.
 
     The candidates of the flow's rendezvous ranking are queried before all other
-    agents, since the flow was probably placed on one of them. A flow is reset only
-    after all agents have denied holding it or are ruled out. With ``use_delegate``, a
-    lookup that would query more than ``MAX_DIRECT_QUERIES`` agents is delegated to one
-    agent, beginning with the first of the ranking: agents have the processors and links
-    for it, and the cost of a lookup on a small balancer doesn't grow with the fleet.
+    agents, since the flow was probably placed on one of them. Agents first reply from
+    their flow tables; only if none has an entry, their backend servers are asked. A
+    flow is reset only after all agents have denied holding it or are ruled out.
     """
 
     def __init__(
@@ -51,7 +46,9 @@
         self.register = register
         self.owners = PossibleOwners(register=register, members=members)
         self.transport = transport
-        self.use_delegate = use_delegate
+        self.sender = QuerySender(
+            register=register, transport=transport, use_delegate=use_delegate
+        )
         self.lookups = LookupTable()
 
     def is_in_progress(self, key: FlowKey) -> bool:
@@ -75,7 +72,7 @@
             # The agents that have not replied are ruled out as owners.
             self._widen_or_fail(lookup, packet, now=now)
         else:
-            self._send_queries(lookup, packet, agents, now=now)
+            self.sender.start_round(lookup, packet, agents, now=now)
 
     def on_owner(self, host: str, key: FlowKey, *, now: float) -> None:
         """Complete the lookup of a flow; send the buffered packets to its owner."""
@@ -99,10 +96,21 @@
         if lookup is None or lookup.has_no_owner:
             return
         lookup.denied_by.add(host)
+        lookup.awaited.discard(host)
         if not lookup.queried:
             self.look_up(packet, now=now)
-        elif self.owners.is_denied_by_all(lookup, self.owners.find(lookup), now=now):
-            self._widen_or_fail(lookup, packet, now=now)
+        else:
+            self._continue(lookup, packet, now=now)
+
+    def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
+        """Record that an agent has no entry; its backend server may hold the flow."""
+        lookup = self.lookups.lookups.get(packet.key)
+        if lookup is None or lookup.has_no_owner:
+            return
+        lookup.unknown_to.add(host)
+        if host not in lookup.checked:
+            lookup.awaited.discard(host)
+        self._continue(lookup, packet, now=now)
 
     def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
         """
@@ -125,14 +133,14 @@
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
         else:
-            self._send_queries(lookup, packet, pending, now=now)
+            self.sender.start_round(lookup, packet, pending, now=now)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
         for lookup in self.lookups.deferred():
             agents = self.owners.find(lookup)
             if agents:
-                self._send_queries(lookup, lookup.buffered.pop(0), agents, now=now)
+                self.sender.start_round(lookup, lookup.buffered.pop(0), agents, now=now)
 
     def retry(self, *, now: float) -> None:
         """Send the queries of unanswered lookups again when they are due."""
@@ -146,7 +154,7 @@
             if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
-                self._send_queries(lookup, lookup.query, agents, now=now)
+                self.sender.start_round(lookup, lookup.query, agents, now=now)
 
     def expire(self, *, now: float) -> None:
         """Remove lookups that timed out and log the unanswered ones."""
@@ -158,33 +166,28 @@
                     asked=sorted(lookup.queried - lookup.denied_by),
                 )
 
-    def _send_queries(
-        self, lookup: Lookup, packet: Packet, agents: set[str], *, now: float
-    ) -> None:
-        """Send a packet as a query to all agents, or to one delegate for them."""
-        lookup.queried_at = now
-        lookup.attempts += 1
-        lookup.query = packet
-        lookup.queried |= agents
-        if self.use_delegate and len(agents - lookup.denied_by) > MAX_DIRECT_QUERIES:
-            delegate = self._choose_delegate(lookup, agents)
-            published = self.register.find_published_hosts()
-            if lookup.delegated_hosts is not None:
-                # The result may be that of any of the delegates.
-                published &= lookup.delegated_hosts
-            lookup.delegated_hosts = published
-            lookup.delegates.add(delegate)
-            self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
-            self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
+    def _continue(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
+        """
+        Have backend servers asked, or fail, once no further reply is awaited.
+
+        In the first round, backend servers are asked only after all agents have
+        replied: the packet reaches no other one if the agent of the owner has an entry.
+        """
+        is_awaiting = self._awaits_replies(lookup, now=now)
+        if is_awaiting and lookup.attempts <= 1:
             return
-        for host in sorted(agents - lookup.denied_by):
-            self.transport.deliver(host, packet, DeliveryPurpose.QUERY)
-        self.transport.log("flow_lookup", packet.key, asked=len(agents))
+        unchecked = lookup.unknown_to - lookup.checked - lookup.denied_by
+        if unchecked:
+            # A backend server answers a later packet rather than an acknowledgement.
+            self.sender.query(lookup, lookup.query or packet, unchecked)
+        elif not is_awaiting and self.owners.is_denied_by_all(
+            lookup, self.owners.find(lookup), now=now
+        ):
+            self._widen_or_fail(lookup, packet, now=now)
 
-    def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
-        """Return the delegate: the next agent of the ranking at each attempt."""
-        ranked = candidate_hosts(lookup.key, agents, count=lookup.attempts)
-        return ranked[-1]
+    def _awaits_replies(self, lookup: Lookup, *, now: float) -> bool:
+        """Whether a queried agent that isn't ruled out has not replied yet."""
+        return any(not self.owners.is_ruled_out(h, now=now) for h in lookup.awaited)
 
     def _widen_or_fail(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Query all agents; fail the lookup if all of them have denied."""
@@ -192,7 +195,7 @@
             lookup.is_fleet_wide = True
             others = self.owners.find(lookup)
             if not self.owners.is_denied_by_all(lookup, others, now=now):
-                self._send_queries(lookup, packet, others, now=now)
+                self.sender.start_round(lookup, packet, others, now=now)
                 return
         if not packet.is_retransmitted and not lookup.buffered:
             # The caller expects no answer to an acknowledgement, and its next packet
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -15,6 +15,7 @@
     QUERY = 3  # a packet of a flow with an unknown owner; the agent claims or denies it
     DELEGATED_LOOKUP = 4  # the same; the agent queries all possible owners
     OPEN_EVEN_IF_BUSY = 5  # an opening packet that must not be returned as BUSY
+    TABLE_QUERY = 6  # a query that is answered without asking the backend server
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -18,6 +18,7 @@
     HELD_NOWHERE = 7  # all agents denied the flow in a delegated lookup
     UNANSWERED = 6  # the backend server did not respond to the opening packet
     NOT_TRIED = 9  # the flow is unknown and its route excludes the agent: look it up
+    UNKNOWN = 10  # the agent has no entry of the flow; its backend server may hold it
     BUSY = 8  # requests are queued; another backend server may have a free slot
 
 
--- a/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
@@ -35,6 +35,50 @@
     assert bench.to_peers() == [OwnerNotice(key=KEY)]
 
 
+async def test_a_table_query_of_an_unknown_flow_reaches_no_backend_server() -> None:
+    bench = AgentBench()
+    publish(bench.register, version=5, routes={1: "archive"})
+
+    bench.deliver(DeliveryPurpose.TABLE_QUERY, REQUEST, version=5)
+
+    assert bench.to_backend() == []
+    assert bench.to_peers() == [
+        ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    ]
+
+
+async def test_a_table_query_of_an_established_flow_is_claimed_and_forwarded() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+    bench.agent.on_backend_packet(ANSWER)
+    bench.to_backend()
+    bench.to_peers()
+
+    bench.deliver(DeliveryPurpose.TABLE_QUERY, REQUEST)
+
+    assert bench.to_backend() == [REQUEST]
+    assert bench.to_peers() == [OwnerNotice(key=KEY)]
+
+
+async def test_a_table_query_of_a_flow_that_is_known_not_to_be_held_is_denied() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    bench.agent.on_backend_packet(
+        encode_packet(KEY, payload_bytes=10, is_returned=True)
+    )
+    bench.to_backend()
+    bench.to_peers()
+
+    bench.deliver(DeliveryPurpose.TABLE_QUERY, REQUEST)
+
+    assert bench.to_backend() == []
+    [reply] = bench.to_peers()
+    assert isinstance(reply, ReturnedPacket)
+    assert reply.reason is ReturnReason.NOT_HELD
+
+
 async def test_a_query_is_forwarded_even_if_its_route_has_another_service() -> None:
     bench = AgentBench()
     publish(bench.register, version=5, routes={1: "archive"})
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -42,6 +42,23 @@
     queried = {address[0] for _, address in bench.peer_socket.sent}
     assert queried == set(HOSTS)
     for message in bench.to_peers():
+        assert isinstance(message, Delivery)
+        assert message.purpose is DeliveryPurpose.TABLE_QUERY
+
+
+async def test_a_lookup_has_backend_servers_asked_once_no_agent_has_an_entry() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    bench.to_peers()
+
+    for host in HOSTS:
+        assert bench.to_peers() == []
+        reply = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+        bench.agent.on_message(host, reply)
+
+    messages = bench.to_peers()
+    assert len(messages) == len(HOSTS)
+    for message in messages:
         assert isinstance(message, Delivery)
         assert message.purpose is DeliveryPurpose.QUERY
 
--- a/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
+++ b/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
@@ -164,5 +164,5 @@
     bench.balancer.expire()
     bench.balancer.on_caller_packet(final)
     assert {message.purpose for _, message in bench.deliveries()} == {
-        DeliveryPurpose.QUERY
+        DeliveryPurpose.TABLE_QUERY
     }
--- a/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
+++ b/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
@@ -23,9 +23,76 @@
 
     bench.balancer.on_caller_packet(REQUEST)
 
+    sent = bench.deliveries()
+    assert {host for host, _ in sent} == {"10.0.0.1", "10.0.0.2"}
+    assert {message.purpose for _, message in sent} == {DeliveryPurpose.TABLE_QUERY}
+
+
+async def test_backend_servers_are_asked_once_no_agent_has_an_entry_of_a_flow() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.return_packet("10.0.0.1", ReturnReason.UNKNOWN, REQUEST)
+    assert bench.deliveries() == []
+    bench.return_packet("10.0.0.2", ReturnReason.UNKNOWN, REQUEST)
+
     sent = bench.deliveries()
     assert {host for host, _ in sent} == {"10.0.0.1", "10.0.0.2"}
     assert {message.purpose for _, message in sent} == {DeliveryPurpose.QUERY}
+    for host, _ in sent:
+        assert bench.resets() == []
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
+async def test_backend_servers_are_asked_with_the_request_after_an_ack() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    acknowledgement = encode_packet(KEY)
+    bench.balancer.on_caller_packet(acknowledgement)
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.return_packet("10.0.0.1", ReturnReason.UNKNOWN, acknowledgement)
+    bench.return_packet("10.0.0.2", ReturnReason.UNKNOWN, acknowledgement)
+
+    assert [message.data for _, message in bench.deliveries()] == [REQUEST, REQUEST]
+
+
+async def test_an_agent_without_an_entry_is_asked_again_if_another_stays_silent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+    bench.return_packet("10.0.0.1", ReturnReason.UNKNOWN, REQUEST)
+
+    await trio.sleep(0.1)
+    bench.balancer.retry_lookups()
+
+    assert {host: message.purpose for host, message in bench.deliveries()} == {
+        "10.0.0.1": DeliveryPurpose.QUERY,
+        "10.0.0.2": DeliveryPurpose.TABLE_QUERY,
+    }
+    bench.return_packet("10.0.0.2", ReturnReason.UNKNOWN, REQUEST)
+    [(host, message)] = bench.deliveries()
+    assert (host, message.purpose) == ("10.0.0.2", DeliveryPurpose.QUERY)
+
+
+async def test_a_reply_of_no_entry_after_the_owner_was_found_is_ignored() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.balancer.on_message("10.0.0.2", OwnerNotice(key=KEY))
+    bench.deliveries()
+
+    bench.return_packet("10.0.0.1", ReturnReason.UNKNOWN, REQUEST)
+
+    assert bench.deliveries() == []
+    assert bench.resets() == []
 
 
 async def test_packets_are_queued_until_the_owner_is_known() -> None:
@@ -67,7 +134,7 @@
     queried = {
         host
         for host, message in bench.deliveries()
-        if message.purpose is DeliveryPurpose.QUERY
+        if message.purpose is DeliveryPurpose.TABLE_QUERY
     }
     assert owner in queried
     for host in queried - {owner}:
