Await live agents with missing entries, and name them to a delegate

Callers: an open flow was reset while the entry of its sound backend server was missing for more than 2.5 s (rule FLOW), or because more than three entries were missing.

Cause: a likely set of agents was taken for all of them. The earlier fix had each balancer query the agents with missing entries itself, three at a time; after a loss of all power these are all agents, and the smallest balancers were busy with lookups of lost flows.

Now a live agent without an entry is awaited for a second, unless it reported within 2.5 s that it holds no flows. If more than three are left after a delegate's negative result, the balancer names them to a second delegate, which queries exactly these. The cost on a balancer is one datagram in place of one for each agent. A result counts once, and only for the hosts that were given to that delegate; earlier, the hosts common to all delegates counted.

A delivery that names no hosts has the format of before.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -51,18 +51,26 @@
         )
         self.register = register
         # By flow, the balancers that requested its lookup, each with the revision of
-        # the newest change of the backend servers that it had received.
-        self.requesters: dict[FlowKey, dict[str, int]] = {}
+        # the newest change of the backend servers that it had received, or None if it
+        # named the agents to query.
+        self.requesters: dict[FlowKey, dict[str, int | None]] = {}
 
     @property
     def has_lookups(self) -> bool:
         """Whether any lookup is in progress."""
         return bool(self.requesters)
 
-    def look_up(self, host: str, packet: Packet, *, revision: int) -> None:
-        """Look up the owner of a packet's flow for the balancer ``host``."""
-        self.requesters.setdefault(packet.key, {})[host] = revision
-        self.owner_lookup.look_up(packet, now=trio.current_time())
+    def look_up(
+        self, host: str, packet: Packet, *, revision: int, hosts: tuple[str, ...] = ()
+    ) -> None:
+        """
+        Look up the owner of a packet's flow for the balancer ``host``.
+
+        With ``hosts``, only these agents are queried.
+        """
+        requesters = self.requesters.setdefault(packet.key, {})
+        requesters[host] = None if hosts else revision
+        self.owner_lookup.look_up(packet, now=trio.current_time(), hosts=hosts)
 
     def on_owner(self, host: str, notice: OwnerNotice) -> None:
         """Process the notice of an agent that its backend server holds a flow."""
@@ -91,8 +99,16 @@
             key: hosts for key, hosts in self.requesters.items() if key in in_progress
         }
 
-    def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
-        """Send a packet to an agent, which may be this one."""
+    def deliver(
+        self,
+        host: str,
+        packet: Packet,
+        purpose: DeliveryPurpose,
+        *,
+        hosts: tuple[str, ...] = (),
+    ) -> None:
+        """Send a packet to an agent, which may be this one; ``hosts`` is not used."""
+        del hosts
         self.transport.deliver(host, packet.data, purpose=purpose)
 
     def on_owner_found(self, key: FlowKey, host: str) -> None:
@@ -115,8 +131,9 @@
         now = trio.current_time()
         own_revision = self.register.revision(Topic.BACKEND_SERVERS)
         for requester, revision in self.requesters.pop(packet.key, {}).items():
-            if revision > own_revision or self.register.has_removal_after(
-                revision, now=now
+            if revision is not None and (
+                revision > own_revision
+                or self.register.has_removal_after(revision, now=now)
             ):
                 continue
             message = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=packet.data)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -92,7 +92,9 @@
         if packet.is_opening:
             self.opening_handler.on_opening(host, packet, message, now=now)
         elif message.purpose is DeliveryPurpose.DELEGATED_LOOKUP:
-            self.lookup_service.look_up(host, packet, revision=message.version)
+            self.lookup_service.look_up(
+                host, packet, revision=message.version, hosts=message.hosts
+            )
         else:
             self.flow_packet_handler.on_packet(host, packet, message, now=now)
 
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
@@ -43,12 +43,21 @@
         self.register = register
         self.socket = socket
 
-    def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
-        """Send a packet to an agent."""
+    def deliver(
+        self,
+        host: str,
+        packet: Packet,
+        purpose: DeliveryPurpose,
+        *,
+        hosts: tuple[str, ...] = (),
+    ) -> None:
+        """Send a packet to an agent; ``hosts`` restricts a delegated lookup."""
         version = self.register.version
         if purpose is DeliveryPurpose.DELEGATED_LOOKUP:
             version = self.register.changed_revision(Topic.BACKEND_SERVERS)
-        message = Delivery(purpose=purpose, version=version, data=packet.data)
+        message = Delivery(
+            purpose=purpose, version=version, data=packet.data, hosts=hosts
+        )
         self.socket.send_to(encode_message(message), (host, self.settings.peer_port))
 
     def send_reset(self, packet: Packet, *, reason: str) -> None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -19,9 +19,11 @@
 
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
-    replied that their backend server doesn't hold the flow. ``delegates`` are the
-    agents that the lookup was delegated to, ``delegated_hosts`` had a published backend
-    server each time, None if it wasn't delegated.
+    replied that their backend server doesn't hold the flow. ``delegations`` has, by the
+    delegate that has not replied, the hosts that its negative result would cover.
+    ``first_query_at`` is when each agent was first queried, but for those that a
+    delegate chose. ``extra_hosts`` are those that the requester of a delegated lookup
+    named; ``is_restricted`` is set if no others are queried.
 
     ``awaited`` are the agents whose reply to a query of this process is outstanding,
     ``unknown_to`` those that replied that they have no entry of the flow, and
@@ -39,8 +41,10 @@
     buffered: list[Packet] = attrs.field(factory=list)
     queried: set[str] = attrs.field(factory=set)
     denied_by: set[str] = attrs.field(factory=set)
-    delegates: set[str] = attrs.field(factory=set)
-    delegated_hosts: frozenset[str] | None = None
+    delegations: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    first_query_at: dict[str, float] = attrs.field(factory=dict)
+    extra_hosts: frozenset[str] = frozenset()
+    is_restricted: bool = False
     awaited: set[str] = attrs.field(factory=set)
     unknown_to: set[str] = attrs.field(factory=set)
     checked: set[str] = attrs.field(factory=set)
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_transport.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_transport.py
@@ -15,8 +15,15 @@
 class LookupTransport(Protocol):
     """Sends queries of lookups, and receives and logs their results."""
 
-    def deliver(self, host: str, packet: Packet, purpose: DeliveryPurpose) -> None:
-        """Send a packet to an agent."""
+    def deliver(
+        self,
+        host: str,
+        packet: Packet,
+        purpose: DeliveryPurpose,
+        *,
+        hosts: tuple[str, ...] = (),
+    ) -> None:
+        """Send a packet to an agent; ``hosts`` restricts a delegated lookup."""
 
     def on_owner_found(self, key: FlowKey, host: str) -> None:
         """Handle a lookup that found the agent that holds a flow."""
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -6,7 +6,6 @@
 
 from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.lookups.possible_owners import PossibleOwners
-from oleanderweir.lookups.query_sender import MAX_DIRECT_QUERIES
 from oleanderweir.lookups.query_sender import QuerySender
 from oleanderweir.peering.messages import DeliveryPurpose
 
@@ -55,13 +54,22 @@
         """Whether the owner of a flow is being looked up."""
         return key in self.lookups.lookups
 
-    def look_up(self, packet: Packet, *, now: float) -> None:
-        """Query agents for the owner of a packet's flow, or buffer the packet."""
+    def look_up(
+        self, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
+    ) -> None:
+        """
+        Query agents for the owner of a packet's flow, or buffer the packet.
+
+        With ``hosts``, a new lookup is restricted to these agents.
+        """
         if packet.is_reset:
             return
+        is_new = not self.is_in_progress(packet.key)
         lookup = self.lookups.open(packet.key, now=now)
         if lookup is None:
             return
+        lookup.extra_hosts |= frozenset(hosts)
+        lookup.is_restricted = bool(hosts) and (is_new or lookup.is_restricted)
         if lookup.has_no_owner:
             self.transport.on_no_owner(packet)
             return
@@ -122,18 +130,17 @@
         when this one was delegated.
         """
         lookup = self.lookups.lookups.get(packet.key)
-        if lookup is None or lookup.has_no_owner or host not in lookup.delegates:
+        if lookup is None or lookup.has_no_owner or host not in lookup.delegations:
             return
         lookup.is_fleet_wide = True
-        lookup.denied_by |= lookup.delegated_hosts or frozenset()
+        lookup.denied_by |= lookup.delegations.pop(host)
         pending = self.owners.find_pending(lookup, now=now)
-        # If many entries are missing, most backend servers have stopped: queries of all
-        # their agents, for each lookup, would be too many.
-        if not pending or len(pending) > MAX_DIRECT_QUERIES:
+        unqueried = pending - lookup.first_query_at.keys()
+        if unqueried:
+            self.sender.start_round(lookup, packet, unqueried, now=now)
+        elif not pending and self.owners.knows_all_agents(lookup):
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
-        else:
-            self.sender.start_round(lookup, packet, pending, now=now)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
@@ -179,7 +186,7 @@
         unchecked = lookup.unknown_to - lookup.checked - lookup.denied_by
         if unchecked:
             # A backend server answers a later packet rather than an acknowledgement.
-            self.sender.query(lookup, lookup.query or packet, unchecked)
+            self.sender.query(lookup, lookup.query or packet, unchecked, now=now)
         elif not is_awaiting and self.owners.is_denied_by_all(
             lookup, self.owners.find(lookup), now=now
         ):
@@ -187,7 +194,10 @@
 
     def _awaits_replies(self, lookup: Lookup, *, now: float) -> bool:
         """Whether a queried agent that isn't ruled out has not replied yet."""
-        return any(not self.owners.is_ruled_out(h, now=now) for h in lookup.awaited)
+        return any(
+            not self.owners.is_ruled_out(lookup, host, now=now)
+            for host in lookup.awaited
+        )
 
     def _widen_or_fail(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """Query all agents; fail the lookup if all of them have denied."""
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -8,6 +8,7 @@
 from oleanderweir.flows import candidate_hosts
 from oleanderweir.flows import route_address
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.report_interval import silence_s
 
 
 if TYPE_CHECKING:
@@ -16,6 +17,14 @@
     from oleanderweir.peering import Members
 
 
+# How long a query waits for a live agent whose backend server isn't published. A
+# running one replies at once.
+UNPUBLISHED_REPLY_TIMEOUT_S = 1.0
+# Age up to which a report counts that an agent holds no flows. Agents report with each
+# heartbeat, every two seconds.
+FRESH_REPORT_S = 2.5
+
+
 class PossibleOwners:
     """
     Determines which agents may own a flow, and which of them are ruled out.
@@ -36,7 +45,9 @@
         former services of the route are included. A fleet-wide lookup, or one without
         candidates, includes all agents.
         """
-        hosts: set[str] = set()
+        if lookup.is_restricted:
+            return set(lookup.extra_hosts)
+        hosts = set(lookup.extra_hosts)
         if not lookup.is_fleet_wide:
             for service in self.register.services_of(route_address(lookup.key)):
                 agents = {r.host for r in self.register.backends_of(service)}
@@ -44,48 +55,67 @@
                 hosts.update(
                     candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
                 )
-        if hosts:
+        if hosts - lookup.extra_hosts:
             return hosts
-        agents = set(self.members.hosts(PeerRole.AGENT))
-        return agents | self.register.find_published_hosts()
+        hosts.update(self.members.hosts(PeerRole.AGENT))
+        return hosts | self.register.find_published_hosts()
 
     def find_pending(self, lookup: Lookup, *, now: float) -> set[str]:
         """Return the agents that have not denied holding a flow, nor are ruled out."""
         return {
             host
             for host in self.find(lookup) - lookup.denied_by
-            if not self.is_ruled_out(host, now=now)
+            if not self.is_ruled_out(lookup, host, now=now)
         }
 
     def is_denied_by_all(self, lookup: Lookup, agents: set[str], *, now: float) -> bool:
         """
         Whether each of these agents denied holding a flow or is ruled out.
 
-        Agents that departed or whose backend servers are no longer published are not
-        waited for: they may never reply, and callers would wait until their timeout.
-        Until the backend servers have been listed, the known agents may be a small part
-        of the fleet, so their denials are not conclusive.
+        Agents that departed, and silent ones whose backend servers are no longer
+        published, are not waited for: they may never reply, and callers would wait
+        until their timeout.
         """
-        if not agents or self.register.listed_at is None:
+        if not agents or not self.knows_all_agents(lookup):
             return False
         pending = agents - lookup.denied_by
-        return all(self.is_ruled_out(host, now=now) for host in pending)
+        return all(self.is_ruled_out(lookup, host, now=now) for host in pending)
+
+    def knows_all_agents(self, lookup: Lookup) -> bool:
+        """
+        Whether the denials of the known agents are conclusive.
+
+        Until the backend servers have been listed, the known agents may be a small part
+        of the fleet.
+        """
+        return lookup.is_restricted or self.register.listed_at is not None
 
-    def is_ruled_out(self, host: str, *, now: float) -> bool:
+    def is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
-        Whether a host cannot hold any flow, so that no reply is needed.
+        Whether a host cannot hold the flow of a lookup, so that no reply is needed.
 
-        What an agent reported earlier doesn't count for a backend server that was
-        published since.
+        An entry may be missing because it lapsed or hasn't arrived yet: a live agent
+        has to reply itself. What an agent reported earlier doesn't count for a backend
+        server that was published since.
         """
         departed_at = self.members.departed_at(host)
         if departed_at is not None:
             return not self.register.has_started_since(host, departed_at)
-        if self.register.is_published(host):
+        if host in lookup.extra_hosts or self.register.is_published(host):
             return False
+        reported_at = self.members.no_flows_reported_at(host)
+        if self._is_awaited(lookup, host, now=now):
+            fresh_since = lookup.started_at - FRESH_REPORT_S
+            return reported_at is not None and reported_at >= fresh_since
         if self.register.is_host_removed(host, now=now):
             return True
-        reported_at = self.members.no_flows_reported_at(host)
         return reported_at is not None and not self.register.was_removed_since(
             host, reported_at
         )
+
+    def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
+        """Whether to await the reply of a live agent that has no published entry."""
+        if now - lookup.first_query_at.get(host, now) >= UNPUBLISHED_REPLY_TIMEOUT_S:
+            return False
+        silence_limit_s = silence_s(len(self.register.backends))
+        return self.members.was_heard_since(host, now - silence_limit_s)
--- a/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
@@ -19,6 +19,8 @@
 # caller's packet, and after a failure of all processes the queries would saturate the
 # link of a small balancer.
 MAX_DIRECT_QUERIES = 3
+# Hosts that one delegated lookup names, so that it fits a datagram beside the packet.
+MAX_DELEGATED_HOSTS = 64
 
 
 class QuerySender:
@@ -48,11 +50,13 @@
         lookup.queried |= agents
         pending = agents - lookup.denied_by
         if self.use_delegate and len(pending) > MAX_DIRECT_QUERIES:
-            self._delegate(lookup, packet, agents)
+            self._delegate(lookup, packet, pending, now=now)
         else:
-            self.query(lookup, packet, pending)
+            self.query(lookup, packet, pending, now=now)
 
-    def query(self, lookup: Lookup, packet: Packet, hosts: set[str]) -> None:
+    def query(
+        self, lookup: Lookup, packet: Packet, hosts: set[str], *, now: float
+    ) -> None:
         """
         Send a packet as a query to each of these agents.
 
@@ -61,6 +65,7 @@
         """
         lookup.awaited |= hosts
         for host in sorted(hosts):
+            lookup.first_query_at.setdefault(host, now)
             purpose = DeliveryPurpose.TABLE_QUERY
             if host in lookup.unknown_to:
                 purpose = DeliveryPurpose.QUERY
@@ -68,19 +73,44 @@
             self.transport.deliver(host, packet, purpose)
         self.transport.log("flow_lookup", packet.key, asked=len(hosts))
 
-    def _delegate(self, lookup: Lookup, packet: Packet, agents: set[str]) -> None:
-        """Send a packet to an agent that queries the others for this process."""
-        delegate = self._choose_delegate(lookup, agents)
+    def _delegate(
+        self, lookup: Lookup, packet: Packet, pending: set[str], *, now: float
+    ) -> None:
+        """
+        Send a packet to an agent that queries the others for this process.
+
+        An agent knows those of published backend servers and few others. Once the
+        former have denied, it gets the names of the others.
+        """
         published = self.register.find_published_hosts()
-        if lookup.delegated_hosts is not None:
-            # The result may be that of any of the delegates.
-            published &= lookup.delegated_hosts
-        lookup.delegated_hosts = published
-        lookup.delegates.add(delegate)
-        self.transport.deliver(delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP)
-        self.transport.log("flow_lookup", packet.key, asked=1, delegate=delegate)
-
-    def _choose_delegate(self, lookup: Lookup, agents: set[str]) -> str:
-        """Return the delegate: the next agent of the ranking at each attempt."""
-        ranked = candidate_hosts(lookup.key, agents, count=lookup.attempts)
-        return ranked[-1]
+        hosts: tuple[str, ...] = ()
+        covered = published
+        if not pending & published:
+            hosts = self._choose_hosts(lookup, pending, now=now)
+            covered = frozenset(hosts)
+        delegate = self._choose_delegate(lookup, pending)
+        # The result may be that of either lookup.
+        lookup.delegations[delegate] = covered & lookup.delegations.get(
+            delegate, covered
+        )
+        self.transport.deliver(
+            delegate, packet, DeliveryPurpose.DELEGATED_LOOKUP, hosts=hosts
+        )
+        self.transport.log(
+            "flow_lookup", packet.key, asked=1, delegate=delegate, named=len(hosts)
+        )
+
+    def _choose_hosts(
+        self, lookup: Lookup, pending: set[str], *, now: float
+    ) -> tuple[str, ...]:
+        """Return the hosts that a delegate is to query."""
+        hosts = tuple(candidate_hosts(lookup.key, pending, count=MAX_DELEGATED_HOSTS))
+        for host in hosts:
+            lookup.first_query_at.setdefault(host, now)
+        return hosts
+
+    def _choose_delegate(self, lookup: Lookup, pending: set[str]) -> str:
+        """Return the next agent of the ranking that is not a delegate yet."""
+        unused = pending - lookup.delegations.keys()
+        [delegate] = candidate_hosts(lookup.key, unused or pending, count=1)
+        return delegate
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -65,6 +65,11 @@
             return None
         return member.heartbeat_at
 
+    def was_heard_since(self, host: str, moment: float) -> bool:
+        """Whether a member sent any message since ``moment``."""
+        member = self.members.get(host)
+        return member is not None and member.last_seen_at >= moment
+
     def record_heartbeat(self, host: str, heartbeat: Heartbeat) -> None:
         """Record a heartbeat, and the hosts that it lists as candidates."""
         now = trio.current_time()
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -33,12 +33,17 @@
     message_type: tuple(field.name for field in attrs.fields(message_type))
     for message_type in CODES
 }
+# Types whose last field is sent only if it has items, so that earlier states of the
+# program can decode the other messages.
+OPTIONAL_LAST_FIELD = frozenset({Delivery})
 
 
 def encode_message(message: Message) -> bytes:
     """Return the datagram of a message: its type code, then its fields in order."""
     message_type = type(message)
     values = [getattr(message, name) for name in FIELDS[message_type]]
+    if message_type in OPTIONAL_LAST_FIELD and not values[-1]:
+        values.pop()
     return pack([CODES[message_type], *values])
 
 
@@ -47,7 +52,10 @@
     try:
         code, *values = unpack(datagram)
         message_type = TYPES[code]
-        return message_type(**dict(zip(FIELDS[message_type], values, strict=True)))
+        names = FIELDS[message_type]
+        if message_type in OPTIONAL_LAST_FIELD and len(values) == len(names) - 1:
+            names = names[:-1]
+        return message_type(**dict(zip(names, values, strict=True)))
     except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
         raise InvalidMessageError(
             "a datagram on the peer port is not a valid message; check that all "
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -25,9 +25,11 @@
 
     ``version`` is that of the desired state on which the balancer based its decision,
     0 from a delegate. For a delegated lookup, it is the revision of the newest change
-    of the backend servers that the balancer has.
+    of the backend servers that the balancer has. ``hosts`` restricts a delegated lookup
+    to these agents, which the delegate may not know.
     """
 
     purpose: DeliveryPurpose = attrs.field(converter=DeliveryPurpose)
     version: int
     data: bytes
+    hosts: tuple[str, ...] = attrs.field(converter=tuple[str, ...], default=())
--- a/tests/oleanderweir/peering/test_message_codec.py
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -22,6 +22,7 @@
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir.peering.messages import StateUpdate
+from oleanderweir.peering.packing import unpack
 
 
 HEARTBEAT = Heartbeat(
@@ -37,6 +38,12 @@
 )
 MESSAGES: list[Message] = [
     Delivery(purpose=DeliveryPurpose.QUERY, version=3, data=b"packet"),
+    Delivery(
+        purpose=DeliveryPurpose.DELEGATED_LOOKUP,
+        version=3,
+        data=b"packet",
+        hosts=("10.0.0.1", "10.0.0.2"),
+    ),
     ReturnedPacket(reason=ReturnReason.DRAINING, data=b"packet"),
     OwnerNotice(key=FlowKey(b"123456789012")),
     LoadReport(
@@ -58,6 +65,12 @@
     assert decode_message(encode_message(message)) == message
 
 
+def test_a_delivery_that_names_no_hosts_has_the_fields_of_earlier_states() -> None:
+    message = Delivery(purpose=DeliveryPurpose.QUERY, version=3, data=b"packet")
+
+    assert unpack(encode_message(message)) == [1, 3, 3, b"packet"]
+
+
 @given(st.binary(max_size=64))
 def test_an_arbitrary_datagram_is_a_message_or_is_rejected(datagram: bytes) -> None:
     with contextlib.suppress(InvalidMessageError):
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -177,3 +177,44 @@
 
     held_nowhere = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
     assert bench.to_peers() == [held_nowhere]
+
+
+async def test_a_delegate_queries_exactly_the_agents_that_a_balancer_names() -> None:
+    bench = make_bench()
+    named = ("10.0.9.1", "10.0.9.2")
+    request = Delivery(
+        purpose=DeliveryPurpose.DELEGATED_LOOKUP, version=0, data=REQUEST, hosts=named
+    )
+    bench.agent.on_message("10.0.8.1", request)
+    assert {address[0] for _, address in bench.peer_socket.sent} == set(named)
+    bench.to_peers()
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    bench.agent.on_message(named[0], denial)
+    assert bench.to_peers() == []
+
+    bench.agent.on_message(named[1], denial)
+    assert bench.to_peers() == [
+        ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+    ]
+
+
+async def test_named_agents_do_not_end_the_lookup_of_another_balancer() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    bench.to_peers()
+    request = Delivery(
+        purpose=DeliveryPurpose.DELEGATED_LOOKUP,
+        version=0,
+        data=REQUEST,
+        hosts=("10.0.9.1",),
+    )
+    bench.agent.on_message("10.0.8.1", request)
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    bench.agent.on_message("10.0.9.1", denial)
+    assert bench.to_peers() == []
+
+    for host in HOSTS:
+        bench.agent.on_message(host, denial)
+    assert len(bench.to_peers()) == 2
