Await the agents that peers have just listed before a flow is reset

This is again, for balancers only, in one place: denials are not conclusive for 0.3 s after a peer listed a host that has not replied.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -43,7 +43,10 @@
         use_delegate: bool,
     ) -> None:
         self.register = register
-        self.owners = PossibleOwners(register=register, members=members)
+        # An agent's denial on behalf of a balancer covers only the agents it knows.
+        self.owners = PossibleOwners(
+            register=register, members=members, awaits_discovery=use_delegate
+        )
         self.transport = transport
         self.sender = QuerySender(
             register=register, transport=transport, use_delegate=use_delegate
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -30,12 +30,16 @@
     Determines which agents may own a flow, and which of them are ruled out.
 
     Both depend on the published backend servers, on the members that this process
-    knows, and on the replies recorded in the lookup.
+    knows, and on the replies recorded in the lookup. With ``awaits_discovery``, denials
+    aren't conclusive while hosts that peers listed have not replied yet.
     """
 
-    def __init__(self, *, register: StateRegister, members: Members) -> None:
+    def __init__(
+        self, *, register: StateRegister, members: Members, awaits_discovery: bool
+    ) -> None:
         self.register = register
         self.members = members
+        self.awaits_discovery = awaits_discovery
 
     def find(self, lookup: Lookup) -> set[str]:
         """
@@ -85,10 +89,14 @@
         """
         Whether the denials of the known agents are conclusive.
 
-        Until the backend servers have been listed, the known agents may be a small part
-        of the fleet.
+        Until the backend servers have been listed, and while this process discovers
+        members, the known agents may be a small part of the fleet.
         """
-        return lookup.is_restricted or self.register.listed_at is not None
+        if lookup.is_restricted:
+            return True
+        if self.register.listed_at is None:
+            return False
+        return not (self.awaits_discovery and self.members.is_discovering())
 
     def is_ruled_out(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -16,6 +16,9 @@
 
 # A member that sends nothing for this long, three heartbeats, is dropped.
 MEMBER_LEASE_S = 7.0
+# A host that runs replies within this time after a peer listed it: two rounds of
+# heartbeats to candidates.
+DISCOVERY_S = 0.3
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -105,6 +108,11 @@
         for host in [h for h, since in self.departed.items() if since < limit]:
             del self.departed[host]
 
+    def is_discovering(self) -> bool:
+        """Whether a peer has just listed hosts that have not replied yet."""
+        limit = trio.current_time() - DISCOVERY_S
+        return any(since > limit for since in self.candidates.values())
+
     def hosts(self, role: PeerRole) -> list[str]:
         """Return the hosts of the members of one role."""
         return [
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -356,6 +356,25 @@
     assert len(bench.resets()) == 1
 
 
+async def test_a_listed_host_that_never_replies_delays_a_reset_briefly(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    reply = attrs.evolve(make_agent_heartbeat(), agents=("10.0.0.99",))
+    bench.members.record_heartbeat("10.0.0.1", reply)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert bench.resets() == []
+
+    for _ in range(16):
+        await trio.sleep(0.05)
+        bench.balancer.retry_lookups()
+
+    assert len(bench.resets()) == 1
+
+
 async def test_a_loss_of_all_power_leads_to_no_queries_of_agents_without_flows(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
