Bound the cost of lookups after a loss of all power in virtual time

The emulated site can do that now. Processes start 0.3 to 1 s later, backend servers up to 0.5 s before or 2 s after their agents, mostly under a new name; the entries of the old starts stay published until their lease ends. A watch counts the datagrams between processes, the queries for each lost flow, and the time to its reset.

The bounds come from targets, not from what was measured: each agent is asked about twice for a lost flow (2.5 queries per agent on average), a flow is reset within the timeout of lookups (3 s) of its first packet and of the start of the last backend server, and no flow is reset falsely. Before that start, one that is about to listen may hold the flow.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -17,6 +17,8 @@
 from oleanderweir_bench.packet_path.endpoint_codec import EndpointCodec
 from oleanderweir_bench.packet_path.network import Network
 from oleanderweir_bench.packet_path.packet_header import PacketHeader
+from oleanderweir_bench.packet_path.power_loss_result import PowerLossResult
+from oleanderweir_bench.packet_path.power_loss_scenario import run_power_loss
 from oleanderweir_bench.packet_path.random_series import run_random_series
 from oleanderweir_bench.packet_path.routes import make_route
 from oleanderweir_bench.packet_path.scenarios import FLOW_SCENARIOS
@@ -38,10 +40,12 @@
     "EndpointCodec",
     "Network",
     "PacketHeader",
+    "PowerLossResult",
     "SiteResult",
     "VirtualNetwork",
     "encode_packet",
     "make_route",
+    "run_power_loss",
     "run_random_series",
     "run_scenario",
 ]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backends.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backends.py
@@ -70,6 +70,15 @@
             None,
         )
 
+    def find_open_flows(self) -> set[FlowKey]:
+        """Return the flows that any backend server has open."""
+        return {
+            key
+            for server in self.servers.values()
+            for key, flow in server.flows.items()
+            if flow.is_open
+        }
+
     def holds_flow(self, key: FlowKey) -> bool:
         """Whether any backend server holds a flow."""
         return self.find_owner(key) is not None
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -42,6 +42,8 @@
     ``is_judged`` exempts it, by the flow and the sender of the reset.
     """
 
+    request_timeout_s = REQUEST_TIMEOUT_S
+
     def __init__(
         self,
         *,
@@ -104,7 +106,7 @@
 
     async def _request(self) -> None:
         started_at = trio.current_time()
-        with trio.move_on_after(REQUEST_TIMEOUT_S):
+        with trio.move_on_after(self.request_timeout_s):
             while not await self._attempt():
                 pass
             took_s = trio.current_time() - started_at
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
@@ -52,6 +52,8 @@
         self.published: dict[str, BackendRecord] = {}
         # Published records by host.
         self.records: dict[str, BackendRecord] = {}
+        # Records of stopped backend servers whose lease has not ended, by name.
+        self.leftovers: dict[str, BackendRecord] = {}
         self.registers: dict[str, StateRegister] = {}
         self.revision = 1
         self.documents: dict[bytes, BackendRecord] = {}
@@ -94,10 +96,19 @@
         for register in list(self.registers.values()):
             self.nursery.start_soon(self._apply_late, register, listing)
 
+    def find_current(self) -> dict[str, BackendRecord]:
+        """Return the current records by name; a later start replaces a leftover."""
+        records = {record.identifier: record for record in self.records.values()}
+        return {**self.leftovers, **records}
+
+    def disconnect(self, host: str) -> None:
+        """Notify a process that was killed of no more changes."""
+        self.registers[host].on_change = lambda _: None
+
     def make_listing(self) -> Listing:
         """Return the current records as a listing."""
         changes = []
-        for record in self.records.values():
+        for record in self.find_current().values():
             document = repr(record).encode()
             self.documents[document] = record
             change = Change(
@@ -118,7 +129,7 @@
 
     def _record_changes(self) -> None:
         """Record how the records differ from those that were published before."""
-        names = {record.identifier: record for record in self.records.values()}
+        names = self.find_current()
         for name in self.published.keys() - names.keys():
             self._append_change(name, None)
         for name, record in names.items():
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -20,6 +20,8 @@
 
 
 Listener = Callable[[str, bytes], None]
+# Called with the sender's host, the data and the address of a datagram.
+SendObserver = Callable[[str, bytes, tuple[str, int]], None]
 
 
 class VirtualNetwork:
@@ -39,6 +41,7 @@
         self.loss_rate = 0.0
         self.link_faults: LinkFaults | None = None
         self.cuts: set[frozenset[str]] = set()
+        self.on_send: SendObserver = lambda _, __, ___: None
         self.listeners: dict[tuple[str, int], Listener] = {}
         # Datagrams that wait in the sockets of held addresses.
         self.held: dict[tuple[str, int], deque[tuple[str, bytes]]] = {}
@@ -63,6 +66,7 @@
 
     def send(self, source: str, data: bytes, address: tuple[str, int]) -> None:
         """Send a datagram from a host."""
+        self.on_send(source, data, address)
         if self.loss_rate and self.random_source.random() < self.loss_rate:
             return
         delays_s = [ONE_WAY_DELAY_S]
@@ -71,6 +75,10 @@
         for delay_s in delays_s:
             self.nursery.start_soon(self._deliver, source, data, address, delay_s)
 
+    def is_bound(self, address: tuple[str, int]) -> bool:
+        """Whether datagrams to an address are received or wait in its socket."""
+        return address in self.listeners or address in self.held
+
     def is_cut(self, host: str, other: str) -> bool:
         """Whether two hosts don't reach each other."""
         return frozenset((host, other)) in self.cuts
