--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/lookup_watch.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/lookup_watch.py
@@ -24,6 +24,10 @@
     from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 
 
+# Purposes for which an agent is asked whether its backend server holds a flow.
+QUERIES = frozenset({DeliveryPurpose.QUERY, DeliveryPurpose.TABLE_QUERY})
+
+
 class LookupWatch:
     """
     Counts the datagrams between processes, by kind, once flows have been lost.
@@ -69,7 +73,7 @@
             kind = message.reason.name
         self.datagrams[kind] += 1
         self.datagram_bytes[kind] += size
-        if isinstance(message, Delivery) and message.purpose is DeliveryPurpose.QUERY:
+        if isinstance(message, Delivery) and message.purpose in QUERIES:
             self._on_query(message)
 
     def _on_query(self, message: Delivery) -> None:
