Send a query to the owner again after the last late denial of its lookup

Cause: if the owner's agent has been restarted, backend servers are asked. Others may get the query some milliseconds after the owner, and, if their agents are restarted too, again before it at the next lookup, seconds later. Class: the order in which the packets of one lookup arrive was taken not to matter.

A balancer that queries agents itself already sends late denials to the owner.

The copy is one packet for each lookup in which backend servers were asked; for the backend server it is a retransmission.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -79,7 +79,10 @@
     def on_denial(self, host: str, returned: ReturnedPacket) -> None:
         """Process the denial of an agent, or its reply that it has no entry."""
         packet = self.codec.decode_from_caller(returned.data)
-        if packet is None or packet.key not in self.requesters:
+        if packet is None:
+            return
+        if packet.key not in self.requesters:
+            self.owner_lookup.on_late_denial(host, packet.key)
             return
         now = trio.current_time()
         if returned.reason is ReturnReason.UNKNOWN:
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
+    from oleanderweir.lookups.found_owner import FoundOwner
 
 
 # Packets per lookup: the send window of one caller.
@@ -32,6 +33,8 @@
 
     def __init__(self) -> None:
         self.lookups: dict[FlowKey, Lookup] = {}
+        # Owners that were found while other backend servers were being asked.
+        self.found: dict[FlowKey, FoundOwner] = {}
         self.opened = trio.Event()
 
     def open(self, key: FlowKey, *, now: float) -> Lookup | None:
@@ -101,4 +104,5 @@
         ]
         for lookup in expired:
             del self.lookups[lookup.key]
+        self.found = {k: f for k, f in self.found.items() if f.found_at > limit}
         return expired
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from oleanderweir.lookups.found_owner import FoundOwner
 from oleanderweir.lookups.lookup_table import LookupTable
 from oleanderweir.lookups.possible_owners import PossibleOwners
 from oleanderweir.lookups.query_sender import QuerySender
@@ -93,6 +94,11 @@
             return
         for packet in lookup.buffered:
             self.transport.deliver(host, packet, DeliveryPurpose.CONTINUE)
+        outstanding = lookup.checked - lookup.denied_by - {host}
+        if outstanding and lookup.query is not None:
+            self.lookups.found[key] = FoundOwner(
+                host=host, query=lookup.query, outstanding=outstanding, found_at=now
+            )
         self.transport.log(
             "flow_found",
             key,
@@ -113,6 +119,21 @@
         else:
             self._continue(lookup, packet, now=now)
 
+    def on_late_denial(self, host: str, key: FlowKey) -> None:
+        """
+        Send the query to the owner of a flow again, after the last other agent denied.
+
+        Otherwise other backend servers would be the last to get a packet of an idle
+        flow, and the first at its next lookup.
+        """
+        found = self.lookups.found.get(key)
+        if found is None or host not in found.outstanding:
+            return
+        found.outstanding.discard(host)
+        if not found.outstanding:
+            del self.lookups.found[key]
+            self.transport.deliver(found.host, found.query, DeliveryPurpose.CONTINUE)
+
     def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
         """Record that an agent has no entry; its backend server may hold the flow."""
         lookup = self.lookups.lookups.get(packet.key)
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -218,3 +218,42 @@
     for host in HOSTS:
         bench.agent.on_message(host, denial)
     assert len(bench.to_peers()) == 2
+
+
+async def test_the_owner_gets_a_query_again_after_the_last_late_denial() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS:
+        bench.agent.on_message(host, unknown)
+    owner, *others = HOSTS
+    bench.agent.on_message(owner, OwnerNotice(key=KEY))
+    bench.to_peers()
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    bench.agent.on_message(others[0], denial)
+    assert bench.to_peers() == []
+
+    bench.agent.on_message(others[1], denial)
+    assert [address[0] for _, address in bench.peer_socket.sent] == [owner]
+    assert bench.to_peers() == [
+        Delivery(purpose=DeliveryPurpose.CONTINUE, version=0, data=REQUEST)
+    ]
+
+
+async def test_denials_before_the_owner_is_found_send_it_no_further_packet() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS:
+        bench.agent.on_message(host, unknown)
+    owner, *others = HOSTS
+    bench.to_peers()
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    for host in others:
+        bench.agent.on_message(host, denial)
+
+    bench.agent.on_message(owner, OwnerNotice(key=KEY))
+
+    messages = bench.to_peers()
+    assert all(not isinstance(message, Delivery) for message in messages)
