Deny unknown flows at once if an agent's flow table is complete

What callers saw: after a loss of all power, each lost flow is looked up at the whole fleet. Agents forwarded the queries to backend servers that didn't run yet, so that nobody answered, and lookups repeated them.

Cause: an agent didn't know whether its backend server may hold flows that were opened through an earlier process of the agent, and asked it about each unknown flow.

TableCompleteness proves that the backend server did not run at some time since the start of the agent's process. A caller can only acknowledge an answer to its opening packet that has passed the agent, so each flow that is opened later has an entry. The proof: the port refused probes for 0.6 s, at least three of them at most 0.55 s apart, and no packet of the backend server was received; or the backend server was accepted and is proved to have stopped (has_stopped). In both cases only while it is published as ready.

The limit is still an assumption: a backend server that takes longer to listen than its agent takes to restart and be refused for 0.6 s, and sends nothing meanwhile, is misjudged. - A draining backend server that closes its port before its idle flows have ended: no proof while the record is draining or unknown. - A paused agent, whose socket may have unread packets: a series of probes ends after 0.55 s without a probe. A late probe counts from its end as the first one, and from its start as the last one. - `born` of the published record: changes of the time of day break the comparison. Only the steady clock is used, which stops during a suspension and so only delays the proof. - Removal of entries: expired idle flows are older than their time to live; a return or a reset by the backend server and has_stopped were taken for proofs before (they are recorded as not held); the late answer to an opening packet that was returned adds the entry again. A removal on a presumed crash and the expiry of a flow that its caller reset are no proofs (the backend server may ignore a reset of another flow of the port): they end the completeness.

The log line of the returned packet has is_table_complete.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_liveness.py
@@ -68,6 +68,11 @@
         # received and no probe accepted since.
         self.has_stopped = False
 
+    @property
+    def is_unheard(self) -> bool:
+        """Whether no packet of the backend server was received by this process."""
+        return self.last_packet_at == float("-inf")
+
     def on_payload(self, *, now: float) -> None:
         """Record payload that was forwarded to the backend server."""
         if self.unanswered_payloads == 0:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -19,6 +19,7 @@
     from oleanderweir_agent.forwarding.flow_table import HeldFlow
     from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
 
 
 # An unpublished backend server that has sent nothing for this long may have stopped.
@@ -40,6 +41,7 @@
         dispatcher: RequestDispatcher,
         admission: FlowAdmission,
         liveness: BackendLiveness,
+        completeness: TableCompleteness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         transport: AgentTransport,
@@ -48,6 +50,7 @@
         self.dispatcher = dispatcher
         self.admission = admission
         self.liveness = liveness
+        self.completeness = completeness
         self.ownership = ownership
         self.remover = remover
         self.transport = transport
@@ -65,8 +68,7 @@
         if flow is None:
             self._check_ownership(host, packet, message, now=now)
         elif self.liveness.is_down():
-            self.remover.remove(packet.key, now=now)
-            self.remover.return_unheld(host, flow, packet.data)
+            self._return_lost(host, flow, packet, now=now)
         elif message.purpose is not DeliveryPurpose.QUERY:
             self._forward(host, flow, packet, now=now)
         elif flow.is_closed:
@@ -82,6 +84,15 @@
             flow.claimants[host] = packet.data
             self._dispatch(flow, packet, now=now)
 
+    def _return_lost(
+        self, host: str, flow: HeldFlow, packet: Packet, *, now: float
+    ) -> None:
+        """Return a packet of a flow whose backend server is down; remove the flow."""
+        if not self.liveness.has_stopped:
+            self.completeness.on_unproven_removal()
+        self.remover.remove(packet.key, now=now)
+        self.remover.return_unheld(host, flow, packet.data)
+
     def _forward(
         self, host: str, flow: HeldFlow, packet: Packet, *, now: float
     ) -> None:
@@ -102,10 +113,16 @@
         is_withdrawn = self._is_withdrawn(now)
         if is_withdrawn:
             self.liveness.on_doubt()
-        is_not_held = self.ownership.is_not_held(packet.key, now=now)
-        if is_not_held or (is_withdrawn and not self.liveness.was_accepted):
+        is_not_held = self._lacks_unknown_flow(packet, now=now) or (
+            is_withdrawn and not self.liveness.was_accepted
+        )
+        if is_not_held:
             self.transport.return_packet(
-                host, packet.key, packet.data, ReturnReason.NOT_HELD
+                host,
+                packet.key,
+                packet.data,
+                ReturnReason.NOT_HELD,
+                is_table_complete=self.completeness.is_complete,
             )
         elif self._routes_elsewhere(packet, message):
             self.transport.return_packet(
@@ -114,6 +131,12 @@
         else:
             self.ownership.start(host, packet, now=now)
 
+    def _lacks_unknown_flow(self, packet: Packet, *, now: float) -> bool:
+        """Whether the backend server is known not to hold a flow without an entry."""
+        if self.completeness.is_complete:
+            return True
+        return self.ownership.is_not_held(packet.key, now=now)
+
     def _routes_elsewhere(self, packet: Packet, message: Delivery) -> bool:
         """
         Whether a packet of an unknown flow must not be forwarded, due to its route.
@@ -137,6 +160,7 @@
         flow.is_confirmed = True
         flow.opening = None
         if packet.is_reset:
+            flow.is_reset_by_caller = True
             flow.caller_closed = flow.backend_closed = True
         elif packet.is_final:
             flow.caller_closed = True
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -41,8 +41,10 @@
     caller gives up at the latest.
 
     ``received_up_to`` is the sequence number after the last byte received from the
-    caller, ``caller_acknowledged`` that of the next byte that the caller expects. Times
-    are in seconds of trio's clock.
+    caller, ``caller_acknowledged`` that of the next byte that the caller expects.
+    ``is_reset_by_caller`` is set if a caller's reset closed the flow; a backend server
+    may ignore one that belongs to another flow of the port. Times are in seconds of
+    trio's clock.
     """
 
     key: FlowKey
@@ -61,6 +63,7 @@
     busy_at_request: int = 0
     received_up_to: int | None = None
     caller_acknowledged: int = 0
+    is_reset_by_caller: bool = False
     caller_closed: bool = False
     backend_closed: bool = False
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -77,8 +77,12 @@
         since = self.not_held_since.get(key)
         return since is not None and now - since < self.flow_ttl_s
 
-    def deny_all(self, *, started_before: float = math.inf) -> None:
-        """Deny pending checks; used when the backend server can't answer them."""
+    def deny_all(self, *, started_before: float = math.inf, **inputs: object) -> None:
+        """
+        Deny pending checks, with the inputs of the decision for the log.
+
+        Used when the backend server can't answer them.
+        """
         denied = {
             key: check
             for key, check in self.checks.items()
@@ -87,7 +91,7 @@
         for key, check in denied.items():
             del self.checks[key]
             self.transport.return_packet(
-                check.balancer, key, check.data, ReturnReason.NOT_HELD
+                check.balancer, key, check.data, ReturnReason.NOT_HELD, **inputs
             )
 
     def expire(self, *, now: float) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -39,6 +39,7 @@
     from oleanderweir_agent.forwarding.report_builder import ReportBuilder
     from oleanderweir_agent.forwarding.report_sender import ReportSender
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -49,7 +50,8 @@
     Every packet of the backend server passes the agent, so the agent is the authority
     on the flows that the backend server holds. An agent that was started after its
     backend server has no entries of the older flows: it forwards a packet of an unknown
-    flow, and the backend server returns the packet if it doesn't hold the flow.
+    flow, and the backend server returns the packet if it doesn't hold the flow. Once
+    ``TableCompleteness`` proves that there are no older flows, it denies unknown ones.
     """
 
     service: str
@@ -64,6 +66,7 @@
     liveness: BackendLiveness
     ownership: OwnershipChecker
     lookup_service: LookupService
+    completeness: TableCompleteness
     report_builder: ReportBuilder
     reporter: ReportSender
     opening_handler: OpeningHandler
@@ -157,6 +160,8 @@
         now = trio.current_time()
         self.lookup_service.expire(now=now)
         for flow in self.table.expire(now=now):
+            if flow.is_reset_by_caller:
+                self.completeness.on_unproven_removal()
             self.dispatcher.drop(flow, now=now)
         self.ownership.expire(now=now)
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -20,6 +20,7 @@
 from oleanderweir_agent.forwarding.report_builder import ReportBuilder
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
 
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
     openings = PendingOpenings()
     dispatcher = RequestDispatcher(register=register, transport=transport)
     liveness = BackendLiveness()
+    completeness = TableCompleteness(admission=admission, liveness=liveness)
     ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
     acceptance = Acceptance(admission=admission, liveness=liveness)
     report_builder = ReportBuilder(
@@ -84,6 +86,7 @@
         lookup_service=LookupService(
             codec=codec, register=register, members=members, transport=transport
         ),
+        completeness=completeness,
         report_builder=report_builder,
         reporter=ReportSender(members=members, transport=transport),
         opening_handler=opening_handler,
@@ -92,6 +95,7 @@
             dispatcher=dispatcher,
             admission=admission,
             liveness=liveness,
+            completeness=completeness,
             ownership=ownership,
             remover=remover,
             transport=transport,
@@ -110,6 +114,7 @@
             codec=codec,
             table=table,
             liveness=liveness,
+            completeness=completeness,
             ownership=ownership,
             remover=remover,
             opening_handler=opening_handler,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
@@ -17,6 +17,7 @@
     from oleanderweir_agent.forwarding.opening_handler import OpeningHandler
     from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
     from oleanderweir_agent.forwarding.probe_outcome import ProbeOutcome
+    from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
 
 
 class ProbeOutcomeHandler:
@@ -28,6 +29,7 @@
         codec: PacketCodec,
         table: FlowTable,
         liveness: BackendLiveness,
+        completeness: TableCompleteness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         opening_handler: OpeningHandler,
@@ -36,6 +38,7 @@
         self.codec = codec
         self.table = table
         self.liveness = liveness
+        self.completeness = completeness
         self.ownership = ownership
         self.remover = remover
         self.opening_handler = opening_handler
@@ -52,6 +55,7 @@
         """
         now = trio.current_time()
         self.liveness.on_probe_outcome(outcome, now=checked_at)
+        self._update_completeness(outcome, checked_at=checked_at, now=now)
         if not self.liveness.has_stopped:
             return
         for flow in self.table.idle_since(checked_at):
@@ -59,6 +63,15 @@
         self.opening_handler.return_sent_before(checked_at, now=now)
         self.ownership.deny_all(started_before=checked_at)
 
+    def _update_completeness(
+        self, outcome: ProbeOutcome, *, checked_at: float, now: float
+    ) -> None:
+        """Deny pending checks if the probe proves that the table is complete."""
+        was_complete = self.completeness.is_complete
+        self.completeness.on_probe_outcome(outcome, started_at=checked_at, ended_at=now)
+        if self.completeness.is_complete and not was_complete:
+            self.ownership.deny_all(started_before=checked_at, is_table_complete=True)
+
     def _reset_lost_flow(self, flow: HeldFlow, *, now: float) -> None:
         """
         Remove a flow that was lost with its backend server, and reset it if open.
