State which agents denied in the results of delegated lookups

Cause: an outcome without its extent. A delegate that had finished gave no result if its state of the backend servers differed from the balancer's, as it does all the time while entries lapse and return; the balancer asked the next delegate, which queried the whole fleet again. A delegate that waited for one agent that starts reported nothing of the others' denials.

A result now lists the agents that denied (up to 128), and a lookup that continues reports them at each tick. The balancer counts exactly these, and names those that are left to the next delegate, which asks each of them and no others.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -16,10 +16,13 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
     from oleanderweir.flows import PacketCodec
+    from oleanderweir.lookups import Lookup
     from oleanderweir.peering import Members
     from oleanderweir.peering.messages import DeliveryPurpose
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
@@ -27,6 +30,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Denials that one message lists, so that it fits a datagram beside the packet.
+MAX_LISTED_DENIALS = 128
+
 
 class LookupService:
     """
@@ -91,9 +97,25 @@
             self.owner_lookup.on_denial(host, packet, now=now)
 
     def retry(self, *, now: float) -> None:
-        """Repeat queries that were not answered."""
+        """Report the denials so far, and repeat queries that were not answered."""
+        for key, requesters in self.requesters.items():
+            lookup = self.owner_lookup.lookups.lookups.get(key)
+            if lookup is not None and len(lookup.denied_by) > lookup.reported:
+                self._report_denials(lookup, requesters)
         self.owner_lookup.retry(now=now)
 
+    def _report_denials(self, lookup: Lookup, requesters: Iterable[str]) -> None:
+        """Send the denials so far: other delegates need not query these agents."""
+        lookup.reported = len(lookup.denied_by)
+        hosts = self._list_denials(lookup)
+        if lookup.query is None or not hosts:
+            return
+        message = ReturnedPacket(
+            reason=ReturnReason.PARTLY_DENIED, data=lookup.query.data, hosts=hosts
+        )
+        for requester in requesters:
+            self.transport.send(requester, message)
+
     def expire(self, *, now: float) -> None:
         """Drop expired lookups, and the requesters of closed lookups."""
         self.owner_lookup.expire(now=now)
@@ -121,26 +143,39 @@
 
     def on_no_owner(self, packet: Packet) -> None:
         """
-        Notify the requesting balancers that the flow has no owner.
+        Notify the requesting balancers that the flow has no owner, and who denied.
 
-        A balancer with a newer revision of the backend servers than this agent gets no
-        reply, and delegates its lookup to another agent: the owner may be a backend
-        server that this agent didn't query. So does one that doesn't know yet which
-        backend servers were removed just now: this agent didn't query them either. The
-        failed lookup is closed: the next one may find a backend server that is
+        The failed lookup is closed: the next one may find a backend server that is
         published by then.
         """
-        self.owner_lookup.lookups.close(packet.key)
-        now = trio.current_time()
-        own_revision = self.register.revision(Topic.BACKEND_SERVERS)
+        lookup = self.owner_lookup.lookups.close(packet.key)
+        hosts = () if lookup is None else self._list_denials(lookup)
+        message = ReturnedPacket(
+            reason=ReturnReason.HELD_NOWHERE, data=packet.data, hosts=hosts
+        )
         for requester, revision in self.requesters.pop(packet.key, {}).items():
-            if revision is not None and (
-                revision > own_revision
-                or self.register.has_removal_after(revision, now=now)
-            ):
-                continue
-            message = ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=packet.data)
-            self.transport.send(requester, message)
+            if hosts or self._covers_published(revision):
+                self.transport.send(requester, message)
+
+    def _list_denials(self, lookup: Lookup) -> tuple[str, ...]:
+        """Return the agents that denied, or none if they are too many for a message."""
+        if len(lookup.denied_by) > MAX_LISTED_DENIALS:
+            return ()
+        return tuple(sorted(lookup.denied_by))
+
+    def _covers_published(self, revision: int | None) -> bool:
+        """
+        Whether the agents of all backend servers that a balancer knows were queried.
+
+        They may not have been if the balancer has a newer ``revision`` of the backend
+        servers than this agent, or doesn't know yet which were removed just now. It
+        gets no reply then, and delegates its lookup to another agent.
+        """
+        if revision is None:
+            return True
+        if revision > self.register.revision(Topic.BACKEND_SERVERS):
+            return False
+        return not self.register.has_removal_after(revision, now=trio.current_time())
 
     def log(self, code: str, key: FlowKey, **inputs: object) -> None:
         """Log a decision about a flow, with its inputs."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -28,6 +28,12 @@
     from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
 
 
+# Replies that complete or continue a lookup, without a denial by one agent.
+LOOKUP_REPLIES = frozenset(
+    {ReturnReason.UNKNOWN, ReturnReason.PARTLY_DENIED, ReturnReason.HELD_NOWHERE}
+)
+
+
 class PacketBalancer:
     """
     Selects the agent for each packet of a caller.
@@ -150,11 +156,8 @@
         if packet.is_opening and self._is_open(packet.key):
             # The caller has acknowledged the answer to another copy.
             return
-        if reason is ReturnReason.UNKNOWN:
-            self.owner_lookup.on_unknown(host, packet, now=now)
-            return
-        if reason is ReturnReason.HELD_NOWHERE:
-            self._on_no_owner(host, packet, now=now)
+        if reason in LOOKUP_REPLIES:
+            self._on_lookup_reply(host, packet, returned, now=now)
             return
         # Unknown if an earlier agent of the flow returns the packet.
         placed_at = float("-inf")
@@ -178,11 +181,24 @@
         else:
             self.owner_lookup.on_denial(host, packet, now=now)
 
-    def _on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
+    def _on_lookup_reply(
+        self, host: str, packet: Packet, returned: ReturnedPacket, *, now: float
+    ) -> None:
+        """Process the reply of an agent or of a delegate that isn't a plain denial."""
+        if returned.reason is ReturnReason.UNKNOWN:
+            self.owner_lookup.on_unknown(host, packet, now=now)
+        elif returned.reason is ReturnReason.PARTLY_DENIED:
+            self.owner_lookup.on_partly_denied(packet.key, returned.hosts)
+        else:
+            self._on_no_owner(host, packet, hosts=returned.hosts, now=now)
+
+    def _on_no_owner(
+        self, host: str, packet: Packet, *, hosts: tuple[str, ...], now: float
+    ) -> None:
         """Fail the lookup of a flow, unless its owner was found in the meantime."""
         flow = self.cache.flows.get(packet.key)
         if flow is None:
-            self.owner_lookup.on_no_owner(host, packet, now=now)
+            self.owner_lookup.on_no_owner(host, packet, now=now, hosts=hosts)
         else:
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -27,7 +27,8 @@
 
     ``awaited`` are the agents whose reply to a query of this process is outstanding,
     ``unknown_to`` those that replied that they have no entry of the flow, and
-    ``checked`` those whose backend servers were asked after that.
+    ``checked`` those whose backend servers were asked after that. ``reported`` is the
+    number of denials that the requester of a delegated lookup knows.
     ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
     when the lookup is extended from the flow's candidates to all agents,
     ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
@@ -48,6 +49,7 @@
     awaited: set[str] = attrs.field(factory=set)
     unknown_to: set[str] = attrs.field(factory=set)
     checked: set[str] = attrs.field(factory=set)
+    reported: int = 0
     attempts: int = 0
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -23,6 +23,8 @@
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
+# Rounds of queries of a delegate to agents that a balancer named.
+MAX_RESTRICTED_ATTEMPTS = 2
 
 
 class OwnerLookup:
@@ -144,11 +146,20 @@
             lookup.awaited.discard(host)
         self._continue(lookup, packet, now=now)
 
-    def on_no_owner(self, host: str, packet: Packet, *, now: float) -> None:
+    def on_partly_denied(self, key: FlowKey, hosts: tuple[str, ...]) -> None:
+        """Record the denials that a delegate has got while its lookup continues."""
+        lookup = self.lookups.lookups.get(key)
+        if lookup is not None:
+            lookup.denied_by.update(hosts)
+
+    def on_no_owner(
+        self, host: str, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
+    ) -> None:
         """
         Process the negative result of a delegate; query the agents it may not know.
 
-        An agent knows those of published backend servers and few others. A backend
+        ``hosts`` are the agents that denied, all that were published if there are none:
+        an agent knows those of published backend servers and few others. A backend
         server may hold flows although its entry lapsed, or was published later. The
         result of an earlier lookup is ignored: it doesn't cover what was published
         when this one was delegated.
@@ -157,7 +168,8 @@
         if lookup is None or lookup.has_no_owner or host not in lookup.delegations:
             return
         lookup.is_fleet_wide = True
-        lookup.denied_by |= lookup.delegations.pop(host)
+        covered = lookup.delegations.pop(host)
+        lookup.denied_by |= frozenset(hosts) or covered
         pending = self.owners.find_pending(lookup, now=now)
         unqueried = pending - lookup.first_query_at.keys()
         if unqueried:
@@ -176,12 +188,18 @@
     def retry(self, *, now: float) -> None:
         """Send the queries of unanswered lookups again when they are due."""
         for lookup in self.lookups.due_for_retry(now=now):
+            if lookup.is_restricted and lookup.attempts >= MAX_RESTRICTED_ATTEMPTS:
+                # The balancer names the agents that have not replied to the next one.
+                continue
             lookup.is_fleet_wide = (
                 lookup.is_fleet_wide or lookup.attempts >= TARGETED_ATTEMPTS
             )
             agents = self.owners.find(lookup)
             if lookup.query is None:
                 continue
+            if not self.sender.use_delegate:
+                # The balancer has these asked again by its next delegate.
+                agents -= lookup.checked - lookup.denied_by
             if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
--- a/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
@@ -20,7 +20,7 @@
 # link of a small balancer.
 MAX_DIRECT_QUERIES = 3
 # Hosts that one delegated lookup names, so that it fits a datagram beside the packet.
-MAX_DELEGATED_HOSTS = 64
+MAX_DELEGATED_HOSTS = 128
 
 
 class QuerySender:
@@ -79,13 +79,13 @@
         """
         Send a packet to an agent that queries the others for this process.
 
-        An agent knows those of published backend servers and few others. Once the
-        former have denied, it gets the names of the others.
+        An agent knows those of published backend servers and few others. Once any
+        agents have denied, it gets the names of those that have not.
         """
         published = self.register.find_published_hosts()
         hosts: tuple[str, ...] = ()
         covered = published
-        if not pending & published:
+        if lookup.denied_by or not pending & published:
             hosts = self._choose_hosts(lookup, pending, now=now)
             covered = frozenset(hosts)
         delegate = self._choose_delegate(lookup, pending)
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -35,7 +35,7 @@
 }
 # Types whose last field is sent only if it has items, so that earlier states of the
 # program can decode the other messages.
-OPTIONAL_LAST_FIELD = frozenset({Delivery})
+OPTIONAL_LAST_FIELD = frozenset({Delivery, ReturnedPacket})
 
 
 def encode_message(message: Message) -> bytes:
