Deliver no published state to processes that were killed in the emulated site

Results of random series: a killed balancer or agent still got changes of the published state until its successor started, and sent queries and openings from its queue.

Cause: its register kept the callback of the killed process. A process that is stopped is now disconnected from it.

Evidence: test_a_killed_balancer_gets_no_state_and_sends_nothing sends the queued opening without the change.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
@@ -103,6 +103,7 @@
     def stop(self, host: str) -> None:
         """Kill an agent; its backend server keeps running."""
         self.running.pop(host).scope.cancel()
+        self.published.disconnect(host)
         self.network.stop_listening((host, PEER_PORT))
         self.network.stop_listening((host, OUTBOUND_PORT))
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -108,6 +108,7 @@
         self.scopes[host].cancel()
         self.paused.discard(host)
         self.running.pop(host, None)
+        self.published.disconnect(host)
         self.network.stop_listening((host, CALLER_PORT))
         self.network.stop_listening((host, PEER_PORT))
         if not stays_in_rotation and host in self.router.hosts:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/power_loss.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/power_loss.py
@@ -45,8 +45,6 @@
     def stop_all(self) -> None:
         """Stop all balancers, agents and backend servers, with all their flows."""
         site = self.site
-        for host in (*site.balancer_hosts, *site.agent_hosts):
-            site.published.disconnect(host)
         for host in site.balancer_hosts:
             site.stop_balancer(host, stays_in_rotation=True)
         for host in site.agent_hosts:
