Tell emulated balancers how long packets may have waited in their sockets

Results on the emulated site: a balancer that was paused, or started with packets in its socket, reset open flows as no_backend_server.

Cause: the stand-in delivered these packets as if they had just arrived. The program tells the balancer since when they may have waited. The stand-in now does the same, by the time for which the sockets were bound or the process was paused.

Evidence: test_an_opening_that_waited_in_a_socket_resets_no_flow failed before.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -59,6 +59,8 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.running: dict[str, PacketBalancer] = {}
         self.paused: set[str] = set()
+        # Since when datagrams have waited in the sockets of a balancer, by host.
+        self.bound_at: dict[str, float] = {}
 
     def start(self, host: str) -> None:
         """Start a balancer with an empty cache, and put it into rotation."""
@@ -79,6 +81,7 @@
 
     def bind(self, host: str) -> None:
         """Keep the packets to a balancer that is paused or about to start."""
+        self.bound_at.setdefault(host, trio.current_time())
         self.network.hold((host, CALLER_PORT))
         self.network.hold((host, PEER_PORT))
 
@@ -108,6 +111,7 @@
         self.scopes[host].cancel()
         self.paused.discard(host)
         self.running.pop(host, None)
+        self.bound_at.pop(host, None)
         self.published.disconnect(host)
         self.network.stop_listening((host, CALLER_PORT))
         self.network.stop_listening((host, PEER_PORT))
@@ -115,6 +119,11 @@
             self.router.hosts.remove(host)
 
     def _listen(self, host: str, balancer: PacketBalancer) -> None:
+        now = trio.current_time()
+        # The longest time for which a datagram may have waited.
+        waited_s = now - self.bound_at.pop(host, now)
+        for data in self.network.take_held((host, CALLER_PORT)):
+            balancer.on_caller_packet(data, waited_s=waited_s)
         self.network.listen(
             (host, CALLER_PORT), lambda _, data: balancer.on_caller_packet(data)
         )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/virtual_network.py
@@ -59,6 +59,10 @@
         self.listeners.pop(address, None)
         self.held.setdefault(address, deque())
 
+    def take_held(self, address: tuple[str, int]) -> list[bytes]:
+        """Remove and return the datagrams that wait in a socket."""
+        return [data for _, data in self.held.pop(address, ())]
+
     def stop_listening(self, address: tuple[str, int]) -> None:
         """Drop datagrams to an address from now on."""
         self.listeners.pop(address, None)
