Let entries of sound backend servers lapse on an emulated site while flows move

Callers: an open flow is reset, or its packets go to other backend servers, while the entry of its sound backend server is missing. Only unit tests of lookups showed this, with one balancer each.

The scenario lets the store be away three times: a quarter of the entries, three quarters, then all are missing for 3 to 6 s, and come back. In the meantime balancers leave the rotation, balancers and agents are restarted in series, one balancer is killed and starts seconds later, and one is paused. No host counts as disturbed, so that each reset counts.

The stray flows are not traced.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -25,6 +25,7 @@
 from oleanderweir_bench.packet_path.scenarios import SCENARIOS
 from oleanderweir_bench.packet_path.scenarios import run_scenario
 from oleanderweir_bench.packet_path.site_result import SiteResult
+from oleanderweir_bench.packet_path.store_outage_scenario import run_store_outage
 from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 
 
@@ -48,4 +49,5 @@
     "run_power_loss",
     "run_random_series",
     "run_scenario",
+    "run_store_outage",
 ]
