--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/failure_reason.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/failure_reason.py
@@ -10,7 +10,5 @@
 
     RESPONSE_TRUNCATED = "answer_cut"
     BACKEND_LOST = "backend_lost"
-    BACKEND_SHED_UNPROVEN = "backend_shed_unproven"
-    CALLER_CANCELLED = "caller_cancelled"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     PEER_LOST = "peer_lost"
