Separate the order of backend records from their storage

RecordOrder now holds the removed records and the starts of backend servers, and decides which record is older; BackendTopic keeps the documents, records and revisions. "_follows" is now "_is_later_write", and the earlier write of a history, which doesn't concern starts, is a check of its own (_is_overwritten).

--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -7,10 +7,9 @@
 
 import trio
 
-from oleanderweir.desired_state.backend_start import BackendStart
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
 from oleanderweir.desired_state.positions import history_of
-from oleanderweir.desired_state.removed_record import RemovedRecord
+from oleanderweir.desired_state.record_order import RecordOrder
 
 
 if TYPE_CHECKING:
@@ -23,21 +22,15 @@
 
 logger = logging.getLogger(__name__)
 
-# How long the last record of a removed backend server is kept, so that an older one
-# isn't applied. Copies of the source are seconds old.
-REMOVED_RECORD_S = 60.0
-
 
 class BackendTopic:
     """
     Holds the published backend servers; older listings and changes are ignored.
 
-    A listing of a higher revision tells which backend servers are published. The
-    records of one start are ordered by their count, and the starts by the source's
-    history. A source that returned from an older copy publishes earlier records again:
-    across histories, the starts are ordered by the clocks of the backend servers.
-    ``revision`` is 0 before the first listing; ``changed_revision`` is that of the
-    newest change. ``records`` has the backend servers of all valid ``documents``.
+    A listing of a higher revision tells which backend servers are published; ``order``
+    tells which of their records are older than those in force. ``revision`` is 0 before
+    the first listing; ``changed_revision`` is that of the newest change. ``records``
+    has the backend servers of all valid ``documents``.
     """
 
     def __init__(self, *, decoder: StateDecoder) -> None:
@@ -47,7 +40,7 @@
         self.listed_revision = 0
         self.documents: dict[str, Change] = {}
         self.records: dict[str, BackendRecord] = {}
-        self.removed_records: dict[str, RemovedRecord] = {}
+        self.order = RecordOrder(records=self.records)
         # Documents that were not applied, by name; each is logged once.
         self.ignored_documents: dict[str, bytes] = {}
         # Time of the first listing, and of the last removal by host, in seconds of
@@ -56,10 +49,6 @@
         self.removed_at: dict[str, float] = {}
         # Revision of the last removal.
         self.removed_revision = 0
-        # Starts that another one has replaced, by name, in milliseconds of Unix time.
-        self.replaced_starts: dict[str, set[int]] = {}
-        # Newest start of a backend server at each host.
-        self.newest_starts: dict[str, BackendStart] = {}
 
     @property
     def base_revision(self) -> int:
@@ -113,21 +102,12 @@
         self._remove_record(name, revision=revision)
 
     def _remove_record(self, name: str, *, revision: int) -> None:
-        """Remove a record, and remember it for ``REMOVED_RECORD_S``."""
-        now = trio.current_time()
-        self.removed_records = {
-            key: removed
-            for key, removed in self.removed_records.items()
-            if now - removed.removed_at < REMOVED_RECORD_S
-        }
+        """Remove a record, and record when its host lost its backend server."""
         record = self.records.pop(name, None)
         if record is not None:
-            self.removed_records[name] = RemovedRecord(record=record, removed_at=now)
-            self.removed_at[record.host] = now
+            self.removed_at[record.host] = trio.current_time()
             self.removed_revision = max(self.removed_revision, revision)
-        remembered = self.records.keys() | self.removed_records.keys()
-        for forgotten in self.replaced_starts.keys() - remembered:
-            del self.replaced_starts[forgotten]
+        self.order.on_removed(name, record)
 
     def _apply(self, change: Change) -> bool:
         """Apply a document; return whether this changed anything."""
@@ -140,15 +120,14 @@
         except InvalidDocumentError as error:
             self._reject(change, error)
             return True
-        newest = self._newest_record(name)
+        newest = self.order.newest_record(name)
         if newest is not None and self._is_older(change, record, newest):
             self._ignore(name, document, record, newest)
             return False
-        if newest is not None and newest.started_at_ms != record.started_at_ms:
-            self.replaced_starts.setdefault(name, set()).add(newest.started_at_ms)
-        self._record_start(change, record, newest)
+        self.order.on_applied(
+            name, record, newest, is_later_write=self._is_later_write(change)
+        )
         self.ignored_documents.pop(name, None)
-        self.removed_records.pop(name, None)
         self.documents[name] = change
         self.records[name] = record
         return True
@@ -160,7 +139,7 @@
             return False
         return name in self.records or self.ignored_documents.get(name) == document
 
-    def _follows(self, change: Change) -> bool:
+    def _is_later_write(self, change: Change) -> bool:
         """Whether a change was written after all that is known of its history."""
         is_same_history = history_of(change.revision) == history_of(self.revision)
         return is_same_history and change.revision > self.revision > 0
@@ -168,30 +147,16 @@
     def _is_older(
         self, change: Change, record: BackendRecord, newest: BackendRecord
     ) -> bool:
-        """
-        Whether a record is older than the newest one of its name.
-
-        A removed record may be published again, by a backend server that still runs. A
-        copy may show it again too, but not once another one has started at its host.
-        """
-        if self._is_replaced(change, record):
-            return True
-        if self._follows(change):
-            is_same_start = record.started_at_ms == newest.started_at_ms
-            return is_same_start and record.is_older_than(newest)
-        if record.is_older_than(newest):
+        """Whether a later write of the history or a newer record is known."""
+        if self._is_overwritten(change):
             return True
-        start = self.newest_starts.get(record.host)
-        return (
-            change.name not in self.records
-            and start is not None
-            and record.started_at_ms < start.started_at_ms
+        is_later_write = self._is_later_write(change)
+        return self.order.is_older(
+            change.name, record, newest, is_later_write=is_later_write
         )
 
-    def _is_replaced(self, change: Change, record: BackendRecord) -> bool:
-        """Whether a later write of the history or a later start is known."""
-        if record.started_at_ms in self.replaced_starts.get(change.name, ()):
-            return True
+    def _is_overwritten(self, change: Change) -> bool:
+        """Whether a later write of the same history is known."""
         known = self.documents.get(change.name)
         return (
             known is not None
@@ -199,14 +164,6 @@
             and change.revision < known.revision
         )
 
-    def _newest_record(self, name: str) -> BackendRecord | None:
-        """Return the record in force under a name, or one that was removed recently."""
-        removed = self.removed_records.get(name)
-        if name in self.records or removed is None:
-            return self.records.get(name)
-        is_recent = trio.current_time() - removed.removed_at < REMOVED_RECORD_S
-        return removed.record if is_recent else None
-
     def _reject(self, change: Change, error: InvalidDocumentError) -> None:
         """Remove the backend server of an invalid document."""
         self.documents[change.name] = change
@@ -237,15 +194,3 @@
                 "in_force": f"{newest.started_at_ms}/{newest.sequence}",
             },
         )
-
-    def _record_start(
-        self, change: Change, record: BackendRecord, previous: BackendRecord | None
-    ) -> None:
-        """Record when the newest start of a host's backend server became known."""
-        known = self.newest_starts.get(record.host)
-        is_later = known is None or known.started_at_ms < record.started_at_ms
-        is_new = previous is None or previous.started_at_ms != record.started_at_ms
-        if is_later or (is_new and self._follows(change)):
-            self.newest_starts[record.host] = BackendStart(
-                started_at_ms=record.started_at_ms, known_at=trio.current_time()
-            )
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -117,12 +117,12 @@
 
     def newest_start_ms(self, host: str) -> int:
         """Return the newest start of a backend server at a host, 0 if unknown."""
-        start = self.backend_topic.newest_starts.get(host)
+        start = self.backend_topic.order.newest_starts.get(host)
         return 0 if start is None else start.started_at_ms
 
     def has_started_since(self, host: str, moment: float) -> bool:
         """Whether a new start of a backend server at a host was published since."""
-        start = self.backend_topic.newest_starts.get(host)
+        start = self.backend_topic.order.newest_starts.get(host)
         return start is not None and start.known_at > moment
 
     def was_removed_since(self, host: str, moment: float) -> bool:
