Separate the sending of packets from the fabric stand-in

PacketSender now drops, duplicates and delays; the stand-in passes it the conditions of the moment with each packet.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/__init__.py
@@ -9,6 +9,7 @@
 from oleanderweir_bench.fabric.fabric_counters import FabricCounters
 from oleanderweir_bench.fabric.fabric_stand_in import FabricStandIn
 from oleanderweir_bench.fabric.packet_record import PacketRecord
+from oleanderweir_bench.fabric.packet_sender import PacketSender
 
 
 __all__ = [
@@ -19,4 +20,5 @@
     "FabricCounters",
     "FabricStandIn",
     "PacketRecord",
+    "PacketSender",
 ]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/fabric_stand_in.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/fabric/fabric_stand_in.py
@@ -13,6 +13,7 @@
 from oleanderweir_bench.fabric.direction import Direction
 from oleanderweir_bench.fabric.fabric_counters import FabricCounters
 from oleanderweir_bench.fabric.packet_record import PacketRecord
+from oleanderweir_bench.fabric.packet_sender import PacketSender
 
 
 if TYPE_CHECKING:
@@ -90,6 +91,9 @@
         self.socket = open_udp_socket(*self.service_address.sockaddr)
         try:
             async with trio.open_nursery() as self.nursery:
+                self.sender = PacketSender(
+                    nursery=self.nursery, random=self.random, counters=self.counters
+                )
                 self.nursery.start_soon(self.close_idle_sockets)
                 task_status.started()
                 await self.receive_from_callers()
@@ -123,7 +127,13 @@
         caller_socket.last_used_at = trio.current_time()
         self.counters.to_balancer += 1
         self.record_packet(Direction.TO_BALANCER, caller, balancer, data)
-        self.send(caller_socket.socket, data, balancer, hosts=(caller[0], balancer[0]))
+        self.sender.send(
+            caller_socket.socket,
+            data,
+            balancer,
+            hosts=(caller[0], balancer[0]),
+            conditions=self.conditions,
+        )
 
     def forward_to_caller(
         self, data: bytes, balancer: tuple[str, int], caller_socket: CallerSocket
@@ -135,11 +145,12 @@
         caller_socket.last_used_at = trio.current_time()
         self.counters.to_caller += 1
         self.record_packet(Direction.TO_CALLER, caller_socket.caller, balancer, data)
-        self.send(
+        self.sender.send(
             self.socket,
             data,
             caller_socket.caller,
             hosts=(caller_socket.caller[0], balancer[0]),
+            conditions=self.conditions,
         )
 
     def open_caller_socket(self, caller: tuple[str, int]) -> CallerSocket:
@@ -171,67 +182,6 @@
             )
         )
 
-    def send(
-        self,
-        source: socket.socket,
-        data: bytes,
-        target: tuple[str, int],
-        *,
-        hosts: tuple[str, str],
-    ) -> None:
-        """Send a packet subject to the current conditions."""
-        conditions = self.conditions
-        if conditions.has_no_faults:
-            self.send_now(source, data, target)
-            return
-        if conditions.cut_hosts.intersection(hosts):
-            self.counters.dropped_by_cut += 1
-            return
-        if self.random.random() < conditions.loss:
-            self.counters.dropped_by_loss += 1
-            return
-        if self.random.random() < conditions.duplication:
-            self.counters.duplicated += 1
-            self.send_after(conditions.delay_s, source, data, target)
-        delay_s = conditions.delay_s
-        if self.random.random() < conditions.reorder:
-            self.counters.reordered += 1
-            delay_s += conditions.reorder_delay_s
-        self.send_after(delay_s, source, data, target)
-
-    def send_now(
-        self, source: socket.socket, data: bytes, target: tuple[str, int]
-    ) -> None:
-        """Send a packet; drop and count it if the socket cannot send it."""
-        try:
-            source.sendto(data, target)
-        except OSError:
-            self.counters.dropped_by_full_socket += 1
-
-    def send_after(
-        self,
-        delay_s: float,
-        source: socket.socket,
-        data: bytes,
-        target: tuple[str, int],
-    ) -> None:
-        """Send a packet after ``delay_s``."""
-        if not delay_s:
-            self.send_now(source, data, target)
-            return
-        self.nursery.start_soon(self.sleep_and_send, delay_s, source, data, target)
-
-    async def sleep_and_send(
-        self,
-        delay_s: float,
-        source: socket.socket,
-        data: bytes,
-        target: tuple[str, int],
-    ) -> None:
-        """Sleep for ``delay_s``, then send a packet."""
-        await trio.sleep(delay_s)
-        self.send_now(source, data, target)
-
     async def close_idle_sockets(self) -> None:
         """Close the sockets of callers without packets for ``idle_timeout_s``."""
         while True:
