--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -45,8 +45,8 @@
     Lists a topic once, then watches it; lists it again when its history is lost.
 
     Failed calls are retried with exponential backoff and jitter, up to ``MAX_RETRY_S``.
-    So are listings while the history is lost again before any watch succeeds.
-    After the first listing, the topic is only read while ``status.should_read`` is set.
+    So are listings while the history is lost again before any watch succeeds. After the
+    first listing, the topic is only read while ``status.should_read`` is set.
     ``reader_status`` tells whether the process is a reader, on which its peers rely.
     ``on_changes`` receives the changes of each watch, and the lowest revision at which
     another process has missed none before them.
--- a/tests/oleanderweir_bench/experiments/test_simulated_service.py
+++ b/tests/oleanderweir_bench/experiments/test_simulated_service.py
@@ -86,7 +86,7 @@
 
     assert is_finished
     assert draining.reporter.sessions > 0
-    # Only requests in flight at the start of the drain run: at most 0.3 s of
-    # work in each of four slots.
+    # Only requests in flight at the start of the drain run: at most 0.3 s of work in
+    # each of four slots.
     assert draining.backend_server.busy_s < 4 * 0.3
     assert {record.outcome for record in service.records} == {JobOutcome.ANSWERED}
