--- a/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/platform_operator.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/deployment/platform_operator.py
@@ -36,11 +36,6 @@
         self.instances[record.name] = record
         await self._publish_instances()
 
-    async def remove_instance(self, name: str) -> None:
-        """Remove an instance from the instance list and publish it."""
-        del self.instances[name]
-        await self._publish_instances()
-
     async def _publish_instances(self) -> None:
         part = InstanceListPart(
             version=0, part=0, parts=1, instances=tuple(self.instances.values())
