--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak.py
@@ -14,11 +14,11 @@
 from oleanderweir_bench.soak.address_block import reserve_block
 from oleanderweir_bench.soak.faults import FAULTS
 from oleanderweir_bench.soak.faults import drain_and_stop
-from oleanderweir_bench.soak.faults import restore_store
 from oleanderweir_bench.soak.soak_report import SoakReport
 from oleanderweir_bench.soak.soak_site import FEED
 from oleanderweir_bench.soak.soak_site import SoakSite
 from oleanderweir_bench.soak.soak_site import copy_result
+from oleanderweir_bench.soak.store_faults import restore_store
 
 
 if TYPE_CHECKING:
