Forget a failed lookup once its caller opens another flow with the port

Cause: an outcome without its age. A failed lookup is kept for up to 3 s so that further packets of the lost flow are reset at once. A caller that uses the port again within this time had its new flow reset by the result for the earlier one.

Evidence: test_store_outage.py [40-agents-mod], flow 100.64.0.29:1026: the earlier flow's lookup failed at 8.069 s; the new flow was placed through another balancer at 8.671; the first balancer read its delayed opening packet and its next packets at 10.249 and reset it.

Left: a later flow whose opening packet never reaches this balancer within the 3 s.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -67,6 +67,7 @@
         if self.register.desired is None or not self._has_backend_listing():
             self._queue_opening(packet, arrived_at=arrived_at)
             return
+        self.owner_lookup.discard_failed(packet.key)
         if self._is_late(packet, arrived_at=arrived_at):
             return
         route = self.register.desired.routes.get(route_address(packet.key))
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -60,6 +60,12 @@
         """Whether the owner of a flow is being looked up."""
         return key in self.lookups.lookups
 
+    def discard_failed(self, key: FlowKey) -> None:
+        """Discard a failed lookup: the caller opens another flow with its port."""
+        lookup = self.lookups.lookups.get(key)
+        if lookup is not None and lookup.has_no_owner:
+            self.lookups.close(key)
+
     def look_up(
         self, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
     ) -> None:
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -15,6 +15,7 @@
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 from tests.oleanderweir_balancer.forwarding.bench import make_agent_heartbeat
 from tests.oleanderweir_balancer.forwarding.packets import KEY
+from tests.oleanderweir_balancer.forwarding.packets import OPENING
 from tests.oleanderweir_balancer.forwarding.packets import REQUEST
 
 
@@ -393,3 +394,20 @@
 
     assert len(bench.socket.pop_sent_to(CALLER_PORT)) == 1
     assert bench.deliveries() == []
+
+
+async def test_a_failed_lookup_resets_no_later_flow_of_the_same_port() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+    # The caller opens another flow; a copy was placed by another balancer.
+    bench.balancer.on_caller_packet(OPENING)
+    [(agent, _)] = bench.deliveries()
+    bench.return_packet(agent, ReturnReason.UNANSWERED, OPENING)
+    bench.balancer.on_caller_packet(REQUEST)
+
+    assert bench.socket.pop_sent_to(CALLER_PORT) == []
