Apply what a running start writes although a copy seemed to replace it

A backend server whose clock was set back before its restart, and that drains after a restore of the store, would get new flows from processes that started after its restart, until it has left.

Cause: across histories, two starts are ordered by the clocks of the backend servers, which may be wrong. A process that had missed the earlier start took that of the copy for the later one, and remembered the running start as replaced. Remembered starts are ignored even in later writes of the same history.

Ruled out: the check of the remembered starts itself.

Evidence: test_a_running_start_that_a_copy_seemed_to_replace_is_applied_again failed before (ready instead of draining) and passes now, with the tests of the desired state, of the peering, of the store's client and of the stand-ins.

Why it works: a start counts as replaced only if the other one was written after all that is known of the same history, which no clock decides. What the running start writes after the listing of the new history then follows it, and is applied.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -144,7 +144,7 @@
         if newest is not None and self._is_older(change, record, newest):
             self._ignore(name, document, record, newest)
             return False
-        if newest is not None and newest.started_at_ms != record.started_at_ms:
+        if newest is not None and self._is_restart(change, record, newest):
             self.replaced_starts.setdefault(name, set()).add(newest.started_at_ms)
         self._record_start(change, record, newest)
         self.ignored_documents.pop(name, None)
@@ -165,6 +165,17 @@
         is_same_history = history_of(change.revision) == history_of(self.revision)
         return is_same_history and change.revision > self.revision > 0
 
+    def _is_restart(
+        self, change: Change, record: BackendRecord, newest: BackendRecord
+    ) -> bool:
+        """
+        Whether a record is certainly of a later start than the newest one of its name.
+
+        Across histories, the clocks may order two starts wrongly.
+        """
+        is_other_start = record.started_at_ms != newest.started_at_ms
+        return is_other_start and self._follows(change)
+
     def _is_older(
         self, change: Change, record: BackendRecord, newest: BackendRecord
     ) -> bool:
--- a/tests/oleanderweir/desired_state/test_backend_topic.py
+++ b/tests/oleanderweir/desired_state/test_backend_topic.py
@@ -154,6 +154,19 @@
     assert register.backends["b1"].state is BackendState.READY
 
 
+async def test_a_running_start_that_a_copy_seemed_to_replace_is_applied_again() -> None:
+    # This process missed the start of 5000, which the clock then went back before.
+    register = make_register()
+    write(register, make_document(started_at_ms=2000, sequence=1), revision=11)
+    copied = make_document(started_at_ms=5000, sequence=9)
+    list_documents(register, revision=restored(10), b1=copied)
+
+    draining = make_document("draining", started_at_ms=2000, sequence=2)
+    write(register, draining, revision=restored(11))
+
+    assert register.backends["b1"].state is BackendState.DRAINING
+
+
 async def test_a_change_from_before_the_listed_record_is_ignored() -> None:
     # A listing of several pages may show changes that the watch delivers again.
     register = make_register()
