Check the watches of a process that was suspended or frozen

Cause: no call fails in a process that is suspended or frozen through a whole restore between two watches. Its next watch waits 28 s at a position of the earlier history, past which the store has written already, and delivers nothing of what was written before.

Readers aren't concerned, since their watches take 1.4 s.

Why it works: the check of the clock runs each second. If it is over a second late by the clock that counts suspended time, all watches are repeated with a wait of 0.1 s, and the answer names the era of the store.

--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -120,14 +120,14 @@
                 await self.listeners.start(nursery)
                 nursery.start_soon(self._handle_signals, signals)
                 nursery.start_soon(self._watch_settings)
-                nursery.start_soon(watch_clock)
+                nursery.start_soon(watch_clock, self._interrupt_watches)
                 logger.info(
                     "started",
                     extra={"code": "started", "cpu_s": round(time.process_time(), 3)},
                 )
 
     def _interrupt_watches(self) -> None:
-        """Check the watches of all topics, after one was lost."""
+        """Check the watches of all topics, after one was lost or a standstill."""
         for follower in self.followers:
             follower.interrupt_watch()
 
--- a/tests/oleanderweir_standins/test_restored_store.py
+++ b/tests/oleanderweir_standins/test_restored_store.py
@@ -13,6 +13,7 @@
 from tests.oleanderweir.desired_state.fakes import make_record
 from tests.oleanderweir.desired_state.fakes import make_route
 from tests.oleanderweir_standins.fleet import Fleet
+from tests.oleanderweir_standins.fleet import host_of
 
 
 if TYPE_CHECKING:
@@ -222,6 +223,49 @@
         await fleet.stand_by(fleet.version, within_s=STABLE_S)
 
 
+async def restore_while_suspended(fleet: Fleet) -> int:
+    """
+    Suspend a process that is no reader between two watches, through a whole restore.
+
+    Write a version under a revision that the process has passed in the earlier history,
+    then entries beyond it. Return the number of the process.
+    """
+    fleet.start(5)
+    await trio.sleep(10)
+    [number] = [
+        number
+        for number in (1, 2, 3, 5)
+        if not fleet.processes[host_of(number)].heartbeat_sender.status.should_read
+    ]
+    write_routes(fleet, 4)
+    await trio.sleep(0.1)
+    fleet.suspend(number)
+
+    await restore(fleet, seed=1, age_s=30.0)
+    write_routes(fleet, 5)
+    for sequence in range(10):
+        fleet.store.write_backend_server(make_record("b2", host=f"10.0.0.{sequence}"))
+    await trio.sleep(2)
+    return number
+
+
+@pytest.mark.parametrize(("reaches_peers", "within_s"), [(True, APPLY_S), (False, 4.0)])
+async def test_a_process_that_wakes_after_a_restore_gets_the_newest_version(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    reaches_peers: bool,
+    within_s: float,
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        number = await restore_while_suspended(fleet)
+        assert fleet.processes[host_of(number)].register.version < fleet.version
+
+        fleet.wake(number, reaches_peers=reaches_peers)
+        await fleet.stand_by(fleet.version, within_s=within_s)
+
+    assert fleet.regressions() == {}
+
+
 async def watch_states(fleet: Fleet, seen: set[BackendState]) -> None:
     """Add each state that any process has for any backend server to a set."""
     while True:
