--- a/tests/oleanderweir/desired_state/test_backend_topic.py
+++ b/tests/oleanderweir/desired_state/test_backend_topic.py
@@ -300,3 +300,29 @@
     assert register.backends == {}
     invalid = [r for r in caplog.records if vars(r).get("code") == "invalid_document"]
     assert len(invalid) == 1
+
+
+async def test_a_removal_grace_starts_anew_with_each_restore(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    # What runs is written again within two seconds of the store's return.
+    register = make_register()
+    write(register, make_document(sequence=1), revision=10)
+    list_documents(register, revision=make_position(history=1, revision=5))
+    await trio.sleep(2.0)
+    list_documents(register, revision=make_position(history=2, revision=4))
+    await trio.sleep(1.9)
+
+    assert not register.is_host_removed(HOST, now=trio.current_time())
+
+
+async def test_what_was_read_before_a_restore_changes_nothing_after_it() -> None:
+    register = make_register()
+    list_documents(register, revision=restored(8), b1=make_document(sequence=3))
+    before = register.export(Topic.BACKEND_SERVERS)
+
+    list_documents(register, revision=90)
+    write(register, make_document("draining", sequence=2), revision=91)
+    write(register, None, revision=92)
+
+    assert register.export(Topic.BACKEND_SERVERS) == before
--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -240,6 +240,17 @@
             )
 
 
+@pytest.mark.parametrize("revision", [2**40 - 1, 2**40, 2**63 - 1])
+async def test_a_watch_from_a_revision_of_any_size_continues(revision: int) -> None:
+    listed = make_response(200, make_page(revision, "op/config"), era=1)
+    body = make_response(200, {"events": [], "StoreRevision": revision}, era=1)
+    async with serve(listed, body) as (client, targets):
+        listing = await client.list(Topic.DESIRED_STATE)
+        await client.watch(Topic.DESIRED_STATE, after=listing.revision, wait_s=1.0)
+
+    assert f"after={revision}&" in targets[1]
+
+
 @pytest.mark.parametrize("status", [429, 500, 503])
 async def test_a_failed_call_of_another_era_loses_no_history(status: int) -> None:
     async with serve(make_response(status, {}, era=4)) as (client, _):
