--- a/packages/oleanderweir/src/oleanderweir/desired_state/record_order.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/record_order.py
@@ -88,7 +88,8 @@
         """Record that a record comes into force after the newest one of its name."""
         self.removed_records.pop(name, None)
         is_new_start = newest is None or newest.started_at_ms != record.started_at_ms
-        if newest is not None and is_new_start:
+        if newest is not None and is_new_start and is_later_write:
+            # Across histories, the clocks may order two starts wrongly.
             self.replaced_starts.setdefault(name, set()).add(newest.started_at_ms)
         known = self.newest_starts.get(record.host)
         is_later = known is None or known.started_at_ms < record.started_at_ms
--- a/tests/oleanderweir/desired_state/test_record_order.py
+++ b/tests/oleanderweir/desired_state/test_record_order.py
@@ -166,3 +166,16 @@
     list_documents(register, revision=restored(20), b1=make_document(sequence=4))
 
     assert register.backends == {}
+
+
+async def test_a_running_start_that_a_copy_seemed_to_replace_is_applied_again() -> None:
+    # This process missed the start of 5000, which the clock then went back before.
+    register = make_register()
+    write(register, make_document(started_at_ms=2000, sequence=1), revision=11)
+    copied = make_document(started_at_ms=5000, sequence=9)
+    list_documents(register, revision=restored(10), b1=copied)
+
+    draining = make_document("draining", started_at_ms=2000, sequence=2)
+    write(register, draining, revision=restored(11))
+
+    assert register.backends["b1"].state is BackendState.DRAINING
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -88,6 +88,20 @@
             if number in (None, port) and not stream.is_silent:
                 self.nursery.start_soon(stream.run_silent)
 
+    def suspend(self, number: int) -> None:
+        """Have a process make no call of the store, and send and receive nothing."""
+        self.cut_hosts.add(host_of(number))
+        self.processes[host_of(number)].source.awake = trio.Event()
+
+    def wake(self, number: int, *, reaches_peers: bool) -> None:
+        """Have a suspended process continue, with or without its peers."""
+        if reaches_peers:
+            self.cut_hosts.discard(host_of(number))
+        process = self.processes[host_of(number)]
+        process.source.awake.set()
+        # As the check of the clock does.
+        process.interrupt_watches()
+
     async def cut(self, number: int, *, for_s: float) -> None:
         """Cut a process off from its peers and the store."""
         self.cut_hosts.add(host_of(number))
--- a/tests/oleanderweir_standins/fleet_process.py
+++ b/tests/oleanderweir_standins/fleet_process.py
@@ -27,6 +27,7 @@
 from oleanderweir.peering.state_exchange import encode_listing
 from oleanderweir_platform.store_client import StoreClient
 from oleanderweir_platform.store_documents import StoreDecoder
+from tests.oleanderweir_standins.suspendable_source import SuspendableSource
 
 
 if TYPE_CHECKING:
@@ -57,7 +58,7 @@
             del self.fleet.records[key]
         self.register = StateRegister(decoder=StoreDecoder(), on_change=self.on_change)
         address = SocketAddress(host="store", port=store_port)
-        source = StoreClient(address=address)
+        self.source = SuspendableSource(client=StoreClient(address=address))
         random_source = random.Random(host)
         statuses = {topic: ReaderStatus() for topic in Topic}
         self.heartbeat_sender = HeartbeatSender(
@@ -76,7 +77,7 @@
         self.followers = [
             StateFollower(
                 topic=topic,
-                source=source,
+                source=self.source,
                 register=self.register,
                 status=status,
                 reader_status=statuses[Topic.BACKEND_SERVERS],
