Ask no backend server of the fleet before all agents have replied

Cause: the second round of a lookup was taken for a retry, in which the agents that have replied are asked at once. Seen in the trace of test_store_outage.py [40-agents-mod]: 28 single queries within a millisecond. Only a retry of the same agents counts now.

Evidence: test_no_backend_server_of_the_fleet_is_asked_before_all_agents_replied failed before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -29,10 +29,10 @@
     ``unknown_to`` those that replied that they have no entry of the flow, and
     ``checked`` those whose backend servers were asked after that. ``reported`` is the
     number of denials that the requester of a delegated lookup knows.
-    ``buffered`` packets are sent once the owner is known. ``is_fleet_wide`` is set
-    when the lookup is extended from the flow's candidates to all agents,
-    ``has_no_owner`` when it failed and the flow is reset. Times are those of trio's
-    clock, in seconds.
+    ``buffered`` packets are sent once the owner is known. ``is_retried`` is set once
+    queries of the current set of agents are sent again, ``is_fleet_wide`` when the
+    lookup is extended from the flow's candidates to all agents, and ``has_no_owner``
+    when it failed and the flow is reset. Times are those of trio's clock, in seconds.
     """
 
     key: FlowKey
@@ -51,5 +51,6 @@
     checked: set[str] = attrs.field(factory=set)
     reported: int = 0
     attempts: int = 0
+    is_retried: bool = False
     is_fleet_wide: bool = False
     has_no_owner: bool = False
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -209,6 +209,7 @@
             if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
+                lookup.is_retried = True
                 self.sender.start_round(lookup, lookup.query, agents, now=now)
 
     def expire(self, *, now: float) -> None:
@@ -225,11 +226,11 @@
         """
         Have backend servers asked, or fail, once no further reply is awaited.
 
-        In the first round, backend servers are asked only after all agents have
+        Before a retry, backend servers are asked only after all queried agents have
         replied: the packet reaches no other one if the agent of the owner has an entry.
         """
         is_awaiting = self._awaits_replies(lookup, now=now)
-        if is_awaiting and lookup.attempts <= 1:
+        if is_awaiting and not lookup.is_retried:
             return
         unchecked = lookup.unknown_to - lookup.checked - lookup.denied_by
         if unchecked:
@@ -253,6 +254,7 @@
             lookup.is_fleet_wide = True
             others = self.owners.find(lookup)
             if not self.owners.is_denied_by_all(lookup, others, now=now):
+                lookup.is_retried = False
                 self.sender.start_round(lookup, packet, others, now=now)
                 return
         if not packet.is_retransmitted and not lookup.buffered:
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -297,3 +297,27 @@
 
     messages = bench.to_peers()
     assert all(not isinstance(message, Delivery) for message in messages)
+
+
+async def test_no_backend_server_of_the_fleet_is_asked_before_all_agents_replied() -> (
+    None
+):
+    hosts = [f"10.0.0.{number}" for number in range(1, 41)]
+    bench = AgentBench()
+    backends = {f"b{host}": backend_document(host=host) for host in hosts}
+    publish(bench.register, backends=backends)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    first = {address[0] for _, address in bench.peer_socket.pop_sent()}
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    for host in sorted(first):
+        bench.agent.on_message(host, denial)
+    bench.to_peers()
+    *others, owner = sorted(set(hosts) - first)
+
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in others:
+        bench.agent.on_message(host, unknown)
+
+    assert bench.to_peers() == []
+    bench.agent.on_message(owner, OwnerNotice(key=KEY))
+    assert all(not isinstance(message, Delivery) for message in bench.to_peers())
