Have a delegate await named agents whose earlier process departed

Cause: a delegate rules out a host whose departure it knows, also one that was named. A balancer names only hosts from which it has heard since a departure; the delegate may have heard nothing of the process that was started since. As soon as the others had denied, it reported the flow as held nowhere, and that covers the named host. Class: an outcome without its age.

Ruled out: the balancer's own rule; a newer heartbeat there removes the departure.

Evidence: test_a_delegate_awaits_a_named_agent_that_was_started_again failed before. If the agent has in fact departed, the balancer stops waiting after a second, or once the departure arrives.

--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -103,13 +103,16 @@
         Whether a host cannot hold the flow of a lookup, so that no reply is needed.
 
         An entry may be missing because it lapsed or hasn't arrived yet: a live agent
-        has to reply itself. What an agent reported earlier doesn't count for a backend
-        server that was published since.
+        has to reply itself. The requester of a delegated lookup may know more of the
+        hosts that it named, and has its own time limit for them. What an agent reported
+        earlier doesn't count for a backend server that was published since.
         """
+        if host in lookup.extra_hosts:
+            return False
         departed_at = self.members.departed_at(host)
         if departed_at is not None:
             return not self.register.has_started_since(host, departed_at)
-        if host in lookup.extra_hosts or self.register.is_published(host):
+        if self.register.is_published(host):
             return False
         reported_at = self.members.no_flows_reported_at(host)
         if self._is_awaited(lookup, host, now=now):
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -239,6 +239,27 @@
     ]
 
 
+async def test_a_delegate_awaits_a_named_agent_that_was_started_again() -> None:
+    bench = make_bench()
+    named = ("10.0.9.1", "10.0.9.2")
+    # The delegate knows that the earlier process of this host departed, no more.
+    bench.agent.members.record_departure(named[0])
+    request = Delivery(
+        purpose=DeliveryPurpose.DELEGATED_LOOKUP, version=0, data=REQUEST, hosts=named
+    )
+    bench.agent.on_message("10.0.8.1", request)
+    bench.to_peers()
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+
+    bench.agent.on_message(named[1], denial)
+    assert bench.to_peers() == []
+
+    bench.agent.on_message(named[0], denial)
+    assert bench.to_peers() == [
+        ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+    ]
+
+
 async def test_named_agents_do_not_end_the_lookup_of_another_balancer() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
