Delegate a lookup to each agent once, so that no copy of a result counts twice

Callers: an open flow could be reset although none of the agents that were named to a delegate had denied it (rule FLOW).

Cause: if an agent without a published backend server ranks first, it is the delegate of the ordinary lookup and, after its negative result, is chosen again for the named hosts: it had left the delegations with its result. A copy of the first result, or the result of a repeated ordinary lookup, then counted for the named hosts. Class: an outcome without its extent.

Ruled out: that another second delegate suffers from it; the existing test of a copy has one and passes.

Evidence: test_a_copy_of_a_result_does_not_count_for_hosts_that_are_named_later failed before with one reset. Each agent is a delegate once in a lookup now, while unused ones are left: pending ones first, then any published one. If all have been delegates, one is used again, with the risk of before; that takes a fleet of about five agents.

--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -19,8 +19,9 @@
 
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
-    replied that their backend server doesn't hold the flow. ``delegations`` has, by the
-    delegate that has not replied, the hosts that its negative result would cover.
+    replied that their backend server doesn't hold the flow. ``delegates`` are the
+    agents that the lookup was delegated to, and ``delegations`` has, by the delegate
+    that has not replied, the hosts that its negative result would cover.
     ``first_query_at`` is when each agent was first queried, but for those that a
     delegate chose. ``extra_hosts`` are those that the requester of a delegated lookup
     named; ``is_restricted`` is set if no others are queried.
@@ -42,6 +43,7 @@
     buffered: list[Packet] = attrs.field(factory=list)
     queried: set[str] = attrs.field(factory=set)
     denied_by: set[str] = attrs.field(factory=set)
+    delegates: set[str] = attrs.field(factory=set)
     delegations: dict[str, frozenset[str]] = attrs.field(factory=dict)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
     extra_hosts: frozenset[str] = frozenset()
--- a/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
@@ -88,7 +88,8 @@
         if lookup.denied_by or not pending & published:
             hosts = self._choose_hosts(lookup, pending, now=now)
             covered = frozenset(hosts)
-        delegate = self._choose_delegate(lookup, pending)
+        delegate = self._choose_delegate(lookup, pending, published)
+        lookup.delegates.add(delegate)
         # The result may be that of either lookup.
         lookup.delegations[delegate] = covered & lookup.delegations.get(
             delegate, covered
@@ -109,8 +110,15 @@
             lookup.first_query_at.setdefault(host, now)
         return hosts
 
-    def _choose_delegate(self, lookup: Lookup, pending: set[str]) -> str:
-        """Return the next agent of the ranking that is not a delegate yet."""
-        unused = pending - lookup.delegations.keys()
+    def _choose_delegate(
+        self, lookup: Lookup, pending: set[str], published: frozenset[str]
+    ) -> str:
+        """
+        Return the next agent of the ranking that has not been a delegate yet.
+
+        A second result of the same delegate may be a copy of its first, which doesn't
+        cover the hosts of the second lookup.
+        """
+        unused = pending - lookup.delegates or published - lookup.delegates
         [delegate] = candidate_hosts(lookup.key, unused or pending, count=1)
         return delegate
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -5,12 +5,14 @@
 import trio.testing
 
 from oleanderweir.desired_state import REMOVAL_GRACE_S
+from oleanderweir.flows import candidate_hosts
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 from tests.oleanderweir_balancer.forwarding.bench import make_agent_heartbeat
+from tests.oleanderweir_balancer.forwarding.packets import KEY
 from tests.oleanderweir_balancer.forwarding.packets import REQUEST
 
 
@@ -136,6 +138,32 @@
     assert len(bench.resets()) == 1
 
 
+async def test_a_copy_of_a_result_does_not_count_for_hosts_that_are_named_later() -> (
+    None
+):
+    bench = BalancerBench()
+    hosts = [f"10.0.1.{n}" for n in range(1, 200)]
+    ranked = candidate_hosts(KEY, [*LARGE_FLEET, *hosts], count=239)
+    lapsed = [host for host in ranked if host in hosts][:8]
+    # The first delegate is an agent without a published backend server.
+    published = set(ranked[ranked.index(lapsed[0]) :]) - set(hosts)
+    entries = {f"b{host}": backend_document(host=host) for host in published}
+    bench.publish(backends=entries)
+    for host in lapsed:
+        bench.members.record_heartbeat(host, make_agent_heartbeat())
+    delegate = look_up(bench)
+    assert delegate == lapsed[0]
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+    [(second, message)] = bench.deliveries()
+    assert set(message.hosts) == set(lapsed)
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+    assert bench.resets() == []
+
+    bench.return_packet(second, ReturnReason.HELD_NOWHERE, REQUEST)
+    assert len(bench.resets()) == 1
+
+
 async def test_the_result_of_one_delegate_does_not_count_for_the_hosts_of_another(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
