Forget a request for a delegated lookup that finds no room

Cause: the delegate drops the packet but keeps the requester. The next lookup of the flow, from another balancer or opened by a late denial, covers the published backend servers only; its negative result went to the forgotten requester too, without a check of revisions, and counted for the hosts that it had named. Class: an outcome without its extent.

Ruled out: requests that join a lookup in progress; these extend or keep its hosts.

Evidence: test_a_request_that_found_no_room_gets_no_result_of_a_later_lookup failed before. The balancer repeats its request with the next delegate.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -72,11 +72,15 @@
         """
         Look up the owner of a packet's flow for the balancer ``host``.
 
-        With ``hosts``, only these agents are queried.
+        With ``hosts``, only these agents are queried. A request for which the table of
+        lookups has no room is forgotten: the result of a later lookup of the flow
+        doesn't cover it.
         """
         requesters = self.requesters.setdefault(packet.key, {})
         requesters[host] = None if hosts else revision
         self.owner_lookup.look_up(packet, now=trio.current_time(), hosts=hosts)
+        if not self.owner_lookup.is_in_progress(packet.key):
+            self.requesters.pop(packet.key, None)
 
     def on_owner(self, host: str, notice: OwnerNotice) -> None:
         """Process the notice of an agent that its backend server holds a flow."""
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -10,6 +10,7 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
+from oleanderweir.lookups import MAX_LOOKUPS
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import OwnerNotice
@@ -281,6 +282,31 @@
     assert len(bench.to_peers()) == 2
 
 
+async def test_a_request_that_found_no_room_gets_no_result_of_a_later_lookup() -> None:
+    bench = make_bench()
+    others = [make_key(number) for number in range(2, MAX_LOOKUPS + 2)]
+    for key in others:
+        packet = encode_packet(key, payload_bytes=900, acknowledged=6)
+        bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, packet)
+    request = Delivery(
+        purpose=DeliveryPurpose.DELEGATED_LOOKUP,
+        version=0,
+        data=REQUEST,
+        hosts=("10.0.9.1", "10.0.9.2"),
+    )
+    bench.agent.on_message("10.0.8.1", request)
+    bench.agent.on_message(HOSTS[0], OwnerNotice(key=others[0]))
+    bench.peer_socket.pop_sent()
+
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    for host in HOSTS:
+        bench.agent.on_message(host, denial)
+
+    receivers = {address[0] for _, address in bench.peer_socket.pop_sent()}
+    assert "10.0.8.1" not in receivers
+
+
 async def test_the_owner_gets_a_query_again_after_the_last_late_denial() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
