Await agents by the report interval of the fleet, not of its published part

Callers: an open flow could be reset while the entries of much of the fleet were missing at one balancer (rule FLOW).

Cause: a balancer took an agent without an entry for silent by the number of entries that it has, but the agent reports by the number that it knows. With 200 agents, reports are 2 s apart; a balancer with 40 entries ruled an agent out after 1.2 s of silence, half of the time. From 34 agents on, the limit of a balancer without entries (1 s) comes close to the interval. Class: an outcome without its extent.

Ruled out: the lease of members (7 s), which doesn't depend on the fleet.

Evidence: test_agents_of_a_large_fleet_are_awaited_between_two_of_their_reports failed before. The larger of the numbers of entries and of members counts now. An agent that is really silent is awaited for a second at most, as before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -128,5 +128,7 @@
         """Whether to await the reply of a live agent that has no published entry."""
         if now - lookup.first_query_at.get(host, now) >= UNPUBLISHED_REPLY_TIMEOUT_S:
             return False
-        silence_limit_s = silence_s(len(self.register.backends))
-        return self.members.was_heard_since(host, now - silence_limit_s)
+        # Agents report by the size of the fleet that they know: with missing entries,
+        # the published part of it is smaller.
+        fleet_size = max(len(self.register.backends), len(self.members.members))
+        return self.members.was_heard_since(host, now - silence_s(fleet_size))
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -8,6 +8,7 @@
 from oleanderweir.flows import candidate_hosts
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir.peering.report_interval import keepalive_s
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
@@ -138,6 +139,29 @@
     assert len(bench.resets()) == 1
 
 
+async def test_agents_of_a_large_fleet_are_awaited_between_two_of_their_reports(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    lapsed = [f"10.0.1.{n}" for n in range(1, 161)]
+    entries = {f"b{host}": backend_document(host=host) for host in lapsed}
+    bench.publish(backends={**OTHERS, **entries})
+    interval_s = keepalive_s(len(entries) + len(OTHERS))
+    for host in lapsed:
+        bench.members.record_heartbeat(host, make_agent_heartbeat())
+    # This balancer misses most entries, the agents know all of them.
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    for host in lapsed:
+        bench.members.record_activity(host)
+    await trio.sleep(interval_s - 0.1)
+    delegate = look_up(bench)
+
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+
+    assert bench.resets() == []
+
+
 async def test_a_copy_of_a_result_does_not_count_for_hosts_that_are_named_later() -> (
     None
 ):
