Await a live agent that has replied and asks its backend server

Cause: the limit of 1 s for agents without an entry counts from the first query of their tables. A running agent replies at once to that, but the query that follows has to wait for the backend server; agents give it 5 s. Class: a missing answer taken for a denial.

Ruled out: published backend servers, which are awaited until the timeout of the lookup.

Evidence: test_a_live_agent_that_asks_its_backend_server_is_awaited failed before. An agent that falls silent is still ruled out. Hosts that were named to a delegate are not covered: the balancer doesn't see the replies that the delegate gets.

--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -125,8 +125,15 @@
         )
 
     def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
-        """Whether to await the reply of a live agent that has no published entry."""
-        if now - lookup.first_query_at.get(host, now) >= UNPUBLISHED_REPLY_TIMEOUT_S:
+        """
+        Whether to await the reply of a live agent that has no published entry.
+
+        One that has replied that it has no entry of the flow awaits its backend server,
+        which may be slow.
+        """
+        waited_s = now - lookup.first_query_at.get(host, now)
+        has_replied = host in lookup.unknown_to
+        if waited_s >= UNPUBLISHED_REPLY_TIMEOUT_S and not has_replied:
             return False
         # Agents report by the size of the fleet that they know: with missing entries,
         # the published part of it is smaller.
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -162,6 +162,33 @@
     assert bench.resets() == []
 
 
+async def test_a_live_agent_that_asks_its_backend_server_is_awaited(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    bench.members.record_activity(OWNER)
+    delegate = look_up(bench)
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+    bench.deliveries()
+    bench.return_packet(OWNER, ReturnReason.UNKNOWN, REQUEST)
+    [(host, message)] = bench.deliveries()
+    assert (host, message.purpose) == (OWNER, DeliveryPurpose.QUERY)
+
+    # The backend server is busy.
+    for _ in range(20):
+        await trio.sleep(0.1)
+        bench.members.record_activity(OWNER)
+        bench.balancer.retry_lookups()
+    assert bench.resets() == []
+
+    bench.return_packet(OWNER, ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
+
+
 async def test_a_copy_of_a_result_does_not_count_for_hosts_that_are_named_later() -> (
     None
 ):
