Show by a test that a pause of a balancer counts as silence of agents

Callers: an open flow may be reset if a balancer is suspended or gets no processor for a second just after it queried an agent without an entry (rule FLOW).

Cause: the limit of 1 s for such agents, and their silence, count the time of the pause. If the tick runs before the socket is read, both have passed, and the reply that waits there comes too late. Class: a missing answer taken for a denial. To refute in the logs: each flow_not_held of a balancer comes more than 1 s of its own running time after the flow_lookup of the last pending agent.

Not mended: the watch of pauses is part of the program, lookups don't know it, and the retry that ends the wait has to come after a read.

--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -189,6 +189,26 @@
     assert len(bench.resets()) == 1
 
 
+async def test_a_pause_of_the_balancer_does_not_count_as_silence_of_an_agent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    await trio.sleep(REMOVAL_GRACE_S + 1.0)
+    bench.members.record_activity(OWNER)
+    delegate = look_up(bench)
+    bench.return_packet(delegate, ReturnReason.HELD_NOWHERE, REQUEST)
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+    # The reply of the owner waits in the socket of the balancer, which is paused.
+    await trio.sleep(1.5)
+    bench.balancer.retry_lookups()
+
+    assert bench.resets() == []
+
+
 async def test_a_copy_of_a_result_does_not_count_for_hosts_that_are_named_later() -> (
     None
 ):
