--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -257,7 +257,7 @@
 
     bench.agent.on_message(named[0], denial)
     assert bench.to_peers() == [
-        ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST)
+        ReturnedPacket(reason=ReturnReason.HELD_NOWHERE, data=REQUEST, hosts=named)
     ]
 
 
