Count the denials of a continuing lookup only from its delegates

Callers: none seen; found by reading before the landing.

Cause: an outcome without its age: PARTLY_DENIED was taken from any agent. Evidence: test_denials_of_an_earlier_lookup_do_not_count_for_the_current_one failed before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -152,10 +152,10 @@
             lookup.awaited.discard(host)
         self._continue(lookup, packet, now=now)
 
-    def on_partly_denied(self, key: FlowKey, hosts: tuple[str, ...]) -> None:
+    def on_partly_denied(self, host: str, key: FlowKey, hosts: tuple[str, ...]) -> None:
         """Record the denials that a delegate has got while its lookup continues."""
         lookup = self.lookups.lookups.get(key)
-        if lookup is not None:
+        if lookup is not None and host in lookup.delegates:
             lookup.denied_by.update(hosts)
 
     def on_no_owner(
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -374,3 +374,21 @@
 
     assert named
     assert not named & set(denied)
+
+
+async def test_denials_of_an_earlier_lookup_do_not_count_for_the_current_one(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    delegate = look_up(bench)
+    stranger = next(host for host in LARGE_FLEET if host != delegate)
+
+    bench.return_packet(
+        stranger, ReturnReason.PARTLY_DENIED, REQUEST, hosts=tuple(LARGE_FLEET)
+    )
+
+    await trio.sleep(0.2)
+    bench.balancer.retry_lookups()
+    assert bench.deliveries() != []
+    assert bench.resets() == []
