Keep a lookup open while a backend server is being asked

Callers: none seen; found by reading before the landing.

Cause: a missing answer taken for a denial. A retry of a delegate left the agents whose backend servers are being asked out of the question whether all agents have denied, and not only out of the queries. In smaller fleets the listed denials kept the balancer from counting them. Evidence: test_a_backend_server_that_is_being_asked_keeps_a_lookup_open failed before.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -203,13 +203,13 @@
             agents = self.owners.find(lookup)
             if lookup.query is None:
                 continue
-            if not self.sender.use_delegate:
-                # The balancer has these asked again by its next delegate.
-                agents -= lookup.checked - lookup.denied_by
             if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
             else:
                 lookup.is_retried = True
+                if not self.sender.use_delegate:
+                    # The balancer has these asked again by its next delegate.
+                    agents -= lookup.checked
                 self.sender.start_round(lookup, lookup.query, agents, now=now)
 
     def expire(self, *, now: float) -> None:
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -368,3 +368,24 @@
     assert bench.to_peers() == []
     bench.agent.on_message(owner, OwnerNotice(key=KEY))
     assert all(not isinstance(message, Delivery) for message in bench.to_peers())
+
+
+async def test_a_backend_server_that_is_being_asked_keeps_a_lookup_open(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS:
+        bench.agent.on_message(host, unknown)
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
+    for host in HOSTS[:2]:
+        bench.agent.on_message(host, denial)
+    bench.to_peers()
+
+    for _ in range(20):
+        await trio.sleep(0.05)
+        bench.agent.on_tick()
+
+    reasons = {m.reason for m in bench.to_peers() if isinstance(m, ReturnedPacket)}
+    assert ReturnReason.HELD_NOWHERE not in reasons
