Show by a test that a delayed opening packet lets an open flow be reset as lost

Callers: an open flow was reset (flow_lost) by a balancer that had been suspended, while its own backend server was sound (rule FLOW).

--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -222,3 +222,16 @@
     bench.balancer.on_caller_packet(OPENING)
 
     assert len(bench.resets()) == 1
+
+
+async def test_a_delayed_opening_packet_lets_no_open_flow_be_reset_as_lost() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING, waited_s=2.0)
+    [(agent, _)] = bench.deliveries()
+
+    # A copy opened the flow at the other backend server; this one returns its packet.
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.return_packet(agent, ReturnReason.LOST, REQUEST)
+
+    assert bench.resets() == []
