--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/power_loss_scenario.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/power_loss_scenario.py
@@ -7,20 +7,13 @@
 import trio
 
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
-from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
 from oleanderweir_bench.packet_path.lookup_watch import LookupWatch
 from oleanderweir_bench.packet_path.patient_caller import MAX_PAUSE_S
 from oleanderweir_bench.packet_path.patient_caller import RECOVERY_S
 from oleanderweir_bench.packet_path.patient_caller import PatientCaller
 from oleanderweir_bench.packet_path.power_loss import PowerLoss
 from oleanderweir_bench.packet_path.power_loss_result import PowerLossResult
-
-
-MAX_LAG_S = 0.3
-# Time for the processes of a new site to find each other, and for callers to open
-# their flows.
-START_S = 1.5
-OPENING_S = 3.0
+from oleanderweir_bench.packet_path.site_start import start_site
 
 
 def run_power_loss(
@@ -30,17 +23,14 @@
 
     async def simulate() -> PowerLossResult:
         async with trio.open_nursery() as nursery:
-            site = EmulatedSite(
+            site = await start_site(
                 nursery=nursery,
                 seed=seed,
+                agents=agents,
                 balancers=balancers,
-                backends=agents,
-                runs_programs=True,
+                callers=callers,
+                caller_type=PatientCaller,
             )
-            site.published.max_lag_s = MAX_LAG_S
-            await trio.sleep(START_S)
-            site.start_callers(callers, until=float("inf"), caller_type=PatientCaller)
-            await trio.sleep(OPENING_S)
             watch = LookupWatch(network=site.network, codec=site.codec)
             power = PowerLoss(site=site, random_source=random.Random(seed))
             watch.start(site.backends.find_open_flows())
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/store_outage_scenario.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/store_outage_scenario.py
@@ -9,8 +9,8 @@
 
 from oleanderweir_bench.experiments.virtual_time import run_in_virtual_time
 from oleanderweir_bench.packet_path.closing_caller import ClosingCaller
-from oleanderweir_bench.packet_path.emulated_site import EmulatedSite
 from oleanderweir_bench.packet_path.fleet_changes import FleetChanges
+from oleanderweir_bench.packet_path.site_start import start_site
 from oleanderweir_bench.packet_path.store_outage import StoreOutage
 
 
@@ -18,11 +18,6 @@
     from oleanderweir_bench.packet_path.site_result import SiteResult
 
 
-MAX_LAG_S = 0.3
-# Time for the processes of a new site to find each other, and for callers to open
-# their flows.
-START_S = 1.5
-OPENING_S = 3.0
 # Time for packets and lookups that are on their way at the end.
 SETTLE_S = 2.0
 
@@ -39,18 +34,15 @@
 
     async def simulate() -> SiteResult:
         async with trio.open_nursery() as nursery:
-            site = EmulatedSite(
+            site = await start_site(
                 nursery=nursery,
                 seed=seed,
+                agents=agents,
                 balancers=balancers,
-                backends=agents,
+                callers=callers,
+                caller_type=ClosingCaller,
                 uses_rendezvous_hash=uses_rendezvous_hash,
-                runs_programs=True,
             )
-            site.published.max_lag_s = MAX_LAG_S
-            await trio.sleep(START_S)
-            site.start_callers(callers, until=float("inf"), caller_type=ClosingCaller)
-            await trio.sleep(OPENING_S)
             changes = FleetChanges(site=site, random_source=random.Random(seed))
             nursery.start_soon(changes.run)
             await StoreOutage(site=site, random_source=random.Random(seed)).run()
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -180,7 +180,7 @@
         unqueried = pending - lookup.first_query_at.keys()
         if unqueried:
             self.sender.start_round(lookup, packet, unqueried, now=now)
-        elif not pending and self.owners.knows_all_agents(lookup):
+        elif not pending and self.owners.are_denials_conclusive(lookup):
             lookup.has_no_owner = True
             self.transport.on_no_owner(packet)
 
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -80,12 +80,12 @@
         published, are not waited for: they may never reply, and callers would wait
         until their timeout.
         """
-        if not agents or not self.knows_all_agents(lookup):
+        if not agents or not self.are_denials_conclusive(lookup):
             return False
         pending = agents - lookup.denied_by
         return all(self.is_ruled_out(lookup, host, now=now) for host in pending)
 
-    def knows_all_agents(self, lookup: Lookup) -> bool:
+    def are_denials_conclusive(self, lookup: Lookup) -> bool:
         """
         Whether the denials of the known agents are conclusive.
 
