Notify delegates once the owner of a flow is found

Cause: a message that outlives its question. A delegate went on asking backend servers after the balancer had found the owner through another delegate or by itself, so that another backend server got the last packet of the lookup.

Ruled out: packets sent by a balancer's cache; a missing late copy (the delegate didn't know the owner).

One datagram to each delegate of a lookup that took more than one round. Two tests of the flow cache discard all that was sent in place of deliveries only.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -83,8 +83,12 @@
             self.requesters.pop(packet.key, None)
 
     def on_owner(self, host: str, notice: OwnerNotice) -> None:
-        """Process the notice of an agent that its backend server holds a flow."""
-        self.owner_lookup.on_owner(host, notice.key, now=trio.current_time())
+        """Process the notice of an agent, or of a balancer that found the owner."""
+        owner = notice.host or host
+        if owner != host:
+            # The balancer that sent it knows the owner already.
+            self.requesters.get(notice.key, {}).pop(host, None)
+        self.owner_lookup.on_owner(owner, notice.key, now=trio.current_time())
 
     def on_denial(self, host: str, returned: ReturnedPacket) -> None:
         """Process the denial of an agent, or its reply that it has no entry."""
@@ -145,6 +149,9 @@
         for requester in self.requesters.pop(key, ()):
             self.transport.send(requester, OwnerNotice(key=key, host=host))
 
+    def notify_delegate(self, delegate: str, key: FlowKey, host: str) -> None:
+        """Do nothing: an agent delegates no lookups."""
+
     def on_no_owner(self, packet: Packet) -> None:
         """
         Notify the requesting balancers that the flow has no owner, and who denied.
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
@@ -11,6 +11,7 @@
 from oleanderweir.peering import encode_message
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
+from oleanderweir.peering.messages import OwnerNotice
 
 
 if TYPE_CHECKING:
@@ -71,6 +72,13 @@
     def on_owner_found(self, key: FlowKey, host: str) -> None:
         """Do nothing: no other process waits for the owner of a flow."""
 
+    def notify_delegate(self, delegate: str, key: FlowKey, host: str) -> None:
+        """Notify a delegate of the agent that holds a flow, so that it stops asking."""
+        message = OwnerNotice(key=key, host=host)
+        self.socket.send_to(
+            encode_message(message), (delegate, self.settings.peer_port)
+        )
+
     def on_no_owner(self, packet: Packet) -> None:
         """Reset a flow that no backend server holds."""
         self.send_reset(packet, reason="flow_not_held")
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_transport.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_transport.py
@@ -28,6 +28,9 @@
     def on_owner_found(self, key: FlowKey, host: str) -> None:
         """Handle a lookup that found the agent that holds a flow."""
 
+    def notify_delegate(self, delegate: str, key: FlowKey, host: str) -> None:
+        """Notify a delegate of the agent that holds a flow, so that it stops asking."""
+
     def on_no_owner(self, packet: Packet) -> None:
         """Handle a lookup that found no owner for a packet's flow."""
 
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -102,6 +102,8 @@
             return
         for packet in lookup.buffered:
             self.transport.deliver(host, packet, DeliveryPurpose.CONTINUE)
+        if lookup.attempts > 1:
+            self._notify_delegates(lookup, host)
         outstanding = lookup.checked - lookup.denied_by - {host}
         if outstanding and lookup.query is not None:
             self.lookups.found[key] = FoundOwner(
@@ -115,6 +117,11 @@
             took_ms=round((now - lookup.started_at) * 1000, 1),
         )
 
+    def _notify_delegates(self, lookup: Lookup, host: str) -> None:
+        """Have delegates stop asking: another one, or this process, found the owner."""
+        for delegate in sorted(lookup.delegates):
+            self.transport.notify_delegate(delegate, lookup.key, host)
+
     def on_denial(self, host: str, packet: Packet, *, now: float) -> None:
         """Record an agent's denial; widen or fail the lookup after the last one."""
         lookup = self.lookups.open(packet.key, now=now)
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -389,3 +389,17 @@
 
     reasons = {m.reason for m in bench.to_peers() if isinstance(m, ReturnedPacket)}
     assert ReturnReason.HELD_NOWHERE not in reasons
+
+
+async def test_a_delegate_stops_asking_once_its_balancer_found_the_owner() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS[:2]:
+        bench.agent.on_message(host, unknown)
+    bench.to_peers()
+
+    bench.agent.on_message("10.0.8.1", OwnerNotice(key=KEY, host=HOSTS[0]))
+    bench.agent.on_message(HOSTS[2], unknown)
+
+    assert not any(isinstance(m, Delivery) for m in bench.to_peers())
--- a/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
+++ b/tests/oleanderweir_balancer/forwarding/test_flow_cache.py
@@ -59,7 +59,7 @@
     bench.balancer.retry_lookups()
     [(second, _)] = bench.deliveries()
     bench.balancer.on_message(second, OwnerNotice(key=KEY, host="10.0.0.7"))
-    bench.deliveries()
+    bench.socket.pop_sent()
 
     bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
 
@@ -78,7 +78,7 @@
     [(second, _)] = bench.deliveries()
     # The first delegate is the owner, which the second one found.
     bench.balancer.on_message(second, OwnerNotice(key=KEY, host=first))
-    bench.deliveries()
+    bench.socket.pop_sent()
 
     bench.return_packet(first, ReturnReason.HELD_NOWHERE, REQUEST)
 
--- a/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
+++ b/tests/oleanderweir_balancer/forwarding/test_owner_lookup.py
@@ -5,6 +5,7 @@
 
 from oleanderweir.desired_state import Topic
 from oleanderweir.flows import candidate_hosts
+from oleanderweir.peering import decode_message
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnReason
@@ -238,3 +239,25 @@
     bench.balancer.retry_lookups()
 
     assert REQUEST in {message.data for _, message in bench.deliveries()}
+
+
+async def test_delegates_are_notified_of_an_owner_that_another_one_found(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(first, _)] = bench.deliveries()
+    await trio.sleep(0.2)
+    bench.balancer.retry_lookups()
+    [(second, _)] = bench.deliveries()
+
+    owner = OwnerNotice(key=KEY, host="10.0.0.1")
+    bench.balancer.on_message(second, owner)
+
+    notified = {
+        host
+        for data, (host, _) in bench.socket.pop_sent()
+        if decode_message(data) == owner
+    }
+    assert notified == {first, second}
