--- a/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/backend_topic.py
@@ -43,9 +43,10 @@
         self.order = RecordOrder(records=self.records)
         # Documents that were not applied, by name; each is logged once.
         self.ignored_documents: dict[str, bytes] = {}
-        # Time of the first listing, and of the last removal by host, in seconds of
-        # trio's clock.
+        # Times of the first listing, of the first listing of the present history, and
+        # of the last removal by host, in seconds of trio's clock.
         self.listed_at: float | None = None
+        self.history_listed_at: float | None = None
         self.removed_at: dict[str, float] = {}
         # Revision of the last removal.
         self.removed_revision = 0
@@ -70,8 +71,7 @@
         for name in self.ignored_documents.keys() - names:
             del self.ignored_documents[name]
         applied = [change for change in listing.documents if self._apply(change)]
-        if self.listed_at is None:
-            self.listed_at = trio.current_time()
+        self._record_listing(listing)
         self.revision = self.listed_revision = listing.revision
         # Documents of later pages may be newer; the changes after ``revision`` follow.
         revisions = [min(c.revision, listing.revision) for c in listing.documents]
@@ -95,6 +95,27 @@
         self.revision = max(self.revision, changes.revision)
         return is_changed
 
+    def missing_since(self, host: str) -> float | None:
+        """
+        Return since when a host without a published backend server counts as such.
+
+        What a restored source has lost is published again within two seconds, so the
+        first listing of a history is no older than what it lacks. ``None`` before the
+        first listing.
+        """
+        if self.history_listed_at is None:
+            return None
+        return max(self.removed_at.get(host, float("-inf")), self.history_listed_at)
+
+    def _record_listing(self, listing: Listing) -> None:
+        """Record when a history was first listed."""
+        now = trio.current_time()
+        if self.listed_at is None:
+            self.listed_at = now
+        is_new_history = history_of(listing.revision) != history_of(self.revision)
+        if self.history_listed_at is None or is_new_history:
+            self.history_listed_at = now
+
     def _remove(self, name: str, *, revision: int) -> None:
         """Remove a backend server whose document was removed."""
         self.documents.pop(name, None)
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -111,9 +111,10 @@
 
     def is_host_removed(self, host: str, *, now: float) -> bool:
         """Whether a host has had no backend server for ``REMOVAL_GRACE_S``."""
-        if self.listed_at is None or self.is_published(host):
+        missing_since = self.backend_topic.missing_since(host)
+        if missing_since is None or self.is_published(host):
             return False
-        return now - self.removed_at.get(host, self.listed_at) > REMOVAL_GRACE_S
+        return now - missing_since > REMOVAL_GRACE_S
 
     def newest_start_ms(self, host: str) -> int:
         """Return the newest start of a backend server at a host, 0 if unknown."""
