--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -106,6 +106,7 @@
         while True:
             await trio.sleep(TICK_INTERVAL_S)
             self.pause_watch.tick()
+            self.balancer.members.record_run()
 
     async def _expire(self) -> None:
         while True:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -50,6 +50,7 @@
         self.owners = PossibleOwners(
             register=register, members=members, awaits_discovery=use_delegate
         )
+        self.members = members
         self.transport = transport
         self.sender = QuerySender(
             register=register, transport=transport, use_delegate=use_delegate
@@ -76,6 +77,7 @@
         """
         if packet.is_reset:
             return
+        self.members.pauses.record_run(now)
         is_new = not self.is_in_progress(packet.key)
         lookup = self.lookups.open(packet.key, now=now)
         if lookup is None:
@@ -200,6 +202,7 @@
 
     def retry(self, *, now: float) -> None:
         """Send the queries of unanswered lookups again when they are due."""
+        self.members.pauses.record_run(now)
         for lookup in self.lookups.due_for_retry(now=now):
             if lookup.is_restricted and lookup.attempts >= MAX_RESTRICTED_ATTEMPTS:
                 # The balancer names the agents that have not replied to the next one.
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from oleanderweir.desired_state import REMOVAL_GRACE_S
 from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
 from oleanderweir.flows import route_address
@@ -118,12 +119,18 @@
         if self._is_awaited(lookup, host, now=now):
             fresh_since = lookup.started_at - FRESH_REPORT_S
             return reported_at is not None and reported_at >= fresh_since
-        if self.register.is_host_removed(host, now=now):
+        if self._is_removed(host, now=now):
             return True
         return reported_at is not None and not self.register.was_removed_since(
             host, reported_at
         )
 
+    def _is_removed(self, host: str, *, now: float) -> bool:
+        """Whether a host counts as removed, not counting pauses of this process."""
+        pauses = self.members.pauses
+        limit = pauses.moment_before(now, ran_for_s=REMOVAL_GRACE_S)
+        return self.register.is_host_removed(host, now=limit + REMOVAL_GRACE_S)
+
     def _is_awaited(self, lookup: Lookup, host: str, *, now: float) -> bool:
         """
         Whether to await the reply of a live agent that has no published entry.
@@ -131,11 +138,13 @@
         One that has replied that it has no entry of the flow awaits its backend server,
         which may be slow.
         """
-        waited_s = now - lookup.first_query_at.get(host, now)
-        has_replied = host in lookup.unknown_to
-        if waited_s >= UNPUBLISHED_REPLY_TIMEOUT_S and not has_replied:
+        limit = self.members.pauses.moment_before(
+            now, ran_for_s=UNPUBLISHED_REPLY_TIMEOUT_S
+        )
+        is_overdue = lookup.first_query_at.get(host, now) <= limit
+        if is_overdue and host not in lookup.unknown_to:
             return False
         # Agents report by the size of the fleet that they know: with missing entries,
         # the published part of it is smaller.
         fleet_size = max(len(self.register.backends), len(self.members.members))
-        return self.members.was_heard_since(host, now - silence_s(fleet_size))
+        return self.members.was_heard_within(host, silence_s(fleet_size), now=now)
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -8,6 +8,7 @@
 import trio
 
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.pause_log import PauseLog
 
 
 if TYPE_CHECKING:
@@ -50,6 +51,12 @@
         self.candidates: dict[str, float] = {}
         # When processes announced their departure, by host; in seconds of trio's clock.
         self.departed: dict[str, float] = {}
+        # Messages wait unread during a pause, which is no silence of their senders.
+        self.pauses = PauseLog()
+
+    def record_run(self) -> None:
+        """Record that this process runs; its timers call this."""
+        self.pauses.record_run(trio.current_time())
 
     def record_departure(self, host: str) -> None:
         """Remove a process that announced its departure."""
@@ -68,10 +75,11 @@
             return None
         return member.heartbeat_at
 
-    def was_heard_since(self, host: str, moment: float) -> bool:
-        """Whether a member sent any message since ``moment``."""
+    def was_heard_within(self, host: str, span_s: float, *, now: float) -> bool:
+        """Whether a member sent any message while this process last ran so long."""
         member = self.members.get(host)
-        return member is not None and member.last_seen_at >= moment
+        limit = self.pauses.moment_before(now, ran_for_s=span_s)
+        return member is not None and member.last_seen_at >= limit
 
     def record_heartbeat(self, host: str, heartbeat: Heartbeat) -> None:
         """Record a heartbeat, and the hosts that it lists as candidates."""
@@ -100,7 +108,8 @@
 
     def expire(self) -> None:
         """Drop the hosts whose lease has expired."""
-        limit = trio.current_time() - MEMBER_LEASE_S
+        now = trio.current_time()
+        limit = self.pauses.moment_before(now, ran_for_s=MEMBER_LEASE_S)
         for host in [h for h, m in self.members.items() if m.last_seen_at < limit]:
             del self.members[host]
         for host in [h for h, since in self.candidates.items() if since < limit]:
