--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
@@ -22,6 +22,8 @@
 
     ``is_open`` is set once the caller has acknowledged the opening, or an agent has
     claimed the flow, ``is_closed_by_caller`` once the caller has sent a final packet.
+    ``is_unconfirmed`` tells that an earlier copy of the opening packet may have opened
+    the flow at another agent.
     """
 
     agent: str
@@ -29,6 +31,7 @@
     used_at: float
     is_open: bool = False
     is_closed_by_caller: bool = False
+    is_unconfirmed: bool = False
 
     def is_expired(self, *, idle_timeout_s: float, now: float) -> bool:
         """Whether the entry was not used for too long."""
@@ -44,10 +47,22 @@
         self.idle_timeout_s = idle_timeout_s
         self.flows: dict[FlowKey, CachedFlow] = {}
 
-    def put(self, key: FlowKey, agent: str, *, now: float, is_open: bool) -> None:
+    def put(
+        self,
+        key: FlowKey,
+        agent: str,
+        *,
+        now: float,
+        is_open: bool,
+        is_unconfirmed: bool = False,
+    ) -> None:
         """Store the agent of a flow."""
         self.flows[key] = CachedFlow(
-            agent=agent, stored_at=now, used_at=now, is_open=is_open
+            agent=agent,
+            stored_at=now,
+            used_at=now,
+            is_open=is_open,
+            is_unconfirmed=is_unconfirmed,
         )
 
     def is_open(self, key: FlowKey) -> bool:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -162,7 +162,13 @@
         if record is None:
             self._give_up(packet, attempts, reason="no_backend_server", now=now)
             return
-        self.cache.put(key, record.host, now=now, is_open=False)
+        self.cache.put(
+            key,
+            record.host,
+            now=now,
+            is_open=False,
+            is_unconfirmed=_may_be_open(packet, attempts, now=now),
+        )
         purpose = DeliveryPurpose.OPEN
         if attempts.must_accept(record.host):
             purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
@@ -217,8 +223,12 @@
     ) -> None:
         """Reset a flow that can't be placed, unless it may open late somewhere."""
         self.attempts.pop(packet.key, None)
-        # Another balancer may have placed an earlier copy.
-        if attempts.may_have_opened(now=now) or packet.acknowledged > 0:
+        if _may_be_open(packet, attempts, now=now):
             self.transport.log("opening_unanswered", packet.key, reason=reason)
         else:
             self.transport.send_reset(packet, reason=reason)
+
+
+def _may_be_open(packet: Packet, attempts: OpeningAttempts, *, now: float) -> bool:
+    """Whether an earlier copy, which another balancer placed, may open the flow."""
+    return attempts.may_have_opened(now=now) or packet.acknowledged > 0
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -25,6 +25,7 @@
     from oleanderweir.peering import Members
     from oleanderweir.peering.messages import Message
     from oleanderweir_balancer.forwarding.balancer_transport import BalancerTransport
+    from oleanderweir_balancer.forwarding.flow_cache import CachedFlow
     from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
 
 
@@ -169,7 +170,7 @@
             self.opening_placer.retry(
                 host, packet, reason, placed_at=placed_at, now=now
             )
-        elif reason is ReturnReason.LOST and flow is not None and flow.agent == host:
+        elif reason is ReturnReason.LOST and _is_owner(flow, host):
             self.transport.send_reset(packet, reason="flow_lost")
         elif reason is ReturnReason.NOT_TRIED:
             # Not a denial: the agent was restarted, and its backend server may still
@@ -205,3 +206,8 @@
     def _is_open(self, key: FlowKey) -> bool:
         """Whether the caller has sent packets after the opening packet of a flow."""
         return self.cache.is_open(key) or self.owner_lookup.is_in_progress(key)
+
+
+def _is_owner(flow: CachedFlow | None, host: str) -> bool:
+    """Whether no other agent than ``host`` may hold a flow, by its cache entry."""
+    return flow is not None and flow.agent == host and not flow.is_unconfirmed
--- a/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_copies.py
@@ -235,3 +235,32 @@
     bench.return_packet(agent, ReturnReason.LOST, REQUEST)
 
     assert bench.resets() == []
+
+
+async def test_a_flow_that_a_late_placement_lost_is_looked_up() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    # The first opening packet went through another balancer.
+    bench.balancer.on_caller_packet(COPY)
+    [(agent, _)] = bench.deliveries()
+    [other] = set(bench.hosts) - {agent}
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.deliveries()
+
+    bench.return_packet(agent, ReturnReason.LOST, REQUEST)
+
+    [(host, message)] = bench.deliveries()
+    assert host == other
+    assert message.purpose is DeliveryPurpose.TABLE_QUERY
+
+
+async def test_a_flow_whose_only_placement_lost_it_is_reset_at_once() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(agent, _)] = bench.deliveries()
+    bench.balancer.on_caller_packet(REQUEST)
+
+    bench.return_packet(agent, ReturnReason.LOST, REQUEST)
+
+    assert len(bench.resets()) == 1
