--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
@@ -14,13 +14,14 @@
     from oleanderweir.flows import Packet
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class OwnershipCheck:
     """
     A packet that was forwarded to the backend server to see whether it holds the flow.
 
     ``balancer`` is the host of the peer that waits for the result, ``data`` the packet.
-    ``started_at`` is in seconds of trio's clock. ``end_sequence`` is the sequence
+    ``started_at``, and ``forwarded_at`` of its newest of ``repeats`` copies, are in
+    seconds of trio's clock. ``end_sequence`` is the sequence
     number after the packet's payload, None without payload, and ``sequence`` that of
     the packet. ``acknowledged`` is that of the next byte that the caller expects,
     ``is_final`` whether it has closed the flow.
@@ -33,6 +34,8 @@
     sequence: int
     acknowledged: int
     is_final: bool
+    forwarded_at: float
+    repeats: int = 0
 
     def is_answered_for_another(self, answer: Packet) -> bool:
         """Whether an answer acknowledges bytes far from those of the packet."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -17,6 +17,11 @@
 
 # How long a check waits for the backend server.
 CHECK_TTL_S = 5.0
+# Delay before a packet is forwarded again, doubled each time: a backend server that
+# doesn't listen yet loses it.
+FIRST_REPEAT_S = 0.4
+# A flow's packets shouldn't keep reaching other backend servers.
+MAX_REPEATS = 3
 
 
 class OwnershipChecker:
@@ -48,6 +53,7 @@
             balancer=host,
             data=packet.data,
             started_at=now,
+            forwarded_at=now,
             end_sequence=end_sequence if packet.payload_bytes else None,
             sequence=packet.sequence,
             acknowledged=packet.acknowledged,
@@ -55,6 +61,15 @@
         )
         self.transport.forward_to_backend(packet.data)
 
+    def repeat_unanswered(self, *, now: float) -> None:
+        """Forward packets again that the backend server has not answered."""
+        for check in self.checks.values():
+            wait_s = math.ldexp(FIRST_REPEAT_S, check.repeats)
+            if check.repeats < MAX_REPEATS and now - check.forwarded_at >= wait_s:
+                check.repeats += 1
+                check.forwarded_at = now
+                self.transport.forward_to_backend(check.data)
+
     def is_answered_for_another(self, answer: Packet) -> bool:
         """Whether the answer to a check is one of an ended flow of the same port."""
         check = self.checks.get(answer.key)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -127,6 +127,7 @@
         self.opening_handler.return_overdue(now=now)
         if self.liveness.is_down() or self.holds_no_flows:
             self.ownership.deny_all()
+        self.ownership.repeat_unanswered(now=now)
         self.lookup_service.retry(now=now)
         if self.dispatcher.is_busy:
             self.dispatcher.drop_expired(self.table.flows.values(), now=now)
--- a/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
+++ b/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
@@ -63,3 +63,38 @@
     bench.deliver(DeliveryPurpose.QUERY, REQUEST)
 
     assert bench.to_backend() == [REQUEST]
+
+
+async def test_a_query_is_repeated_to_a_backend_server_that_starts(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    # The backend server doesn't listen yet, and loses the first packet.
+    await bench.pass_time(0.5)
+
+    assert bench.to_backend() == [REQUEST, REQUEST]
+
+
+async def test_a_query_is_repeated_three_times_at_most(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    await bench.pass_time(4.9)
+
+    assert bench.to_backend() == [REQUEST] * 4
+
+
+async def test_an_answered_query_is_not_repeated(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+    bench.agent.on_backend_packet(encode_returned(payload_bytes=900, acknowledged=6))
+
+    await bench.pass_time(4.9)
+
+    assert bench.to_backend() == [REQUEST]
