--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -32,6 +32,9 @@
 
 # Denials that one message lists, so that it fits a datagram beside the packet.
 MAX_LISTED_DENIALS = 128
+# Interval of the reports that a lookup continues, without which the requester delegates
+# it to another agent too.
+PROGRESS_INTERVAL_S = 0.15
 
 
 class LookupService:
@@ -105,18 +108,21 @@
             self.owner_lookup.on_denial(host, packet, now=now)
 
     def retry(self, *, now: float) -> None:
-        """Report the denials so far, and repeat queries that were not answered."""
+        """Report the progress so far, and repeat queries that were not answered."""
         for key, requesters in self.requesters.items():
             lookup = self.owner_lookup.lookups.lookups.get(key)
-            if lookup is not None and len(lookup.denied_by) > lookup.reported:
-                self._report_denials(lookup, requesters)
+            if lookup is not None and _is_report_due(lookup, now=now):
+                self._report_progress(lookup, requesters, now=now)
         self.owner_lookup.retry(now=now)
 
-    def _report_denials(self, lookup: Lookup, requesters: Iterable[str]) -> None:
+    def _report_progress(
+        self, lookup: Lookup, requesters: Iterable[str], *, now: float
+    ) -> None:
         """Send the denials so far: other delegates need not query these agents."""
         lookup.reported = len(lookup.denied_by)
+        lookup.reported_at = now
         hosts = self._list_denials(lookup)
-        if lookup.query is None or not hosts:
+        if lookup.query is None:
             return
         message = ReturnedPacket(
             reason=ReturnReason.PARTLY_DENIED, data=lookup.query.data, hosts=hosts
@@ -194,3 +200,9 @@
             code.replace("_", " "),
             extra={"code": code, "flow": describe_flow(key), **inputs},
         )
+
+
+def _is_report_due(lookup: Lookup, *, now: float) -> bool:
+    """Whether requesters need a report: new denials, or that the lookup continues."""
+    is_overdue = now - lookup.reported_at >= PROGRESS_INTERVAL_S
+    return is_overdue or len(lookup.denied_by) > lookup.reported
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -22,6 +22,7 @@
     replied that their backend server doesn't hold the flow. ``delegates`` are the
     agents that the lookup was delegated to, and ``delegations`` has, by the delegate
     that has not replied, the hosts that its negative result would cover.
+    ``progress_at`` is when each of these last reported that it continues.
     ``first_query_at`` is when each agent was first queried, but for those that a
     delegate chose. ``extra_hosts`` are those that the requester of a delegated lookup
     named; ``is_restricted`` is set if no others are queried.
@@ -29,7 +30,8 @@
     ``awaited`` are the agents whose reply to a query of this process is outstanding,
     ``unknown_to`` those that replied that they have no entry of the flow, and
     ``checked`` those whose backend servers were asked after that. ``reported`` is the
-    number of denials that the requester of a delegated lookup knows.
+    number of denials that the requester of a delegated lookup knows, ``reported_at``
+    the time of the last report to it.
     ``buffered`` packets are sent once the owner is known. ``is_retried`` is set once
     queries of the current set of agents are sent again, ``is_fleet_wide`` when the
     lookup is extended from the flow's candidates to all agents, and ``has_no_owner``
@@ -45,6 +47,7 @@
     denied_by: set[str] = attrs.field(factory=set)
     delegates: set[str] = attrs.field(factory=set)
     delegations: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    progress_at: dict[str, float] = attrs.field(factory=dict)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
     extra_hosts: frozenset[str] = frozenset()
     is_restricted: bool = False
@@ -52,7 +55,16 @@
     unknown_to: set[str] = attrs.field(factory=set)
     checked: set[str] = attrs.field(factory=set)
     reported: int = 0
+    reported_at: float = float("-inf")
     attempts: int = 0
     is_retried: bool = False
     is_fleet_wide: bool = False
     has_no_owner: bool = False
+
+    def find_covered(self, *, since: float) -> set[str]:
+        """Return the hosts that delegates are querying, by their reports since."""
+        covered: set[str] = set()
+        for delegate, hosts in self.delegations.items():
+            if self.progress_at.get(delegate, since) > since:
+                covered |= hosts
+        return covered
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -23,6 +23,11 @@
 # Attempts before a lookup queries all agents: a candidate that is down but still
 # published never replies with a denial.
 TARGETED_ATTEMPTS = 3
+# The same for a lookup whose delegate continues, so that no attempts are counted.
+TARGETED_S = 0.7
+# A delegate that reported progress within this time continues its lookup. It reports
+# every ``PROGRESS_INTERVAL_S``; one report may be lost.
+DELEGATE_TIMEOUT_S = 0.3
 # Rounds of queries of a delegate to agents that a balancer named.
 MAX_RESTRICTED_ATTEMPTS = 2
 
@@ -88,12 +93,14 @@
             self.transport.on_no_owner(packet)
             return
         agents = self.owners.find(lookup)
-        if not agents or not self.lookups.is_due(lookup, now=now):
+        is_due = self.lookups.is_due(lookup, now=now)
+        if not agents or not is_due or self._is_covered(lookup, agents, now=now):
             self.lookups.buffer(lookup, packet)
         elif self.owners.is_denied_by_all(lookup, agents, now=now):
             # The agents that have not replied are ruled out as owners.
             self._widen_or_fail(lookup, packet, now=now)
         else:
+            agents -= self._find_covered(lookup, now=now)
             self.sender.start_round(lookup, packet, agents, now=now)
 
     def on_owner(self, host: str, key: FlowKey, *, now: float) -> None:
@@ -161,11 +168,14 @@
             lookup.awaited.discard(host)
         self._continue(lookup, packet, now=now)
 
-    def on_partly_denied(self, host: str, key: FlowKey, hosts: tuple[str, ...]) -> None:
-        """Record the denials that a delegate has got while its lookup continues."""
+    def on_progress(
+        self, host: str, key: FlowKey, hosts: tuple[str, ...], *, now: float
+    ) -> None:
+        """Record that a delegate continues its lookup, and the denials it has got."""
         lookup = self.lookups.lookups.get(key)
         if lookup is not None and host in lookup.delegates:
             lookup.denied_by.update(hosts)
+            lookup.progress_at[host] = now
 
     def on_no_owner(
         self, host: str, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
@@ -207,16 +217,18 @@
             if lookup.is_restricted and lookup.attempts >= MAX_RESTRICTED_ATTEMPTS:
                 # The balancer names the agents that have not replied to the next one.
                 continue
-            lookup.is_fleet_wide = (
-                lookup.is_fleet_wide or lookup.attempts >= TARGETED_ATTEMPTS
+            lookup.is_fleet_wide |= (
+                lookup.attempts >= TARGETED_ATTEMPTS
+                or now - lookup.started_at >= TARGETED_S
             )
             agents = self.owners.find(lookup)
             if lookup.query is None:
                 continue
             if self.owners.is_denied_by_all(lookup, agents, now=now):
                 self._widen_or_fail(lookup, lookup.query, now=now)
-            else:
+            elif not self._is_covered(lookup, agents, now=now):
                 lookup.is_retried = True
+                agents -= self._find_covered(lookup, now=now)
                 if not self.sender.use_delegate:
                     # The balancer has these asked again by its next delegate.
                     agents -= lookup.checked
@@ -232,6 +244,20 @@
                     asked=sorted(lookup.queried - lookup.denied_by),
                 )
 
+    def _find_covered(self, lookup: Lookup, *, now: float) -> set[str]:
+        """
+        Return the hosts that need no query, as a delegate is querying them.
+
+        Another delegate would repeat each query of one that continues, for example
+        while it awaits backend servers that start.
+        """
+        return lookup.find_covered(since=now - DELEGATE_TIMEOUT_S)
+
+    def _is_covered(self, lookup: Lookup, agents: set[str], *, now: float) -> bool:
+        """Whether delegates are querying all agents that have not denied yet."""
+        covered = self._find_covered(lookup, now=now)
+        return bool(covered) and agents <= covered | lookup.denied_by
+
     def _continue(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
         """
         Have backend servers asked, or fail, once no further reply is awaited.
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -19,7 +19,7 @@
     UNANSWERED = 6  # the backend server did not respond to the opening packet
     NOT_TRIED = 9  # the flow is unknown and its route excludes the agent: look it up
     UNKNOWN = 10  # the agent has no entry of the flow; its backend server may hold it
-    PARTLY_DENIED = 11  # the agents in ``hosts`` denied it in a lookup that continues
+    PARTLY_DENIED = 11  # a lookup continues, in which the agents in ``hosts`` denied it
     BUSY = 8  # requests are queued; another backend server may have a free slot
 
 
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -182,6 +182,19 @@
     assert not any(isinstance(m, ReturnedPacket) for m in bench.to_peers())
 
 
+async def test_a_delegate_reports_that_a_lookup_continues(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    bench.to_peers()
+
+    await bench.pass_time(0.4)
+
+    progress = ReturnedPacket(reason=ReturnReason.PARTLY_DENIED, data=REQUEST)
+    assert bench.to_peers().count(progress) >= 2
+
+
 async def test_a_delegate_reports_the_denials_of_a_lookup_that_continues() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -392,3 +392,51 @@
     bench.balancer.retry_lookups()
     assert bench.deliveries() != []
     assert bench.resets() == []
+
+
+async def test_a_lookup_is_not_delegated_again_while_its_delegate_continues(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    delegate = look_up(bench)
+
+    for _ in range(10):
+        bench.return_packet(delegate, ReturnReason.PARTLY_DENIED, REQUEST)
+        await trio.sleep(0.15)
+        bench.balancer.retry_lookups()
+        bench.balancer.on_caller_packet(REQUEST)
+
+    assert bench.deliveries() == []
+
+
+async def test_a_lookup_is_delegated_again_once_its_delegate_is_silent(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    delegate = look_up(bench)
+    bench.return_packet(delegate, ReturnReason.PARTLY_DENIED, REQUEST)
+    await trio.sleep(0.35)
+
+    bench.balancer.retry_lookups()
+
+    [(second, message)] = bench.deliveries()
+    assert second != delegate
+    assert message.purpose is DeliveryPurpose.DELEGATED_LOOKUP
+
+
+async def test_an_agent_that_no_delegate_knows_is_queried_while_one_continues(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=OTHERS)
+    delegate = look_up(bench)
+    # Its backend server isn't published.
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    for _ in range(5):
+        bench.return_packet(delegate, ReturnReason.PARTLY_DENIED, REQUEST)
+        await trio.sleep(0.15)
+        bench.balancer.retry_lookups()
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
