--- a/packages/oleanderweir/src/oleanderweir/desired_state/positions.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/positions.py
@@ -10,7 +10,7 @@
 
 
 # Bits of a position that hold the revision; the history is above them.
-REVISION_BITS = 40
+REVISION_BITS = 64
 REVISION_MASK = (1 << REVISION_BITS) - 1
 
 
--- a/packages/oleanderweir/src/oleanderweir/peering/packing.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/packing.py
@@ -1,4 +1,4 @@
-"""MessagePack with integers of any size."""
+"""MessagePack with integers of any size, and positions."""
 
 from __future__ import annotations
 
@@ -6,6 +6,9 @@
 
 import msgpack
 
+from oleanderweir.peering.position_codec import WIDE_POSITION_TYPE
+from oleanderweir.peering.position_codec import unpack_wide_position
+
 
 # Type of the MessagePack extension for integers that don't fit into 64 bits.
 BIG_INTEGER_TYPE = 1
@@ -31,6 +34,8 @@
 
 
 def _unpack_extension(code: int, data: bytes) -> Any:
+    if code == WIDE_POSITION_TYPE:
+        return unpack_wide_position(data)
     if code != BIG_INTEGER_TYPE:
         raise ValueError(f"got the unknown MessagePack extension {code}")
     return int.from_bytes(data, "big", signed=True)
--- a/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
@@ -16,6 +16,8 @@
 from oleanderweir.peering.exceptions import PeerUnavailableError
 from oleanderweir.peering.packing import pack
 from oleanderweir.peering.packing import unpack
+from oleanderweir.peering.position_codec import pack_position
+from oleanderweir.peering.position_codec import unpack_position
 
 
 if TYPE_CHECKING:
@@ -55,8 +57,10 @@
 
 def encode_listing(listing: Listing) -> bytes:
     """Return the frame with the state of a topic."""
-    documents = [[c.name, c.revision, c.document] for c in listing.documents]
-    body = pack([listing.topic.value, listing.revision, documents])
+    documents = [
+        [c.name, pack_position(c.revision), c.document] for c in listing.documents
+    ]
+    body = pack([listing.topic.value, pack_position(listing.revision), documents])
     return LENGTH.pack(len(body)) + body
 
 
@@ -66,9 +70,13 @@
         topic, revision, documents = unpack(body)
         return Listing(
             topic=Topic(topic),
-            revision=revision,
+            revision=unpack_position(revision),
             documents=tuple(
-                Change(name=name, revision=changed_revision, document=document)
+                Change(
+                    name=name,
+                    revision=unpack_position(changed_revision),
+                    document=document,
+                )
                 for name, changed_revision, document in documents
             ),
         )
--- a/tests/oleanderweir/peering/test_packing.py
+++ b/tests/oleanderweir/peering/test_packing.py
@@ -20,5 +20,5 @@
 
 
 def test_an_unknown_extension_is_rejected() -> None:
-    with pytest.raises(ValueError, match="extension 2"):
-        unpack(msgpack.packb(msgpack.ExtType(2, b"x")))
+    with pytest.raises(ValueError, match="extension 3"):
+        unpack(msgpack.packb(msgpack.ExtType(3, b"x")))
