--- a/packages/oleanderweir/src/oleanderweir/http_responder/http_responder.py
+++ b/packages/oleanderweir/src/oleanderweir/http_responder/http_responder.py
@@ -1,4 +1,4 @@
-"""Serves GET requests, in one task per connection."""
+"""Serves GET and HEAD requests, in one task per connection."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 # A connection on which no request completes is closed after this time.
 IDLE_TIMEOUT_S = 30.0
 NOT_FOUND = HttpResponse(status=404, body=b"not found\n")
-NOT_ALLOWED = HttpResponse(status=405, body=b"only GET is answered here\n")
+NOT_ALLOWED = HttpResponse(status=405, body=b"only GET and HEAD are answered here\n")
 
 
 class HttpResponder:
@@ -79,18 +79,17 @@
                 ("Content-Length", str(len(response.body))),
             ],
         )
-        parts = [
-            connection.send(head),
-            connection.send(h11.Data(data=response.body)),
-            connection.send(h11.EndOfMessage()),
-        ]
-        return b"".join(part for part in parts if part)
+        events: list[h11.Event] = [head]
+        if request.method != b"HEAD":
+            events.append(h11.Data(data=response.body))
+        events.append(h11.EndOfMessage())
+        return b"".join(connection.send(event) or b"" for event in events)
 
     def _make_response(self, request: h11.Request) -> HttpResponse:
         path = request.target.split(b"?")[0].decode("ascii", "replace")
         handler = self.handlers.get(path)
         if handler is None:
             return NOT_FOUND
-        if request.method != b"GET":
+        if request.method not in {b"GET", b"HEAD"}:
             return NOT_ALLOWED
         return handler()
