--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir_agent.forwarding.backend_liveness import QUIET_S
 
 
@@ -38,6 +39,9 @@
         self.backend_socket = backend_socket
         self.probe = probe
         self.is_probing = False
+        self.packet_barrier = ErrorBarrier(place="backend_packet")
+        self.timer_barrier = ErrorBarrier(place="timer")
+        self.probe_barrier = ErrorBarrier(place="probe")
 
     @property
     def is_ready(self) -> bool:
@@ -86,12 +90,14 @@
     async def _receive(self) -> None:
         while True:
             for datagram in await self.backend_socket.receive_batch():
-                self.agent.on_backend_packet(datagram.data)
+                with self.packet_barrier:
+                    self.agent.on_backend_packet(datagram.data)
 
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_S if self.agent.has_pending_work else IDLE_TICK_S)
-            self.agent.on_tick()
+            with self.timer_barrier:
+                self.agent.on_tick()
             now = trio.current_time()
             if self.agent.liveness.needs_probe(now=now) and not self.is_probing:
                 nursery.start_soon(self._check_backend)
@@ -100,11 +106,13 @@
         """Probe the backend server, and drop its flows if it has stopped."""
         self.is_probing = True
         checked_at = trio.current_time()
-        outcome = await self.probe.probe()
-        self.agent.on_probe_outcome(outcome, checked_at=checked_at)
+        with self.probe_barrier:
+            outcome = await self.probe.probe()
+            self.agent.on_probe_outcome(outcome, checked_at=checked_at)
         self.is_probing = False
 
     async def _expire(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
-            self.agent.expire()
+            with self.timer_barrier:
+                self.agent.expire()
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.net import BATCH_LIMIT
 from oleanderweir_balancer.forwarding.pause_watch import TICK_INTERVAL_S
 from oleanderweir_balancer.forwarding.pause_watch import PauseWatch
@@ -50,6 +51,8 @@
         self.packet_socket = packet_socket
         self.grace_s = grace_s
         self.pause_watch = PauseWatch(clock=clock)
+        self.packet_barrier = ErrorBarrier(place="caller_packet")
+        self.timer_barrier = ErrorBarrier(place="timer")
 
     @property
     def is_ready(self) -> bool:
@@ -100,7 +103,8 @@
             batch = await self.packet_socket.receive_batch()
             waited_s = self.pause_watch.on_read(is_empty=len(batch) < BATCH_LIMIT)
             for datagram in batch:
-                self.balancer.on_caller_packet(datagram.data, waited_s=waited_s)
+                with self.packet_barrier:
+                    self.balancer.on_caller_packet(datagram.data, waited_s=waited_s)
 
     async def _watch_pauses(self) -> None:
         while True:
@@ -111,10 +115,12 @@
     async def _expire(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_S)
-            self.balancer.expire()
+            with self.timer_barrier:
+                self.balancer.expire()
 
     async def _retry_lookups(self) -> None:
         while True:
             await self.balancer.owner_lookup.lookups.wait_for_any()
             await trio.sleep(LOOKUP_CHECK_INTERVAL_S)
-            self.balancer.retry_lookups()
+            with self.timer_barrier:
+                self.balancer.retry_lookups()
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.desired_state.exceptions import HistoryLostError
 from oleanderweir.desired_state.exceptions import SourceUnavailableError
+from oleanderweir.error_barrier import ErrorBarrier
 
 
 if TYPE_CHECKING:
@@ -81,6 +82,7 @@
         self.on_watch_lost: Callable[[], None] = lambda: None
         self.watch_scope = trio.CancelScope()
         self.is_interrupted = False
+        self.barrier = ErrorBarrier(place=f"source_{topic.value}")
 
     def interrupt_watch(self) -> None:
         """End a waiting watch; the next one is short and tells what was missed."""
@@ -90,12 +92,19 @@
     async def run(self) -> None:
         """Follow the topic until cancelled."""
         while True:
-            try:
-                await self._step()
-            except HistoryLostError as error:
-                await self._on_history_lost(error)
-            except SourceUnavailableError as error:
-                await self._back_off(error)
+            with self.barrier:
+                await self._step_or_back_off()
+                continue
+            await self._sleep_before_retry()
+
+    async def _step_or_back_off(self) -> None:
+        """Make one call to the source, and wait before the next one if it failed."""
+        try:
+            await self._step()
+        except HistoryLostError as error:
+            await self._on_history_lost(error)
+        except SourceUnavailableError as error:
+            await self._back_off(error)
 
     async def _step(self) -> None:
         """Make one call to the source and apply its result."""
--- a/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering import InvalidMessageError
 from oleanderweir.peering import decode_message
 from oleanderweir.peering.messages import Departure
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     import trio
 
+    from oleanderweir.net import Datagram
     from oleanderweir.net import UdpSocket
     from oleanderweir.packet_process.packet_program import PacketProgram
     from oleanderweir.peering import HeartbeatSender
@@ -39,21 +41,27 @@
         self.heartbeat_sender = heartbeat_sender
         self.program = program
         self.nursery = nursery
+        self.barrier = ErrorBarrier(place="peer_datagram")
 
     async def run(self) -> None:
         """Receive, decode and dispatch the datagrams until cancelled."""
         while True:
             for datagram in await self.peer_socket.receive_batch():
-                host = datagram.source[0]
-                try:
-                    message = decode_message(datagram.data)
-                except InvalidMessageError as error:
-                    logger.warning(
-                        "could not decode a datagram from a peer; check its version",
-                        extra={"code": error.code, "peer": host},
-                    )
-                    continue
-                self._dispatch(host, message)
+                with self.barrier:
+                    self._on_datagram(datagram)
+
+    def _on_datagram(self, datagram: Datagram) -> None:
+        """Decode and dispatch one datagram."""
+        host = datagram.source[0]
+        try:
+            message = decode_message(datagram.data)
+        except InvalidMessageError as error:
+            logger.warning(
+                "could not decode a datagram from a peer; check its version",
+                extra={"code": error.code, "peer": host},
+            )
+        else:
+            self._dispatch(host, message)
 
     def _dispatch(self, host: str, message: Message) -> None:
         if isinstance(message, Heartbeat):
--- a/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
@@ -9,6 +9,7 @@
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.core import HistogramMetricFamily
 
+from oleanderweir.error_barrier import unexpected_errors
 from oleanderweir.event_log import LATENCY_BUCKETS_S
 from oleanderweir.http_responder import HttpResponse
 
@@ -37,6 +38,7 @@
         for (code, reason), count in sorted(self.counters.counts.items()):
             family.add_metric([code, reason], count)
         yield family
+        yield _collect_unexpected_errors()
         yield self._collect_latency()
 
     def _collect_latency(self) -> Metric:
@@ -56,6 +58,18 @@
         )
 
 
+def _collect_unexpected_errors() -> Metric:
+    """Return the counter of unexpected errors."""
+    family = CounterMetricFamily(
+        "oleanderweir_unexpected_errors",
+        "Unexpected errors, each of which cost one input, by place.",
+        labels=["place"],
+    )
+    for place, count in sorted(unexpected_errors.items()):
+        family.add_metric([place], count)
+    return family
+
+
 def make_metrics_page(counters: EventCounters) -> HttpResponse:
     """Return the response with all counters."""
     registry = CollectorRegistry(auto_describe=False)
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_listeners.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_listeners.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.http_responder import HttpResponder
 from oleanderweir.http_responder import HttpResponse
 from oleanderweir.peering import StateServer
@@ -75,5 +76,11 @@
     listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
     await listener.bind(address.sockaddr)
     listener.listen(LISTEN_BACKLOG)
+    barrier = ErrorBarrier(place="connection")
+
+    async def serve_guarded(stream: trio.SocketStream) -> None:
+        with barrier:
+            await serve(stream)
+
     listeners = [trio.SocketListener(listener)]
-    nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
+    nursery.start_soon(partial(trio.serve_listeners, serve_guarded, listeners))
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -12,6 +12,7 @@
 from oleanderweir.desired_state import ReaderStatus
 from oleanderweir.desired_state import StateFollower
 from oleanderweir.desired_state import Topic
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.exceptions import OleanderweirError
 from oleanderweir.packet_process.clock_watch import watch_clock
 from oleanderweir.packet_process.message_receiver import MessageReceiver
@@ -90,6 +91,8 @@
         )
         self.program: PacketProgram | None = None
         self.is_stopping = False
+        self.reload_barrier = ErrorBarrier(place="reload")
+        self.drain_barrier = ErrorBarrier(place="drain")
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -147,7 +150,8 @@
             name = signal.Signals(number).name
             logger.info("received a signal", extra={"code": "signal", "signal": name})
             if number == signal.SIGHUP:
-                self.reload()
+                with self.reload_barrier:
+                    self.reload()
             elif self.is_stopping:
                 self._stop()
             else:
@@ -160,7 +164,8 @@
 
     async def _drain(self) -> None:
         if self.program is not None:
-            await self.program.drain()
+            with self.drain_barrier:
+                await self.program.drain()
         logger.info("stopped", extra={"code": "stopped"})
         self._stop()
 
@@ -172,7 +177,8 @@
         """Reload the settings periodically, since a signal may never be sent."""
         while True:
             await trio.sleep(RELOAD_INTERVAL_S)
-            self.reload()
+            with self.reload_barrier:
+                self.reload()
 
     def reload(self) -> None:
         """Apply changed seeds from the settings."""
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -7,6 +7,7 @@
 import trio
 
 from oleanderweir.desired_state import Topic
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
@@ -77,6 +78,7 @@
         self.status = status
         self.random_source = random_source
         self.started_at = float("-inf")
+        self.barrier = ErrorBarrier(place="heartbeat")
         # Whether this is an agent whose backend server holds no flows.
         self.holds_no_flows: Callable[[], bool] = lambda: False
         self.reader_choice = ReaderChoice(
@@ -106,10 +108,11 @@
         """Send heartbeats until cancelled."""
         self.started_at = trio.current_time()
         while True:
-            self.members.expire()
-            self.update_reader_status()
-            self.discover_peers()
-            self._send_heartbeats()
+            with self.barrier:
+                self.members.expire()
+                self.update_reader_status()
+                self.discover_peers()
+                self._send_heartbeats()
             await self._sleep_until_next_round()
 
     async def _sleep_until_next_round(self) -> None:
@@ -125,8 +128,9 @@
                 if self._needs_fast_discovery()
                 else HEARTBEAT_INTERVAL_S
             )
-            self.update_reader_status()
-            self.discover_peers()
+            with self.barrier:
+                self.update_reader_status()
+                self.discover_peers()
 
     def _needs_fast_discovery(self) -> bool:
         """Whether this process has no members, or others may be starting with it."""
--- a/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -10,6 +10,7 @@
 from oleanderweir.desired_state import Change
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Topic
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering.exceptions import PeerUnavailableError
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import StateUpdate
@@ -53,6 +54,7 @@
         self.register = register
         self.client = client
         self.fetching: set[Topic] = set()
+        self.barrier = ErrorBarrier(place="peer_state")
 
     def on_heartbeat(
         self, host: str, heartbeat: Heartbeat, nursery: trio.Nursery
@@ -109,7 +111,11 @@
     ) -> None:
         if progress > self._progress(topic) and topic not in self.fetching:
             self.fetching.add(topic)
-            nursery.start_soon(self._fetch, host, topic, progress)
+            nursery.start_soon(self._fetch_guarded, host, topic, progress)
+
+    async def _fetch_guarded(self, host: str, topic: Topic, progress: int) -> None:
+        with self.barrier:
+            await self._fetch(host, topic, progress)
 
     async def _fetch(self, host: str, topic: Topic, progress: int) -> None:
         """Fetch a topic from a peer, unless the source delivers it first."""
--- a/tests/oleanderweir/desired_state/test_state_follower.py
+++ b/tests/oleanderweir/desired_state/test_state_follower.py
@@ -1,7 +1,6 @@
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+import pytest
 import trio
 import trio.testing
 
@@ -9,16 +8,13 @@
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import HistoryLostError
 from oleanderweir.desired_state import SourceUnavailableError
+from oleanderweir.error_barrier import unexpected_errors
 from tests.oleanderweir.desired_state.fake_source import FakeSource
 from tests.oleanderweir.desired_state.following import TOPIC
 from tests.oleanderweir.desired_state.following import follow
 from tests.oleanderweir.desired_state.following import make_listing
 
 
-if TYPE_CHECKING:
-    import pytest
-
-
 async def test_a_topic_is_listed_once_and_then_watched(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -119,3 +115,16 @@
 
     # With the maximum backoff and jitter, calls are at least half a second apart.
     assert 8 <= len(source.calls) <= 24
+
+
+@pytest.mark.unexpected_errors
+async def test_an_unexpected_error_of_a_call_is_retried_with_backoff(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    errors = [RecursionError("maximum recursion depth exceeded")] * 3
+    source = FakeSource(*errors, make_listing(10))
+
+    await follow(source)
+
+    assert source.calls == ["list"] * 4 + ["watch 10"]
+    assert unexpected_errors == {"source_backend_servers": 3}
