--- a/tests/oleanderweir/packet_process/test_message_receiver.py
+++ b/tests/oleanderweir/packet_process/test_message_receiver.py
@@ -8,6 +8,7 @@
 import trio.testing
 
 from oleanderweir.error_barrier import unexpected_errors
+from oleanderweir.flows import FlowKey
 from oleanderweir.net import Datagram
 from oleanderweir.packet_process.message_receiver import MessageReceiver
 from oleanderweir.peering.message_codec import encode_message
@@ -22,8 +23,8 @@
     from oleanderweir.packet_process import PacketProgram
 
 
-ODD = OwnerNotice(key=b"odd", host="10.0.0.1")
-GOOD = OwnerNotice(key=b"good", host="10.0.0.1")
+ODD = OwnerNotice(key=FlowKey(b"odd"), host="10.0.0.1")
+GOOD = OwnerNotice(key=FlowKey(b"good"), host="10.0.0.1")
 
 
 class ScriptedSocket:
--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -260,3 +260,55 @@
                 after=make_position(history=2, revision=20),
                 wait_s=1.0,
             )
+
+
+ODD_ITEMS: list[object] = [
+    {},
+    [],
+    None,
+    {"Key": 7, "Value": "", "Revision": 5},
+    {"Key": "servers/\ud800", "Value": "", "Revision": 5},
+    {"Key": "servers/" + "x" * 200, "Value": "", "Revision": 5},
+    {"Key": "servers/odd", "Value": ""},
+    {"Key": "servers/odd", "Value": "", "Revision": "5"},
+    {"Key": "servers/odd", "Value": "", "Revision": 2**64},
+    {"Key": "servers/odd", "Value": "", "Revision": -1},
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ITEMS, ids=lambda item: repr(item)[:60])
+async def test_an_odd_item_keeps_no_process_from_the_others(odd: object) -> None:
+    items = [make_item("servers/a", 3), odd, make_item("servers/b", 4)]
+    page = {"items": items, "Truncated": False, "StoreRevision": 9}
+    events = {"events": items, "StoreRevision": 9}
+    responses = (make_response(200, page), make_response(200, events))
+    async with serve(*responses) as (client, _):
+        listing = await client.list(Topic.BACKEND_SERVERS)
+        changes = await client.watch(Topic.BACKEND_SERVERS, after=0, wait_s=1.0)
+
+    for found in (listing.documents, changes.changes):
+        assert [change.name for change in found] == ["servers/a", "servers/b"]
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, 7, ["e30="], "e30", "\u0663", base64.b64encode(b"{" * 2**20).decode()],
+    ids=lambda value: repr(value)[:40],
+)
+async def test_an_item_with_an_odd_value_names_an_invalid_document(
+    value: object,
+) -> None:
+    item = {"Key": "servers/odd", "Value": value, "Revision": 5}
+    page = {"items": [item], "Truncated": False, "StoreRevision": 9}
+    async with serve(make_response(200, page)) as (client, _):
+        listing = await client.list(Topic.BACKEND_SERVERS)
+
+    assert [change.document for change in listing.documents] == [b""]
+
+
+async def test_a_deeply_nested_response_fails_one_call() -> None:
+    body = b"[" * 100_000
+    head = f"HTTP/1.1 200 x\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    async with serve(head + body) as (client, _):
+        with pytest.raises(SourceUnavailableError):
+            await client.list(Topic.BACKEND_SERVERS)
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -73,7 +73,44 @@
         ("State", ["ready"]),
         ("Address", 7),
         ("Seq", None),
+        ("Seq", -1),
+        ("Seq", True),
+        ("Seq", 2**70),
+        ("Concurrency", 0),
+        ("Concurrency", -3),
+        ("Concurrency", 2.5),
+        ("Concurrency", "3"),
+        ("Concurrency", True),
+        ("Concurrency", 10**400),
+        ("ColdRemainingMs", float("nan")),
+        ("ColdRemainingMs", -1),
+        ("ColdRemainingMs", 1e300),
+        ("ColdRemainingMs", "1500"),
+        ("born", -1),
+        ("born", 1.5),
+        ("born", 2**63),
+        ("born", None),
+        ("Address", "10.128.0.9:0"),
+        ("Address", "10.128.0.9:65536"),
+        ("Address", "10.128.0.9:-1"),
+        ("Address", "10.128.0.9: 80"),
+        ("Address", "10.128.0.9:8_0"),
+        ("Address", "10.128.0.9:\u0663"),
+        ("Address", "10.128.0.9"),
+        ("Address", "10.128:80"),
+        ("Address", "10.128.0.9 x:80"),
+        ("Address", "0.0.0.0:80"),
+        ("Address", "224.0.0.1:80"),
+        ("Address", "255.255.255.255:80"),
+        ("Service", ""),
+        ("Service", "x" * 256),
+        ("Service", "\ud800"),
+        ("Service", json.loads("[" * 900 + "]" * 900)),
+        ("Zone", {}),
+        ("Zone", "\ud800"),
+        ("State", True),
     ],
+    ids=lambda value: repr(value)[:40],
 )
 def test_an_invalid_entry_is_rejected(field: str, value: object) -> None:
     document = json.dumps({**make_entry(), field: value}).encode()
@@ -114,3 +151,75 @@
 
     with pytest.raises(InvalidDocumentError, match="publish it again"):
         StoreDecoder().decode_desired_state(json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("Weight", -1),
+        ("Weight", 10**400),
+        ("Weight", True),
+        ("Service", json.loads("[" * 900 + "]" * 900)),
+    ],
+    ids=lambda value: repr(value)[:40],
+)
+def test_a_share_that_is_out_of_range_is_rejected(field: str, value: object) -> None:
+    fields = make_desired()
+    fields["Routes"][0]["TrafficSplit"][0][field] = value
+
+    with pytest.raises(InvalidDocumentError, match="publish it again"):
+        StoreDecoder().decode_desired_state(json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("TimeoutMs", float("nan")),
+        ("TimeoutMs", -1),
+        ("TargetLatencyMs", 10**400),
+        ("Priority", 1.5),
+        ("Host", "198.18:443"),
+        ("Prefix", "/8_0/"),
+        ("Prefix", 80),
+        ("Name", ["r"]),
+    ],
+    ids=lambda value: repr(value)[:40],
+)
+def test_a_route_that_is_out_of_range_is_rejected(field: str, value: object) -> None:
+    fields = make_desired()
+    fields["Routes"][0][field] = value
+
+    with pytest.raises(InvalidDocumentError, match="publish it again"):
+        StoreDecoder().decode_desired_state(json.dumps(fields).encode())
+
+
+@pytest.mark.parametrize("version", [0, -1, True, 7.5, "7", None])
+def test_a_version_that_is_no_positive_integer_is_rejected(version: object) -> None:
+    fields = {**make_desired(), "Version": version}
+
+    with pytest.raises(InvalidDocumentError, match="publish it again"):
+        StoreDecoder().decode_desired_state(json.dumps(fields).encode())
+
+
+def test_a_large_entry_is_rejected_before_it_is_parsed() -> None:
+    document = json.dumps({**make_entry(), "Version": "x" * 2**20}).encode()
+
+    with pytest.raises(InvalidDocumentError, match="1048"):
+        StoreDecoder().decode_backend_server("servers/i-1", document)
+
+
+def test_new_fields_of_an_entry_are_ignored() -> None:
+    document = json.dumps({**make_entry(), "Weather": {"wind": [1, None]}}).encode()
+
+    record = StoreDecoder().decode_backend_server("servers/i-1", document)
+
+    assert record.service == "feed"
+
+
+def test_the_reason_of_a_rejection_is_short() -> None:
+    document = json.dumps({**make_entry(), "Zone": list(range(3000))}).encode()
+
+    with pytest.raises(InvalidDocumentError) as raised:
+        StoreDecoder().decode_backend_server("servers/i-1", document)
+
+    assert len(raised.value.message) < 500
