--- a/packages/oleanderweir/src/oleanderweir/flows/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/flows/__init__.py
@@ -5,6 +5,7 @@
 from oleanderweir.flows.candidate_hosts import LOOKUP_CANDIDATES
 from oleanderweir.flows.candidate_hosts import PLACEMENT_CANDIDATES
 from oleanderweir.flows.candidate_hosts import candidate_hosts
+from oleanderweir.flows.flow_key import FLOW_KEY_BYTES
 from oleanderweir.flows.flow_key import FlowKey
 from oleanderweir.flows.flow_key import caller_host
 from oleanderweir.flows.flow_key import describe_flow
@@ -15,6 +16,7 @@
 
 
 __all__ = [
+    "FLOW_KEY_BYTES",
     "LOOKUP_CANDIDATES",
     "PLACEMENT_CANDIDATES",
     "FlowKey",
--- a/packages/oleanderweir/src/oleanderweir/flows/flow_key.py
+++ b/packages/oleanderweir/src/oleanderweir/flows/flow_key.py
@@ -11,6 +11,7 @@
 FlowKey = NewType("FlowKey", bytes)
 
 PACKED_ADDRESS_BYTES = 6
+FLOW_KEY_BYTES = 2 * PACKED_ADDRESS_BYTES
 
 
 def make_flow_key(*, caller: bytes, route: bytes) -> FlowKey:
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
 from typing import Any
 
 import attrs
 import msgpack
 
 from oleanderweir.peering.exceptions import InvalidMessageError
+from oleanderweir.peering.message_layout import MessageLayout
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import Departure
@@ -24,10 +24,6 @@
 from oleanderweir.peering.position_codec import unpack_position
 
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
-
 # The first element of each datagram. A number is never reused for another type.
 TYPES: dict[int, type[Message]] = {
     1: Delivery,
@@ -39,64 +35,68 @@
     7: Departure,
 }
 CODES = {message_type: code for code, message_type in TYPES.items()}
-FIELDS = {
-    message_type: tuple(field.name for field in attrs.fields(message_type))
-    for message_type in CODES
-}
-# Types whose last field is sent only if it has items, so that earlier states of the
-# program can decode the other messages.
-OPTIONAL_LAST_FIELD = frozenset({Delivery, ReturnedPacket})
-# Fields that hold positions in the histories of the source.
-POSITION_FIELDS = {
-    Heartbeat: frozenset({"backends_revision"}),
-    StateUpdate: frozenset({"base", "revision"}),
+LAYOUTS = {
+    code: MessageLayout.of(
+        message_type,
+        # The last field is sent only if it has items, so that earlier states of the
+        # program can decode the other messages.
+        has_optional_last_field=message_type in {Delivery, ReturnedPacket},
+        positions={
+            Heartbeat: ("backends_revision",),
+            StateUpdate: ("base", "revision"),
+        }.get(message_type, ()),
+    )
+    for code, message_type in TYPES.items()
 }
-NO_FIELDS: frozenset[str] = frozenset()
-# Delegated lookups have one in place of a version.
-DELEGATED_LOOKUP_FIELDS = frozenset({"version"})
+DELIVERY_LAYOUT = LAYOUTS[CODES[Delivery]]
+# A delegated lookup has a position in place of a version.
+DELEGATED_LOOKUP_LAYOUT = attrs.evolve(
+    DELIVERY_LAYOUT, positions=(DELIVERY_LAYOUT.names.index("version"),)
+)
+PURPOSE_INDEX = DELIVERY_LAYOUT.names.index("purpose")
+# Errors that a datagram raises which is no message.
+DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    IndexError,
+    OverflowError,
+    RecursionError,
+    msgpack.UnpackException,
+)
 
 
 def encode_message(message: Message) -> bytes:
     """Return the datagram of a message: its type code, then its fields in order."""
-    message_type = type(message)
-    purpose = getattr(message, "purpose", None)
-    positions = _find_positions(message_type, purpose)
-    values = [
-        pack_position(value) if name in positions else value
-        for name, value in _iterate_fields(message)
-    ]
-    if message_type in OPTIONAL_LAST_FIELD and not values[-1]:
+    code = CODES[type(message)]
+    layout = LAYOUTS[code]
+    values = [getattr(message, name) for name in layout.names]
+    for index in _select_layout(layout, values).positions:
+        values[index] = pack_position(values[index])
+    if layout.has_optional_last_field and not values[-1]:
         values.pop()
-    return pack([CODES[message_type], *values])
+    return pack([code, *values])
 
 
 def decode_message(datagram: bytes) -> Message:
     """Return the message of a datagram; raise ``InvalidMessageError`` if invalid."""
     try:
         code, *values = unpack(datagram)
-        message_type = TYPES[code]
-        names = FIELDS[message_type]
-        if message_type in OPTIONAL_LAST_FIELD and len(values) == len(names) - 1:
-            names = names[:-1]
-        fields = dict(zip(names, values, strict=True))
-        for name in _find_positions(message_type, fields.get("purpose")):
-            fields[name] = unpack_position(fields[name])
-        return message_type(**fields)
-    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        layout = LAYOUTS[code]
+        for index in _select_layout(layout, values).positions:
+            values[index] = unpack_position(values[index])
+        return layout.make_message(values)
+    except DECODING_ERRORS as error:
         raise InvalidMessageError(
             "a datagram on the peer port is not a valid message; check that all "
             "processes run the same version"
         ) from error
 
 
-def _iterate_fields(message: Message) -> Iterator[tuple[str, Any]]:
-    """Yield the names and values of the fields of a message."""
-    for name in FIELDS[type(message)]:
-        yield name, getattr(message, name)
-
-
-def _find_positions(message_type: type[Message], purpose: object) -> frozenset[str]:
-    """Return the fields of a message that hold positions."""
-    if message_type is Delivery and purpose == DeliveryPurpose.DELEGATED_LOOKUP:
-        return DELEGATED_LOOKUP_FIELDS
-    return POSITION_FIELDS.get(message_type, NO_FIELDS)
+def _select_layout(layout: MessageLayout, values: list[Any]) -> MessageLayout:
+    """Return the layout of a message by its type and, for deliveries, its purpose."""
+    if layout is not DELIVERY_LAYOUT:
+        return layout
+    if values[PURPOSE_INDEX] == DeliveryPurpose.DELEGATED_LOOKUP:
+        return DELEGATED_LOOKUP_LAYOUT
+    return layout
--- a/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
@@ -5,6 +5,7 @@
 import logging
 import struct
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgpack
 import trio
@@ -14,6 +15,7 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.peering.exceptions import InvalidMessageError
 from oleanderweir.peering.exceptions import PeerUnavailableError
+from oleanderweir.peering.field_types import is_text
 from oleanderweir.peering.packing import pack
 from oleanderweir.peering.packing import unpack
 from oleanderweir.peering.position_codec import pack_position
@@ -71,22 +73,27 @@
         return Listing(
             topic=Topic(topic),
             revision=unpack_position(revision),
-            documents=tuple(
-                Change(
-                    name=name,
-                    revision=unpack_position(changed_revision),
-                    document=document,
-                )
-                for name, changed_revision, document in documents
-            ),
+            documents=tuple(_decode_change(*fields) for fields in documents),
         )
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except (
+        ValueError,
+        TypeError,
+        RecursionError,
+        msgpack.UnpackException,
+    ) as error:
         raise InvalidMessageError(
             "the state sent by a peer can't be decoded; check that all processes run "
             "the same version"
         ) from error
 
 
+def _decode_change(name: Any, revision: Any, document: Any) -> Change:
+    """Return a document of a listing; raise ``ValueError`` if a field is invalid."""
+    if not is_text(name) or not isinstance(document, bytes):
+        raise ValueError("a document has a field of another type")
+    return Change(name=name, revision=unpack_position(revision), document=document)
+
+
 class StateServer:
     """Serves the state of the topic that each connection requests."""
 
--- a/tests/oleanderweir/packet_process/test_message_receiver.py
+++ b/tests/oleanderweir/packet_process/test_message_receiver.py
@@ -23,8 +23,8 @@
     from oleanderweir.packet_process import PacketProgram
 
 
-ODD = OwnerNotice(key=FlowKey(b"odd"), host="10.0.0.1")
-GOOD = OwnerNotice(key=FlowKey(b"good"), host="10.0.0.1")
+ODD = OwnerNotice(key=FlowKey(b"odd " * 3), host="10.0.0.1")
+GOOD = OwnerNotice(key=FlowKey(b"good" * 3), host="10.0.0.1")
 
 
 class ScriptedSocket:
--- a/tests/oleanderweir/peering/test_message_codec.py
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import attrs
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -99,3 +100,51 @@
     heartbeat = attrs.evolve(HEARTBEAT, desired_version=2**64)
 
     assert decode_message(encode_message(heartbeat)) == heartbeat
+
+
+ODD_VALUES = [
+    None,
+    -1,
+    1.5,
+    float("nan"),
+    float("inf"),
+    True,
+    "text",
+    "x" * 300,
+    b"bytes",
+    ["10.0.0.1", 7],
+    ["name.example"],
+    {"deep": {}},
+    msgpack.ExtType(1, b""),
+    msgpack.ExtType(2, b""),
+    msgpack.Timestamp(1, 2),
+]
+
+
+@pytest.mark.parametrize(
+    "message", MESSAGES, ids=lambda message: type(message).__name__
+)
+@pytest.mark.parametrize("odd", ODD_VALUES, ids=lambda value: repr(value)[:30])
+def test_an_odd_field_is_rejected_or_has_the_type_of_its_message(
+    message: Message, odd: object
+) -> None:
+    values = unpack(encode_message(message))
+    for index in range(1, len(values)):
+        data = msgpack.packb([*values[:index], odd, *values[index + 1 :]])
+        with contextlib.suppress(InvalidMessageError):
+            decoded = decode_message(data)
+            # What is accepted can be sent on as it is.
+            assert decode_message(encode_message(decoded)) == decoded
+
+
+def test_a_host_name_is_no_host() -> None:
+    # Sending to it would wait for its lookup.
+    notice = OwnerNotice(key=FlowKey(b"123456789012"), host="name.example")
+
+    with pytest.raises(InvalidMessageError):
+        decode_message(encode_message(notice))
+
+
+def test_a_deeply_nested_datagram_is_rejected() -> None:
+    with pytest.raises(InvalidMessageError):
+        decode_message(b"\x91" * 60_000)
