--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -150,6 +150,9 @@
         if packet.is_opening:
             self.opening_handler.on_returned(flow, key, data, now=now)
             return
+        if check is None and flow is not None and _is_of_another_flow(flow, packet):
+            self._deny_claims(flow, data)
+            return
         self.ownership.record_not_held(key, now=now)
         self.remover.remove(key, now=now)
         if check is not None:
@@ -161,6 +164,13 @@
             # A backend server that held the flow and returns its packet was restarted.
             self.remover.return_unheld(flow.balancer, flow, data)
 
+    def _deny_claims(self, flow: HeldFlow, data: bytes) -> None:
+        """Deny the queries with a packet of an earlier or later flow of the port."""
+        claimants = [h for h, query in flow.claimants.items() if query == data]
+        for host in sorted(claimants):
+            del flow.claimants[host]
+            self._deny(host, flow.key, data)
+
     def _deny(self, host: str, key: FlowKey, data: bytes) -> None:
         """Return a packet of a flow that the backend server doesn't hold."""
         self.transport.return_packet(host, key, data, ReturnReason.NOT_HELD)
@@ -177,3 +187,9 @@
                 "flows": len(self.table.flows),
             },
         )
+
+
+def _is_of_another_flow(flow: HeldFlow, packet: Packet) -> bool:
+    """Whether a returned packet is not of the open flow that uses its port now."""
+    is_open = flow.is_established and not flow.is_closed
+    return is_open and flow.may_be_of_later_flow(packet)
--- a/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
@@ -138,3 +138,28 @@
 
     notified = {host for _, (host, _) in bench.peer_socket.pop_sent()}
     assert {"10.0.9.2", "10.0.9.3"} <= notified
+
+
+async def test_a_late_packet_of_an_earlier_flow_of_the_port_loses_no_open_flow() -> (
+    None
+):
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(
+        DeliveryPurpose.CONTINUE,
+        encode_packet(make_key(1), payload_bytes=900, acknowledged=2_000_000),
+    )
+    bench.agent.on_backend_packet(answer(1))
+    late = encode_packet(make_key(1), is_final=True, acknowledged=7)
+    bench.deliver(DeliveryPurpose.QUERY, late)
+    bench.to_peers()
+
+    bench.agent.on_backend_packet(
+        encode_packet(make_key(1), is_returned=True, is_final=True, acknowledged=7)
+    )
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=late)
+    assert bench.to_peers() == [denial]
+    again = encode_packet(make_key(1), payload_bytes=900, acknowledged=2_000_600)
+    bench.deliver(DeliveryPurpose.TABLE_QUERY, again)
+    assert bench.to_peers() == [OwnerNotice(key=make_key(1))]
