--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -204,5 +204,8 @@
 
 def _is_report_due(lookup: Lookup, *, now: float) -> bool:
     """Whether requesters need a report: new denials, or that the lookup continues."""
-    is_overdue = now - lookup.reported_at >= PROGRESS_INTERVAL_S
-    return is_overdue or len(lookup.denied_by) > lookup.reported
+    if len(lookup.denied_by) > lookup.reported:
+        return True
+    # Queries with a mere acknowledgement aren't repeated.
+    is_continuing = lookup.query is not None and lookup.query.is_retransmitted
+    return is_continuing and now - lookup.reported_at >= PROGRESS_INTERVAL_S
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -22,7 +22,8 @@
     replied that their backend server doesn't hold the flow. ``delegates`` are the
     agents that the lookup was delegated to, and ``delegations`` has, by the delegate
     that has not replied, the hosts that its negative result would cover.
-    ``progress_at`` is when each of these last reported that it continues.
+    ``continuing`` are those that got a packet which a backend server answers, so that
+    they repeat its queries, and ``progress_at`` is when each last reported progress.
     ``first_query_at`` is when each agent was first queried, but for those that a
     delegate chose. ``extra_hosts`` are those that the requester of a delegated lookup
     named; ``is_restricted`` is set if no others are queried.
@@ -47,6 +48,7 @@
     denied_by: set[str] = attrs.field(factory=set)
     delegates: set[str] = attrs.field(factory=set)
     delegations: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    continuing: set[str] = attrs.field(factory=set)
     progress_at: dict[str, float] = attrs.field(factory=dict)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
     extra_hosts: frozenset[str] = frozenset()
@@ -65,6 +67,7 @@
         """Return the hosts that delegates are querying, by their reports since."""
         covered: set[str] = set()
         for delegate, hosts in self.delegations.items():
-            if self.progress_at.get(delegate, since) > since:
+            has_reported = self.progress_at.get(delegate, since) > since
+            if has_reported and delegate in self.continuing:
                 covered |= hosts
         return covered
--- a/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
@@ -90,6 +90,8 @@
             covered = frozenset(hosts)
         delegate = self._choose_delegate(lookup, pending, published)
         lookup.delegates.add(delegate)
+        if packet.is_retransmitted:
+            lookup.continuing.add(delegate)
         # The result may be that of either lookup.
         lookup.delegations[delegate] = covered & lookup.delegations.get(
             delegate, covered
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -10,6 +10,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir.peering.report_interval import keepalive_s
 from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir_balancer.forwarding.bench import LARGE_FLEET
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 from tests.oleanderweir_balancer.forwarding.bench import make_agent_heartbeat
@@ -440,3 +441,21 @@
         bench.balancer.retry_lookups()
 
     assert [host for host, _ in bench.deliveries()] == [OWNER]
+
+
+async def test_a_request_is_not_held_back_for_the_lookup_of_an_acknowledgement(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET)
+    bench.publish()
+    bench.balancer.on_caller_packet(encode_packet(KEY, acknowledged=77))
+    [(delegate, _)] = bench.deliveries()
+    await trio.sleep(0.2)
+    # The delegate got no answer, and doesn't repeat its queries.
+    bench.return_packet(delegate, ReturnReason.PARTLY_DENIED, REQUEST)
+
+    bench.balancer.on_caller_packet(REQUEST)
+
+    [(_, message)] = bench.deliveries()
+    assert message.purpose is DeliveryPurpose.DELEGATED_LOOKUP
+    assert message.data == REQUEST
