--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -8,6 +8,7 @@
 from oleanderweir.flows import LOOKUP_CANDIDATES
 from oleanderweir.flows import candidate_hosts
 from oleanderweir.flows import route_address
+from oleanderweir.peering.members import AGENT_RESTART_S
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.report_interval import silence_s
 
@@ -120,11 +121,18 @@
             fresh_since = lookup.started_at - FRESH_REPORT_S
             return reported_at is not None and reported_at >= fresh_since
         if self._is_removed(host, now=now):
-            return True
+            return not self._may_be_restarting(lookup, host, now=now)
         return reported_at is not None and not self.register.was_removed_since(
             host, reported_at
         )
 
+    def _may_be_restarting(self, lookup: Lookup, host: str, *, now: float) -> bool:
+        """Whether an agent was heard shortly before it was queried, and not since."""
+        queried_at = lookup.first_query_at.get(host, lookup.started_at)
+        if self.members.was_heard_since(host, queried_at):
+            return False
+        return self.members.was_heard_within(host, AGENT_RESTART_S, now=now)
+
     def _is_removed(self, host: str, *, now: float) -> bool:
         """Whether a host counts as removed, not counting pauses of this process."""
         pauses = self.members.pauses
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -20,6 +20,23 @@
 # A host that runs replies within this time after a peer listed it: two rounds of
 # heartbeats to candidates.
 DISCOVERY_S = 0.3
+# An agent that this process or a peer has heard may take this long to restart. Its
+# backend server runs on, though its entry may have lapsed.
+AGENT_RESTART_S = 4.0
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A host that a peer listed at ``listed_at``, in seconds of trio's clock."""
+
+    role: PeerRole
+    listed_at: float
+
+    @property
+    def awaited_until(self) -> float:
+        """When the host should have replied if it runs or restarts."""
+        is_agent = self.role is PeerRole.AGENT
+        return self.listed_at + (AGENT_RESTART_S if is_agent else DISCOVERY_S)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -48,7 +65,7 @@
     def __init__(self, *, own_host: str) -> None:
         self.own_host = own_host
         self.members: dict[str, Member] = {}
-        self.candidates: dict[str, float] = {}
+        self.candidates: dict[str, Candidate] = {}
         # When processes announced their departure, by host; in seconds of trio's clock.
         self.departed: dict[str, float] = {}
         # Messages wait unread during a pause, which is no silence of their senders.
@@ -75,11 +92,15 @@
             return None
         return member.heartbeat_at
 
+    def was_heard_since(self, host: str, moment: float) -> bool:
+        """Whether a member sent any message since ``moment``."""
+        member = self.members.get(host)
+        return member is not None and member.last_seen_at >= moment
+
     def was_heard_within(self, host: str, span_s: float, *, now: float) -> bool:
         """Whether a member sent any message while this process last ran so long."""
-        member = self.members.get(host)
         limit = self.pauses.moment_before(now, ran_for_s=span_s)
-        return member is not None and member.last_seen_at >= limit
+        return self.was_heard_since(host, limit)
 
     def record_heartbeat(self, host: str, heartbeat: Heartbeat) -> None:
         """Record a heartbeat, and the hosts that it lists as candidates."""
@@ -89,8 +110,10 @@
         )
         self.candidates.pop(host, None)
         self.departed.pop(host, None)
-        for other in (*heartbeat.balancers, *heartbeat.agents):
-            self.add_candidate(other)
+        for other in heartbeat.balancers:
+            self.add_candidate(other, PeerRole.BALANCER)
+        for other in heartbeat.agents:
+            self.add_candidate(other, PeerRole.AGENT)
 
     def record_activity(self, host: str) -> None:
         """Renew the lease of a member that sent another message."""
@@ -99,12 +122,13 @@
         if member is not None:
             member.last_seen_at = trio.current_time()
 
-    def add_candidate(self, host: str) -> None:
+    def add_candidate(self, host: str, role: PeerRole) -> None:
         """Add another host as a candidate unless it is a member or has departed."""
         if host in self.departed:
             return
         if host != self.own_host and host not in self.members:
-            self.candidates.setdefault(host, trio.current_time())
+            candidate = Candidate(role=role, listed_at=trio.current_time())
+            self.candidates.setdefault(host, candidate)
 
     def expire(self) -> None:
         """Drop the hosts whose lease has expired."""
@@ -112,15 +136,15 @@
         limit = self.pauses.moment_before(now, ran_for_s=MEMBER_LEASE_S)
         for host in [h for h, m in self.members.items() if m.last_seen_at < limit]:
             del self.members[host]
-        for host in [h for h, since in self.candidates.items() if since < limit]:
+        for host in [h for h, c in self.candidates.items() if c.listed_at < limit]:
             del self.candidates[host]
         for host in [h for h, since in self.departed.items() if since < limit]:
             del self.departed[host]
 
     def is_discovering(self) -> bool:
-        """Whether a peer has just listed hosts that have not replied yet."""
-        limit = trio.current_time() - DISCOVERY_S
-        return any(since > limit for since in self.candidates.values())
+        """Whether a host that a peer listed may still reply for the first time."""
+        now = trio.current_time()
+        return any(c.awaited_until > now for c in self.candidates.values())
 
     def hosts(self, role: PeerRole) -> list[str]:
         """Return the hosts of the members of one role."""
