--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -24,9 +24,10 @@
     that has not replied, the hosts that its negative result would cover.
     ``continuing`` are those that got a packet which a backend server answers, so that
     they repeat its queries, and ``progress_at`` is when each last reported progress.
-    ``first_query_at`` is when each agent was first queried, but for those that a
-    delegate chose. ``extra_hosts`` are those that the requester of a delegated lookup
-    named; ``is_restricted`` is set if no others are queried.
+    ``first_query_at`` is when this process first queried an agent, since the agent was
+    last heard again, and ``named_at`` when it named one to a delegate. ``extra_hosts``
+    are those that the requester of a delegated lookup named; ``is_restricted`` is set
+    if no others are queried.
 
     ``awaited`` are the agents whose reply to a query of this process is outstanding,
     ``unknown_to`` those that replied that they have no entry of the flow, and
@@ -51,6 +52,7 @@
     continuing: set[str] = attrs.field(factory=set)
     progress_at: dict[str, float] = attrs.field(factory=dict)
     first_query_at: dict[str, float] = attrs.field(factory=dict)
+    named_at: dict[str, float] = attrs.field(factory=dict)
     extra_hosts: frozenset[str] = frozenset()
     is_restricted: bool = False
     awaited: set[str] = attrs.field(factory=set)
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -83,13 +83,16 @@
         Lookups of mere acknowledgements are not retried: most belong to flows that have
         just closed, and their callers expect no answer.
         """
+        return [lookup for lookup in self.repeated() if self.is_due(lookup, now=now)]
+
+    def repeated(self) -> list[Lookup]:
+        """Return the unanswered lookups whose queries are repeated."""
         return [
             lookup
             for lookup in self.lookups.values()
             if lookup.query is not None
             and lookup.query.is_retransmitted
             and not lookup.has_no_owner
-            and self.is_due(lookup, now=now)
         ]
 
     def close(self, key: FlowKey) -> Lookup | None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -28,8 +28,6 @@
 # A delegate that reported progress within this time continues its lookup. It reports
 # every ``PROGRESS_INTERVAL_S``; one report may be lost.
 DELEGATE_TIMEOUT_S = 0.3
-# Rounds of queries of a delegate to agents that a balancer named.
-MAX_RESTRICTED_ATTEMPTS = 2
 
 
 class OwnerLookup:
@@ -58,7 +56,10 @@
         self.members = members
         self.transport = transport
         self.sender = QuerySender(
-            register=register, transport=transport, use_delegate=use_delegate
+            register=register,
+            members=members,
+            transport=transport,
+            use_delegate=use_delegate,
         )
         self.lookups = LookupTable()
 
@@ -113,11 +114,7 @@
             self.transport.deliver(host, packet, DeliveryPurpose.CONTINUE)
         if lookup.attempts > 1:
             self._notify_delegates(lookup, host)
-        outstanding = lookup.checked - lookup.denied_by - {host}
-        if outstanding and lookup.query is not None:
-            self.lookups.found[key] = FoundOwner(
-                host=host, query=lookup.query, outstanding=outstanding, found_at=now
-            )
+        self._repeat_to_owner(lookup, host, now=now)
         self.transport.log(
             "flow_found",
             key,
@@ -126,6 +123,21 @@
             took_ms=round((now - lookup.started_at) * 1000, 1),
         )
 
+    def _repeat_to_owner(self, lookup: Lookup, host: str, *, now: float) -> None:
+        """
+        Send the owner the query again, after the last other backend server got it.
+
+        Otherwise other backend servers would be the last to get a packet of an idle
+        flow, and the first at its next lookup.
+        """
+        others = lookup.checked - {host}
+        outstanding = others - lookup.denied_by
+        if lookup.query is None or not outstanding:
+            return
+        self.lookups.found[lookup.key] = FoundOwner(
+            host=host, query=lookup.query, outstanding=outstanding, found_at=now
+        )
+
     def _notify_delegates(self, lookup: Lookup, host: str) -> None:
         """Have delegates stop asking: another one, or this process, found the owner."""
         for delegate in sorted(lookup.delegates):
@@ -144,12 +156,7 @@
             self._continue(lookup, packet, now=now)
 
     def on_late_denial(self, host: str, key: FlowKey) -> None:
-        """
-        Send the query to the owner of a flow again, after the last other agent denied.
-
-        Otherwise other backend servers would be the last to get a packet of an idle
-        flow, and the first at its next lookup.
-        """
+        """Send the owner the query again, after the last other agent denied."""
         found = self.lookups.found.get(key)
         if found is None or host not in found.outstanding:
             return
@@ -196,7 +203,7 @@
         covered = lookup.delegations.pop(host)
         lookup.denied_by |= frozenset(hosts) or covered
         pending = self.owners.find_pending(lookup, now=now)
-        unqueried = pending - lookup.first_query_at.keys()
+        unqueried = pending - lookup.first_query_at.keys() - lookup.named_at.keys()
         if unqueried:
             self.sender.start_round(lookup, packet, unqueried, now=now)
         elif not pending and self.owners.are_denials_conclusive(lookup):
@@ -213,10 +220,10 @@
     def retry(self, *, now: float) -> None:
         """Send the queries of unanswered lookups again when they are due."""
         self.members.pauses.record_run(now)
+        for lookup in self.lookups.repeated():
+            if lookup.query is not None:
+                self.sender.query_unasked(lookup, lookup.query, now=now)
         for lookup in self.lookups.due_for_retry(now=now):
-            if lookup.is_restricted and lookup.attempts >= MAX_RESTRICTED_ATTEMPTS:
-                # The balancer names the agents that have not replied to the next one.
-                continue
             lookup.is_fleet_wide |= (
                 lookup.attempts >= TARGETED_ATTEMPTS
                 or now - lookup.started_at >= TARGETED_S
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -149,7 +149,10 @@
         limit = self.members.pauses.moment_before(
             now, ran_for_s=UNPUBLISHED_REPLY_TIMEOUT_S
         )
-        is_overdue = lookup.first_query_at.get(host, now) <= limit
+        queried_at = lookup.first_query_at.get(host, now)
+        # A query from before a restart of the agent was lost.
+        was_received = queried_at >= self.members.reappeared_at(host)
+        is_overdue = was_received and queried_at <= limit
         if is_overdue and host not in lookup.unknown_to:
             return False
         # Agents report by the size of the fleet that they know: with missing entries,
--- a/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/query_sender.py
@@ -13,6 +13,7 @@
     from oleanderweir.flows import Packet
     from oleanderweir.lookups.lookup import Lookup
     from oleanderweir.lookups.lookup_transport import LookupTransport
+    from oleanderweir.peering import Members
 
 
 # With more agents to query, a balancer delegates the lookup. Each query carries the
@@ -21,6 +22,8 @@
 MAX_DIRECT_QUERIES = 3
 # Hosts that one delegated lookup names, so that it fits a datagram beside the packet.
 MAX_DELEGATED_HOSTS = 128
+# How long an agent that was named to a delegate may take to deny.
+DELEGATED_REPLY_TIMEOUT_S = 1.0
 
 
 class QuerySender:
@@ -34,9 +37,15 @@
     """
 
     def __init__(
-        self, *, register: StateRegister, transport: LookupTransport, use_delegate: bool
+        self,
+        *,
+        register: StateRegister,
+        members: Members,
+        transport: LookupTransport,
+        use_delegate: bool,
     ) -> None:
         self.register = register
+        self.members = members
         self.transport = transport
         self.use_delegate = use_delegate
 
@@ -65,7 +74,8 @@
         """
         lookup.awaited |= hosts
         for host in sorted(hosts):
-            lookup.first_query_at.setdefault(host, now)
+            if not self._was_queried(lookup, host):
+                lookup.first_query_at[host] = now
             purpose = DeliveryPurpose.TABLE_QUERY
             if host in lookup.unknown_to:
                 purpose = DeliveryPurpose.QUERY
@@ -73,6 +83,28 @@
             self.transport.deliver(host, packet, purpose)
         self.transport.log("flow_lookup", packet.key, asked=len(hosts))
 
+    def _was_queried(self, lookup: Lookup, host: str) -> bool:
+        """Whether an agent was queried since it was last heard again."""
+        queried_at = lookup.first_query_at.get(host)
+        return queried_at is not None and queried_at >= self.members.reappeared_at(host)
+
+    def query_unasked(self, lookup: Lookup, packet: Packet, *, now: float) -> None:
+        """
+        Query the agents that a delegate's queries, or those of this process, missed.
+
+        An agent that was being restarted lost what was sent to it. So did one that has
+        not denied long after it was named to a delegate.
+        """
+        limit = now - DELEGATED_REPLY_TIMEOUT_S
+        named = {h for h, named_at in lookup.named_at.items() if named_at <= limit}
+        hosts = (named | lookup.first_query_at.keys()) - lookup.denied_by
+        unasked = sorted(h for h in hosts if not self._was_queried(lookup, h))
+        chosen = set(unasked[:MAX_DIRECT_QUERIES])
+        lookup.checked -= chosen
+        lookup.unknown_to -= chosen
+        if chosen:
+            self.query(lookup, packet, chosen, now=now)
+
     def _delegate(
         self, lookup: Lookup, packet: Packet, pending: set[str], *, now: float
     ) -> None:
@@ -109,7 +141,7 @@
         """Return the hosts that a delegate is to query."""
         hosts = tuple(candidate_hosts(lookup.key, pending, count=MAX_DELEGATED_HOSTS))
         for host in hosts:
-            lookup.first_query_at.setdefault(host, now)
+            lookup.named_at.setdefault(host, now)
         return hosts
 
     def _choose_delegate(
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -25,6 +25,10 @@
 AGENT_RESTART_S = 4.0
 
 
+# A member that was silent for longer may have been restarted, and have missed messages.
+REAPPEARANCE_S = 1.0
+
+
 @attrs.frozen(kw_only=True)
 class Candidate:
     """A host that a peer listed at ``listed_at``, in seconds of trio's clock."""
@@ -68,6 +72,8 @@
         self.candidates: dict[str, Candidate] = {}
         # When processes announced their departure, by host; in seconds of trio's clock.
         self.departed: dict[str, float] = {}
+        # When processes were heard again after a silence, by host; same clock.
+        self.reappeared: dict[str, float] = {}
         # Messages wait unread during a pause, which is no silence of their senders.
         self.pauses = PauseLog()
 
@@ -105,6 +111,7 @@
     def record_heartbeat(self, host: str, heartbeat: Heartbeat) -> None:
         """Record a heartbeat, and the hosts that it lists as candidates."""
         now = trio.current_time()
+        self._record_reappearance(host, now=now)
         self.members[host] = Member(
             host=host, heartbeat=heartbeat, heartbeat_at=now, last_seen_at=now
         )
@@ -120,7 +127,18 @@
         self.departed.pop(host, None)
         member = self.members.get(host)
         if member is not None:
-            member.last_seen_at = trio.current_time()
+            now = trio.current_time()
+            self._record_reappearance(host, now=now)
+            member.last_seen_at = now
+
+    def _record_reappearance(self, host: str, *, now: float) -> None:
+        """Record that a host is heard for the first time, or after a silence."""
+        if not self.was_heard_within(host, REAPPEARANCE_S, now=now):
+            self.reappeared[host] = now
+
+    def reappeared_at(self, host: str) -> float:
+        """Return when a host was last heard again, or minus infinity."""
+        return self.reappeared.get(host, float("-inf"))
 
     def add_candidate(self, host: str, role: PeerRole) -> None:
         """Add another host as a candidate unless it is a member or has departed."""
@@ -140,6 +158,8 @@
             del self.candidates[host]
         for host in [h for h, since in self.departed.items() if since < limit]:
             del self.departed[host]
+        for host in [h for h, since in self.reappeared.items() if since < limit]:
+            del self.reappeared[host]
 
     def is_discovering(self) -> bool:
         """Whether a host that a peer listed may still reply for the first time."""
--- a/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_delegated_denials.py
@@ -459,3 +459,45 @@
     [(_, message)] = bench.deliveries()
     assert message.purpose is DeliveryPurpose.DELEGATED_LOOKUP
     assert message.data == REQUEST
+
+
+async def test_a_named_agent_that_does_not_deny_is_queried_before_it_is_ruled_out(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench()
+    bench.publish(backends=ALL)
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.publish(backends=OTHERS, revision=20)
+    bench.members.record_heartbeat("10.0.0.98", make_agent_heartbeat())
+    delegate = look_up(bench)
+    for _ in range(60):
+        await trio.sleep(0.05)
+        bench.members.record_activity(OWNER)
+        bench.return_packet(
+            delegate, ReturnReason.PARTLY_DENIED, REQUEST, hosts=LARGE_FLEET
+        )
+        bench.balancer.retry_lookups()
+
+    assert OWNER in {host for host, _ in bench.deliveries()}
+    assert bench.resets() == []
+
+
+async def test_an_agent_that_restarted_after_the_query_is_queried_again(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(hosts=("10.0.0.1", "10.0.0.2"))
+    bench.publish()
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.balancer.on_caller_packet(REQUEST)
+    for host in bench.hosts:
+        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
+    for _ in range(33):
+        await trio.sleep(0.05)
+        bench.balancer.retry_lookups()
+    bench.deliveries()
+
+    # The next round of queries would be over a second later.
+    bench.members.record_heartbeat(OWNER, make_agent_heartbeat())
+    bench.balancer.retry_lookups()
+
+    assert [host for host, _ in bench.deliveries()] == [OWNER]
