--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -132,7 +132,10 @@
         """
         others = lookup.checked - {host}
         outstanding = others - lookup.denied_by
-        if lookup.query is None or not outstanding:
+        if lookup.query is None or not others:
+            return
+        if not outstanding:
+            self.transport.deliver(host, lookup.query, DeliveryPurpose.CONTINUE)
             return
         self.lookups.found[lookup.key] = FoundOwner(
             host=host, query=lookup.query, outstanding=outstanding, found_at=now
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -341,7 +341,7 @@
     ]
 
 
-async def test_denials_before_the_owner_is_found_send_it_no_further_packet() -> None:
+async def test_the_owner_gets_the_query_again_after_all_others_got_it() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
     unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
@@ -355,6 +355,19 @@
 
     bench.agent.on_message(owner, OwnerNotice(key=KEY))
 
+    # Another backend server may have got the query last.
+    [repeated] = [m for m in bench.to_peers() if isinstance(m, Delivery)]
+    assert repeated.purpose is DeliveryPurpose.CONTINUE
+    assert repeated.data == REQUEST
+
+
+async def test_an_owner_that_has_an_entry_gets_the_query_once() -> None:
+    bench = make_bench()
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    bench.to_peers()
+
+    bench.agent.on_message(HOSTS[0], OwnerNotice(key=KEY))
+
     messages = bench.to_peers()
     assert all(not isinstance(message, Delivery) for message in messages)
 
