--- a/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/agent.py
@@ -13,6 +13,7 @@
 
 from oleanderweir.connection_id import CONNECTION_ID_LENGTH_BYTES
 from oleanderweir.connection_id.connection_id import MAX_INCARNATION
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.net import UdpSocket
 from oleanderweir.replication import StreamService
 from oleanderweir_agent.peers.grpc_relay_connector import RELAY_METHOD
@@ -73,6 +74,7 @@
         self.metrics = metrics
         self.request_metrics = request_metrics
         self.random_source = random_source
+        self.relay_barrier = ErrorBarrier(place="relay")
         self.service_host: ServiceHost | None = None
         self.connector = GrpcRelayConnector(credentials=control_plane.credentials)
         control_plane.other_services.append(
@@ -174,4 +176,5 @@
     async def _serve_relay(self, stream: PeerStream) -> None:
         """Serve a peer's relay stream; without a service host, close it."""
         if self.service_host is not None:
-            await self.service_host.relay_server.serve(stream)
+            with self.relay_barrier:
+                await self.service_host.relay_server.serve(stream)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/peers/load_exchange.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/peers/load_exchange.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir_agent.load import REPORT_INTERVAL_S
 from oleanderweir_agent.peers.exceptions import InvalidLoadReportError
 
@@ -53,6 +54,7 @@
         self.table = table
         self.codec = codec
         self.metrics = metrics
+        self.barrier = ErrorBarrier(place="load_report")
         self.random_source = random_source
         self.count_sessions = count_sessions
 
@@ -87,7 +89,8 @@
         """Receive the reports of peers."""
         while True:
             for datagram in await self.socket.receive_batch():
-                self._on_report(datagram.data)
+                with self.barrier:
+                    self._on_report(datagram.data)
 
     def _on_report(self, data: bytes) -> None:
         try:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/connection_acceptor.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/connection_acceptor.py
@@ -7,6 +7,7 @@
 from aioquic.buffer import Buffer
 from aioquic.quic.packet import pull_quic_header
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.net import unpack_sockaddr
 from oleanderweir_agent.drop_reason import DropReason
 from oleanderweir_agent.quic.caller_connection import CallerConnection
@@ -68,6 +69,7 @@
         self.sender = sender
         self.handler = handler
         self.metrics = metrics
+        self.barrier = ErrorBarrier(place="quic_connection")
 
     def accept(
         self, envelope: Envelope, balancer: tuple[str, int], nursery: trio.Nursery
@@ -159,7 +161,8 @@
     async def _run(self, connection: CallerConnection) -> None:
         """Run one connection, and remove it from the table afterwards."""
         try:
-            await connection.run()
+            with self.barrier:
+                await connection.run()
         finally:
             self.table.remove(connection)
             self.metrics.sessions.dec()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/quic/packet_endpoint.py
@@ -10,6 +10,7 @@
 from oleanderweir.connection_id import CONNECTION_ID_LENGTH_BYTES
 from oleanderweir.connection_id import InvalidConnectionIdError
 from oleanderweir.envelope import InvalidEnvelopeError
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.net import unpack_sockaddr
 from oleanderweir.packets import InvalidPacketError
 from oleanderweir.packets import LongHeader
@@ -69,6 +70,7 @@
         self.issuer = issuer
         self.metrics = metrics
         self.table = ConnectionTable()
+        self.barrier = ErrorBarrier(place="quic_datagram")
         self.balancers = BalancerRegistry()
         self.sender = EnvelopeSender(
             socket=socket, codec=outbound_codec, metrics=metrics
@@ -96,7 +98,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 for datagram in await self.socket.receive_batch():
-                    self._receive_datagram(datagram, nursery)
+                    with self.barrier:
+                        self._receive_datagram(datagram, nursery)
 
     def _receive_datagram(self, datagram: Datagram, nursery: trio.Nursery) -> None:
         """Decode one envelope and route its packet."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/balancer.py
@@ -10,6 +10,7 @@
 from oleanderweir.connection_id import ConnectionIdCodec
 from oleanderweir.envelope import EnvelopeCodec
 from oleanderweir.envelope import InvalidEnvelopeError
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.keys import KeyPurpose
 from oleanderweir.net import AddressInUseError
 from oleanderweir.net import SocketAddress
@@ -73,6 +74,7 @@
             selector=self.selector, send=self._send_to_agent, metrics=metrics
         )
         self.listeners: dict[bytes, ServiceListener] = {}
+        self.barrier = ErrorBarrier(place="agent_datagram")
         self.is_listening = False
 
     @property
@@ -160,7 +162,8 @@
         """Forward the packets of agents to their callers."""
         while True:
             for datagram in await self.back_socket.receive_batch():
-                self._forward_to_caller(datagram.data)
+                with self.barrier:
+                    self._forward_to_caller(datagram.data)
 
     def _forward_to_caller(self, data: bytes) -> None:
         """Send the packet of one envelope from the address of its service."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/flow_opener.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/flow_opener.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir_balancer.metrics import UnhedgedReason
 from oleanderweir_balancer.pending_flow import PendingFlow
 from oleanderweir_balancer.pending_flow import PendingFlowKey
@@ -44,6 +45,7 @@
         self.selector = selector
         self.send = send
         self.metrics = metrics
+        self.barrier = ErrorBarrier(place="hedge")
         self.pending: OrderedDict[PendingFlowKey, PendingFlow] = OrderedDict()
         self.flow_added = trio.Event()
 
@@ -87,7 +89,8 @@
                 continue
             first = next(iter(self.pending.values()))
             await trio.sleep_until(first.hedge_at)
-            self._hedge_due_flows()
+            with self.barrier:
+                self._hedge_due_flows()
 
     def _hedge_due_flows(self) -> None:
         """Send the first packet of each due flow to another agent."""
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/service_listener.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/service_listener.py
@@ -7,6 +7,7 @@
 from oleanderweir.connection_id import CONNECTION_ID_LENGTH_BYTES
 from oleanderweir.connection_id import InvalidConnectionIdError
 from oleanderweir.envelope import Envelope
+from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.net import SocketAddress
 from oleanderweir.net import pack_sockaddr
 from oleanderweir.net import unpack_sockaddr
@@ -66,6 +67,7 @@
         self.selector = selector
         self.opener = opener
         self.metrics = metrics
+        self.barrier = ErrorBarrier(place="caller_datagram")
         self.forwarded = 0
         self.service_tags = frozenset(
             connection_ids.service_tags(self.service).values()
@@ -79,7 +81,8 @@
     def route_batch(self, batch: Sequence[Datagram]) -> None:
         """Route packets, and add the forwarded ones to the counter in one call."""
         for datagram in batch:
-            self.route(datagram)
+            with self.barrier:
+                self.route(datagram)
         self.metrics.forwarded_to_agent.inc(self.forwarded)
         self.forwarded = 0
 
--- a/packages/oleanderweir/src/oleanderweir/connection_id/connection_id_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/connection_id/connection_id_codec.py
@@ -119,7 +119,7 @@
 
         Raise ``InvalidConnectionIdError`` when the ID has an unknown key ID.
         """
-        ciphers = self.ciphers.get(data[0])
+        ciphers = self.ciphers.get(data[0]) if data else None
         if ciphers is None:
             raise InvalidConnectionIdError("the connection ID has an unknown key ID")
         return blake2b(
--- a/tests/oleanderweir/connection_id/test_connection_id_codec.py
+++ b/tests/oleanderweir/connection_id/test_connection_id_codec.py
@@ -70,3 +70,9 @@
         assert make_codec(text).decode(after) == connection_id
     with pytest.raises(InvalidConnectionIdError):
         make_codec(NEW_KEY).decode(before)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", b"short"])
+def test_an_id_of_another_length_has_no_reset_token(data: bytes) -> None:
+    with pytest.raises(InvalidConnectionIdError):
+        make_codec().stateless_reset_token(data)
--- a/tests/oleanderweir_agent/quic/test_packet_endpoint.py
+++ b/tests/oleanderweir_agent/quic/test_packet_endpoint.py
@@ -2,9 +2,11 @@
 
 from typing import TYPE_CHECKING
 
+import pytest
 from aioquic.buffer import Buffer
 from aioquic.quic.packet import pull_quic_header
 
+from oleanderweir.error_barrier import unexpected_errors
 from oleanderweir_agent.drop_reason import DropReason
 from tests.oleanderweir.helpers import NEW_KEY
 from tests.oleanderweir_agent.quic.agent_bench import BALANCER
@@ -92,3 +94,20 @@
 
     assert len(agent.handler.handled) == 1
     assert agent.used_balancers[-1] == OTHER_BALANCER
+
+
+@pytest.mark.unexpected_errors
+async def test_an_unexpected_error_of_a_packet_ends_no_endpoint(
+    agent: AgentBench, autojump_clock: MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(*arguments: object) -> None:
+        raise IndexError("index out of range")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(agent.endpoint, "_route_long_header", fail)
+        (odd,) = CallerBench().datagrams()
+        assert await agent.receive(odd) == []
+
+    await CallerBench().exchange(agent)
+
+    assert unexpected_errors == {"quic_datagram": 1}
--- a/tests/oleanderweir_balancer/test_service_listener.py
+++ b/tests/oleanderweir_balancer/test_service_listener.py
@@ -5,6 +5,8 @@
 from hypothesis import strategies as st
 
 from oleanderweir.envelope import Envelope
+from oleanderweir.error_barrier import unexpected_errors
+from oleanderweir.net import Datagram
 from oleanderweir.net import pack_sockaddr
 from oleanderweir_balancer.drop_reason import DropReason
 from tests.oleanderweir.helpers import NEW_KEY
@@ -179,3 +181,23 @@
     during.route(short_packet(during.issue_connection_id()))
 
     assert len(during.back.sent) == 2
+
+
+@pytest.mark.unexpected_errors
+def test_a_packet_that_raises_costs_no_other_packet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    bench = make_bench()
+    good = short_packet(bench.issue_connection_id(agent="127.0.0.7:9007"))
+    odd = initial_packet(b"odd")
+
+    def fail(datagram: Datagram) -> None:
+        raise IndexError("index out of range")
+
+    monkeypatch.setattr(bench.listener, "_route_long", fail)
+    batch = [Datagram(data=data, source=CALLER) for data in (odd, good)]
+
+    bench.listener.route_batch(batch)
+
+    assert [sent.source for sent in bench.back.sent] == [("127.0.0.7", 9007)]
+    assert unexpected_errors == {"caller_datagram": 1}
