--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -25,6 +25,9 @@
 TARGETED_ATTEMPTS = 3
 # The same for a lookup whose delegate continues, so that no attempts are counted.
 TARGETED_S = 0.7
+# The check takes time for each agent of each lookup; after a loss of power, these are
+# many.
+UNASKED_CHECK_INTERVAL_S = 0.2
 # A delegate that reported progress within this time continues its lookup. It reports
 # every ``PROGRESS_INTERVAL_S``; one report may be lost.
 DELEGATE_TIMEOUT_S = 0.3
@@ -62,6 +65,8 @@
             use_delegate=use_delegate,
         )
         self.lookups = LookupTable()
+        # When this process last checked for agents that missed queries.
+        self.unasked_checked_at = float("-inf")
 
     def is_in_progress(self, key: FlowKey) -> bool:
         """Whether the owner of a flow is being looked up."""
@@ -223,9 +228,7 @@
     def retry(self, *, now: float) -> None:
         """Send the queries of unanswered lookups again when they are due."""
         self.members.pauses.record_run(now)
-        for lookup in self.lookups.repeated():
-            if lookup.query is not None:
-                self.sender.query_unasked(lookup, lookup.query, now=now)
+        self._query_unasked(now=now)
         for lookup in self.lookups.due_for_retry(now=now):
             lookup.is_fleet_wide |= (
                 lookup.attempts >= TARGETED_ATTEMPTS
@@ -244,6 +247,15 @@
                     agents -= lookup.checked
                 self.sender.start_round(lookup, lookup.query, agents, now=now)
 
+    def _query_unasked(self, *, now: float) -> None:
+        """Query the agents that missed the queries of their lookups."""
+        if now - self.unasked_checked_at < UNASKED_CHECK_INTERVAL_S:
+            return
+        self.unasked_checked_at = now
+        for lookup in self.lookups.repeated():
+            if lookup.query is not None:
+                self.sender.query_unasked(lookup, lookup.query, now=now)
+
     def expire(self, *, now: float) -> None:
         """Remove lookups that timed out and log the unanswered ones."""
         for lookup in self.lookups.expire(now=now):
