--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -111,10 +111,24 @@
         """Report the progress so far, and repeat queries that were not answered."""
         for key, requesters in self.requesters.items():
             lookup = self.owner_lookup.lookups.lookups.get(key)
-            if lookup is not None and _is_report_due(lookup, now=now):
+            if lookup is not None and self._is_report_due(lookup, now=now):
                 self._report_progress(lookup, requesters, now=now)
         self.owner_lookup.retry(now=now)
 
+    def _is_report_due(self, lookup: Lookup, *, now: float) -> bool:
+        """
+        Whether requesters need a report: new denials, or that the lookup continues.
+
+        One whose queries aren't repeated any more doesn't continue.
+        """
+        if len(lookup.denied_by) > lookup.reported:
+            return True
+        # Queries with a mere acknowledgement aren't repeated.
+        is_repeated = lookup.query is not None and lookup.query.is_retransmitted
+        if not is_repeated or self.owner_lookup.is_exhausted(lookup):
+            return False
+        return now - lookup.reported_at >= PROGRESS_INTERVAL_S
+
     def _report_progress(
         self, lookup: Lookup, requesters: Iterable[str], *, now: float
     ) -> None:
@@ -200,12 +214,3 @@
             code.replace("_", " "),
             extra={"code": code, "flow": describe_flow(key), **inputs},
         )
-
-
-def _is_report_due(lookup: Lookup, *, now: float) -> bool:
-    """Whether requesters need a report: new denials, or that the lookup continues."""
-    if len(lookup.denied_by) > lookup.reported:
-        return True
-    # Queries with a mere acknowledgement aren't repeated.
-    is_continuing = lookup.query is not None and lookup.query.is_retransmitted
-    return is_continuing and now - lookup.reported_at >= PROGRESS_INTERVAL_S
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -25,12 +25,15 @@
 TARGETED_ATTEMPTS = 3
 # The same for a lookup whose delegate continues, so that no attempts are counted.
 TARGETED_S = 0.7
+# Rounds of queries of a delegate to agents that a balancer named; the balancer then has
+# those that have not denied queried by another one.
+MAX_RESTRICTED_ATTEMPTS = 3
 # The check takes time for each agent of each lookup; after a loss of power, these are
 # many.
 UNASKED_CHECK_INTERVAL_S = 0.2
 # A delegate that reported progress within this time continues its lookup. It reports
-# every ``PROGRESS_INTERVAL_S``; one report may be lost.
-DELEGATE_TIMEOUT_S = 0.3
+# every ``PROGRESS_INTERVAL_S``; two reports may be lost or late.
+DELEGATE_TIMEOUT_S = 0.5
 
 
 class OwnerLookup:
@@ -230,6 +233,8 @@
         self.members.pauses.record_run(now)
         self._query_unasked(now=now)
         for lookup in self.lookups.due_for_retry(now=now):
+            if self.is_exhausted(lookup):
+                continue
             lookup.is_fleet_wide |= (
                 lookup.attempts >= TARGETED_ATTEMPTS
                 or now - lookup.started_at >= TARGETED_S
@@ -247,6 +252,10 @@
                     agents -= lookup.checked
                 self.sender.start_round(lookup, lookup.query, agents, now=now)
 
+    def is_exhausted(self, lookup: Lookup) -> bool:
+        """Whether the queries of a delegated lookup aren't repeated any more."""
+        return lookup.is_restricted and lookup.attempts >= MAX_RESTRICTED_ATTEMPTS
+
     def _query_unasked(self, *, now: float) -> None:
         """Query the agents that missed the queries of their lookups."""
         if now - self.unasked_checked_at < UNASKED_CHECK_INTERVAL_S:
--- a/packages/oleanderweir/src/oleanderweir/peering/members.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/members.py
@@ -132,8 +132,9 @@
             member.last_seen_at = now
 
     def _record_reappearance(self, host: str, *, now: float) -> None:
-        """Record that a host is heard for the first time, or after a silence."""
-        if not self.was_heard_within(host, REAPPEARANCE_S, now=now):
+        """Record that a known host is heard again after a silence."""
+        is_silent = not self.was_heard_within(host, REAPPEARANCE_S, now=now)
+        if host in self.members and is_silent:
             self.reappeared[host] = now
 
     def reappeared_at(self, host: str) -> float:
