--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -1,11 +1,13 @@
 from __future__ import annotations
 
 import attrs
+import pytest
 import trio
 import trio.testing
 
 from oleanderweir.desired_state import REMOVAL_GRACE_S
 from oleanderweir.peering.members import AGENT_RESTART_S
+from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import ReturnReason
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
@@ -386,40 +388,31 @@
     assert len(bench.resets()) == 1
 
 
-async def test_a_listed_agent_that_never_replies_delays_a_reset_for_a_restart(
-    autojump_clock: trio.testing.MockClock,
-) -> None:
-    bench = BalancerBench()
-    reply = attrs.evolve(make_agent_heartbeat(), agents=("10.0.0.99",))
-    bench.members.record_heartbeat("10.0.0.1", reply)
-    bench.publish()
-    await trio.sleep(AGENT_RESTART_S - 0.5)
-    bench.balancer.on_caller_packet(REQUEST)
-    for host in bench.hosts:
-        bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
-    # A peer has heard the agent, which may be restarting.
-    assert bench.resets() == []
-
-    for _ in range(20):
-        await trio.sleep(0.05)
-        bench.balancer.retry_lookups()
-
-    assert len(bench.resets()) == 1
-
-
+@pytest.mark.parametrize(
+    ("reply", "known_for_s"),
+    [
+        (attrs.evolve(make_agent_heartbeat(), balancers=("10.0.0.99",)), 0.0),
+        # A listed agent has been heard by a peer, and may be restarting.
+        (
+            attrs.evolve(make_agent_heartbeat(), agents=("10.0.0.99",)),
+            AGENT_RESTART_S - 0.5,
+        ),
+    ],
+    ids=["balancer", "agent"],
+)
 async def test_a_listed_host_that_never_replies_delays_a_reset_briefly(
-    autojump_clock: trio.testing.MockClock,
+    reply: Heartbeat, known_for_s: float, autojump_clock: trio.testing.MockClock
 ) -> None:
     bench = BalancerBench()
-    reply = attrs.evolve(make_agent_heartbeat(), balancers=("10.0.0.99",))
     bench.members.record_heartbeat("10.0.0.1", reply)
     bench.publish()
+    await trio.sleep(known_for_s)
     bench.balancer.on_caller_packet(REQUEST)
     for host in bench.hosts:
         bench.return_packet(host, ReturnReason.NOT_HELD, REQUEST)
     assert bench.resets() == []
 
-    for _ in range(16):
+    for _ in range(20 if known_for_s else 16):
         await trio.sleep(0.05)
         bench.balancer.retry_lookups()
 
