--- a/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+import trio
+
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.rendezvous import score
 
@@ -21,6 +24,8 @@
     from oleanderweir.peering.members import Members
 
 
+logger = logging.getLogger(__name__)
+
 # Readers at a time. Changes still arrive while two of them are cut off, or have a
 # connection to the source that is dead without an error.
 READER_COUNT = 3
@@ -59,23 +64,47 @@
 
     def update(self, *, age_s: float) -> None:
         """Decide whether to read; ``age_s`` is the time since the process started."""
-        self.status.should_read = self._should_read(age_s)
+        should_read = self._should_read(age_s)
+        if should_read != self.status.should_read:
+            self._log_decision(should_read=should_read)
+        self.status.should_read = should_read
         self.is_reading = self.reads_source
 
     def _should_read(self, age_s: float) -> bool:
         if age_s < self.delay_s:
             return False
-        readers = [
-            host
-            for host, member in self.members.members.items()
-            if member.heartbeat.reads_source
-        ]
+        readers = self._find_readers()
         if self.role is PeerRole.AGENT:
             # Only balancers send heartbeats to all processes, so most peers don't
             # notice that an agent reads. It reads only while no peer announces that.
             return not readers
         return is_reader(self.members.own_host, readers)
 
+    def _find_readers(self) -> list[str]:
+        """Return the hosts whose newest heartbeat says that they read."""
+        return [
+            host
+            for host, member in self.members.members.items()
+            if member.heartbeat.reads_source
+        ]
+
+    def _log_decision(self, *, should_read: bool) -> None:
+        """Log that reading starts or stops, and when the readers were heard."""
+        now = trio.current_time()
+        members = self.members.members
+        readers = {
+            host: round(now - members[host].last_seen_at, 3)
+            for host in self._find_readers()
+        }
+        logger.info(
+            "this process starts or stops reading the backend servers at the source",
+            extra={
+                "code": "reading_changed",
+                "should_read": should_read,
+                "readers_heard_s_ago": readers,
+            },
+        )
+
 
 def is_reader(own_host: str, readers: Iterable[str]) -> bool:
     """
