Have every process read the source itself once no reader proves its state

Cause: three balancers watch the backend servers, and all other processes rely on them. They took a reader for one as long as its lease as a member lasted, 7 s after its last message. Nothing told them that the readers' news had ended: no change and no reader looked the same.

Ruled out: that processes knew of the drain and placed flows all the same; that the agent admitted against its own state (no state_changed before the return).

Fix: a state counts as the source's only for 2 s after a proof: a response of the source to this process, or a confirmation of a reader. Readers confirm their state after each response that proves both topics, with the age of the proof; balancers relay it in sections of a ring, 16 datagrams at most for each. A process without a proof reads by itself, after 0.2 to 0.5 s in which the balancers that follow in rank take over. A reader whose own proof lapses opens new connections. So for each process that reaches the store, whichever others are lost, cut off or new, the state is at most 2.5 s and one call old (small fleet; the delay grows with 2,000 processes a second). A shorter lease would have kept the trust in readers that live but don't reach the store.

Only a reader pushes changes now; a process that catches up keeps them to itself.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_peers.py
@@ -8,6 +8,7 @@
 
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
@@ -89,6 +90,10 @@
             sender = self.heartbeats.senders[host]
             sender.on_heartbeat(source, message, self.nursery)
             return
+        if self.heartbeats is not None and isinstance(message, Confirmation):
+            sender = self.heartbeats.senders[host]
+            sender.on_confirmation(source, message, self.nursery)
+            return
         if isinstance(message, Departure):
             self.members[host].record_departure(source)
             return
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_follower.py
@@ -35,6 +35,9 @@
 # Delay between a watch that returned changes and the next one. Changes come in bursts,
 # and this delay limits the number of calls.
 BATCHING_DELAY_S = 0.2
+# A response that comes later than this after the end of a watch's wait may have been
+# held up on its way.
+MAX_RESPONSE_DELAY_S = 0.3
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 
@@ -78,6 +81,8 @@
         # other topics may have lost their history or connection without an error. Also
         # called when the process becomes a reader, whose watches are shorter.
         self.on_watch_lost: Callable[[], None] = lambda: None
+        # Called with the topic and the time at which its state was that of the source.
+        self.on_response: Callable[[Topic, float], None] = lambda _, __: None
         self.watch_scope = trio.CancelScope()
         self.is_interrupted = False
         self.barrier = ErrorBarrier(place=f"source_{topic.value}")
@@ -109,10 +114,11 @@
         if not self.status.should_read and not self.must_list:
             await self._wait_to_read()
         elif self.must_list:
+            called_at = trio.current_time()
             listing = await self.source.list(self.topic)
             self.register.apply_listing(listing, origin="source")
             self.must_list = False
-            self._on_success()
+            self._on_success(proved_at=called_at)
         else:
             await self._watch()
 
@@ -126,6 +132,7 @@
         """Watch the topic once and apply the changes."""
         wait_s = self._next_wait_s()
         self.is_interrupted = False
+        called_at = trio.current_time()
         with trio.CancelScope() as self.watch_scope:
             changes = await self.source.watch(
                 self.topic,
@@ -138,7 +145,9 @@
         base = self.register.base_revision(self.topic)
         self.register.apply_changes(changes, origin="source")
         self.on_changes(changes, base)
-        self._on_success()
+        now = trio.current_time()
+        is_late = now - called_at > wait_s + MAX_RESPONSE_DELAY_S
+        self._on_success(proved_at=called_at if is_late else now)
         if changes.changes:
             await trio.sleep(BATCHING_DELAY_S)
 
@@ -172,7 +181,9 @@
         self.on_watch_lost()
         self.is_interrupted = False
 
-    def _on_success(self) -> None:
+    def _on_success(self, *, proved_at: float) -> None:
+        """Report a response, which proves the state as of ``proved_at``."""
+        self.on_response(self.topic, proved_at)
         if not self.is_history_lost:
             self.retry_s = FIRST_RETRY_S
         self.status.is_connected = True
--- a/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
@@ -8,6 +8,7 @@
 from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering import InvalidMessageError
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Departure
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import StateUpdate
@@ -70,6 +71,8 @@
             self.heartbeat_sender.synchronizer.on_state_update(
                 host, message, self.nursery
             )
+        elif isinstance(message, Confirmation):
+            self.heartbeat_sender.on_confirmation(host, message, self.nursery)
         elif isinstance(message, Departure):
             self.heartbeat_sender.members.record_departure(host)
             logger.info("peer left", extra={"code": "peer_departed", "peer": host})
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -83,6 +83,8 @@
         ]
         for follower in self.followers:
             follower.on_watch_lost = self._interrupt_watches
+            follower.on_response = heartbeat_sender.on_source_response
+        heartbeat_sender.on_unproved = self._interrupt_watches
         self.listeners = ProcessListeners(
             addresses=addresses,
             register=register,
@@ -123,7 +125,7 @@
                 await self.listeners.start(nursery)
                 nursery.start_soon(self._handle_signals, signals)
                 nursery.start_soon(self._watch_settings)
-                nursery.start_soon(watch_clock, self._interrupt_watches)
+                nursery.start_soon(watch_clock, self._on_standstill)
                 logger.info(
                     "started",
                     extra={"code": "started", "cpu_s": round(time.process_time(), 3)},
@@ -134,6 +136,11 @@
         for follower in self.followers:
             follower.interrupt_watch()
 
+    def _on_standstill(self) -> None:
+        """Check all that this process got before it stood still."""
+        self.heartbeat_sender.on_standstill()
+        self._interrupt_watches()
+
     def on_state_change(self, topic: Topic) -> None:
         """Notify the program and the peers of a change."""
         if self.program is not None:
@@ -141,6 +148,9 @@
             self.heartbeat_sender.on_state_change(topic)
 
     def _send_changes(self, changes: Changes, base: int) -> None:
+        """Send changes of the source to the members, as a reader."""
+        if not self.heartbeat_sender.reader_choice.is_distributor:
+            return
         self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
 
     # Signals and settings
--- a/packages/oleanderweir/src/oleanderweir/peering/field_types.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/field_types.py
@@ -63,7 +63,10 @@
     return isinstance(value, bytes) and len(value) == FLOW_KEY_BYTES
 
 
-CHECKS_BY_NAME: dict[str, Callable[[Any], bool]] = {"host": _is_host_or_empty}
+CHECKS_BY_NAME: dict[str, Callable[[Any], bool]] = {
+    "host": _is_host_or_empty,
+    "reader": _is_host_or_empty,
+}
 # By the annotation of a field.
 CHECKS: dict[str, Callable[[Any], bool]] = {
     "int": is_count,
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -8,6 +8,7 @@
 
 from oleanderweir.desired_state import Topic
 from oleanderweir.error_barrier import ErrorBarrier
+from oleanderweir.peering.confirmations import Confirmations
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
@@ -24,6 +25,7 @@
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.members import Members
+    from oleanderweir.peering.messages import Confirmation
     from oleanderweir.peering.state_exchange import StateClient
 
 
@@ -49,7 +51,8 @@
     Balancers send them to all these hosts, so that each agent can report its load to
     every balancer; agents send them only to seeds and undiscovered hosts, and as
     replies. Heartbeats tell which state their sender has, and whether it is a reader,
-    which watches the backend servers at the source.
+    which watches the backend servers at the source. Besides, readers confirm their
+    state after each response of the source.
     """
 
     def __init__(
@@ -81,8 +84,19 @@
         self.barrier = ErrorBarrier(place="heartbeat")
         # Whether this is an agent whose backend server holds no flows.
         self.holds_no_flows: Callable[[], bool] = lambda: False
+        # Called when the state is no longer proved although this process reads: the
+        # source may not answer on its connections.
+        self.on_unproved: Callable[[], None] = lambda: None
+        self.confirmations = Confirmations(
+            port=port, socket=socket, members=members, register=register
+        )
         self.reader_choice = ReaderChoice(
-            role=role, members=members, status=status, random_source=random_source
+            role=role,
+            members=members,
+            register=register,
+            status=status,
+            freshness=self.confirmations.freshness,
+            random_source=random_source,
         )
         self.synchronizer = StateSynchronizer(
             port=port,
@@ -99,10 +113,15 @@
 
     def update_reader_status(self) -> None:
         """Decide whether to watch the source; announce it once the source responds."""
-        was_reading = self.reader_choice.is_reading
-        self.reader_choice.update(age_s=self.age_s)
-        if self.reader_choice.is_reading and not was_reading:
+        choice = self.reader_choice
+        was_reading, was_catching_up = choice.is_reading, choice.is_catching_up
+        did_read = self.status.should_read
+        choice.update(age_s=self.age_s)
+        if choice.is_reading and not was_reading:
             self._send_heartbeats()
+            self.confirmations.confirm()
+        if choice.is_catching_up and not was_catching_up and did_read:
+            self.on_unproved()
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -123,15 +142,22 @@
         """
         next_at = trio.current_time() + HEARTBEAT_INTERVAL_S
         while trio.current_time() < next_at:
-            await trio.sleep(
+            await self._check_reading_for(
                 DISCOVERY_INTERVAL_S
                 if self._needs_fast_discovery()
                 else HEARTBEAT_INTERVAL_S
             )
             with self.barrier:
-                self.update_reader_status()
                 self.discover_peers()
 
+    async def _check_reading_for(self, seconds: float) -> None:
+        """Check for some seconds whether this process has to read the source."""
+        end_at = trio.current_time() + seconds
+        while (remaining_s := end_at - trio.current_time()) > 0:
+            await trio.sleep(min(remaining_s, self.reader_choice.next_check_s()))
+            with self.barrier:
+                self.update_reader_status()
+
     def _needs_fast_discovery(self) -> bool:
         """Whether this process has no members, or others may be starting with it."""
         return self.age_s < STARTUP_S or not self.members.members
@@ -144,8 +170,30 @@
         self.members.record_heartbeat(host, heartbeat)
         if heartbeat.requests_reply or is_new:
             self._send_heartbeat(host, requests_reply=False, lists_hosts=True)
+            if self.reader_choice.is_distributor:
+                self.confirmations.confirm_to(host)
         self.synchronizer.on_heartbeat(host, heartbeat, nursery)
 
+    def on_confirmation(
+        self, host: str, confirmation: Confirmation, nursery: trio.Nursery
+    ) -> None:
+        """Record and relay a confirmation; fetch the reader's state if it is newer."""
+        self.members.record_activity(host)
+        self.confirmations.on_confirmation(host, confirmation)
+        self.synchronizer.on_confirmation(host, confirmation, nursery)
+
+    def on_source_response(self, topic: Topic, proved_at: float) -> None:
+        """Record that the state of a topic was that of the source at a time."""
+        self.confirmations.on_response(
+            topic,
+            proved_at=proved_at,
+            is_distributor=self.reader_choice.is_distributor,
+        )
+
+    def on_standstill(self) -> None:
+        """Prove the state anew, since this process stood still."""
+        self.confirmations.freshness.forget()
+
     def on_state_change(self, topic: Topic) -> None:
         """
         Send heartbeats to new hosts; as a reader, announce a new desired state.
@@ -153,7 +201,7 @@
         The watches of members may not deliver it in time.
         """
         self.discover_peers()
-        if topic is Topic.DESIRED_STATE and self.status.should_read:
+        if topic is Topic.DESIRED_STATE and self.reader_choice.is_distributor:
             self._send_heartbeats()
 
     def _send_heartbeat(
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.peering.exceptions import InvalidMessageError
 from oleanderweir.peering.message_layout import MessageLayout
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Delivery
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import Departure
@@ -33,6 +34,7 @@
     5: Heartbeat,
     6: StateUpdate,
     7: Departure,
+    8: Confirmation,
 }
 CODES = {message_type: code for code, message_type in TYPES.items()}
 LAYOUTS = {
@@ -42,6 +44,7 @@
         # program can decode the other messages.
         has_optional_last_field=message_type in {Delivery, ReturnedPacket},
         positions={
+            Confirmation: ("backends_revision",),
             Heartbeat: ("backends_revision",),
             StateUpdate: ("base", "revision"),
         }.get(message_type, ()),
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from oleanderweir.peering.messages.confirmation import Confirmation
 from oleanderweir.peering.messages.delivery import Delivery
 from oleanderweir.peering.messages.delivery import DeliveryPurpose
 from oleanderweir.peering.messages.departure import Departure
@@ -15,7 +16,8 @@
 
 
 Message = (
-    Delivery
+    Confirmation
+    | Delivery
     | Departure
     | Heartbeat
     | LoadReport
@@ -25,6 +27,7 @@
 )
 
 __all__ = [
+    "Confirmation",
     "Delivery",
     "DeliveryPurpose",
     "Departure",
--- a/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
@@ -2,7 +2,9 @@
 The choice of the processes that watch the backend servers at their source.
 
 If every process of a large fleet watched, each change would cost the source one call
-per process. Instead, a few readers watch and send the changes to the others.
+per process. Instead, a few readers watch, send the changes to the others, and confirm
+again and again that there are no others. A process that gets no such confirmation
+reads the source itself, whichever other processes are lost.
 """
 
 from __future__ import annotations
@@ -12,6 +14,7 @@
 
 import trio
 
+from oleanderweir.peering.freshness import PROOF_S
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.rendezvous import score
 
@@ -21,6 +24,8 @@
     from collections.abc import Iterable
 
     from oleanderweir.desired_state import ReaderStatus
+    from oleanderweir.desired_state import StateRegister
+    from oleanderweir.peering.freshness import Freshness
     from oleanderweir.peering.members import Members
 
 
@@ -30,89 +35,154 @@
 # connection to the source that is dead without an error.
 READER_COUNT = 3
 PURPOSE = "reader"
-# How long a process waits for heartbeats of readers before it watches the backend
-# servers itself. Balancers draw a delay up to theirs, so that a fleet that starts at
-# once doesn't read all at once. Agents wait much longer, since balancers send them
-# every change.
-READER_DELAY_S = {PeerRole.BALANCER: 1.0, PeerRole.AGENT: 4.0}
+# How long a balancer waits for confirmations of readers after its start, at most. Each
+# draws a delay, so that a fleet that starts at once doesn't read all at once.
+READER_DELAY_S = 1.0
+# When readers are lost, the first balancers that follow them in rank replace them at
+# once, and the next ones only after this time each.
+TAKEOVER_STEP_S = 0.3
+# How long a process whose state isn't proved any more waits for new readers.
+MIN_CATCH_UP_DELAY_S = 0.2
+# Over this time at least, the processes that wait in vain start to read.
+MIN_CATCH_UP_SPREAD_S = 0.3
+# Processes of one role that start to read in a second.
+CATCH_UPS_PER_S = 2000.0
+# Time between two checks: the shortest, and that while this process reads since its
+# state isn't proved.
+MIN_CHECK_S = 0.05
+CATCH_UP_CHECK_S = 0.5
+MAX_CHECK_S = 2.0
 
 
 class ReaderChoice:
-    """Decides whether this process watches the backend servers at the source."""
+    """
+    Decides whether this process watches the backend servers at the source.
+
+    ``is_distributor`` tells whether it is a reader, which confirms its state to the
+    others and sends them the changes. Any process also reads, for itself only, while
+    its state is not proved.
+    """
 
     def __init__(
         self,
         *,
         role: PeerRole,
         members: Members,
+        register: StateRegister,
         status: ReaderStatus,
+        freshness: Freshness,
         random_source: random.Random,
     ) -> None:
         self.role = role
         self.members = members
+        self.register = register
         self.status = status
-        # Whether this process read the source at the last update of its status.
+        self.freshness = freshness
+        self.is_distributor = False
+        # Whether this process was a connected reader at the last update.
         self.is_reading = False
-        self.delay_s = READER_DELAY_S[role]
+        # Since when too few readers with a lower score confirm their state.
+        self.missing_since: float | None = None
+        # Whether the state was not proved at the last update.
+        self.is_catching_up = False
+        self.delay_s = 0.0
         if role is PeerRole.BALANCER:
-            self.delay_s *= random_source.random()
+            self.delay_s = READER_DELAY_S * random_source.random()
 
     @property
     def reads_source(self) -> bool:
-        """Whether this process watches the backend servers and the source responds."""
-        return self.status.is_connected and self.status.should_read
+        """Whether this process is a reader, and the source responds."""
+        return self.status.is_connected and self.is_distributor
 
     def update(self, *, age_s: float) -> None:
         """Decide whether to read; ``age_s`` is the time since the process started."""
-        should_read = self._should_read(age_s)
+        self.is_distributor = self._must_distribute(age_s)
+        self.is_catching_up = self._must_catch_up(age_s)
+        should_read = self.is_distributor or self.is_catching_up
         if should_read != self.status.should_read:
             self._log_decision(should_read=should_read)
         self.status.should_read = should_read
         self.is_reading = self.reads_source
 
-    def _should_read(self, age_s: float) -> bool:
-        if age_s < self.delay_s:
+    def next_check_s(self) -> float:
+        """Return the time in seconds until the decision may change."""
+        if self.is_catching_up:
+            return CATCH_UP_CHECK_S
+        now = trio.current_time()
+        due_at = min(
+            self.freshness.next_lapse_at(),
+            self.freshness.proved_at + PROOF_S + self._catch_up_delay_s(),
+        )
+        if self.missing_since is not None and not self.is_distributor:
+            due_at = min(due_at, now + TAKEOVER_STEP_S)
+        return min(max(due_at - now, MIN_CHECK_S), MAX_CHECK_S)
+
+    def _must_distribute(self, age_s: float) -> bool:
+        """Whether this process is a reader: in rank after less than the full count."""
+        if self.role is not PeerRole.BALANCER:
+            # Most peers don't know an agent.
+            return False
+        if not is_reader(self.members.own_host, self.freshness.find_readers()):
+            self.missing_since = None
             return False
-        readers = self._find_readers()
-        if self.role is PeerRole.AGENT:
-            # Only balancers send heartbeats to all processes, so most peers don't
-            # notice that an agent reads. It reads only while no peer announces that.
-            return not readers
-        return is_reader(self.members.own_host, readers)
-
-    def _find_readers(self) -> list[str]:
-        """Return the hosts whose newest heartbeat says that they read."""
-        return [
-            host
-            for host, member in self.members.members.items()
-            if member.heartbeat.reads_source
-        ]
+        now = trio.current_time()
+        if self.missing_since is None:
+            self.missing_since = now
+        if self.is_distributor:
+            return True
+        step = self._find_rank() // READER_COUNT
+        waited_s = now - self.missing_since
+        return age_s >= self.delay_s and waited_s >= step * TAKEOVER_STEP_S
+
+    def _find_rank(self) -> int:
+        """Return how many balancers come before this one, lost readers left out."""
+        own_score = score(self.members.own_host, purpose=PURPOSE)
+        others = set(self.members.hosts(PeerRole.BALANCER))
+        others -= self.freshness.find_lapsed()
+        return sum(score(host, purpose=PURPOSE) < own_score for host in others)
+
+    def _must_catch_up(self, age_s: float) -> bool:
+        """Whether neither this process nor a reader has proved its state lately."""
+        span_s = PROOF_S + self._catch_up_delay_s()
+        return age_s >= span_s and not self.freshness.is_proved_within(span_s)
+
+    def _catch_up_delay_s(self) -> float:
+        """Return how long to wait for new readers; it differs between processes."""
+        first_byte = score(self.members.own_host, purpose=PURPOSE)[0]
+        is_agent = self.role is PeerRole.AGENT
+        # An agent doesn't know the others, which are beside the backend servers.
+        fleet_size = len(self.register.backends if is_agent else self.members.members)
+        spread_s = max(MIN_CATCH_UP_SPREAD_S, fleet_size / CATCH_UPS_PER_S)
+        return MIN_CATCH_UP_DELAY_S + spread_s * first_byte / 256
 
     def _log_decision(self, *, should_read: bool) -> None:
-        """Log that reading starts or stops, and when the readers were heard."""
+        """Log that reading starts or stops, and by which proofs."""
         now = trio.current_time()
-        members = self.members.members
+        confirmed_at = self.freshness.confirmed_at
         readers = {
-            host: round(now - members[host].last_seen_at, 3)
-            for host in self._find_readers()
+            host: round(now - confirmed_at[host], 3)
+            for host in self.freshness.find_readers()
         }
+        proved_at = self.freshness.proved_at
         logger.info(
             "this process starts or stops reading the backend servers at the source",
             extra={
                 "code": "reading_changed",
                 "should_read": should_read,
-                "readers_heard_s_ago": readers,
+                "is_distributor": self.is_distributor,
+                "readers_confirmed_s_ago": readers,
+                "proved_s_ago": round(now - proved_at, 3) if proved_at > 0 else None,
             },
         )
 
 
 def is_reader(own_host: str, readers: Iterable[str]) -> bool:
     """
-    Whether a process should read, given the hosts that announce that they do.
+    Whether a process should read, given the hosts that confirm their state.
 
     A process reads unless ``READER_COUNT`` others with a lower score do. Without known
-    readers it therefore reads, and stops once enough hosts with a lower score announce
-    that they read.
+    readers it therefore reads, and stops once enough hosts with a lower score confirm
+    their state.
     """
     own_score = score(own_host, purpose=PURPOSE)
     lower = sum(score(host, purpose=PURPOSE) < own_score for host in readers)
--- a/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -20,6 +20,7 @@
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.members import Members
+    from oleanderweir.peering.messages import Confirmation
     from oleanderweir.peering.messages import Heartbeat
     from oleanderweir.peering.state_exchange import StateClient
 
@@ -60,12 +61,13 @@
         self, host: str, heartbeat: Heartbeat, nursery: trio.Nursery
     ) -> None:
         """Fetch the sender's state if it is newer."""
-        progress = {
-            Topic.DESIRED_STATE: heartbeat.desired_version,
-            Topic.BACKEND_SERVERS: heartbeat.backends_revision,
-        }
-        for topic, peer_progress in progress.items():
-            self._fetch_if_behind(host, topic, peer_progress, nursery)
+        self._fetch_newer(host, heartbeat, nursery)
+
+    def on_confirmation(
+        self, host: str, confirmation: Confirmation, nursery: trio.Nursery
+    ) -> None:
+        """Fetch the state of the reader if it is newer."""
+        self._fetch_newer(confirmation.reader or host, confirmation, nursery)
 
     def on_state_update(
         self, host: str, update: StateUpdate, nursery: trio.Nursery
@@ -106,6 +108,17 @@
             return self.register.version
         return self.register.revision(topic)
 
+    def _fetch_newer(
+        self, host: str, message: Heartbeat | Confirmation, nursery: trio.Nursery
+    ) -> None:
+        """Fetch the topics of which a host has a newer state."""
+        progress = {
+            Topic.DESIRED_STATE: message.desired_version,
+            Topic.BACKEND_SERVERS: message.backends_revision,
+        }
+        for topic, peer_progress in progress.items():
+            self._fetch_if_behind(host, topic, peer_progress, nursery)
+
     def _fetch_if_behind(
         self, host: str, topic: Topic, progress: int, nursery: trio.Nursery
     ) -> None:
--- a/tests/oleanderweir/packet_process/test_process_runtime.py
+++ b/tests/oleanderweir/packet_process/test_process_runtime.py
@@ -27,7 +27,11 @@
 
 
 def make_runtime(read_seeds: Callable[[], tuple[str, ...]]) -> ProcessRuntime:
-    heartbeat_sender = SimpleNamespace(seeds=("10.0.0.1",), status=ReaderStatus())
+    heartbeat_sender = SimpleNamespace(
+        seeds=("10.0.0.1",),
+        status=ReaderStatus(),
+        on_source_response=lambda topic, proved_at: None,
+    )
     return ProcessRuntime(
         addresses=ProcessAddresses(
             peer=ADDRESS,
--- a/tests/oleanderweir/peering/heartbeat_bench.py
+++ b/tests/oleanderweir/peering/heartbeat_bench.py
@@ -12,6 +12,7 @@
 from oleanderweir.peering import HeartbeatSender
 from oleanderweir.peering import Members
 from oleanderweir.peering import decode_message
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
 from tests.oleanderweir.desired_state.fakes import make_register
@@ -93,3 +94,23 @@
         requests_reply=False,
         reads_source=reads_source,
     )
+
+
+def make_confirmation(
+    *,
+    desired_version: int = 0,
+    backends_revision: int = 0,
+    age_ms: int = 0,
+    reader: str = "",
+    relay_from: int = 0,
+    relay_to: int = 0,
+) -> Confirmation:
+    """Return a confirmation that isn't relayed."""
+    return Confirmation(
+        desired_version=desired_version,
+        backends_revision=backends_revision,
+        age_ms=age_ms,
+        reader=reader,
+        relay_from=relay_from,
+        relay_to=relay_to,
+    )
--- a/tests/oleanderweir/peering/test_heartbeat_sender.py
+++ b/tests/oleanderweir/peering/test_heartbeat_sender.py
@@ -1,25 +1,29 @@
 from __future__ import annotations
 
+import pytest
 import trio
 
 from oleanderweir.desired_state import Topic
-from oleanderweir.peering.heartbeat_sender import HEARTBEAT_INTERVAL_S
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.reader_choice import READER_DELAY_S
+from oleanderweir.rendezvous import score
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.peering.heartbeat_bench import PEER
 from tests.oleanderweir.peering.heartbeat_bench import HeartbeatSenderBench
+from tests.oleanderweir.peering.heartbeat_bench import make_confirmation
 from tests.oleanderweir.peering.heartbeat_bench import make_heartbeat
 
 
-async def test_an_agent_stops_reading_once_a_balancer_reads() -> None:
+async def test_an_agent_stops_reading_once_a_balancer_confirms_its_state() -> None:
     bench = HeartbeatSenderBench(role=PeerRole.AGENT)
     bench.heartbeat_sender.update_reader_status()
     assert bench.status.should_read
 
-    bench.members.record_heartbeat(PEER, make_heartbeat(reads_source=True))
+    async with trio.open_nursery() as nursery:
+        bench.heartbeat_sender.on_confirmation(PEER, make_confirmation(), nursery)
     bench.heartbeat_sender.update_reader_status()
 
     assert not bench.status.should_read
@@ -51,6 +55,17 @@
         await bench.heartbeat_sender.run()
 
 
+async def confirm_again_and_again(
+    bench: HeartbeatSenderBench,
+    hosts: list[str],
+    confirmation: Confirmation,
+) -> None:
+    while True:
+        for host in hosts:
+            bench.heartbeat_sender.confirmations.on_confirmation(host, confirmation)
+        await trio.sleep(1.4)
+
+
 async def test_a_starting_process_does_not_read_while_others_do(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -59,25 +74,95 @@
         readers = [f"10.0.1.{number}" for number in range(1, 90)]
         for host in readers:
             bench.members.record_heartbeat(host, make_heartbeat(reads_source=True))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                confirm_again_and_again, bench, readers, make_confirmation()
+            )
 
-        await run_for(bench, 1.5)
+            await run_for(bench, 9.5)
 
+            nursery.cancel_scope.cancel()
         assert not bench.status.should_read
 
 
 async def test_a_process_without_readers_reads_after_the_delay(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
+    delays_s = {PeerRole.BALANCER: READER_DELAY_S + 0.2, PeerRole.AGENT: 2.6}
     for role in PeerRole:
         bench = HeartbeatSenderBench(role=role)
         await run_for(bench, 0.01)
         assert not bench.status.should_read
 
-        await run_for(bench, READER_DELAY_S[role] + HEARTBEAT_INTERVAL_S + 0.1)
+        await run_for(bench, delays_s[role])
 
         assert bench.status.should_read
 
 
+# Guards against readers that announce changes that this process doesn't get.
+async def test_a_process_reads_that_lacks_the_state_which_readers_confirm(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    readers = [f"10.0.1.{number}" for number in range(1, 90)]
+    for confirmation in (
+        make_confirmation(backends_revision=20),
+        make_confirmation(desired_version=7),
+    ):
+        for role in PeerRole:
+            bench = HeartbeatSenderBench(role=role)
+            publish(bench.register, version=6, revision=19)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    confirm_again_and_again, bench, readers, confirmation
+                )
+
+                await run_for(bench, 2.6)
+
+                nursery.cancel_scope.cancel()
+            assert bench.status.should_read
+
+
+async def test_a_process_reads_after_a_standstill_until_its_state_is_proved(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = HeartbeatSenderBench(role=PeerRole.AGENT)
+    sender = bench.heartbeat_sender
+    reads: list[bool] = []
+
+    def check() -> None:
+        sender.update_reader_status()
+        reads.append(bench.status.should_read)
+
+    sender.confirmations.on_confirmation(PEER, make_confirmation())
+    check()
+    sender.on_standstill()
+    check()
+    for topic in Topic:
+        sender.on_source_response(topic, trio.current_time())
+    check()
+
+    assert reads == [False, True, False]
+
+
+# Guards against a reader that waits for the answer of a dead connection.
+async def test_a_reader_whose_state_is_not_proved_repeats_its_watches_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = HeartbeatSenderBench()
+    interruptions: list[float] = []
+    bench.heartbeat_sender.on_unproved = lambda: interruptions.append(
+        trio.current_time()
+    )
+    bench.status.should_read = True
+    for topic in Topic:
+        bench.heartbeat_sender.on_source_response(topic, 0.0)
+
+    await run_for(bench, 10.0)
+
+    assert len(interruptions) == 1
+    assert interruptions[0] < 2.6
+
+
 async def test_a_new_reader_sends_heartbeats_to_its_members_at_once(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
@@ -85,7 +170,7 @@
     bench.status.is_connected = True
     bench.members.record_heartbeat(PEER, make_heartbeat(role=PeerRole.AGENT))
 
-    await run_for(bench, READER_DELAY_S[PeerRole.BALANCER] + 0.3)
+    await run_for(bench, READER_DELAY_S + 0.3)
 
     messages = bench.pop_messages(PEER)
     assert any(
@@ -110,7 +195,7 @@
 async def test_a_reader_announces_a_new_version_at_once() -> None:
     for is_reader in (True, False):
         bench = HeartbeatSenderBench()
-        bench.status.should_read = is_reader
+        bench.heartbeat_sender.reader_choice.is_distributor = is_reader
         bench.members.record_heartbeat(PEER, make_heartbeat())
         publish(bench.register, version=7, revision=20)
 
@@ -122,3 +207,39 @@
             if isinstance(message, Heartbeat)
         ]
         assert versions == ([7] if is_reader else [])
+
+
+async def test_only_a_reader_confirms_its_state_once_both_topics_are_proved() -> None:
+    for is_reader in (True, False):
+        bench = HeartbeatSenderBench()
+        bench.heartbeat_sender.reader_choice.is_distributor = is_reader
+        bench.members.record_heartbeat(PEER, make_heartbeat())
+        bench.heartbeat_sender.on_source_response(Topic.DESIRED_STATE, 1.0)
+        assert bench.pop_messages(PEER) == []
+
+        bench.heartbeat_sender.on_source_response(Topic.BACKEND_SERVERS, 2.0)
+
+        sent = bench.pop_messages(PEER)
+        assert [type(message) for message in sent] == [Confirmation] * is_reader
+
+
+@pytest.mark.parametrize(("before", "delay_s"), [(2, 0.0), (3, 0.3), (6, 0.6)])
+async def test_balancers_take_over_in_the_order_of_their_rank(
+    autojump_clock: trio.testing.MockClock, before: int, delay_s: float
+) -> None:
+    bench = HeartbeatSenderBench()
+    own_rank = rank_of(bench.members.own_host)
+    others = [f"10.0.1.{number}" for number in range(1, 90)]
+    for host in [host for host in others if rank_of(host) < own_rank][:before]:
+        bench.members.record_heartbeat(host, make_heartbeat())
+    choice = bench.heartbeat_sender.reader_choice
+    started_at = trio.current_time()
+    while not choice.is_distributor:
+        choice.update(age_s=READER_DELAY_S)
+        await trio.sleep(0.01)
+
+    assert trio.current_time() - started_at == pytest.approx(delay_s, abs=0.03)
+
+
+def rank_of(host: str) -> bytes:
+    return score(host, purpose="reader")
--- a/tests/oleanderweir_standins/fleet.py
+++ b/tests/oleanderweir_standins/fleet.py
@@ -100,6 +100,7 @@
         process = self.processes[host_of(number)]
         process.source.awake.set()
         # As the check of the clock does.
+        process.heartbeat_sender.on_standstill()
         process.interrupt_watches()
 
     async def cut(self, number: int, *, for_s: float) -> None:
--- a/tests/oleanderweir_standins/fleet_process.py
+++ b/tests/oleanderweir_standins/fleet_process.py
@@ -16,6 +16,7 @@
 from oleanderweir.peering import PeerUnavailableError
 from oleanderweir.peering import decode_message
 from oleanderweir.peering import encode_message
+from oleanderweir.peering.messages import Confirmation
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import LoadReport
 from oleanderweir.peering.messages import PeerRole
@@ -88,6 +89,8 @@
         ]
         for follower in self.followers:
             follower.on_watch_lost = self.interrupt_watches
+            follower.on_response = self.heartbeat_sender.on_source_response
+        self.heartbeat_sender.on_unproved = self.interrupt_watches
 
     @property
     def backend_states(self) -> dict[str, tuple[BackendState, int]]:
@@ -98,7 +101,8 @@
         }
 
     def send_changes(self, changes: Changes, base: int) -> None:
-        self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
+        if self.heartbeat_sender.reader_choice.is_distributor:
+            self.heartbeat_sender.synchronizer.send_changes(changes, base=base)
 
     def interrupt_watches(self) -> None:
         for follower in self.followers:
@@ -146,6 +150,8 @@
         message = decode_message(data)
         if isinstance(message, Heartbeat):
             self.heartbeat_sender.on_heartbeat(host, message, self.nursery)
+        elif isinstance(message, Confirmation):
+            self.heartbeat_sender.on_confirmation(host, message, self.nursery)
         elif isinstance(message, StateUpdate):
             synchronizer = self.heartbeat_sender.synchronizer
             synchronizer.on_state_update(host, message, self.nursery)
