Admit new flows by the agent's own state alone

Cause: while the entry of a lost backend server is still published, balancers send opening packets to its address. If it is used again, the agent there is the last check. It accepted the balancer's choice whenever it had no desired state, or an older one than the balancer. But the choice is of an address, not of this agent's service.

Evidence: in a script run, the opening packets that another service's callers lost were forwarded between the log lines started and the first state_changed of the new agent, 6 ms apart; those after it were returned as NO_ROUTE.

Ruled out: that the agent's own newest state allows such flows; that it is the age of the entries alone, which no process can see.

Fix: an agent forwards an opening packet only if a desired state that it has read itself allows it. If it has none, no listing of the backend servers, or an older version that doesn't allow the flow, it holds the packet until it has them, for 0.25 s at most, and then returns it for another backend server. No message changes, so it holds beside processes of an earlier release.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -22,10 +22,9 @@
     """
     Decides whether an opening packet may be forwarded to the backend server.
 
-    The decision uses the agent's own state, so that a balancer with an older state
-    can't open flows at a service that their route has left, or at a draining backend
-    server. If the balancer's desired state is newer, its choice of the service is
-    accepted.
+    The decision uses the agent's own state only. The choice of a balancer proves
+    nothing, even if its state is newer: it may have chosen the address for another
+    service, whose backend server is gone and still published.
     """
 
     def __init__(
@@ -72,23 +71,38 @@
             and now - self.unpublished_since > REMOVAL_GRACE_S
         )
 
-    def check(self, key: FlowKey, *, version: int) -> ReturnReason | None:
+    def can_decide(self, key: FlowKey, *, version: int) -> bool:
+        """
+        Whether the agent's own state is enough to decide about a new flow.
+
+        It is not before the agent has both topics, nor while it lacks the desired state
+        ``version`` that a balancer has, unless the one in force allows the flow.
+        """
+        desired = self.register.desired
+        if desired is None or self.register.listed_at is None:
+            return False
+        return desired.version >= version or self.allows_route(key)
+
+    def check(self, key: FlowKey) -> ReturnReason | None:
         """Return the reason to reject a new flow, or None if it is admitted."""
         record = self.record
         if record is not None and record.state is BackendState.DRAINING:
             return ReturnReason.DRAINING
-        if not self.allows_route(key, version=version):
+        if not self.allows_route(key):
             return ReturnReason.NO_ROUTE
         return None
 
-    def allows_route(self, key: FlowKey, *, version: int) -> bool:
-        """
-        Whether the route of a flow leads to this service.
+    def allows_route(self, key: FlowKey) -> bool:
+        """Whether the route of a flow leads to this service, by the agent's state."""
+        desired = self.register.desired
+        if desired is None:
+            return False
+        route = desired.routes.get(route_address(key))
+        return route is not None and route.allows(self.service)
 
-        Returns True if the desired state is not known, or older than ``version``.
-        """
+    def may_allow_route(self, key: FlowKey, *, version: int) -> bool:
+        """Whether the route may lead to this service by a state up to ``version``."""
         desired = self.register.desired
         if desired is None or desired.version < version:
             return True
-        route = desired.routes.get(route_address(key))
-        return route is not None and route.allows(self.service)
+        return self.allows_route(key)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -158,7 +158,7 @@
         """
         is_query = message.purpose in QUERIES
         version = message.version
-        return not is_query and not self.admission.allows_route(
+        return not is_query and not self.admission.may_allow_route(
             packet.key, version=version
         )
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+from oleanderweir.flows import describe_flow
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.held_openings import HeldOpenings
 
 
 if TYPE_CHECKING:
@@ -25,12 +28,16 @@
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 
 
+logger = logging.getLogger(__name__)
+
+
 class OpeningHandler:
     """
     Forwards opening packets to the backend server, or returns them.
 
     Returns those that are rejected at once, those that the backend server returns, and
-    those that it leaves unanswered.
+    those that it leaves unanswered. Those about which the agent's state says nothing
+    yet are held until it does.
     """
 
     def __init__(
@@ -57,6 +64,7 @@
         self.remover = remover
         self.report_builder = report_builder
         self.transport = transport
+        self.held = HeldOpenings()
 
     def on_opening(
         self, host: str, packet: Packet, message: Delivery, *, now: float
@@ -70,6 +78,9 @@
             # The caller uses the port of an ended flow again.
             self.remover.remove(packet.key, now=now)
             existing = None
+        if not self._can_decide(existing, packet, message):
+            self._hold(host, packet, message, now=now)
+            return
         reason = self._find_rejection(existing, packet, message)
         if reason is ReturnReason.BUSY:
             # The balancer placed the flow by an older report: send it a new one.
@@ -83,10 +94,9 @@
         self, existing: HeldFlow | None, packet: Packet, message: Delivery
     ) -> ReturnReason | None:
         """Return why an opening packet can't be forwarded, or None if it can."""
-        if existing is not None and existing.is_answered and not existing.is_closed:
-            # A copy: the caller may be acknowledging the answer to the first one.
+        if _is_answered_copy(existing):
             return None
-        reason = self.admission.check(packet.key, version=message.version)
+        reason = self.admission.check(packet.key)
         if reason is None and not self.liveness.allows_new_flows():
             reason = ReturnReason.FULL
         is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
@@ -94,6 +104,54 @@
             reason = ReturnReason.BUSY
         return reason
 
+    def _can_decide(
+        self, existing: HeldFlow | None, packet: Packet, message: Delivery
+    ) -> bool:
+        """Whether the agent's state is enough to admit or reject an opening packet."""
+        return _is_answered_copy(existing) or self.admission.can_decide(
+            packet.key, version=message.version
+        )
+
+    def _hold(
+        self, host: str, packet: Packet, message: Delivery, *, now: float
+    ) -> None:
+        """Hold an opening packet until the agent's state says more, or return it."""
+        register = self.admission.register
+        logger.info(
+            "opening packet held until the published state says more",
+            extra={
+                "code": "opening_held",
+                "flow": describe_flow(packet.key),
+                "version": register.version,
+                "version_of_balancer": message.version,
+                "has_backend_servers": register.listed_at is not None,
+            },
+        )
+        if not self.held.hold(host, packet, message, now=now):
+            self.transport.return_packet(
+                host, packet.key, packet.data, ReturnReason.NO_ROUTE
+            )
+
+    def decide_held(self, *, now: float) -> None:
+        """Decide about the held opening packets, since the state has changed."""
+        for held in self.held.pop_all():
+            if self.admission.can_decide(held.packet.key, version=held.message.version):
+                self.on_opening(held.host, held.packet, held.message, now=now)
+            else:
+                self.held.keep(held)
+
+    def return_held(self, *, now: float) -> None:
+        """Return the opening packets that were held for too long."""
+        for held in self.held.pop_overdue(now=now):
+            self.transport.return_packet(
+                held.host,
+                held.packet.key,
+                held.packet.data,
+                ReturnReason.NO_ROUTE,
+                version=self.admission.register.version,
+                version_of_balancer=held.message.version,
+            )
+
     def _forward(self, host: str, packet: Packet, *, now: float) -> None:
         """Forward an opening packet to the backend server, and await the answer."""
         self.ownership.on_opening(packet.key)
@@ -136,3 +194,8 @@
                 self.transport.return_packet(
                     flow.balancer, flow.key, flow.opening, ReturnReason.UNANSWERED
                 )
+
+
+def _is_answered_copy(existing: HeldFlow | None) -> bool:
+    """Whether the caller may be acknowledging the answer to an earlier copy."""
+    return existing is not None and existing.is_answered and not existing.is_closed
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -114,6 +114,7 @@
         """Whether anything waits for an answer or a slot, or a crash is suspected."""
         return bool(
             self.openings
+            or self.opening_handler.held
             or self.ownership
             or self.dispatcher.queue
             or self.lookup_service.has_lookups
@@ -125,6 +126,9 @@
         now = trio.current_time()
         self.liveness.on_tick(now=now)
         self.opening_handler.return_overdue(now=now)
+        # A first listing without backend servers isn't notified as a change.
+        self.opening_handler.decide_held(now=now)
+        self.opening_handler.return_held(now=now)
         if self.liveness.is_down() or self.holds_no_flows:
             self.ownership.deny_all()
         self.ownership.repeat_unanswered(now=now)
@@ -169,5 +173,6 @@
         self.ownership.expire(now=now)
 
     def on_state_change(self) -> None:
-        """Apply the published record of the backend server."""
+        """Apply the published record, and decide about held opening packets."""
         self.record_follower.on_state_change()
+        self.opening_handler.decide_held(now=trio.current_time())
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -39,9 +39,14 @@
 
 
 class AgentBench:
-    """An agent whose fake sockets record its datagrams; requires a trio task."""
+    """
+    An agent whose fake sockets record its datagrams; requires a trio task.
 
-    def __init__(self) -> None:
+    It has a desired state that allows its service, and a listing without its backend
+    server, unless ``is_new`` is set.
+    """
+
+    def __init__(self, *, is_new: bool = False) -> None:
         self.peer_socket = FakeSocket()
         self.backend_socket = FakeSocket()
         self.register = make_register()
@@ -68,6 +73,8 @@
                 backend_socket=cast("UdpSocket", self.backend_socket),
             ),
         )
+        if not is_new:
+            publish(self.register, version=1, revision=1)
         self.register.on_change = lambda topic: self.agent.on_state_change()
         self.members.record_heartbeat(BALANCER, make_heartbeat(PeerRole.BALANCER))
 
--- a/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_packet_handler.py
@@ -283,7 +283,7 @@
 async def test_a_query_is_not_denied_before_backend_servers_were_listed(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    bench = AgentBench()
+    bench = AgentBench(is_new=True)
     # The agent was restarted and has received the desired state only.
     bench.agent.on_state_change()
     await bench.pass_time(3.0)
