Place no flow at an address that another service uses

What callers saw: until the entry of a lost backend server expires, their flows are sent to its address though another service uses it; its agent returns them, so that a flow waits for a second placement or is reset.

Cause: a balancer took each entry by itself. An entry of a later start at the same address did not put the earlier one out of use, nor did the load reports of an agent that names another service.

Fix: of the records of one address, the one that started last counts, by the source's order of the starts; an address whose agent reports another service gets no flow of this one, even if no other backend server is left: it couldn't be served there.

The new tests in test_state_register and test_placement_policy fail without it.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -40,24 +40,9 @@
         self.unpublished_since: float | None = None
 
     def update_record(self) -> BackendRecord | None:
-        """Set ``record`` to the newest record of the backend server, and return it."""
-        records = [
-            record
-            for record in self.register.backends.values()
-            if record.host == self.host and record.port == self.port
-        ]
-        # The record of an earlier start stays published for some seconds, so that there
-        # can be several.
+        """Set ``record`` to that of the backend server, and return it."""
         had_record = self.record is not None
-        newest_ms = self.register.newest_start_ms(self.host)
-        self.record = max(
-            records,
-            key=lambda record: (
-                record.started_at_ms == newest_ms,
-                record.started_at_ms,
-            ),
-            default=None,
-        )
+        self.record = self.register.backend_at(self.host, self.port)
         if self.record is not None or self.register.listed_at is None:
             self.unpublished_since = None
         elif had_record or self.unpublished_since is None:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement_policy.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement_policy.py
@@ -69,7 +69,7 @@
         Return the backend server for a new flow, or ``None`` if there is none.
 
         One whose agent is silent or accepts no flows is chosen only if no other is
-        ready.
+        ready, and one whose address is used by another service not at all.
 
         Only the first hosts of the flow's ranking are compared: balancers with the same
         view then don't all select the one that looks idle, and a later lookup of the
@@ -78,7 +78,9 @@
         ready = [
             record
             for record in candidates
-            if record.state is BackendState.READY and record.host not in excluding
+            if record.state is BackendState.READY
+            and record.host not in excluding
+            and not self._is_of_other_service(record)
         ]
         usable = [record for record in ready if self._is_usable(record, now)] or ready
         if not usable:
@@ -92,6 +94,11 @@
         self.placed_since_report[chosen.host] += 1
         return chosen
 
+    def _is_of_other_service(self, record: BackendRecord) -> bool:
+        """Whether the agent at the address of a record belongs to another service."""
+        load = self.loads.get(record.host)
+        return load is not None and load.report.service != record.service
+
     def _is_usable(self, record: BackendRecord, now: float) -> bool:
         """Whether the agent is not silent and accepts new flows, by its last report."""
         load = self.loads.get(record.host)
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -47,6 +47,7 @@
             Topic.BACKEND_SERVERS: self.backend_topic,
         }
         # Caches that each change clears and the next access fills.
+        self.by_address: dict[tuple[str, int], BackendRecord] | None = None
         self.by_service: dict[str, list[BackendRecord]] | None = None
         self.published_hosts: frozenset[str] | None = None
 
@@ -91,14 +92,37 @@
         """Return all current and former services of a route since the process start."""
         return self.desired_topic.services_by_address.get(address, set())
 
+    def backend_at(self, host: str, port: int) -> BackendRecord | None:
+        """Return the record of the backend server that uses an address."""
+        return self._find_by_address().get((host, port))
+
     def backends_of(self, service: str) -> list[BackendRecord]:
-        """Return the published backend servers of a service."""
+        """Return the published backend servers of a service that use their address."""
         if self.by_service is None:
             self.by_service = {}
-            for record in self.backends.values():
+            for record in self._find_by_address().values():
                 self.by_service.setdefault(record.service, []).append(record)
         return self.by_service.get(service, [])
 
+    def _find_by_address(self) -> dict[tuple[str, int], BackendRecord]:
+        """
+        Return the newest record of each address.
+
+        The record of an earlier start, perhaps of another service, stays published for
+        some seconds.
+        """
+        if self.by_address is None:
+            self.by_address = {
+                (record.host, record.port): record
+                for record in sorted(self.backends.values(), key=self._rank_record)
+            }
+        return self.by_address
+
+    def _rank_record(self, record: BackendRecord) -> tuple[bool, int]:
+        """Return what orders the records of one address, the newest last."""
+        is_newest_start = record.started_at_ms == self.newest_start_ms(record.host)
+        return is_newest_start, record.started_at_ms
+
     def is_published(self, host: str) -> bool:
         """Whether any backend server is published at a host."""
         return host in self.find_published_hosts()
@@ -157,6 +181,7 @@
 
     def _notify_change(self, topic: Topic, origin: str) -> None:
         """Clear the caches, log the change of a topic and call ``on_change``."""
+        self.by_address = None
         self.by_service = None
         self.published_hosts = None
         logger.info(
--- a/tests/oleanderweir/desired_state/test_state_register.py
+++ b/tests/oleanderweir/desired_state/test_state_register.py
@@ -223,3 +223,21 @@
 
     ignored = [r for r in caplog.records if vars(r).get("code") == "state_ignored"]
     assert [(vars(r)["found"], vars(r)["in_force"]) for r in ignored] == [(5, 7)]
+
+
+# Guards against flows at the address of a lost backend server that is used again.
+async def test_an_address_belongs_to_the_service_that_started_there_last() -> None:
+    register = make_register()
+    lost = backend_document(host="10.0.0.1", started_at_ms=5000)
+    # Its clock was set back.
+    new = backend_document(host="10.0.0.1", service="archive", started_at_ms=2000)
+    publish(register, backends={"b1": lost}, revision=10)
+    assert [record.identifier for record in register.backends_of("feed")] == ["b1"]
+
+    register.apply_changes(
+        change_backends(Change(name="b2", revision=11, document=new), revision=11),
+        origin="test",
+    )
+
+    assert register.backends_of("feed") == []
+    assert [record.identifier for record in register.backends_of("archive")] == ["b2"]
--- a/tests/oleanderweir_balancer/forwarding/test_placement_policy.py
+++ b/tests/oleanderweir_balancer/forwarding/test_placement_policy.py
@@ -3,6 +3,8 @@
 import random
 from collections import Counter
 
+import attrs
+
 from oleanderweir.desired_state import BackendState
 from oleanderweir.flows import PLACEMENT_CANDIDATES
 from oleanderweir.flows import candidate_hosts
@@ -177,3 +179,17 @@
         by_load=False
     )
     assert simulate_many_balancers(by_load=True) < 1.15
+
+
+# Guards against flows at the address of a lost backend server that is used again.
+def test_an_address_whose_agent_reports_another_service_gets_no_flow() -> None:
+    placement = make_placement()
+    for record in RECORDS:
+        placement.record_report(record.host, make_report(), now=0.0)
+    report = attrs.evolve(make_report(), service="archive")
+    placement.record_report(RECORDS[0].host, report, now=0.0)
+
+    assert place(placement, 40)[RECORDS[0].host] == 0
+    others = [record.host for record in RECORDS[1:]]
+    key = make_key(1)
+    assert placement.place(RECORDS, key=key, excluding=others, now=0.0) is None
