--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -109,7 +109,7 @@
         Return the newest record of each address.
 
         The record of an earlier start, perhaps of another service, stays published for
-        some seconds.
+        some seconds. Of two records of one start, the later count decides.
         """
         if self.by_address is None:
             self.by_address = {
@@ -118,10 +118,10 @@
             }
         return self.by_address
 
-    def _rank_record(self, record: BackendRecord) -> tuple[bool, int]:
+    def _rank_record(self, record: BackendRecord) -> tuple[bool, int, int]:
         """Return what orders the records of one address, the newest last."""
         is_newest_start = record.started_at_ms == self.newest_start_ms(record.host)
-        return is_newest_start, record.started_at_ms
+        return is_newest_start, record.started_at_ms, record.sequence
 
     def is_published(self, host: str) -> bool:
         """Whether any backend server is published at a host."""
--- a/tests/oleanderweir/desired_state/test_state_register.py
+++ b/tests/oleanderweir/desired_state/test_state_register.py
@@ -5,6 +5,7 @@
 import trio.testing
 
 from oleanderweir.desired_state import REMOVAL_GRACE_S
+from oleanderweir.desired_state import BackendState
 from oleanderweir.desired_state import Change
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Listing
@@ -241,3 +242,20 @@
 
     assert register.backends_of("feed") == []
     assert [record.identifier for record in register.backends_of("archive")] == ["b2"]
+
+
+# Guards against a copy of an entry under another key that hides a drain.
+@pytest.mark.parametrize("names", [("b1", "b2"), ("b2", "b1")])
+async def test_of_two_records_of_one_start_the_later_count_decides(
+    names: tuple[str, str],
+) -> None:
+    register = make_register()
+    copy = backend_document(host="10.0.0.1", sequence=3)
+    draining = backend_document(host="10.0.0.1", state="draining", sequence=4)
+    publish(register, backends=dict(zip(names, (copy, draining), strict=True)))
+
+    record = register.backend_at("10.0.0.1", 8080)
+
+    assert record is not None
+    assert record.state is BackendState.DRAINING
+    assert register.backends_of("feed") == [record]
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -201,6 +201,28 @@
         StoreDecoder().decode_desired_state(json.dumps(fields).encode())
 
 
+# Guards against a copy of an entry without a field, which hid that its original drains.
+@pytest.mark.parametrize(
+    "field",
+    [
+        "Service",
+        "Address",
+        "Zone",
+        "Version",
+        "Concurrency",
+        "State",
+        "ColdRemainingMs",
+        "Seq",
+    ],
+)
+def test_an_entry_without_one_of_its_fields_is_rejected(field: str) -> None:
+    fields = make_entry()
+    del fields[field]
+
+    with pytest.raises(InvalidDocumentError):
+        StoreDecoder().decode_backend_server("servers/i-1", json.dumps(fields).encode())
+
+
 def test_a_large_entry_is_rejected_before_it_is_parsed() -> None:
     document = json.dumps({**make_entry(), "Version": "x" * 2**20}).encode()
 
