Watch the service for a while after the loss of a session (HTTP/3 path)

Fix: a process that loses a session with a known peer watches the service for the time for which it suspects the peer, and pushes what it gets as always. Each lost process has about six neighbours, so some are left unless all are lost.

--- a/packages/oleanderweir/src/oleanderweir/replication/configuration_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/configuration_follower.py
@@ -35,6 +35,9 @@
     """
     Watches the configuration service as a reader, or else polls it.
 
+    A process that loses a session watches it for some time too: the readers may be lost
+    with the peer, and nobody else notices that they are gone.
+
     ``cursor`` is the number of the last ticket that this process read from the service
     itself, or ``None`` until its first read. Tickets from peers do not advance the
     cursor, because earlier ones may still be missing. A process that fetched its state
@@ -47,6 +50,8 @@
     has_peer_state: Callable[[], bool]
     is_reader: bool = False
     cursor: int | None = None
+    # Until when this process watches although it is no reader, on trio's clock.
+    watches_until: float = float("-inf")
     role_changed: trio.Event = attrs.field(factory=trio.Event)
 
     async def run(self) -> None:
@@ -71,15 +76,28 @@
         self.role_changed.set()
         self.role_changed = trio.Event()
 
+    def watch_for(self, seconds: float) -> None:
+        """Watch the service for some seconds from now on, at least."""
+        must_wake = not self.must_watch
+        self.watches_until = trio.current_time() + seconds
+        if must_wake:
+            self.role_changed.set()
+            self.role_changed = trio.Event()
+
+    @property
+    def must_watch(self) -> bool:
+        """Whether this process is a reader, or lost a session just now."""
+        return self.is_reader or trio.current_time() < self.watches_until
+
     async def _run_once(self) -> None:
         """Boot, watch for tickets, or wait for the next poll and read."""
         if self.cursor is None:
             await self._boot()
-        elif self.is_reader:
+        elif self.must_watch:
             await self._watch(self.cursor)
         else:
             await self._wait_for_poll()
-            if not self.is_reader:
+            if not self.must_watch:
                 await self._read(self.cursor)
 
     async def _boot(self) -> None:
--- a/packages/oleanderweir/src/oleanderweir/replication/peer_dialler.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/peer_dialler.py
@@ -43,6 +43,7 @@
     on_hello: Callable[[PeerSession], None]
     on_synchronized: Callable[[PeerSession], None]
     on_close: Callable[[PeerSession], None]
+    on_lost: Callable[[PeerSession], None]
     backoff_s: float = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -72,6 +73,9 @@
             )
             try:
                 await session.run()
+            except OleanderweirError:
+                self.on_lost(session)
+                raise
             finally:
                 self.on_close(session)
 
--- a/packages/oleanderweir/src/oleanderweir/replication/replicator.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/replicator.py
@@ -116,6 +116,7 @@
             transport=self.transport,
             peer_boot=self.peer_boot,
             sessions=self.sessions,
+            on_peer_lost=self._on_peer_lost,
         )
 
     @property
@@ -153,6 +154,10 @@
         if self.boot_gate.is_ready:
             self.sessions.push(entries)
 
+    def _on_peer_lost(self) -> None:
+        """Watch the service until the loss of the peer is known to the others."""
+        self.follower.watch_for(self.settings.suspicion_s)
+
     async def _maintain_sessions(self) -> None:
         """Dial the selected peers; reselect periodically and on membership changes."""
         async with trio.open_nursery() as nursery:
--- a/packages/oleanderweir/src/oleanderweir/replication/session_manager.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/session_manager.py
@@ -17,6 +17,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from oleanderweir.membership import InstanceRecord
     from oleanderweir.membership import Membership
     from oleanderweir.replication.peer_boot_tracker import PeerBootTracker
@@ -39,6 +41,7 @@
     transport: PeerTransport
     peer_boot: PeerBootTracker
     sessions: SessionTable
+    on_peer_lost: Callable[[], None]
 
     async def accept(self, stream: PeerStream) -> None:
         """Run a session that a peer dialled, up to ``max_sessions`` at a time."""
@@ -56,9 +59,11 @@
             await session.run()
         except OleanderweirError as error:
             SESSIONS_ENDED.labels(reason=error.code).inc()
+            self._on_lost(session)
         except trio.Cancelled:
             # The transport cancels the session when its connection is lost.
             SESSIONS_ENDED.labels(reason=PeerClosedError.code).inc()
+            self._on_lost(session)
             raise
         finally:
             self.sessions.discard(session)
@@ -73,6 +78,7 @@
             on_hello=self._on_hello,
             on_synchronized=self._on_synchronized,
             on_close=self.sessions.discard,
+            on_lost=self._on_lost,
         )
 
     def _on_hello(self, session: PeerSession) -> None:
@@ -83,6 +89,11 @@
             self.membership.record_observed(session.instance)
         self.sessions.add(session)
 
+    def _on_lost(self, session: PeerSession) -> None:
+        """Report that a session has ended whose peer was known."""
+        if session.peer is not None:
+            self.on_peer_lost()
+
     def _on_synchronized(self, session: PeerSession) -> None:
         """Renew the lease of the peer and record that the registers are equal."""
         if session.instance is not None:
