Keep the check of the readers within the error barrier of the heartbeats

An unexpected error in next_check_s would have ended the task of the heartbeats and with it the process; found in reading the change. Its test fails without this.

--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -12,6 +12,7 @@
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
+from oleanderweir.peering.reader_choice import MAX_CHECK_S
 from oleanderweir.peering.reader_choice import ReaderChoice
 from oleanderweir.peering.state_synchronizer import StateSynchronizer
 
@@ -154,7 +155,10 @@
         """Check for some seconds whether this process has to read the source."""
         end_at = trio.current_time() + seconds
         while (remaining_s := end_at - trio.current_time()) > 0:
-            await trio.sleep(min(remaining_s, self.reader_choice.next_check_s()))
+            pause_s = MAX_CHECK_S
+            with self.barrier:
+                pause_s = self.reader_choice.next_check_s()
+            await trio.sleep(min(remaining_s, pause_s))
             with self.barrier:
                 self.update_reader_status()
 
--- a/tests/oleanderweir/peering/test_heartbeat_sender.py
+++ b/tests/oleanderweir/peering/test_heartbeat_sender.py
@@ -243,3 +243,16 @@
 
 def rank_of(host: str) -> bytes:
     return score(host, purpose="reader")
+
+
+@pytest.mark.unexpected_errors
+async def test_an_error_in_the_choice_of_readers_ends_no_heartbeats(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    bench = HeartbeatSenderBench()
+    bench.members.record_heartbeat(PEER, make_heartbeat())
+    monkeypatch.setattr(bench.heartbeat_sender.reader_choice, "next_check_s", "broken")
+
+    await run_for(bench, 5.0)
+
+    assert len(bench.pop_messages(PEER)) >= 2
