Keep the readers after a standstill, and test the proofs by themselves

A process that stood still discarded the readers that it knew, so that balancers of any rank became readers for a moment. Only the proof of its own state is in doubt.

--- a/packages/oleanderweir/src/oleanderweir/peering/freshness.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/freshness.py
@@ -68,9 +68,8 @@
             self.shared_at = max(self.shared_at, proved_at)
 
     def forget(self) -> None:
-        """Discard all proofs, since this process stood still."""
+        """Discard the proofs of the own state, since this process stood still."""
         self.responded_at.clear()
-        self.confirmed_at.clear()
         self.shared_at = NEVER
 
     def find_readers(self) -> list[str]:
