Let the report of an earlier agent exclude an address only while it is fresh

Found in reading the change: if the agent of a new backend server doesn't reach a balancer, the last report of the one before it kept the address out of use for good.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement_policy.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/placement_policy.py
@@ -80,7 +80,7 @@
             for record in candidates
             if record.state is BackendState.READY
             and record.host not in excluding
-            and not self._is_of_other_service(record)
+            and not self._is_of_other_service(record, now)
         ]
         usable = [record for record in ready if self._is_usable(record, now)] or ready
         if not usable:
@@ -94,10 +94,12 @@
         self.placed_since_report[chosen.host] += 1
         return chosen
 
-    def _is_of_other_service(self, record: BackendRecord) -> bool:
-        """Whether the agent at the address of a record belongs to another service."""
+    def _is_of_other_service(self, record: BackendRecord, now: float) -> bool:
+        """Whether the agent at the address of a record reports another service."""
         load = self.loads.get(record.host)
-        return load is not None and load.report.service != record.service
+        if load is None or self.is_silent(record.host, now=now):
+            return False
+        return load.report.service != record.service
 
     def _is_usable(self, record: BackendRecord, now: float) -> bool:
         """Whether the agent is not silent and accepts new flows, by its last report."""
--- a/tests/oleanderweir_balancer/forwarding/test_placement_policy.py
+++ b/tests/oleanderweir_balancer/forwarding/test_placement_policy.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import functools
 import random
 from collections import Counter
 
@@ -193,3 +194,16 @@
     others = [record.host for record in RECORDS[1:]]
     key = make_key(1)
     assert placement.place(RECORDS, key=key, excluding=others, now=0.0) is None
+
+
+def test_the_last_report_of_an_earlier_agent_excludes_no_address_for_long() -> None:
+    placement = make_placement()
+    report = attrs.evolve(make_report(), service="archive")
+    placement.record_report(RECORDS[0].host, report, now=0.0)
+
+    place_at = functools.partial(
+        placement.place, RECORDS[:1], key=make_key(1), excluding=()
+    )
+
+    assert place_at(now=0.5) is None
+    assert place_at(now=10.0) is RECORDS[0]
