--- a/packages/oleanderweir/src/oleanderweir/peering/confirmation_relay.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/confirmation_relay.py
@@ -51,10 +51,8 @@
         self._send_section(hosts, confirmation, reader=self.members.own_host)
 
     def relay(self, sender: str, confirmation: Confirmation) -> None:
-        """Relay a confirmation, which names its reader, to the members of a section."""
+        """Relay a confirmation, which names its reader, to its section."""
         first, last = confirmation.relay_from, confirmation.relay_to
-        if last == 0:
-            return
         reader = confirmation.reader
         hosts = [
             h for h in self._find_members(first, last) if h not in (sender, reader)
--- a/packages/oleanderweir/src/oleanderweir/peering/confirmations.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/confirmations.py
@@ -55,7 +55,8 @@
         self.freshness.record_confirmation(
             reader, proved_at=proved_at, is_shared=self._has_state_of(confirmation)
         )
-        self.relay.relay(host, attrs.evolve(confirmation, reader=reader))
+        if confirmation.relay_to:
+            self.relay.relay(host, attrs.evolve(confirmation, reader=reader))
 
     def confirm(self) -> None:
         """Confirm the state to all members if there is a newer proof of it."""
--- a/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
@@ -109,10 +109,10 @@
         if self.is_catching_up:
             return CATCH_UP_CHECK_S
         now = trio.current_time()
-        due_at = min(
-            self.freshness.next_lapse_at(),
-            self.freshness.proved_at + PROOF_S + self._catch_up_delay_s(),
-        )
+        due_at = self.freshness.proved_at + PROOF_S + self._catch_up_delay_s()
+        if self.role is PeerRole.BALANCER:
+            # It may have to replace a single reader.
+            due_at = min(due_at, self.freshness.next_lapse_at())
         if self.missing_since is not None and not self.is_distributor:
             due_at = min(due_at, now + TAKEOVER_STEP_S)
         return min(max(due_at - now, MIN_CHECK_S), MAX_CHECK_S)
--- a/tests/oleanderweir/peering/test_confirmation_relay.py
+++ b/tests/oleanderweir/peering/test_confirmation_relay.py
@@ -60,6 +60,8 @@
             message = decode_message(data)
             assert isinstance(message, Confirmation)
             relay, socket = self.relay_of(host)
+            if message.relay_to == 0:
+                continue
             reader_of = message.reader or sender
             relay.relay(sender, attrs.evolve(message, reader=reader_of))
             pending += [(host, *sent) for sent in socket.pop_sent()]
