Spend fewer calls on proofs while the store is slow or single readers are silent

All processes read again and again while the store answered late, as no proof was young enough; one missed confirmation made a fourth reader; agents that started before the balancers read; a process that became a reader while a call waited kept its long watch of the desired state, and so confirmed nothing.

--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -85,6 +85,10 @@
             follower.on_watch_lost = self._interrupt_watches
             follower.on_response = heartbeat_sender.on_source_response
         heartbeat_sender.on_unproved = self._interrupt_watches
+        desired_status = statuses[Topic.DESIRED_STATE]
+        heartbeat_sender.reader_choice.does_source_answer = lambda: (
+            desired_status.is_connected
+        )
         self.listeners = ProcessListeners(
             addresses=addresses,
             register=register,
--- a/packages/oleanderweir/src/oleanderweir/peering/freshness.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/freshness.py
@@ -17,6 +17,13 @@
 # long after a response of the source proved it. Readers confirm their state every 1.6 s
 # at least.
 PROOF_S = 2.0
+# The same while the source answers this process late: it would get no newer proof by
+# calls of its own, which only add to the load of the source.
+SLOW_PROOF_S = 5.0
+# A response that is older than this on its arrival is late, and the source counts as
+# slow for some time after it.
+MAX_RESPONSE_AGE_S = 0.3
+SLOW_S = 4.0
 # How long a reader is remembered that confirms no more. Its lease as a member ends
 # within this time.
 LAPSED_READER_S = 10.0
@@ -42,6 +49,14 @@
         self.confirmed_at: dict[str, float] = {}
         # As of when a reader last confirmed the state that this process has.
         self.shared_at = NEVER
+        # Until when the source counts as slow.
+        self.slow_until = NEVER
+
+    @property
+    def proof_s(self) -> float:
+        """How long a proof counts, in seconds; longer while the source is slow."""
+        is_slow = trio.current_time() < self.slow_until
+        return SLOW_PROOF_S if is_slow else PROOF_S
 
     @property
     def own_proof_at(self) -> float:
@@ -57,6 +72,9 @@
         """Record a response of the source to this process."""
         known = self.responded_at.get(topic, NEVER)
         self.responded_at[topic] = max(known, proved_at)
+        now = trio.current_time()
+        is_late = now - proved_at > MAX_RESPONSE_AGE_S
+        self.slow_until = now + SLOW_S if is_late else NEVER
 
     def record_confirmation(
         self, reader: str, *, proved_at: float, is_shared: bool
@@ -72,27 +90,20 @@
         self.responded_at.clear()
         self.shared_at = NEVER
 
-    def find_readers(self) -> list[str]:
-        """Return the hosts whose confirmation is not older than ``PROOF_S``."""
-        limit = self._moment_before(PROOF_S)
+    def find_readers(self, *, within_s: float = PROOF_S) -> list[str]:
+        """Return the hosts whose confirmation is not older than a time."""
+        limit = self._moment_before(within_s)
         return [host for host, at in self.confirmed_at.items() if at >= limit]
 
-    def find_lapsed(self) -> set[str]:
+    def find_lapsed(self, *, within_s: float = PROOF_S) -> set[str]:
         """Return the hosts that confirmed their state before, but do so no more."""
         self._discard_old()
-        return self.confirmed_at.keys() - set(self.find_readers())
+        return self.confirmed_at.keys() - set(self.find_readers(within_s=within_s))
 
     def is_proved_within(self, span_s: float) -> bool:
         """Whether the state of this process was proved within a time."""
         return self.proved_at >= self._moment_before(span_s)
 
-    def next_lapse_at(self) -> float:
-        """Return when the oldest proof that still counts no longer does."""
-        times = [self.confirmed_at[host] for host in self.find_readers()]
-        if self.is_proved_within(PROOF_S):
-            times.append(self.proved_at)
-        return min(times, default=NEVER) + PROOF_S
-
     def _discard_old(self) -> None:
         limit = self._moment_before(LAPSED_READER_S)
         for host in [host for host, at in self.confirmed_at.items() if at < limit]:
--- a/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/reader_choice.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from oleanderweir.desired_state import ReaderStatus
@@ -38,9 +39,17 @@
 # How long a balancer waits for confirmations of readers after its start, at most. Each
 # draws a delay, so that a fleet that starts at once doesn't read all at once.
 READER_DELAY_S = 1.0
+# While another reader proves the state, one that is silent counts as a reader for this
+# long: some of its confirmations may be lost.
+READER_LEASE_S = 5.0
 # When readers are lost, the first balancers that follow them in rank replace them at
-# once, and the next ones only after this time each.
+# once, and the next ones only after this time each; after the longer one while the
+# state is proved.
 TAKEOVER_STEP_S = 0.3
+CALM_TAKEOVER_STEP_S = 1.0
+# For this long after its start, an agent relies on its own listings: balancers that
+# start with it take longer.
+AGENT_START_S = 4.0
 # How long a process whose state isn't proved any more waits for new readers.
 MIN_CATCH_UP_DELAY_S = 0.2
 # Over this time at least, the processes that wait in vain start to read.
@@ -79,6 +88,9 @@
         self.status = status
         self.freshness = freshness
         self.is_distributor = False
+        # Whether the source answers the calls for other topics. Their retries show when
+        # it is back.
+        self.does_source_answer: Callable[[], bool] = lambda: True
         # Whether this process was a connected reader at the last update.
         self.is_reading = False
         # Since when too few readers with a lower score confirm their state.
@@ -106,13 +118,12 @@
 
     def next_check_s(self) -> float:
         """Return the time in seconds until the decision may change."""
-        if self.is_catching_up:
+        if self.is_catching_up or not self.does_source_answer():
             return CATCH_UP_CHECK_S
         now = trio.current_time()
-        due_at = self.freshness.proved_at + PROOF_S + self._catch_up_delay_s()
-        if self.role is PeerRole.BALANCER:
-            # It may have to replace a single reader.
-            due_at = min(due_at, self.freshness.next_lapse_at())
+        due_at = self.freshness.proved_at + self.freshness.proof_s
+        if self.role is PeerRole.AGENT or due_at <= now:
+            due_at += self._catch_up_delay_s()
         if self.missing_since is not None and not self.is_distributor:
             due_at = min(due_at, now + TAKEOVER_STEP_S)
         return min(max(due_at - now, MIN_CHECK_S), MAX_CHECK_S)
@@ -122,7 +133,10 @@
         if self.role is not PeerRole.BALANCER:
             # Most peers don't know an agent.
             return False
-        if not is_reader(self.members.own_host, self.freshness.find_readers()):
+        is_proved = self.freshness.is_proved_within(self.freshness.proof_s)
+        lease_s = READER_LEASE_S if is_proved else PROOF_S
+        readers = self.freshness.find_readers(within_s=lease_s)
+        if not is_reader(self.members.own_host, readers):
             self.missing_since = None
             return False
         now = trio.current_time()
@@ -130,21 +144,25 @@
             self.missing_since = now
         if self.is_distributor:
             return True
-        step = self._find_rank() // READER_COUNT
+        step = self._find_rank(lease_s) // READER_COUNT
+        step_s = CALM_TAKEOVER_STEP_S if is_proved else TAKEOVER_STEP_S
         waited_s = now - self.missing_since
-        return age_s >= self.delay_s and waited_s >= step * TAKEOVER_STEP_S
+        return age_s >= self.delay_s and waited_s >= step * step_s
 
-    def _find_rank(self) -> int:
+    def _find_rank(self, lease_s: float) -> int:
         """Return how many balancers come before this one, lost readers left out."""
         own_score = score(self.members.own_host, purpose=PURPOSE)
         others = set(self.members.hosts(PeerRole.BALANCER))
-        others -= self.freshness.find_lapsed()
+        others -= self.freshness.find_lapsed(within_s=lease_s)
         return sum(score(host, purpose=PURPOSE) < own_score for host in others)
 
     def _must_catch_up(self, age_s: float) -> bool:
         """Whether neither this process nor a reader has proved its state lately."""
-        span_s = PROOF_S + self._catch_up_delay_s()
-        return age_s >= span_s and not self.freshness.is_proved_within(span_s)
+        span_s = self.freshness.proof_s + self._catch_up_delay_s()
+        start_s = AGENT_START_S if self.role is PeerRole.AGENT else span_s
+        if age_s < start_s or self.freshness.is_proved_within(span_s):
+            return False
+        return self.does_source_answer()
 
     def _catch_up_delay_s(self) -> float:
         """Return how long to wait for new readers; it differs between processes."""
--- a/tests/oleanderweir/packet_process/test_process_runtime.py
+++ b/tests/oleanderweir/packet_process/test_process_runtime.py
@@ -31,6 +31,7 @@
         seeds=("10.0.0.1",),
         status=ReaderStatus(),
         on_source_response=lambda topic, proved_at: None,
+        reader_choice=SimpleNamespace(),
     )
     return ProcessRuntime(
         addresses=ProcessAddresses(
--- a/tests/oleanderweir/peering/test_freshness.py
+++ b/tests/oleanderweir/peering/test_freshness.py
@@ -87,3 +87,21 @@
 
     assert not freshness.is_proved_within(PROOF_S)
     assert freshness.find_readers() == [READER]
+
+
+async def test_proofs_count_longer_only_while_the_source_answers_late(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    freshness = make_freshness()
+    await trio.sleep(5.0)
+    now = trio.current_time()
+    topic = Topic.BACKEND_SERVERS
+    freshness.record_response(topic, proved_at=now - 1.0)
+    assert freshness.proof_s > PROOF_S
+
+    freshness.record_response(topic, proved_at=now)
+    assert freshness.proof_s == PROOF_S
+
+    freshness.record_response(topic, proved_at=now - 1.0)
+    await trio.sleep(4.1)
+    assert freshness.proof_s == PROOF_S
--- a/tests/oleanderweir_standins/fleet_process.py
+++ b/tests/oleanderweir_standins/fleet_process.py
@@ -91,6 +91,10 @@
             follower.on_watch_lost = self.interrupt_watches
             follower.on_response = self.heartbeat_sender.on_source_response
         self.heartbeat_sender.on_unproved = self.interrupt_watches
+        desired_status = statuses[Topic.DESIRED_STATE]
+        self.heartbeat_sender.reader_choice.does_source_answer = lambda: (
+            desired_status.is_connected
+        )
 
     @property
     def backend_states(self) -> dict[str, tuple[BackendState, int]]:
