Find the section of a ring without recursion

A confirmation whose section begins beyond the ring and ends before it made the search call itself until the stack was full; the barrier confined the error to the datagram. Found by hand: 12,000 odd confirmations to a balancer and an agent, both alive, one such error each. The new test fails without this.

--- a/packages/oleanderweir/src/oleanderweir/peering/host_ring.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/host_ring.py
@@ -46,10 +46,11 @@
         A section with ``last < first`` contains the end of the ring.
         """
         if last < first:
-            return [
-                *self.find_section(first, LAST_POSITION),
-                *self.find_section(1, last),
-            ]
+            return [*self._slice(first, LAST_POSITION), *self._slice(1, last)]
+        return self._slice(first, last)
+
+    def _slice(self, first: int, last: int) -> list[str]:
+        """Return the hosts from a position to a later one."""
         start = bisect.bisect_left(self.entries, (first, ""))
         end = bisect.bisect_left(self.entries, (last + 1, ""))
         return [host for _, host in self.entries[start:end]]
--- a/tests/oleanderweir/peering/test_host_ring.py
+++ b/tests/oleanderweir/peering/test_host_ring.py
@@ -34,3 +34,13 @@
     section = ring.find_section(ring_position(ORDER[35]), ring_position(ORDER[4]))
 
     assert section == ORDER[35:] + ORDER[:5]
+
+
+def test_a_section_beyond_the_ring_has_the_hosts_of_the_ring_that_it_covers() -> None:
+    ring = HostRing()
+    ring.update(HOSTS)
+
+    beyond = LAST_POSITION + 5
+    assert ring.find_section(beyond, 0) == []
+    assert ring.find_section(beyond, ring_position(ORDER[1])) == ORDER[:2]
+    assert ring.find_section(ring_position(ORDER[38]), beyond) == ORDER[38:]
