Admit no flow after a standstill before the state is proved again

Cause: an agent that stood still (frozen or suspended) processed the opening packets that waited in its socket, and later ones, by the state of before. The standstill was noticed by a timer up to 1 s after it, confirmations that had waited in the socket counted as new proofs, and admission didn't ask for a proof at all. Nor did it compare the published record of its own address with its service.

A record of another service at the agent's address rejects all. It doesn't depend on how the agent came to outlive its backend server.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -13,6 +13,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from oleanderweir.desired_state import BackendRecord
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
@@ -24,7 +26,8 @@
 
     The decision uses the agent's own state only. The choice of a balancer proves
     nothing, even if its state is newer: it may have chosen the address for another
-    service, whose backend server is gone and still published.
+    service, whose backend server is gone and still published. The agent itself may have
+    stood still, and a backend server of another service uses the address since.
     """
 
     def __init__(
@@ -34,6 +37,8 @@
         self.service = service
         self.host = host
         self.port = port
+        # Whether the process stood still, and its state was not proved since.
+        self.is_stale: Callable[[], bool] = lambda: False
         self.record: BackendRecord | None = None
         # Since when the published backend servers have had no record of this one, in
         # seconds of trio's clock.
@@ -60,17 +65,20 @@
         """
         Whether the agent's own state is enough to decide about a new flow.
 
-        It is not before the agent has both topics, nor while it lacks the desired state
-        ``version`` that a balancer has, unless the one in force allows the flow.
+        It is not before the agent has both topics, nor after a standstill until its
+        state is proved anew, nor while it lacks the desired state ``version`` that a
+        balancer has, unless the one in force allows the flow.
         """
         desired = self.register.desired
-        if desired is None or self.register.listed_at is None:
+        if desired is None or self.register.listed_at is None or self.is_stale():
             return False
         return desired.version >= version or self.allows_route(key)
 
     def check(self, key: FlowKey) -> ReturnReason | None:
         """Return the reason to reject a new flow, or None if it is admitted."""
         record = self.record
+        if record is not None and record.service != self.service:
+            return ReturnReason.NO_ROUTE
         if record is not None and record.state is BackendState.DRAINING:
             return ReturnReason.DRAINING
         if not self.allows_route(key):
--- a/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
+++ b/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
@@ -56,11 +56,11 @@
         """Wait for datagrams; return up to ``BATCH_LIMIT`` of them, in order."""
         while True:
             await trio.lowlevel.wait_readable(self.stdlib_socket)
-            batch = self._read_ready()
+            batch = self.read_ready()
             if batch:
                 return batch
 
-    def _read_ready(self) -> list[Datagram]:
+    def read_ready(self) -> list[Datagram]:
         """Return the datagrams that can be read without waiting."""
         batch: list[Datagram] = []
         receive = self.stdlib_socket.recvfrom
--- a/packages/oleanderweir/src/oleanderweir/packet_process/clock_watch.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/clock_watch.py
@@ -18,30 +18,57 @@
 # The machine was suspended if the clock that counts suspended time gains more than this
 # on the monotonic clock between two checks.
 MIN_SUSPENSION_S = 0.5
-# The process stood still, suspended or frozen, if a check is later than this.
-MIN_STANDSTILL_S = 1.0
-CLOCK_CHECK_INTERVAL_S = 1.0
+# The process stood still, suspended or frozen, if two checks are further apart than
+# this. An address may be used again 2 s after the loss of its backend server.
+MIN_STANDSTILL_S = 1.4
+CLOCK_CHECK_INTERVAL_S = 0.4
 
 
-async def watch_clock(on_wake: Callable[[], None]) -> None:
+class ClockWatch:
     """
-    Log each suspension of the machine; call ``on_wake`` after each standstill.
+    Logs each suspension of the machine; calls ``on_wake`` after each standstill.
 
-    The process has stale state after it.
+    The process has stale state after it, and the messages in its sockets are old.
+    ``clock`` returns seconds and counts the time of a suspension.
     """
-    skew = boot_time_s() - time.monotonic()
-    while True:
-        due_at = boot_time_s() + CLOCK_CHECK_INTERVAL_S
-        await trio.sleep(CLOCK_CHECK_INTERVAL_S)
-        if boot_time_s() - due_at > MIN_STANDSTILL_S:
-            on_wake()
-        now_skew = boot_time_s() - time.monotonic()
-        if now_skew - skew > MIN_SUSPENSION_S:
+
+    def __init__(
+        self, *, on_wake: Callable[[], None], clock: Callable[[], float] | None = None
+    ) -> None:
+        self.on_wake = on_wake
+        self.clock = clock or boot_time_s
+        self.ran_at = self.clock()
+        self.skew_s = self.ran_at - time.monotonic()
+
+    def check(self) -> bool:
+        """
+        Return whether the process has just stood still; call ``on_wake`` if so.
+
+        Call it before messages are processed: the first ones may be read before any
+        timer is due.
+        """
+        now = self.clock()
+        stood_still = now - self.ran_at > MIN_STANDSTILL_S
+        self.ran_at = now
+        if stood_still:
+            self.on_wake()
+        return stood_still
+
+    async def run(self) -> None:
+        """Check periodically until cancelled."""
+        while True:
+            await trio.sleep(CLOCK_CHECK_INTERVAL_S)
+            self.check()
+            self._log_suspension()
+
+    def _log_suspension(self) -> None:
+        skew_s = self.clock() - time.monotonic()
+        if skew_s - self.skew_s > MIN_SUSPENSION_S:
             logger.warning(
                 "the machine was suspended",
-                extra={"code": "suspended", "for_s": round(now_skew - skew, 3)},
+                extra={"code": "suspended", "for_s": round(skew_s - self.skew_s, 3)},
             )
-        skew = now_skew
+        self.skew_s = skew_s
 
 
 def boot_time_s() -> float:
--- a/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
@@ -19,6 +19,7 @@
 
     from oleanderweir.net import Datagram
     from oleanderweir.net import UdpSocket
+    from oleanderweir.packet_process.clock_watch import ClockWatch
     from oleanderweir.packet_process.packet_program import PacketProgram
     from oleanderweir.peering import HeartbeatSender
     from oleanderweir.peering.messages import Message
@@ -28,7 +29,12 @@
 
 
 class MessageReceiver:
-    """Decodes the datagrams of peers, and dispatches their messages."""
+    """
+    Decodes the datagrams of peers, and dispatches their messages.
+
+    Confirmations that waited in the socket while this process stood still are ignored:
+    they say nothing of the time in which it didn't run.
+    """
 
     def __init__(
         self,
@@ -37,21 +43,33 @@
         heartbeat_sender: HeartbeatSender,
         program: PacketProgram,
         nursery: trio.Nursery,
+        clock_watch: ClockWatch,
     ) -> None:
         self.peer_socket = peer_socket
         self.heartbeat_sender = heartbeat_sender
         self.program = program
         self.nursery = nursery
+        self.clock_watch = clock_watch
         self.barrier = ErrorBarrier(place="peer_datagram")
 
     async def run(self) -> None:
         """Receive, decode and dispatch the datagrams until cancelled."""
         while True:
-            for datagram in await self.peer_socket.receive_batch():
-                with self.barrier:
-                    self._on_datagram(datagram)
+            batch = await self.peer_socket.receive_batch()
+            is_backlog = self.clock_watch.check()
+            self._process(batch, is_backlog=is_backlog)
+
+    def process_backlog(self) -> None:
+        """Process the datagrams that waited while this process stood still."""
+        while batch := self.peer_socket.read_ready():
+            self._process(batch, is_backlog=True)
+
+    def _process(self, batch: list[Datagram], *, is_backlog: bool) -> None:
+        for datagram in batch:
+            with self.barrier:
+                self._on_datagram(datagram, is_backlog=is_backlog)
 
-    def _on_datagram(self, datagram: Datagram) -> None:
+    def _on_datagram(self, datagram: Datagram, *, is_backlog: bool) -> None:
         """Decode and dispatch one datagram."""
         host = datagram.source[0]
         try:
@@ -62,7 +80,8 @@
                 extra={"code": error.code, "peer": host},
             )
         else:
-            self._dispatch(host, message)
+            if not (is_backlog and isinstance(message, Confirmation)):
+                self._dispatch(host, message)
 
     def _dispatch(self, host: str, message: Message) -> None:
         if isinstance(message, Heartbeat):
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -14,7 +14,7 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.exceptions import OleanderweirError
-from oleanderweir.packet_process.clock_watch import watch_clock
+from oleanderweir.packet_process.clock_watch import ClockWatch
 from oleanderweir.packet_process.message_receiver import MessageReceiver
 from oleanderweir.packet_process.process_listeners import ProcessListeners
 
@@ -97,6 +97,7 @@
         )
         self.program: PacketProgram | None = None
         self.is_stopping = False
+        self.receiver: MessageReceiver | None = None
         self.reload_barrier = ErrorBarrier(place="reload")
         self.drain_barrier = ErrorBarrier(place="drain")
         self.nursery: trio.Nursery | None = None
@@ -116,20 +117,22 @@
             async with trio.open_nursery() as nursery:
                 self.nursery = nursery
                 await nursery.start(program.run)
+                clock_watch = ClockWatch(on_wake=self._on_standstill)
                 for follower in self.followers:
                     nursery.start_soon(follower.run)
-                receiver = MessageReceiver(
+                self.receiver = MessageReceiver(
                     peer_socket=self.peer_socket,
                     heartbeat_sender=self.heartbeat_sender,
                     program=program,
                     nursery=nursery,
+                    clock_watch=clock_watch,
                 )
-                nursery.start_soon(receiver.run)
+                nursery.start_soon(self.receiver.run)
                 nursery.start_soon(self.heartbeat_sender.run)
                 await self.listeners.start(nursery)
                 nursery.start_soon(self._handle_signals, signals)
                 nursery.start_soon(self._watch_settings)
-                nursery.start_soon(watch_clock, self._on_standstill)
+                nursery.start_soon(clock_watch.run)
                 logger.info(
                     "started",
                     extra={"code": "started", "cpu_s": round(time.process_time(), 3)},
@@ -143,6 +146,9 @@
     def _on_standstill(self) -> None:
         """Check all that this process got before it stood still."""
         self.heartbeat_sender.on_standstill()
+        if self.receiver is not None:
+            self.receiver.process_backlog()
+        self.heartbeat_sender.request_confirmations()
         self._interrupt_watches()
 
     def on_state_change(self, topic: Topic) -> None:
--- a/packages/oleanderweir/src/oleanderweir/peering/freshness.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/freshness.py
@@ -51,6 +51,8 @@
         self.shared_at = NEVER
         # Until when the source counts as slow.
         self.slow_until = NEVER
+        # Whether the process has stood still, and its state was not proved since.
+        self.is_stale = False
 
     @property
     def proof_s(self) -> float:
@@ -72,6 +74,7 @@
         """Record a response of the source to this process."""
         known = self.responded_at.get(topic, NEVER)
         self.responded_at[topic] = max(known, proved_at)
+        self._update_stale()
         now = trio.current_time()
         is_late = now - proved_at > MAX_RESPONSE_AGE_S
         self.slow_until = now + SLOW_S if is_late else NEVER
@@ -84,11 +87,13 @@
         self.confirmed_at[reader] = max(known, proved_at)
         if is_shared:
             self.shared_at = max(self.shared_at, proved_at)
+        self._update_stale()
 
     def forget(self) -> None:
         """Discard the proofs of the own state, since this process stood still."""
         self.responded_at.clear()
         self.shared_at = NEVER
+        self.is_stale = True
 
     def find_readers(self, *, within_s: float = PROOF_S) -> list[str]:
         """Return the hosts whose confirmation is not older than a time."""
@@ -104,6 +109,11 @@
         """Whether the state of this process was proved within a time."""
         return self.proved_at >= self._moment_before(span_s)
 
+    def _update_stale(self) -> None:
+        """Clear ``is_stale`` once a proof has come since the standstill."""
+        if self.proved_at > NEVER:
+            self.is_stale = False
+
     def _discard_old(self) -> None:
         limit = self._moment_before(LAPSED_READER_S)
         for host in [host for host, at in self.confirmed_at.items() if at < limit]:
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -204,6 +204,11 @@
         """Prove the state anew, since this process stood still."""
         self.confirmations.freshness.forget()
 
+    def request_confirmations(self) -> None:
+        """Send heartbeats that request a reply to the known readers, which confirm."""
+        for host in sorted(self.confirmations.freshness.confirmed_at):
+            self._send_heartbeat(host, requests_reply=True, lists_hosts=False)
+
     def on_state_change(self, topic: Topic) -> None:
         """
         Send heartbeats to new hosts; as a reader, announce a new desired state.
--- a/tests/oleanderweir/packet_process/test_message_receiver.py
+++ b/tests/oleanderweir/packet_process/test_message_receiver.py
@@ -10,6 +10,7 @@
 from oleanderweir.error_barrier import unexpected_errors
 from oleanderweir.flows import FlowKey
 from oleanderweir.net import Datagram
+from oleanderweir.packet_process.clock_watch import ClockWatch
 from oleanderweir.packet_process.message_receiver import MessageReceiver
 from oleanderweir.peering.message_codec import encode_message
 from oleanderweir.peering.messages import Message
@@ -63,6 +64,7 @@
             heartbeat_sender=HeartbeatSenderBench().heartbeat_sender,
             program=cast("PacketProgram", program),
             nursery=nursery,
+            clock_watch=ClockWatch(on_wake=lambda: None),
         )
         nursery.start_soon(receiver.run)
         await trio.testing.wait_all_tasks_blocked()
--- a/tests/oleanderweir_agent/forwarding/test_flow_admission.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_admission.py
@@ -5,10 +5,12 @@
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import StateRegister
 from oleanderweir.desired_state import Topic
+from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding import FlowAdmission
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import publish
+from tests.oleanderweir.flows.fakes import make_key
 
 
 HOST = "10.0.0.1"
@@ -52,3 +54,19 @@
     record = make_admission(register).update_record()
     assert record is not None
     assert record.state is BackendState.READY
+
+
+# Guards against an agent that outlives its backend server, beside the next user of the
+# address.
+async def test_a_flow_is_rejected_once_another_service_uses_the_address() -> None:
+    register = make_register()
+    publish(register, version=1, routes={1: "feed"})
+    admission = make_admission(register)
+    admission.update_record()
+    assert admission.check(make_key(1)) is None
+
+    document = backend_document(host=HOST, service="archive", started_at_ms=2000)
+    add_backend(register, "b2", document)
+    admission.update_record()
+
+    assert admission.check(make_key(1)) is ReturnReason.NO_ROUTE
