Take no new flow after a stop until the backend server is recognised

Cause: after a standstill or a refused probe, the agent took whatever answered at the address for its backend server. Neither a probe nor an answered opening packet tells one service from another, and the record of the lost one stays published until its lease ends.

Fix: after a proven stop or a standstill, new flows are rejected until the backend server sends a packet of a flow that was open before, which no other can hold; or a newer start is published; or its record outlives the lease, by a state that is proved to be newer. Packets that waited in the agent's sockets are processed first and prove nothing. Open flows aren't touched. Ruled out: probing more often (it says nothing of the service).

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
 from oleanderweir_agent.forwarding.backend_probe import BackendProbe
 from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -15,6 +16,7 @@
 
 __all__ = [
     "AgentTransport",
+    "BackendContinuity",
     "BackendProbe",
     "FlowTable",
     "LoadMeter",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
@@ -8,6 +8,7 @@
 
 
 if TYPE_CHECKING:
+    from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 
@@ -20,9 +21,16 @@
 class Acceptance:
     """Tells whether load reports say that the backend server accepts new flows."""
 
-    def __init__(self, *, admission: FlowAdmission, liveness: BackendLiveness) -> None:
+    def __init__(
+        self,
+        *,
+        admission: FlowAdmission,
+        liveness: BackendLiveness,
+        continuity: BackendContinuity,
+    ) -> None:
         self.admission = admission
         self.liveness = liveness
+        self.continuity = continuity
         self.full_until = float("-inf")
 
     def on_full(self, *, now: float) -> None:
@@ -33,5 +41,7 @@
         """Whether the backend server accepts new flows now."""
         if now < self.full_until or not self.liveness.allows_new_flows():
             return False
+        if self.continuity.is_doubted(now=now):
+            return False
         record = self.admission.record
         return record is None or record.state is BackendState.READY
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from oleanderweir.desired_state import Topic
+    from oleanderweir.net import Datagram
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding.backend_probe import BackendProbe
@@ -71,6 +72,12 @@
         del topic
         self.agent.on_state_change()
 
+    def on_standstill(self) -> None:
+        """Process the packets that waited, and doubt the backend server after them."""
+        while batch := self.backend_socket.read_ready():
+            self._process(batch)
+        self.agent.on_standstill()
+
     async def drain(self) -> None:
         """
         Forward the last packets of the backend server before the process exits.
@@ -89,9 +96,12 @@
 
     async def _receive(self) -> None:
         while True:
-            for datagram in await self.backend_socket.receive_batch():
-                with self.packet_barrier:
-                    self.agent.on_backend_packet(datagram.data)
+            self._process(await self.backend_socket.receive_batch())
+
+    def _process(self, batch: list[Datagram]) -> None:
+        for datagram in batch:
+            with self.packet_barrier:
+                self.agent.on_backend_packet(datagram.data)
 
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
--- /dev/null
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_continuity.py
@@ -0,0 +1,101 @@
+"""Whether the backend server beside the agent is still the one that it knew."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from oleanderweir.desired_state import BackendRecord
+    from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
+
+
+logger = logging.getLogger(__name__)
+
+# A record is removed after its backend server has been silent for three heartbeats.
+DEFAULT_RECORD_LEASE_S = 4.0
+NEVER = float("-inf")
+
+
+class BackendContinuity:
+    """
+    Doubts the identity of the backend server after it stopped, or may have.
+
+    An address may pass to a backend server of another service seconds after the loss of
+    the one before, which stays published until its lease ends. Neither a probe nor the
+    answer to an opening packet tells them apart. So after a proven stop, and after a
+    standstill of this process in which it may have missed one, new flows are rejected
+    until one of these shows that the backend server is of this agent's service: it
+    sends a packet of a flow that was open before, which another one can't hold; a newer
+    start is published; or its record is still published once the lease has passed.
+
+    ``record_lease_s`` is in seconds. ``proved_at`` returns when the published state was
+    last proved to be that of the source. Times are those of trio's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        admission: FlowAdmission,
+        record_lease_s: float = DEFAULT_RECORD_LEASE_S,
+    ) -> None:
+        self.admission = admission
+        self.record_lease_s = record_lease_s
+        self.proved_at: Callable[[], float] = lambda: float("inf")
+        self.doubted_since: float | None = None
+        # The start of the backend server that was published when the doubt began.
+        self.doubted_start_ms = 0
+
+    def on_doubt(self, *, now: float, reason: str) -> None:
+        """Doubt the identity: the backend server has stopped, or may have."""
+        self.doubted_since = now
+        self.doubted_start_ms = _start_of(self.admission.record)
+        logger.warning(
+            "no new flows until the backend server is known to be of this service",
+            extra={
+                "code": "backend_doubted",
+                "reason": reason,
+                "started_at_ms": self.doubted_start_ms,
+            },
+        )
+
+    def on_held_flow(self) -> None:
+        """End the doubt: the backend server sent a packet of an open flow."""
+        self._end(proof="held_flow")
+
+    def is_doubted(self, *, now: float) -> bool:
+        """Whether the backend server may be one of another service."""
+        if self.doubted_since is None:
+            return False
+        record = self.admission.record
+        if record is None or record.service != self.admission.service:
+            return True
+        if record.started_at_ms != self.doubted_start_ms:
+            self._end(proof="new_start")
+        elif self._has_outlived_lease(now):
+            self._end(proof="lease")
+        return self.doubted_since is not None
+
+    def _has_outlived_lease(self, now: float) -> bool:
+        """Whether the record of a backend server lost by then would be gone."""
+        if self.doubted_since is None:
+            return False
+        lease_end = self.doubted_since + self.record_lease_s
+        return now >= lease_end and self.proved_at() >= lease_end
+
+    def _end(self, *, proof: str) -> None:
+        if self.doubted_since is None:
+            return
+        self.doubted_since = None
+        logger.info(
+            "the backend server is known to be of this service",
+            extra={"code": "backend_recognised", "proof": proof},
+        )
+
+
+def _start_of(record: BackendRecord | None) -> int:
+    """Return the start of a record in Unix milliseconds, 0 without one."""
+    return 0 if record is None else record.started_at_ms
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -16,6 +16,7 @@
     from oleanderweir.flows import Packet
     from oleanderweir.flows import PacketCodec
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
     from oleanderweir_agent.forwarding.flow_remover import FlowRemover
     from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -44,6 +45,7 @@
         table: FlowTable,
         dispatcher: RequestDispatcher,
         liveness: BackendLiveness,
+        continuity: BackendContinuity,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         opening_handler: OpeningHandler,
@@ -53,6 +55,7 @@
         self.table = table
         self.dispatcher = dispatcher
         self.liveness = liveness
+        self.continuity = continuity
         self.ownership = ownership
         self.remover = remover
         self.opening_handler = opening_handler
@@ -106,6 +109,8 @@
         check = None if packet.is_opening else self.ownership.pop(packet.key)
         host = "" if check is None else check.balancer
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
+        if flow.is_established and not packet.is_reset:
+            self.continuity.on_held_flow()
         flow.is_answered = True
         if not packet.is_opening:
             self._establish(flow, check, now=now)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -17,6 +17,7 @@
     from oleanderweir.peering.messages import Delivery
     from oleanderweir_agent.forwarding.acceptance import Acceptance
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_remover import FlowRemover
@@ -49,6 +50,7 @@
         admission: FlowAdmission,
         acceptance: Acceptance,
         liveness: BackendLiveness,
+        continuity: BackendContinuity,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         report_builder: ReportBuilder,
@@ -60,6 +62,7 @@
         self.admission = admission
         self.acceptance = acceptance
         self.liveness = liveness
+        self.continuity = continuity
         self.ownership = ownership
         self.remover = remover
         self.report_builder = report_builder
@@ -81,7 +84,7 @@
         if not self._can_decide(existing, packet, message):
             self._hold(host, packet, message, now=now)
             return
-        reason = self._find_rejection(existing, packet, message)
+        reason = self._find_rejection(existing, packet, message, now=now)
         if reason is ReturnReason.BUSY:
             # The balancer placed the flow by an older report: send it a new one.
             self.transport.send(host, self.report_builder.build(now=now))
@@ -91,19 +94,30 @@
         self._forward(host, packet, now=now)
 
     def _find_rejection(
-        self, existing: HeldFlow | None, packet: Packet, message: Delivery
+        self,
+        existing: HeldFlow | None,
+        packet: Packet,
+        message: Delivery,
+        *,
+        now: float,
     ) -> ReturnReason | None:
         """Return why an opening packet can't be forwarded, or None if it can."""
         if _is_answered_copy(existing):
             return None
         reason = self.admission.check(packet.key)
-        if reason is None and not self.liveness.allows_new_flows():
+        if reason is None and not self._is_backend_usable(now=now):
             reason = ReturnReason.FULL
         is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
         if reason is None and is_first and self.dispatcher.is_saturated:
             reason = ReturnReason.BUSY
         return reason
 
+    def _is_backend_usable(self, *, now: float) -> bool:
+        """Whether the backend server responds and is of this agent's service."""
+        if self.continuity.is_doubted(now=now):
+            return False
+        return self.liveness.allows_new_flows()
+
     def _can_decide(
         self, existing: HeldFlow | None, packet: Packet, message: Delivery
     ) -> bool:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -20,6 +20,7 @@
     from oleanderweir.peering import Members
     from oleanderweir.peering.messages import Message
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
     from oleanderweir_agent.forwarding.backend_packet_handler import (
         BackendPacketHandler,
@@ -64,6 +65,7 @@
     openings: PendingOpenings
     dispatcher: RequestDispatcher
     liveness: BackendLiveness
+    continuity: BackendContinuity
     ownership: OwnershipChecker
     lookup_service: LookupService
     completeness: TableCompleteness
@@ -172,6 +174,10 @@
             self.dispatcher.drop(flow, now=now)
         self.ownership.expire(now=now)
 
+    def on_standstill(self) -> None:
+        """Doubt the backend server: it may have stopped while this process did."""
+        self.continuity.on_doubt(now=trio.current_time(), reason="standstill")
+
     def on_state_change(self) -> None:
         """Apply the published record, and decide about held opening packets."""
         self.record_follower.on_state_change()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from oleanderweir_agent.forwarding.acceptance import Acceptance
+from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.backend_packet_handler import BackendPacketHandler
 from oleanderweir_agent.forwarding.backend_record_follower import BackendRecordFollower
@@ -40,15 +41,19 @@
     members: Members,
     admission: FlowAdmission,
     transport: AgentTransport,
+    continuity: BackendContinuity | None = None,
 ) -> PacketAgent:
     """Return an agent without flows."""
     table = FlowTable(idle_timeout_s=flow_ttl_s)
     openings = PendingOpenings()
     dispatcher = RequestDispatcher(register=register, transport=transport)
     liveness = BackendLiveness()
+    continuity = continuity or BackendContinuity(admission=admission)
     completeness = TableCompleteness(admission=admission, liveness=liveness)
     ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
-    acceptance = Acceptance(admission=admission, liveness=liveness)
+    acceptance = Acceptance(
+        admission=admission, liveness=liveness, continuity=continuity
+    )
     report_builder = ReportBuilder(
         service=service, table=table, dispatcher=dispatcher, acceptance=acceptance
     )
@@ -66,6 +71,7 @@
         admission=admission,
         acceptance=acceptance,
         liveness=liveness,
+        continuity=continuity,
         ownership=ownership,
         remover=remover,
         report_builder=report_builder,
@@ -82,6 +88,7 @@
         openings=openings,
         dispatcher=dispatcher,
         liveness=liveness,
+        continuity=continuity,
         ownership=ownership,
         lookup_service=LookupService(
             codec=codec, register=register, members=members, transport=transport
@@ -105,6 +112,7 @@
             table=table,
             dispatcher=dispatcher,
             liveness=liveness,
+            continuity=continuity,
             ownership=ownership,
             remover=remover,
             opening_handler=opening_handler,
@@ -114,6 +122,7 @@
             codec=codec,
             table=table,
             liveness=liveness,
+            continuity=continuity,
             completeness=completeness,
             ownership=ownership,
             remover=remover,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import PacketCodec
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
     from oleanderweir_agent.forwarding.flow_remover import FlowRemover
     from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -29,6 +30,7 @@
         codec: PacketCodec,
         table: FlowTable,
         liveness: BackendLiveness,
+        continuity: BackendContinuity,
         completeness: TableCompleteness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
@@ -38,6 +40,7 @@
         self.codec = codec
         self.table = table
         self.liveness = liveness
+        self.continuity = continuity
         self.completeness = completeness
         self.ownership = ownership
         self.remover = remover
@@ -54,7 +57,10 @@
         process answers.
         """
         now = trio.current_time()
+        had_stopped = self.liveness.has_stopped
         self.liveness.on_probe_outcome(outcome, now=checked_at)
+        if self.liveness.has_stopped and not had_stopped:
+            self.continuity.on_doubt(now=now, reason="stopped")
         self._update_completeness(outcome, checked_at=checked_at, now=now)
         if not self.liveness.has_stopped:
             return
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -81,6 +81,9 @@
         """Apply a change of the published state."""
         self.balancer.on_state_change(topic)
 
+    def on_standstill(self) -> None:
+        """Do nothing: flows are placed by reports, which a standstill makes silent."""
+
     async def drain(self) -> None:
         """
         Forward packets until the process can exit.
--- a/packages/oleanderweir/src/oleanderweir/packet_process/packet_program.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/packet_program.py
@@ -33,5 +33,8 @@
     def on_state_change(self, topic: Topic) -> None:
         """Apply a change of the published state."""
 
+    def on_standstill(self) -> None:
+        """Check what this process knew before it stood still."""
+
     async def drain(self) -> None:
         """Finish the remaining work; return when the process may stop."""
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_runtime.py
@@ -148,6 +148,8 @@
         self.heartbeat_sender.on_standstill()
         if self.receiver is not None:
             self.receiver.process_backlog()
+        if self.program is not None:
+            self.program.on_standstill()
         self.heartbeat_sender.request_confirmations()
         self._interrupt_watches()
 
--- a/tests/oleanderweir_agent/forwarding/test_standstill.py
+++ b/tests/oleanderweir_agent/forwarding/test_standstill.py
@@ -79,6 +79,7 @@
         self.sender.on_standstill()
         assert self.receiver is not None
         self.receiver.process_backlog()
+        self.bench.agent.on_standstill()
 
     async def wake(self, nursery: trio.Nursery) -> None:
         """Stand still, then read what has waited meanwhile."""
@@ -128,12 +129,14 @@
     assert agent.bench.to_backend() == []
 
 
-async def test_a_waiting_opening_packet_is_forwarded_once_a_reader_confirms(
+async def test_a_waiting_opening_packet_is_forwarded_once_all_is_proved(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     agent = FrozenAgent()
     async with trio.open_nursery() as nursery:
         await agent.wake(nursery)
+        document = backend_document(host="10.0.0.1", started_at_ms=2000)
+        publish(agent.bench.register, version=1, revision=2, backends={"b2": document})
         assert agent.bench.to_backend() == []
         agent.socket.add(PEER, make_confirmation())
         await agent.bench.pass_time(0.1)
