Count a request as running only once its last packet has arrived

What callers saw (a deployment whose callers upload over slow links): two thirds of the uploads were late or never answered, while their backend servers were nearly idle.

An upload that took 0.4 s or more to arrive held a slot all the while, though the backend server needs it for 4 ms; others waited for seconds and expired in the queue.

Fix: packets of a request are forwarded as they arrive. Only the one that completes it waits for a slot, and the service time is measured from there. The end is known by the lengths of packets alone: a full packet announces another one. A request whose end can't be told is forwarded without waiting. Ruled out: lost packets, processor time of balancers (0.05 of a core), limits of the backend servers.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
     from oleanderweir.flows import Packet
+    from oleanderweir_agent.forwarding.request_transfer import RequestTransfer
 
 
 # How long a closed flow is kept, for the last packets of its caller.
@@ -40,6 +41,7 @@
     ``waited_s`` how long it was queued before, and ``request_expires_at`` when its
     caller gives up at the latest.
 
+    ``transfer`` tracks a request of several packets until the last one has arrived.
     ``received_up_to`` is the sequence number after the last byte received from the
     caller, ``caller_acknowledged`` that of the next byte that the caller expects.
     ``is_reset_by_caller`` is set if a caller's reset closed the flow; a backend server
@@ -61,6 +63,7 @@
     request_expires_at: float = 0.0
     waited_s: float = 0.0
     busy_at_request: int = 0
+    transfer: RequestTransfer | None = None
     received_up_to: int | None = None
     caller_acknowledged: int = 0
     is_reset_by_caller: bool = False
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/load_meter.py
@@ -1,8 +1,9 @@
 """
 Load of a backend server, measured from the packets that pass the agent.
 
-Only directions, lengths and times of packets are used: a request starts with the first
-payload of its caller, and is answered by the next payload of the backend server.
+Only directions, lengths and times of packets are used: a request starts with the last
+packet of its caller, since the backend server can't run it before, and is answered by
+the next payload of the backend server.
 """
 
 from __future__ import annotations
@@ -31,6 +32,8 @@
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.busy = 0
+        # Requests of several packets whose last one hasn't arrived; they need no slot.
+        self.receiving = 0
         self.busy_mean = 0.0
         self.mean_updated_at = float("-inf")
         self.service_s = 0.0
@@ -77,7 +80,7 @@
         self._update_mean(now)
         return LoadReport(
             service=service,
-            busy=self.busy + waiting,
+            busy=self.busy + waiting + self.receiving,
             flows=flows,
             busy_mean=round(self.busy_mean, 2),
             service_ms=round(self.service_s * 1000, 1),
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -10,6 +10,7 @@
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
 from oleanderweir_agent.forwarding.queued_request import QueuedRequest
 from oleanderweir_agent.forwarding.request_queue import RequestQueue
+from oleanderweir_agent.forwarding.request_transfer import RequestTransfer
 
 
 if TYPE_CHECKING:
@@ -30,14 +31,18 @@
 DEFAULT_SLOTS = 4
 # How long an unanswered request may hold a slot if its route is not known.
 DEFAULT_REQUEST_TIMEOUT_S = 5.0
+# Sequence numbers that an opening packet may use up, without any payload.
+OPENING_NUMBERS = 1
 
 
 class RequestDispatcher:
     """
     Tracks the request of each flow by payload, and queues requests without a free slot.
 
-    All packets of a queued request wait with it. Packets that carry no new request are
-    forwarded at once.
+    A request of several packets needs a slot only once the last one has arrived: its
+    caller may send them slowly, and the backend server can't run it before. The others
+    are forwarded at once, and that one waits for the slot. Packets that carry no new
+    request are forwarded at once.
     """
 
     def __init__(self, *, register: StateRegister, transport: AgentTransport) -> None:
@@ -59,18 +64,24 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether any request is queued or in flight."""
-        return bool(self.queue) or self.meter.busy > 0
+        """Whether any request is arriving, queued or in flight."""
+        return bool(self.queue) or self.meter.busy > 0 or self.meter.receiving > 0
 
     def dispatch(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
         """Forward a caller's packet, or queue its request until a slot is free."""
         if not packet.payload_bytes:
             self._forward_empty(flow, packet, now=now)
             return
+        received_before = flow.received_up_to
         is_new = flow.record_payload(packet)
         if self.queue.append(flow.key, packet.data):
             return
-        if flow.requested_at is not None or not is_new:
+        if flow.requested_at is not None:
+            self.transport.forward_to_backend(packet.data)
+            return
+        if flow.transfer is None and is_new and packet.is_full:
+            self._begin_transfer(flow, received_before, packet, now=now)
+        if not _completes_request(flow, packet, is_new=is_new):
             self.transport.forward_to_backend(packet.data)
         elif self.meter.has_free_slot or not self._enqueue(flow, packet, now=now):
             flow.waited_s = 0.0
@@ -95,6 +106,7 @@
     def on_answer(self, flow: HeldFlow, *, now: float) -> None:
         """Complete the request of a flow when its backend server sends payload."""
         if flow.requested_at is None:
+            self._end_transfer(flow)
             return
         logger.info(
             "request answered",
@@ -114,6 +126,7 @@
     def drop(self, flow: HeldFlow, *, now: float) -> None:
         """Drop the request of a flow, queued or in flight."""
         self.queue.remove(flow.key)
+        self._end_transfer(flow)
         if flow.requested_at is not None:
             self._log_unanswered(flow, now=now)
         self.meter.end_request(flow, now=now)
@@ -148,6 +161,10 @@
             if flow.requested_at is not None and flow.request_expires_at < now:
                 self._log_unanswered(flow, now=now)
                 self.meter.end_request(flow, now=now)
+            if flow.transfer is not None and self._has_expired(
+                flow.transfer, flow, now
+            ):
+                self._end_transfer(flow)
 
     def _forward_empty(self, flow: HeldFlow, packet: Packet, *, now: float) -> None:
         """Forward a packet without payload, or queue a final one behind its request."""
@@ -157,23 +174,54 @@
             self.meter.end_request(flow, now=now)
             if self.queue.append(flow.key, packet.data):
                 return
+            self._end_transfer(flow)
         self.transport.forward_to_backend(packet.data)
 
+    def _begin_transfer(
+        self,
+        flow: HeldFlow,
+        received_before: int | None,
+        packet: Packet,
+        *,
+        now: float,
+    ) -> None:
+        """Track a request whose first packet announces others."""
+        origin = packet.sequence if received_before is None else received_before
+        if packet.sequence - origin == OPENING_NUMBERS:
+            origin = packet.sequence
+        flow.transfer = RequestTransfer(began_at=now, origin=origin)
+        self.meter.receiving += 1
+
+    def _end_transfer(self, flow: HeldFlow) -> None:
+        if flow.transfer is not None:
+            flow.transfer = None
+            self.meter.receiving -= 1
+
+    def _has_expired(
+        self, transfer: RequestTransfer, flow: HeldFlow, now: float
+    ) -> bool:
+        """Whether the caller of an arriving request has given up."""
+        return now > transfer.began_at + self._timeout_s(flow.key)
+
     def _enqueue(self, flow: HeldFlow, packet: Packet, *, now: float) -> bool:
         """Queue a request; return False if the route is unknown or the queue full."""
         route = self._find_route(flow.key)
         if route is None:
             return False
+        began_at = now if flow.transfer is None else flow.transfer.began_at
         request = QueuedRequest(
             key=flow.key,
             packets=[packet.data],
             end_sequence=packet.sequence + packet.payload_bytes,
             arrived_at=now,
-            due_at=now + route.target_latency_s,
-            expires_at=now + route.timeout_s,
+            due_at=began_at + route.target_latency_s,
+            expires_at=began_at + route.timeout_s,
             priority=route.priority,
         )
-        return self.queue.add(request)
+        if not self.queue.add(request):
+            return False
+        self._end_transfer(flow)
+        return True
 
     def _start(self, flow: HeldFlow, packets: list[bytes], *, now: float) -> None:
         """Forward the packets of a request to the backend server."""
@@ -212,11 +260,23 @@
 
     def _count_in_flight(self, flow: HeldFlow, *, now: float) -> None:
         """Count the request of a flow as in flight until its caller gives up."""
+        self._end_transfer(flow)
         self.meter.on_request(flow, now=now)
-        route = self._find_route(flow.key)
-        timeout_s = DEFAULT_REQUEST_TIMEOUT_S if route is None else route.timeout_s
-        flow.request_expires_at = now + timeout_s
+        flow.request_expires_at = now + self._timeout_s(flow.key)
+
+    def _timeout_s(self, key: FlowKey) -> float:
+        """Return for how long the caller of a flow waits, in seconds."""
+        route = self._find_route(key)
+        return DEFAULT_REQUEST_TIMEOUT_S if route is None else route.timeout_s
 
     def _find_route(self, key: FlowKey) -> Route | None:
         desired = self.register.desired
         return None if desired is None else desired.routes.get(route_address(key))
+
+
+def _completes_request(flow: HeldFlow, packet: Packet, *, is_new: bool) -> bool:
+    """Whether the backend server can run the request of a flow with this packet."""
+    if flow.transfer is None:
+        return is_new
+    flow.transfer.record(packet)
+    return flow.transfer.is_complete
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_codec.py
@@ -27,6 +27,9 @@
 )
 
 
+MAX_PAYLOAD_BYTES = 1200
+
+
 class EmulatedPacketCodec:
     """A ``PacketCodec`` with one format for both directions."""
 
@@ -42,7 +45,8 @@
         except (ValueError, TypeError, msgpack.UnpackException):
             return None
         fields = dict(zip(FIELDS, values, strict=True))
-        return Packet(data=data, key=FlowKey(key), **fields)
+        is_full = fields["payload_bytes"] >= MAX_PAYLOAD_BYTES
+        return Packet(data=data, key=FlowKey(key), is_full=is_full, **fields)
 
     def decode_from_backend_server(self, data: bytes) -> Packet | None:
         """Decode a packet in the same way as ``decode_from_caller``."""
--- a/packages/oleanderweir/src/oleanderweir/flows/packet.py
+++ b/packages/oleanderweir/src/oleanderweir/flows/packet.py
@@ -19,7 +19,8 @@
     ``data`` is the whole datagram. ``acknowledged`` is the number of the next byte that
     the sender expects; in a caller's opening packet it counts the copies sent before.
     ``is_returned`` marks a packet that a backend server returned because it doesn't
-    hold the flow or can't open it.
+    hold the flow or can't open it. ``is_full`` tells whether it has as much payload as
+    a packet can carry, so that the sender probably has more to send.
     """
 
     data: bytes
@@ -32,6 +33,7 @@
     sequence: int
     acknowledged: int
     payload_bytes: int
+    is_full: bool = False
 
     @property
     def is_retransmitted(self) -> bool:
