Check a configuration before it is published

Operators learnt what is wrong with a configuration only from the logs of the processes after it was written, and only the first invalid field; routes that replace each other, shares without weight and contradicting limits were never reported.

oleanderweir.config_check decides; the adapter reads documents with the classes that the processes use and names each invalid field. The command check-config prints all findings and what differs from the version in force, from a file or from one listing of the store. No process uses the package, so running deployments are served as before.

--- a/tests/tools/test_operators_page.py
+++ b/tests/tools/test_operators_page.py
@@ -6,6 +6,7 @@
 from prometheus_client import Gauge
 
 from oleanderweir.admin import ReadinessReason
+from oleanderweir.config_check import FindingCode
 from oleanderweir.configuration_service import metrics as configuration_metrics
 from oleanderweir.console import ExitCode
 from oleanderweir.console.process_metrics import ProcessMetrics
@@ -57,3 +58,8 @@
 @pytest.mark.parametrize("code", list(ExitCode))
 def test_every_exit_code_is_explained(code: ExitCode) -> None:
     assert f"\n| {code.value} | " in PAGE
+
+
+@pytest.mark.parametrize("code", list(FindingCode))
+def test_every_finding_of_a_configuration_is_explained(code: FindingCode) -> None:
+    assert f"\n| `{code.value}`" in PAGE or f", `{code.value}`" in PAGE
