Reset no flow of a drained backend server that has closed its port

A caller that uploads slowly had sent nothing for 2.4 s.

Cause: a refused probe after a stop signal was taken as proof that all flows are lost. A backend server that drains may close its port before its last flows end.

Fix: at the end of a drain the flows are removed and reset only when their callers send the next packet; the departure is announced as before. After a crash, they are reset at once as before. Both cases of the new test fail without it.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -40,6 +40,8 @@
         # Whether the process stood still, and its state was not proved since.
         self.is_stale: Callable[[], bool] = lambda: False
         self.record: BackendRecord | None = None
+        # The last one that was published, if it was removed since.
+        self.last_record: BackendRecord | None = None
         # Since when the published backend servers have had no record of this one, in
         # seconds of trio's clock.
         self.unpublished_since: float | None = None
@@ -48,6 +50,7 @@
         """Set ``record`` to that of the backend server, and return it."""
         had_record = self.record is not None
         self.record = self.register.backend_at(self.host, self.port)
+        self.last_record = self.record or self.last_record
         if self.record is not None or self.register.listed_at is None:
             self.unpublished_since = None
         elif had_record or self.unpublished_since is None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/probe_outcome_handler.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from oleanderweir.desired_state import BackendState
+
 
 if TYPE_CHECKING:
     from oleanderweir.flows import PacketCodec
@@ -82,12 +84,19 @@
         """
         Remove a flow that was lost with its backend server, and reset it if open.
 
-        Skips a flow of which the caller has sent only the opening packet.
+        Skips a flow of which the caller has sent only the opening packet. A backend
+        server that drains may close its port before its last flows end: they are reset
+        only when their callers send the next packet, which nothing answers any more.
         """
         if flow.opening is not None:
             return
-        if flow.is_established and not flow.is_closed:
+        if flow.is_established and not flow.is_closed and not self._is_draining():
             data = self.codec.make_reset(flow.key, sequence=flow.caller_acknowledged)
             self.transport.reset_flow(flow.key, data, reason="backend_gone")
         self.ownership.record_not_held(flow.key, now=now)
         self.remover.remove(flow.key, now=now)
+
+    def _is_draining(self) -> bool:
+        """Whether the backend server drains, or did until its record was removed."""
+        record = self.continuity.admission.last_record
+        return record is not None and record.state is BackendState.DRAINING
--- a/tests/oleanderweir_agent/forwarding/test_probe_outcome_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_probe_outcome_handler.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import pytest
 import trio
 import trio.testing
 
@@ -7,8 +8,11 @@
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding import ProbeOutcome
+from tests.oleanderweir.desired_state.fakes import backend_document
+from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import EmulatedPacketCodec
 from tests.oleanderweir.flows.fakes import make_key
+from tests.oleanderweir_agent.forwarding.bench import BACKEND
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
 from tests.oleanderweir_agent.forwarding.bench import open_flow
 from tests.oleanderweir_agent.forwarding.packets import OPENED
@@ -43,6 +47,29 @@
     assert denial.reason is ReturnReason.NOT_HELD
 
 
+# Guards against resets of flows that a backend server still holds as its drain ends.
+@pytest.mark.parametrize("is_removed", [False, True])
+async def test_a_drained_backend_server_that_closed_its_port_gets_no_flow_reset(
+    autojump_clock: trio.testing.MockClock, is_removed: bool
+) -> None:
+    bench = AgentBench()
+    open_flow(bench, 1)
+    bench.deliver(DeliveryPurpose.CONTINUE, request(1))
+    bench.agent.on_backend_packet(answer(1))
+    bench.agent.on_probe_outcome(ProbeOutcome.ACCEPTED, checked_at=trio.current_time())
+    draining = backend_document(host=BACKEND.host, state="draining")
+    publish(bench.register, revision=2, backends={"b1": draining})
+    if is_removed:
+        publish(bench.register, revision=3, backends={})
+    bench.to_callers()
+    await trio.sleep(1)
+
+    bench.agent.on_probe_outcome(ProbeOutcome.REFUSED, checked_at=trio.current_time())
+
+    assert bench.to_callers() == []
+    assert bench.agent.holds_no_flows
+
+
 async def test_a_flow_that_was_used_after_the_probe_is_kept(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
