Let short packets overtake those of uploads on a saturated link

What callers saw (a deployment with balancers on slow links): a short request that came through such a balancer took 300 to 700 ms in one of ten cases, and up to 1.5 s, while others uploaded through it; through the others 75 to 110 ms.

Cause: callers send a window of 16 full packets at once, and all that a balancer forwards leaves in order. A few uploads fill a link of 5 Mbit/s with 0.1 s of packets and more.

Fix: where the settings name the link's rate, forwarded packets pass a token bucket of nine tenths of it; full packets wait when it is empty, and a flow stays in order. Ruled out: processor time; waiting at backend servers; taking such balancers out of rotation (docs/ design/slow-links.md).

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -28,6 +28,8 @@
 IDLE_S = 0.4
 # Routers remove a process after two failed probes, half a second apart.
 ROUTER_REMOVAL_DELAY_S = 1.6
+# Interval between two checks of the send queue while packets wait.
+SEND_INTERVAL_S = 0.004
 # Part of the grace period that is reserved for the exit of the process itself.
 GRACE_MARGIN_S = 0.7
 
@@ -71,6 +73,7 @@
             nursery.start_soon(self._watch_pauses)
             nursery.start_soon(self._expire)
             nursery.start_soon(self._retry_lookups)
+            nursery.start_soon(self._send_queued)
             task_status.started()
 
     def on_message(self, host: str, message: Message) -> None:
@@ -127,3 +130,11 @@
             await trio.sleep(LOOKUP_CHECK_INTERVAL_S)
             with self.timer_barrier:
                 self.balancer.retry_lookups()
+
+    async def _send_queued(self) -> None:
+        transport = self.balancer.transport
+        while (queue := transport.send_queue) is not None:
+            await queue.wait_for_any()
+            await trio.sleep(SEND_INTERVAL_S)
+            with self.timer_barrier:
+                transport.send_queued()
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_transport.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import trio
+
 from oleanderweir.desired_state import Topic
 from oleanderweir.flows import caller_host
 from oleanderweir.flows import describe_flow
@@ -23,6 +25,7 @@
     from oleanderweir_balancer.forwarding.packet_balancer_settings import (
         PacketBalancerSettings,
     )
+    from oleanderweir_balancer.forwarding.send_queue import SendQueue
 
 
 logger = logging.getLogger(__name__)
@@ -38,11 +41,13 @@
         codec: PacketCodec,
         register: StateRegister,
         socket: UdpSocket,
+        send_queue: SendQueue | None = None,
     ) -> None:
         self.settings = settings
         self.codec = codec
         self.register = register
         self.socket = socket
+        self.send_queue = send_queue
 
     def deliver(
         self,
@@ -59,7 +64,25 @@
         message = Delivery(
             purpose=purpose, version=version, data=packet.data, hosts=hosts
         )
-        self.socket.send_to(encode_message(message), (host, self.settings.peer_port))
+        data = encode_message(message)
+        queue = self.send_queue
+        if queue is None or queue.offer(host, packet, data, now=trio.current_time()):
+            self.socket.send_to(data, (host, self.settings.peer_port))
+
+    def send_queued(self) -> None:
+        """Send the queued packets that the link can take now."""
+        if self.send_queue is None or not self.send_queue:
+            return
+        now = trio.current_time()
+        for queued in self.send_queue.pop_late(now=now):
+            self.log(
+                "packet_dropped",
+                queued.packet.key,
+                waited_ms=round((now - queued.queued_at) * 1000),
+                waiting=len(self.send_queue),
+            )
+        for queued in self.send_queue.pop_due(now=now):
+            self.socket.send_to(queued.data, (queued.host, self.settings.peer_port))
 
     def send_reset(self, packet: Packet, *, reason: str) -> None:
         """Send the caller a reset for the flow of a packet."""
