Send no new flows to the backend servers of an evacuated zone

Operators see: while the store holds an order to evacuate an availability zone, no new flow is opened at its backend servers; open flows stay. If no other zone has a backend server of the service, the flow is reset at once (`zones_evacuated`).

Cause: keys beside that of the desired state were not read.

The orders are documents of the desired state's topic, read by the same calls under a prefix that covers both. The last write of each zone wins; a listing withdraws what it lacks. A withdrawn order that a copy of the store lists again stays withdrawn. Heartbeats and confirmations name the newest order in a last field, which is left out while there was none: a process whose watch is dead fetches it from a peer that is ahead. Balancers leave the zone out, agents return opening packets by their own state (EVACUATED), and the balancer then leaves out the zone of that agent, so that one attempt for each zone is enough.

Weighed: a digest of the orders in heartbeats would have up-to-date processes fetch from those behind; withdrawals as documents of their own would not be decoded by earlier releases.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
@@ -33,5 +33,7 @@
         """Whether the backend server accepts new flows now."""
         if now < self.full_until or not self.liveness.allows_new_flows():
             return False
+        if self.admission.is_evacuated:
+            return False
         record = self.admission.record
         return record is None or record.state is BackendState.READY
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -31,12 +31,20 @@
     """
 
     def __init__(
-        self, *, register: StateRegister, service: str, host: str, port: int
+        self,
+        *,
+        register: StateRegister,
+        service: str,
+        host: str,
+        port: int,
+        availability_zone: str,
     ) -> None:
         self.register = register
         self.service = service
         self.host = host
         self.port = port
+        # That of the agent, where its backend server runs too.
+        self.availability_zone = availability_zone
         # Whether the process stood still, and its state was not proved since.
         self.is_stale: Callable[[], bool] = lambda: False
         self.record: BackendRecord | None = None
@@ -61,6 +69,13 @@
             and now - self.unpublished_since > REMOVAL_GRACE_S
         )
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the zone of the backend server is evacuated, by the agent's state."""
+        record = self.record
+        zone = self.availability_zone if record is None else record.availability_zone
+        return self.register.is_evacuated(zone)
+
     def can_decide(self, key: FlowKey, *, version: int) -> bool:
         """
         Whether the agent's own state is enough to decide about a new flow.
@@ -81,6 +96,8 @@
             return ReturnReason.NO_ROUTE
         if record is not None and record.state is BackendState.DRAINING:
             return ReturnReason.DRAINING
+        if self.is_evacuated:
+            return ReturnReason.EVACUATED
         if not self.allows_route(key):
             return ReturnReason.NO_ROUTE
         return None
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -21,7 +21,9 @@
     ``started_at`` is when it arrived or was first placed, ``updated_at`` when it was
     last placed from the queue or returned, in seconds of trio's clock.
     Those in ``refused`` could not accept it; those in ``busy`` would have queued it.
-    The backend servers of those in ``unanswered`` may still accept it, late.
+    The backend servers of those in ``unanswered`` may still accept it, late. Those in
+    ``evacuated`` are in an availability zone that operators have evacuated, by a newer
+    state than that of the balancer; they don't count towards ``MAX_REFUSALS``.
     """
 
     started_at: float
@@ -29,11 +31,12 @@
     refused: set[str] = attrs.field(factory=set)
     unanswered: set[str] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
+    evacuated: set[str] = attrs.field(factory=set)
 
     @property
     def excluded(self) -> set[str]:
         """The agents that the next attempt excludes."""
-        return self.refused | self.unanswered | self.busy
+        return self.refused | self.unanswered | self.busy | self.evacuated
 
     @property
     def is_exhausted(self) -> bool:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -119,6 +119,8 @@
             attempts.busy.add(host)
         elif reason is ReturnReason.UNANSWERED:
             attempts.unanswered.add(host)
+        elif reason is ReturnReason.EVACUATED:
+            attempts.evacuated.add(host)
         else:
             attempts.refused.add(host)
         if attempts.is_exhausted:
@@ -160,7 +162,8 @@
         service = route.choose_service(number)
         record = self._select_backend(service, key, attempts, now=now)
         if record is None:
-            self._give_up(packet, attempts, reason="no_backend_server", now=now)
+            reason = self._why_unplaced(service, attempts)
+            self._give_up(packet, attempts, reason=reason, now=now)
             return
         self.cache.put(
             key,
@@ -188,16 +191,41 @@
         self, service: str, key: FlowKey, attempts: OpeningAttempts, *, now: float
     ) -> BackendRecord | None:
         """Return the next backend server; a busy one again only if no other is left."""
-        candidates = self.register.backends_of(service)
+        candidates = self._outside_evacuated_zones(service, attempts)
         return self.placement.place(
             candidates, key=key, excluding=attempts.excluded, now=now
         ) or self.placement.place(
             candidates,
             key=key,
-            excluding=attempts.refused | attempts.unanswered,
+            excluding=attempts.excluded - attempts.busy,
             now=now,
         )
 
+    def _why_unplaced(self, service: str, attempts: OpeningAttempts) -> str:
+        """Return the reason to log for a flow without a backend server."""
+        has_records = bool(self.register.backends_of(service))
+        if has_records and not self._outside_evacuated_zones(service, attempts):
+            return "zones_evacuated"
+        return "no_backend_server"
+
+    def _outside_evacuated_zones(
+        self, service: str, attempts: OpeningAttempts
+    ) -> list[BackendRecord]:
+        """
+        Return the backend servers of a service whose zone isn't evacuated.
+
+        An agent that returned the flow for this reason has the newer state: the others
+        of its zone would return it too.
+        """
+        records = self.register.backends_of(service)
+        zones = {r.availability_zone for r in records if r.host in attempts.evacuated}
+        return [
+            record
+            for record in records
+            if record.availability_zone not in zones
+            and not self.register.is_evacuated(record.availability_zone)
+        ]
+
     def _find_attempts(self, key: FlowKey, *, now: float) -> OpeningAttempts:
         """Return the attempts of a flow, or new ones, which aren't recorded yet."""
         return self.attempts.get(key) or OpeningAttempts(started_at=now, updated_at=now)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
@@ -16,6 +16,7 @@
 from oleanderweir_agent.forwarding.agent_program import AgentProgram
 from oleanderweir_bench.packet_path.emulated_probe import EmulatedProbe
 from oleanderweir_bench.packet_path.running_agent import RunningAgent
+from oleanderweir_bench.packet_path.site_settings import AVAILABILITY_ZONE
 from oleanderweir_bench.packet_path.site_settings import BACKEND_PORT
 from oleanderweir_bench.packet_path.site_settings import CALLER_PORT
 from oleanderweir_bench.packet_path.site_settings import FLOW_TTL_S
@@ -116,7 +117,11 @@
             register=register,
             members=self.peers.create_members(host, service=service),
             admission=FlowAdmission(
-                register=register, service=service, host=host, port=BACKEND_PORT
+                register=register,
+                service=service,
+                host=host,
+                port=BACKEND_PORT,
+                availability_zone=AVAILABILITY_ZONE,
             ),
             transport=AgentTransport(
                 settings=PacketAgentSettings(
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
@@ -63,6 +63,11 @@
         """Return the desired state that a document stands for."""
         return self.desired_documents[document]
 
+    def decode_evacuated_zone(self, name: str, document: bytes | None) -> str | None:
+        """Return ``None``: no zone of the site is evacuated."""
+        del name, document
+        return None
+
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
         """Return the record that a document of ``make_listing`` stands for."""
         del name
--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -1,10 +1,12 @@
-"""The newest desired state known to this process."""
+"""The newest desired state and evacuation orders known to this process."""
 
 from __future__ import annotations
 
 import logging
 from typing import TYPE_CHECKING
 
+from oleanderweir.desired_state.evacuation_order import EvacuationOrder
+from oleanderweir.desired_state.evacuations import Evacuations
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
 
 
@@ -26,19 +28,28 @@
     Only the version decides, never a revision: the source may return from an older
     copy, and a peer may have read it then. ``revision`` is the point from which to
     watch the source, 0 before the first listing; ``changed_revision`` is that of the
-    newest change. ``documents`` has the document in force.
+    newest change. Orders to evacuate availability zones are documents of their own,
+    ``evacuations`` has those in force. ``documents`` has all documents in force.
     """
 
     def __init__(self, *, decoder: StateDecoder) -> None:
         self.decoder = decoder
         self.revision = 0
         self.changed_revision = 0
-        self.documents: dict[str, Change] = {}
+        self.configuration: dict[str, Change] = {}
         self.desired: DesiredState | None = None
+        self.evacuations = Evacuations()
         # All services of each route address since the process started.
         self.services_by_address: dict[bytes, set[str]] = {}
         # The last document that was not applied; it is logged once.
         self.ignored_document: bytes | None = None
+        # Invalid orders, by name; each is logged once.
+        self.invalid_orders: dict[str, bytes | None] = {}
+
+    @property
+    def documents(self) -> dict[str, Change]:
+        """The documents of the desired state and the orders in force, by name."""
+        return self.configuration | self.evacuations.documents
 
     @property
     def base_revision(self) -> int:
@@ -51,17 +62,53 @@
         return 0 if self.desired is None else self.desired.version
 
     def apply_listing(self, listing: Listing) -> bool:
-        """Apply a listing; return whether another desired state is in force."""
-        return self._apply_all(listing.documents, listing.revision)
+        """Apply a listing; return whether the desired state or an order changed."""
+        orders, others = self._split(listing.documents)
+        are_orders_changed = False
+        if listing.revision >= self.revision:
+            are_orders_changed = self.evacuations.apply_listing(
+                orders,
+                names={change.name for change in listing.documents},
+                revision=listing.revision,
+            )
+        return self._apply_all(others, listing.revision) or are_orders_changed
 
     def apply_changes(self, changes: Changes) -> bool:
-        """Apply changes in order; return whether another desired state is in force."""
-        return self._apply_all(changes.changes, changes.revision)
+        """Apply changes in turn; return whether the desired state or an order did."""
+        orders, others = self._split(changes.changes)
+        are_orders_changed = self.evacuations.apply_changes(orders)
+        return self._apply_all(others, changes.revision) or are_orders_changed
+
+    def _split(
+        self, changes: tuple[Change, ...]
+    ) -> tuple[list[EvacuationOrder], list[Change]]:
+        """Return the valid evacuation orders, and the changes of other documents."""
+        orders: list[EvacuationOrder] = []
+        others: list[Change] = []
+        for change in changes:
+            self.changed_revision = max(self.changed_revision, change.revision)
+            try:
+                zone = self.decoder.decode_evacuated_zone(change.name, change.document)
+            except InvalidDocumentError as error:
+                self._reject_order(change, error)
+                continue
+            if zone is None:
+                others.append(change)
+            else:
+                orders.append(EvacuationOrder(zone=zone, change=change))
+        return orders, others
+
+    def _reject_order(self, change: Change, error: InvalidDocumentError) -> None:
+        """Log an invalid order once; what was ordered before stays in force."""
+        known = change.name in self.invalid_orders
+        if known and self.invalid_orders[change.name] == change.document:
+            return
+        self.invalid_orders[change.name] = change.document
+        self._log_invalid(change, error)
 
-    def _apply_all(self, changes: tuple[Change, ...], revision: int) -> bool:
+    def _apply_all(self, changes: list[Change], revision: int) -> bool:
         version = self.version
         for change in changes:
-            self.changed_revision = max(self.changed_revision, change.revision)
             # Routes stay when their document is removed.
             if change.document is not None:
                 self._apply(change, change.document)
@@ -70,7 +117,7 @@
 
     def _apply(self, change: Change, document: bytes) -> None:
         """Put a document into force if it is valid and has a higher version."""
-        known = self.documents.get(change.name)
+        known = self.configuration.get(change.name)
         if document == self.ignored_document or (
             known is not None and document == known.document
         ):
@@ -79,14 +126,7 @@
             desired = self.decoder.decode_desired_state(document)
         except InvalidDocumentError as error:
             self.ignored_document = document
-            logger.warning(
-                "published document is invalid and was not applied",
-                extra={
-                    "code": error.code,
-                    "document": change.name,
-                    "reason": str(error),
-                },
-            )
+            self._log_invalid(change, error)
             return
         if desired.version <= self.version:
             self.ignored_document = document
@@ -94,11 +134,22 @@
             return
         self.ignored_document = None
         self.desired = desired
-        self.documents = {change.name: change}
+        self.configuration = {change.name: change}
         for route in desired.routes.values():
             services = self.services_by_address.setdefault(route.address, set())
             services.update(share.service for share in route.shares)
 
+    def _log_invalid(self, change: Change, error: InvalidDocumentError) -> None:
+        """Log that a document is invalid."""
+        logger.warning(
+            "published document is invalid and was not applied",
+            extra={
+                "code": error.code,
+                "document": change.name,
+                "reason": str(error),
+            },
+        )
+
     def _log_ignored(self, name: str, version: int) -> None:
         """Log that a document is not newer than the one in force."""
         logger.info(
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_decoder.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_decoder.py
@@ -12,10 +12,17 @@
 
 
 class StateDecoder(Protocol):
-    """Decodes documents; both methods raise ``InvalidDocumentError``."""
+    """Decodes documents; all methods raise ``InvalidDocumentError``."""
 
     def decode_desired_state(self, document: bytes) -> DesiredState:
         """Decode the configuration of routes."""
 
+    def decode_evacuated_zone(self, name: str, document: bytes | None) -> str | None:
+        """
+        Return the availability zone of an evacuation order, or of its withdrawal.
+
+        Return ``None`` for a document that is no such order by its ``name``.
+        """
+
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
         """Decode the record of a backend server published under ``name``."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -73,6 +73,28 @@
         """The version of the desired state in force, or 0 if there is none."""
         return self.desired_topic.version
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """The availability zones whose backend servers get no new flows."""
+        return self.desired_topic.evacuations.zones
+
+    @property
+    def evacuations_revision(self) -> int:
+        """The revision of the newest evacuation order or withdrawal, 0 without any."""
+        return self.desired_topic.evacuations.changed_revision
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Whether the backend servers of an availability zone get no new flows."""
+        return zone in self.evacuated_zones
+
+    def evacuation_ended_at(self, zone: str) -> float | None:
+        """
+        Return when this process learned that a zone's evacuation was withdrawn.
+
+        In seconds of trio's clock; ``None`` while it stands, or if there was none.
+        """
+        return self.desired_topic.evacuations.ended_at.get(zone)
+
     @property
     def backends(self) -> dict[str, BackendRecord]:
         """The published backend servers, by the names of their documents."""
@@ -191,6 +213,7 @@
                 "topic": topic.value,
                 "revision": self.topics[topic].revision,
                 "version": self.version,
+                "evacuated": sorted(self.evacuated_zones),
                 "origin": origin,
             },
         )
--- a/packages/oleanderweir/src/oleanderweir/peering/confirmations.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/confirmations.py
@@ -80,6 +80,7 @@
             reader="",
             relay_from=0,
             relay_to=0,
+            evacuations_revision=self.register.evacuations_revision,
         )
 
     def _has_state_of(self, confirmation: Confirmation) -> bool:
@@ -89,4 +90,6 @@
             register.version >= confirmation.desired_version
             and register.revision(Topic.BACKEND_SERVERS)
             >= confirmation.backends_revision
+            and register.revision(Topic.DESIRED_STATE)
+            >= confirmation.evacuations_revision
         )
--- a/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/heartbeat_sender.py
@@ -213,7 +213,8 @@
         """
         Send heartbeats to new hosts; as a reader, announce a new desired state.
 
-        The watches of members may not deliver it in time.
+        The watches of members may not deliver it in time. Evacuation orders belong to
+        that topic.
         """
         self.discover_peers()
         if topic is Topic.DESIRED_STATE and self.reader_choice.is_distributor:
@@ -234,6 +235,7 @@
             requests_reply=requests_reply,
             reads_source=self.reader_choice.reads_source,
             holds_no_flows=self.holds_no_flows(),
+            evacuations_revision=self.register.evacuations_revision,
         )
         self.socket.send_to(encode_message(message), (host, self.port))
 
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -40,12 +40,13 @@
 LAYOUTS = {
     code: MessageLayout.of(
         message_type,
-        # The last field is sent only if it has items, so that earlier states of the
-        # program can decode the other messages.
-        has_optional_last_field=message_type in {Delivery, ReturnedPacket},
+        # The last field is sent only if it isn't empty or 0, so that earlier states of
+        # the program can decode the other messages.
+        has_optional_last_field=message_type
+        in {Confirmation, Delivery, Heartbeat, ReturnedPacket},
         positions={
-            Confirmation: ("backends_revision",),
-            Heartbeat: ("backends_revision",),
+            Confirmation: ("backends_revision", "evacuations_revision"),
+            Heartbeat: ("backends_revision", "evacuations_revision"),
             StateUpdate: ("base", "revision"),
         }.get(message_type, ()),
     )
@@ -87,7 +88,8 @@
         code, *values = unpack(datagram)
         layout = LAYOUTS[code]
         for index in _select_layout(layout, values).positions:
-            values[index] = unpack_position(values[index])
+            if not layout.is_omitted(index, values):
+                values[index] = unpack_position(values[index])
         return layout.make_message(values)
     except DECODING_ERRORS as error:
         raise InvalidMessageError(
--- a/packages/oleanderweir/src/oleanderweir/peering/message_layout.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_layout.py
@@ -50,6 +50,11 @@
             positions=tuple(names.index(name) for name in positions),
         )
 
+    def is_omitted(self, index: int, values: Sequence[Any]) -> bool:
+        """Whether a field is the optional last one, and was not sent."""
+        is_optional = self.has_optional_last_field and index == len(self.names) - 1
+        return is_optional and len(values) == index
+
     def make_message(self, values: Sequence[Any]) -> Message:
         """Return the message with these values; raise ``ValueError`` if invalid."""
         missing = len(self.names) - len(values)
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/confirmation.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/confirmation.py
@@ -10,7 +10,8 @@
     """
     A reader's state was the newest one of the source ``age_ms`` milliseconds ago.
 
-    ``desired_version`` and ``backends_revision`` say which state, as in a heartbeat.
+    ``desired_version``, ``backends_revision`` and ``evacuations_revision`` say which
+    state, as in a heartbeat.
     ``reader`` is the reader's host, empty if it is the sender. The receiver relays the
     confirmation to those of its members whose ring positions are from ``relay_from``
     to ``relay_to``; to none if ``relay_to`` is 0.
@@ -22,3 +23,4 @@
     reader: str
     relay_from: int
     relay_to: int
+    evacuations_revision: int = 0
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/heartbeat.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/heartbeat.py
@@ -26,6 +26,8 @@
     ``requests_reply`` asks for a heartbeat in return. ``reads_source`` is true if the
     sender watches the backend servers at their source and sends the changes to its
     members, ``holds_no_flows`` if it is an agent whose backend server holds no flows.
+    ``evacuations_revision`` is the revision of the newest evacuation order or
+    withdrawal that the sender has, 0 if it has seen none.
     """
 
     role: PeerRole = attrs.field(converter=PeerRole)
@@ -38,3 +40,4 @@
     requests_reply: bool
     reads_source: bool
     holds_no_flows: bool = False
+    evacuations_revision: int = 0
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -20,6 +20,7 @@
     NOT_TRIED = 9  # the flow is unknown and its route excludes the agent: look it up
     UNKNOWN = 10  # the agent has no entry of the flow; its backend server may hold it
     PARTLY_DENIED = 11  # a lookup continues, in which the agents in ``hosts`` denied it
+    EVACUATED = 12  # operators evacuated the availability zone of the backend server
     BUSY = 8  # requests are queued; another backend server may have a free slot
 
 
--- a/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -75,7 +75,7 @@
         """Apply a change from a reader; fetch all if earlier changes are missing."""
         topic = Topic.BACKEND_SERVERS
         if update.base > self.register.revision(topic):
-            self._fetch_if_behind(host, topic, update.revision, nursery)
+            self._fetch_if_behind(host, topic, (update.revision,), nursery)
             return
         change = Change(
             name=update.name, revision=update.revision, document=update.document
@@ -102,40 +102,55 @@
             for host in self.members.members:
                 self.socket.send_to(message, (host, self.port))
 
-    def _progress(self, topic: Topic) -> int:
+    def _progress(self, topic: Topic) -> tuple[int, ...]:
         """Return what tells how far this process is, in the terms of a heartbeat."""
+        revision = self.register.revision(topic)
         if topic is Topic.DESIRED_STATE:
-            return self.register.version
-        return self.register.revision(topic)
+            return (self.register.version, revision)
+        return (revision,)
+
+    def _is_behind(self, topic: Topic, progress: tuple[int, ...]) -> bool:
+        """Whether a peer with this progress has anything that this process lacks."""
+        own = self._progress(topic)
+        return any(theirs > ours for theirs, ours in zip(progress, own, strict=True))
 
     def _fetch_newer(
         self, host: str, message: Heartbeat | Confirmation, nursery: trio.Nursery
     ) -> None:
         """Fetch the topics of which a host has a newer state."""
         progress = {
-            Topic.DESIRED_STATE: message.desired_version,
-            Topic.BACKEND_SERVERS: message.backends_revision,
+            Topic.DESIRED_STATE: (
+                message.desired_version,
+                message.evacuations_revision,
+            ),
+            Topic.BACKEND_SERVERS: (message.backends_revision,),
         }
         for topic, peer_progress in progress.items():
             self._fetch_if_behind(host, topic, peer_progress, nursery)
 
     def _fetch_if_behind(
-        self, host: str, topic: Topic, progress: int, nursery: trio.Nursery
+        self,
+        host: str,
+        topic: Topic,
+        progress: tuple[int, ...],
+        nursery: trio.Nursery,
     ) -> None:
-        if progress > self._progress(topic) and topic not in self.fetching:
+        if self._is_behind(topic, progress) and topic not in self.fetching:
             self.fetching.add(topic)
             nursery.start_soon(self._fetch_guarded, host, topic, progress)
 
-    async def _fetch_guarded(self, host: str, topic: Topic, progress: int) -> None:
+    async def _fetch_guarded(
+        self, host: str, topic: Topic, progress: tuple[int, ...]
+    ) -> None:
         with self.barrier:
             await self._fetch(host, topic, progress)
 
-    async def _fetch(self, host: str, topic: Topic, progress: int) -> None:
+    async def _fetch(self, host: str, topic: Topic, progress: tuple[int, ...]) -> None:
         """Fetch a topic from a peer, unless the source delivers it first."""
         try:
-            if self._progress(topic) > 0:
+            if self._progress(topic)[0] > 0:
                 await trio.sleep(FETCH_DELAY_S)
-            if self._progress(topic) >= progress:
+            if not self._is_behind(topic, progress):
                 return
             listing = await self.client.fetch(host, topic)
             self.register.apply_listing(listing, origin=host)
--- a/tests/oleanderweir/desired_state/fakes.py
+++ b/tests/oleanderweir/desired_state/fakes.py
@@ -6,6 +6,7 @@
 from oleanderweir.desired_state import BackendRecord
 from oleanderweir.desired_state import BackendState
 from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import DesiredState
 from oleanderweir.desired_state import InvalidDocumentError
 from oleanderweir.desired_state import Listing
@@ -16,8 +17,12 @@
 from tests.oleanderweir.flows.fakes import make_route_address
 
 
+# Before the zone in the name of an evacuation order.
+EVACUATION_PREFIX = "evacuate-"
+
+
 class FakeDecoder:
-    """Decodes documents of ``desired_document`` and ``backend_document``."""
+    """Decodes the documents of the functions below, and evacuation orders."""
 
     def decode_desired_state(self, document: bytes) -> DesiredState:
         fields = _load(document)
@@ -30,6 +35,13 @@
             idle_timeout_s=15.0,
         )
 
+    def decode_evacuated_zone(self, name: str, document: bytes | None) -> str | None:
+        if not name.startswith(EVACUATION_PREFIX):
+            return None
+        if document is not None:
+            _load(document)
+        return name.removeprefix(EVACUATION_PREFIX)
+
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
         fields = _load(document)
         return make_record(
@@ -39,6 +51,7 @@
             state=BackendState(fields["state"]),
             started_at_ms=fields["started_at_ms"],
             sequence=fields["sequence"],
+            availability_zone=fields["availability_zone"],
         )
 
 
@@ -96,6 +109,7 @@
     state: str = "ready",
     started_at_ms: int = 1000,
     sequence: int = 1,
+    availability_zone: str = "a",
 ) -> bytes:
     fields = {
         "service": service,
@@ -103,10 +117,33 @@
         "state": state,
         "started_at_ms": started_at_ms,
         "sequence": sequence,
+        "availability_zone": availability_zone,
     }
     return json.dumps(fields).encode()
 
 
+def order_change(zone: str, *, revision: int) -> Change:
+    """Return the write of an evacuation order."""
+    return Change(name=EVACUATION_PREFIX + zone, revision=revision, document=b"{}")
+
+
+def withdrawal_change(zone: str, *, revision: int) -> Change:
+    """Return the removal of an evacuation order."""
+    return Change(name=EVACUATION_PREFIX + zone, revision=revision, document=None)
+
+
+def apply_orders(register: StateRegister, *changes: Change) -> None:
+    """Apply evacuation orders and withdrawals as a watch delivers them."""
+    register.apply_changes(
+        Changes(
+            topic=Topic.DESIRED_STATE,
+            revision=max(change.revision for change in changes),
+            changes=changes,
+        ),
+        origin="source",
+    )
+
+
 def make_register() -> StateRegister:
     return StateRegister(decoder=FakeDecoder(), on_change=lambda topic: None)
 
--- a/tests/oleanderweir/peering/heartbeat_bench.py
+++ b/tests/oleanderweir/peering/heartbeat_bench.py
@@ -81,6 +81,7 @@
     desired_version: int = 0,
     backends_revision: int = 0,
     reads_source: bool = False,
+    evacuations_revision: int = 0,
 ) -> Heartbeat:
     """Return a heartbeat without listed hosts."""
     return Heartbeat(
@@ -93,6 +94,7 @@
         agents=(),
         requests_reply=False,
         reads_source=reads_source,
+        evacuations_revision=evacuations_revision,
     )
 
 
@@ -104,6 +106,7 @@
     reader: str = "",
     relay_from: int = 0,
     relay_to: int = 0,
+    evacuations_revision: int = 0,
 ) -> Confirmation:
     """Return a confirmation that isn't relayed."""
     return Confirmation(
@@ -113,4 +116,5 @@
         reader=reader,
         relay_from=relay_from,
         relay_to=relay_to,
+        evacuations_revision=evacuations_revision,
     )
--- a/tests/oleanderweir/peering/test_message_codec.py
+++ b/tests/oleanderweir/peering/test_message_codec.py
@@ -24,6 +24,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir.peering.messages import StateUpdate
 from oleanderweir.peering.packing import unpack
+from tests.oleanderweir.peering.heartbeat_bench import make_confirmation
 
 
 HEARTBEAT = Heartbeat(
@@ -56,6 +57,9 @@
         is_accepting=True,
     ),
     HEARTBEAT,
+    attrs.evolve(HEARTBEAT, evacuations_revision=make_position(history=3, revision=7)),
+    make_confirmation(desired_version=4, relay_from=1, relay_to=2),
+    make_confirmation(evacuations_revision=make_position(history=3, revision=7)),
 ]
 
 
@@ -72,6 +76,13 @@
     assert unpack(encode_message(message)) == [1, 3, 3, b"packet"]
 
 
+def test_messages_without_an_evacuation_have_the_fields_of_earlier_states() -> None:
+    heartbeat = unpack(encode_message(HEARTBEAT))
+    confirmation = unpack(encode_message(make_confirmation()))
+
+    assert (len(heartbeat), len(confirmation)) == (11, 7)
+
+
 @given(st.binary(max_size=64))
 def test_an_arbitrary_datagram_is_a_message_or_is_rejected(datagram: bytes) -> None:
     with contextlib.suppress(InvalidMessageError):
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -62,6 +62,7 @@
                 service="feed",
                 host=BACKEND.host,
                 port=BACKEND.port,
+                availability_zone="a",
             ),
             transport=AgentTransport(
                 settings=PacketAgentSettings(
--- a/tests/oleanderweir_agent/forwarding/test_flow_admission.py
+++ b/tests/oleanderweir_agent/forwarding/test_flow_admission.py
@@ -21,7 +21,13 @@
 
 
 def make_admission(register: StateRegister) -> FlowAdmission:
-    return FlowAdmission(register=register, service="feed", host=HOST, port=8080)
+    return FlowAdmission(
+        register=register,
+        service="feed",
+        host=HOST,
+        port=8080,
+        availability_zone="a",
+    )
 
 
 def add_backend(register: StateRegister, name: str, document: bytes) -> None:
--- a/tests/oleanderweir_platform/test_store_client.py
+++ b/tests/oleanderweir_platform/test_store_client.py
@@ -312,3 +312,18 @@
     async with serve(head + body) as (client, _):
         with pytest.raises(SourceUnavailableError):
             await client.list(Topic.BACKEND_SERVERS)
+
+
+async def test_evacuation_orders_are_read_with_the_desired_state() -> None:
+    removal = {"Key": "op/evacuate/a", "Revision": 22, "Removed": True}
+    responses = (
+        make_response(200, make_page(20, "op/config", "op/evacuate/a", "op/other")),
+        make_response(200, {"events": [removal], "StoreRevision": 22}),
+    )
+    async with serve(*responses) as (client, targets):
+        listing = await client.list(Topic.DESIRED_STATE)
+        changes = await client.watch(Topic.DESIRED_STATE, after=20, wait_s=1.0)
+
+    assert [c.name for c in listing.documents] == ["op/config", "op/evacuate/a"]
+    assert [(c.name, c.document) for c in changes.changes] == [("op/evacuate/a", None)]
+    assert all("Prefix=op%2F&" in f"{target}&" for target in targets)
