--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -218,6 +218,8 @@
         of its zone would return it too.
         """
         records = self.register.backends_of(service)
+        if not self.register.evacuated_zones and not attempts.evacuated:
+            return records
         zones = {r.availability_zone for r in records if r.host in attempts.evacuated}
         return [
             record
--- a/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
@@ -57,7 +57,7 @@
         revision: int,
     ) -> bool:
         """
-        Apply the orders of a listing that isn't older; return whether any changed.
+        Apply a listing that isn't older; return whether other zones are evacuated.
 
         An order whose document is not among the ``names`` of all listed documents was
         withdrawn by ``revision``, unless it was written after it.
@@ -74,11 +74,11 @@
         return self.zones != zones_before
 
     def apply_changes(self, orders: Iterable[EvacuationOrder]) -> bool:
-        """Apply orders and withdrawals in turn; return whether any changed."""
-        revision_before = self.changed_revision
+        """Apply orders and withdrawals; return whether other zones are evacuated."""
+        zones_before = self.zones
         for order in orders:
             self._apply(order, known_up_to=order.change.revision)
-        return self.changed_revision > revision_before
+        return self.zones != zones_before
 
     def _apply(self, order: EvacuationOrder, *, known_up_to: int) -> None:
         """Apply an order or a withdrawal, unless a later write of its zone is known."""
@@ -118,7 +118,7 @@
         """Log a change of the evacuated zones."""
         self.zones = frozenset(self.orders)
         self.changed_revision = max(self.changed_revision, revision)
-        logger.warning(
+        logger.info(
             "the evacuated availability zones changed",
             extra={
                 "code": code,
