--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
@@ -41,7 +41,7 @@
         """Whether the backend server accepts new flows now."""
         if now < self.full_until or not self.liveness.allows_new_flows():
             return False
-        if self.continuity.is_doubted(now=now):
+        if self.continuity.is_doubted(now=now) or self.admission.is_evacuated:
             return False
         record = self.admission.record
         return record is None or record.state is BackendState.READY
--- a/tests/oleanderweir_platform/test_config_check_command.py
+++ b/tests/oleanderweir_platform/test_config_check_command.py
@@ -24,17 +24,18 @@
 
 
 class FakeSource:
-    """Lists the given documents."""
+    """Lists the given configurations, and an evacuation order after them."""
 
     def __init__(self, *documents: bytes) -> None:
         self.documents = documents
 
     async def list(self, topic: Topic) -> Listing:
         changes = tuple(
-            Change(name="config", revision=revision, document=document)
+            Change(name="op/config", revision=revision, document=document)
             for revision, document in enumerate(self.documents, 1)
         )
-        return Listing(topic=topic, revision=len(changes), documents=changes)
+        order = Change(name="op/evacuate/a", revision=9, document=b"{}")
+        return Listing(topic=topic, revision=9, documents=(*changes, order))
 
     async def watch(self, topic: Topic, *, after: int, wait_s: float) -> Changes:
         raise NotImplementedError
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -245,3 +245,22 @@
         StoreDecoder().decode_backend_server("servers/i-1", document)
 
     assert len(raised.value.message) < 500
+
+
+def test_an_evacuation_order_names_its_zone() -> None:
+    decode = StoreDecoder().decode_evacuated_zone
+
+    assert decode("op/evacuate/oslo-a", b"{}") == "oslo-a"
+    assert decode("op/evacuate/oslo-a", None) == "oslo-a"
+    assert decode("op/config", b"{}") is None
+
+
+@pytest.mark.parametrize(
+    ("zone", "document"),
+    [("", b"{}"), ("", None), ("a", b""), ("a", b"[]"), ("a", b"\xff")],
+)
+def test_an_invalid_evacuation_order_is_rejected(
+    zone: str, document: bytes | None
+) -> None:
+    with pytest.raises(InvalidDocumentError, match="write it again"):
+        StoreDecoder().decode_evacuated_zone(f"op/evacuate/{zone}", document)
