Limit the new flows of a backend server in its cold start

Callers and operators: where the configuration names a rate for the cold starts of a service and the platform's settings hold their tolerance, a backend server that has just started, or whose availability zone was just taken back, gets no more new flows in any second than that rate with its tolerance, over all balancers together. What is beyond goes to another backend server at once. Elsewhere nothing changes.

Cause: nothing on the packet path knew of cold starts. The agent beside the backend server is the only process that all of its opening packets pass, so it alone counts them.

Ruled out: shares of the rate among balancers, whose number each knows only roughly, and which would have to be divided anew whenever one starts; a limit by the published entry in balancers, who learn of it at different times.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -4,6 +4,7 @@
 
 from oleanderweir_agent.forwarding.agent_transport import AgentTransport
 from oleanderweir_agent.forwarding.backend_probe import BackendProbe
+from oleanderweir_agent.forwarding.cold_start_tolerance import ColdStartTolerance
 from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
@@ -16,6 +17,7 @@
 __all__ = [
     "AgentTransport",
     "BackendProbe",
+    "ColdStartTolerance",
     "FlowTable",
     "LoadMeter",
     "FlowAdmission",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 
 
@@ -20,9 +21,16 @@
 class Acceptance:
     """Tells whether load reports say that the backend server accepts new flows."""
 
-    def __init__(self, *, admission: FlowAdmission, liveness: BackendLiveness) -> None:
+    def __init__(
+        self,
+        *,
+        admission: FlowAdmission,
+        liveness: BackendLiveness,
+        cold_start: ColdStartLimiter,
+    ) -> None:
         self.admission = admission
         self.liveness = liveness
+        self.cold_start = cold_start
         self.full_until = float("-inf")
 
     def on_full(self, *, now: float) -> None:
@@ -33,5 +41,7 @@
         """Whether the backend server accepts new flows now."""
         if now < self.full_until or not self.liveness.allows_new_flows():
             return False
+        if not self.cold_start.admits(is_last_resort=False, now=now):
+            return False
         record = self.admission.record
         return record is None or record.state is BackendState.READY
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_record_follower.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_record_follower.py
@@ -10,6 +10,7 @@
 
 
 if TYPE_CHECKING:
+    from oleanderweir_agent.forwarding.cold_period import ColdPeriod
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_table import FlowTable
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
@@ -27,15 +28,18 @@
         admission: FlowAdmission,
         dispatcher: RequestDispatcher,
         table: FlowTable,
+        cold_period: ColdPeriod,
     ) -> None:
         self.admission = admission
         self.dispatcher = dispatcher
         self.table = table
+        self.cold_period = cold_period
         self.backend_started_at_ms = 0
 
     def on_state_change(self) -> None:
         """Apply the published record of the backend server."""
         record = self.admission.update_record()
+        self.cold_period.on_record(record, now=trio.current_time())
         if record is None:
             return
         self.dispatcher.meter.slots = record.slots
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -18,6 +18,7 @@
     from oleanderweir_agent.forwarding.acceptance import Acceptance
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_remover import FlowRemover
     from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -30,6 +31,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Reasons that a load report of the state now would have told the balancer.
+OUTDATED_REPORT_REASONS = frozenset({ReturnReason.BUSY, ReturnReason.COLD})
+
 
 class OpeningHandler:
     """
@@ -49,6 +53,7 @@
         admission: FlowAdmission,
         acceptance: Acceptance,
         liveness: BackendLiveness,
+        cold_start: ColdStartLimiter,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         report_builder: ReportBuilder,
@@ -60,6 +65,7 @@
         self.admission = admission
         self.acceptance = acceptance
         self.liveness = liveness
+        self.cold_start = cold_start
         self.ownership = ownership
         self.remover = remover
         self.report_builder = report_builder
@@ -81,8 +87,8 @@
         if not self._can_decide(existing, packet, message):
             self._hold(host, packet, message, now=now)
             return
-        reason = self._find_rejection(existing, packet, message)
-        if reason is ReturnReason.BUSY:
+        reason = self._find_rejection(existing, packet, message, now=now)
+        if reason in OUTDATED_REPORT_REASONS:
             # The balancer placed the flow by an older report: send it a new one.
             self.transport.send(host, self.report_builder.build(now=now))
         if reason is not None:
@@ -91,7 +97,12 @@
         self._forward(host, packet, now=now)
 
     def _find_rejection(
-        self, existing: HeldFlow | None, packet: Packet, message: Delivery
+        self,
+        existing: HeldFlow | None,
+        packet: Packet,
+        message: Delivery,
+        *,
+        now: float,
     ) -> ReturnReason | None:
         """Return why an opening packet can't be forwarded, or None if it can."""
         if _is_answered_copy(existing):
@@ -102,6 +113,11 @@
         is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
         if reason is None and is_first and self.dispatcher.is_saturated:
             reason = ReturnReason.BUSY
+        is_last_resort = message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        if reason is None and not self.cold_start.admits(
+            is_last_resort=is_last_resort, now=now
+        ):
+            reason = ReturnReason.COLD
         return reason
 
     def _can_decide(
@@ -155,6 +171,7 @@
     def _forward(self, host: str, packet: Packet, *, now: float) -> None:
         """Forward an opening packet to the backend server, and await the answer."""
         self.ownership.on_opening(packet.key)
+        self.cold_start.on_opening(now=now)
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
         flow.balancer = host
         flow.opening = packet.data
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -27,6 +27,7 @@
     from oleanderweir_agent.forwarding.backend_record_follower import (
         BackendRecordFollower,
     )
+    from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_packet_handler import FlowPacketHandler
     from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -64,6 +65,7 @@
     openings: PendingOpenings
     dispatcher: RequestDispatcher
     liveness: BackendLiveness
+    cold_start: ColdStartLimiter
     ownership: OwnershipChecker
     lookup_service: LookupService
     completeness: TableCompleteness
@@ -125,6 +127,7 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
+        self.cold_start.on_tick(now=now)
         self.opening_handler.return_overdue(now=now)
         # A first listing without backend servers isn't notified as a change.
         self.opening_handler.decide_held(now=now)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -8,6 +8,9 @@
 from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
 from oleanderweir_agent.forwarding.backend_packet_handler import BackendPacketHandler
 from oleanderweir_agent.forwarding.backend_record_follower import BackendRecordFollower
+from oleanderweir_agent.forwarding.cold_period import ColdPeriod
+from oleanderweir_agent.forwarding.cold_period import never_evacuated
+from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
 from oleanderweir_agent.forwarding.flow_packet_handler import FlowPacketHandler
 from oleanderweir_agent.forwarding.flow_remover import FlowRemover
 from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -24,10 +27,13 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import PacketCodec
     from oleanderweir.peering import Members
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
+    from oleanderweir_agent.forwarding.cold_start_tolerance import ColdStartTolerance
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 
 
@@ -40,15 +46,30 @@
     members: Members,
     admission: FlowAdmission,
     transport: AgentTransport,
+    cold_start_tolerance: ColdStartTolerance | None = None,
+    evacuation_ended_at: Callable[[str], float | None] = never_evacuated,
 ) -> PacketAgent:
-    """Return an agent without flows."""
+    """
+    Return an agent without flows.
+
+    It limits new flows in cold starts only with a ``cold_start_tolerance``.
+    """
     table = FlowTable(idle_timeout_s=flow_ttl_s)
     openings = PendingOpenings()
     dispatcher = RequestDispatcher(register=register, transport=transport)
     liveness = BackendLiveness()
     completeness = TableCompleteness(admission=admission, liveness=liveness)
     ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
-    acceptance = Acceptance(admission=admission, liveness=liveness)
+    cold_period = ColdPeriod(liveness=liveness, evacuation_ended_at=evacuation_ended_at)
+    cold_start = ColdStartLimiter(
+        register=register,
+        service=service,
+        tolerance=cold_start_tolerance,
+        period=cold_period,
+    )
+    acceptance = Acceptance(
+        admission=admission, liveness=liveness, cold_start=cold_start
+    )
     report_builder = ReportBuilder(
         service=service, table=table, dispatcher=dispatcher, acceptance=acceptance
     )
@@ -66,6 +87,7 @@
         admission=admission,
         acceptance=acceptance,
         liveness=liveness,
+        cold_start=cold_start,
         ownership=ownership,
         remover=remover,
         report_builder=report_builder,
@@ -82,6 +104,7 @@
         openings=openings,
         dispatcher=dispatcher,
         liveness=liveness,
+        cold_start=cold_start,
         ownership=ownership,
         lookup_service=LookupService(
             codec=codec, register=register, members=members, transport=transport
@@ -121,6 +144,9 @@
             transport=transport,
         ),
         record_follower=BackendRecordFollower(
-            admission=admission, dispatcher=dispatcher, table=table
+            admission=admission,
+            dispatcher=dispatcher,
+            table=table,
+            cold_period=cold_period,
         ),
     )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -9,6 +9,9 @@
 MAX_REFUSALS = 3
 # Agents that may return one opening packet because requests are queued there.
 MAX_BUSY_REJECTIONS = 2
+# Agents that may return one opening packet because of the rate limit of a cold start.
+# After many starts at once, most candidates may be at it.
+MAX_COLD_REJECTIONS = 3
 # Callers send the first copy of an opening packet after this time.
 FIRST_COPY_DELAY_S = 0.2
 
@@ -20,7 +23,8 @@
 
     ``started_at`` is when it arrived or was first placed, ``updated_at`` when it was
     last placed from the queue or returned, in seconds of trio's clock.
-    Those in ``refused`` could not accept it; those in ``busy`` would have queued it.
+    Those in ``refused`` could not accept it; those in ``busy`` would have queued it;
+    the backend servers of those in ``cold`` were at the rate limit of a cold start.
     The backend servers of those in ``unanswered`` may still accept it, late.
     """
 
@@ -29,11 +33,12 @@
     refused: set[str] = attrs.field(factory=set)
     unanswered: set[str] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
+    cold: set[str] = attrs.field(factory=set)
 
     @property
     def excluded(self) -> set[str]:
         """The agents that the next attempt excludes."""
-        return self.refused | self.unanswered | self.busy
+        return self.refused | self.unanswered | self.busy | self.cold
 
     @property
     def is_exhausted(self) -> bool:
@@ -49,5 +54,19 @@
         return bool(self.unanswered) or now - self.started_at >= FIRST_COPY_DELAY_S
 
     def must_accept(self, host: str) -> bool:
-        """Whether an agent must accept the flow even if requests are queued there."""
-        return host in self.busy or len(self.busy) >= MAX_BUSY_REJECTIONS
+        """Whether an agent is asked to accept the flow as the last resort."""
+        if host in self.busy | self.cold:
+            return True
+        has_many_busy = len(self.busy) >= MAX_BUSY_REJECTIONS
+        return has_many_busy or len(self.cold) >= MAX_COLD_REJECTIONS
+
+    def on_cold(self, host: str) -> None:
+        """
+        Record that an agent returned the packet because of a cold start.
+
+        One that was asked as the last resort can't accept the flow at all.
+        """
+        if self.must_accept(host):
+            self.refused.add(host)
+        else:
+            self.cold.add(host)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -117,6 +117,8 @@
         attempts.updated_at = now
         if reason is ReturnReason.BUSY:
             attempts.busy.add(host)
+        elif reason is ReturnReason.COLD:
+            attempts.on_cold(host)
         elif reason is ReturnReason.UNANSWERED:
             attempts.unanswered.add(host)
         else:
@@ -182,21 +184,27 @@
             copies=packet.acknowledged,
             refused=len(attempts.refused | attempts.unanswered),
             busy=len(attempts.busy),
+            cold=len(attempts.cold),
         )
 
     def _select_backend(
         self, service: str, key: FlowKey, attempts: OpeningAttempts, *, now: float
     ) -> BackendRecord | None:
-        """Return the next backend server; a busy one again only if no other is left."""
+        """
+        Return the next backend server.
+
+        One that is busy or in its cold start is tried again only if no other is left,
+        and the busy ones first: they have no limit that they must hold.
+        """
         candidates = self.register.backends_of(service)
-        return self.placement.place(
-            candidates, key=key, excluding=attempts.excluded, now=now
-        ) or self.placement.place(
-            candidates,
-            key=key,
-            excluding=attempts.refused | attempts.unanswered,
-            now=now,
-        )
+        failed = attempts.refused | attempts.unanswered
+        for excluded in (attempts.excluded, failed | attempts.cold, failed):
+            record = self.placement.place(
+                candidates, key=key, excluding=excluded, now=now
+            )
+            if record is not None:
+                return record
+        return None
 
     def _find_attempts(self, key: FlowKey, *, now: float) -> OpeningAttempts:
         """Return the attempts of a flow, or new ones, which aren't recorded yet."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -4,6 +4,7 @@
 
 from oleanderweir.desired_state.backend_record import BackendRecord
 from oleanderweir.desired_state.backend_state import BackendState
+from oleanderweir.desired_state.cold_start_limit import ColdStartLimit
 from oleanderweir.desired_state.desired_state import DesiredState
 from oleanderweir.desired_state.exceptions import HistoryLostError
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
@@ -32,6 +33,7 @@
     "BackendState",
     "Change",
     "Changes",
+    "ColdStartLimit",
     "DesiredState",
     "HistoryLostError",
     "InvalidDocumentError",
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -21,6 +21,7 @@
     UNKNOWN = 10  # the agent has no entry of the flow; its backend server may hold it
     PARTLY_DENIED = 11  # a lookup continues, in which the agents in ``hosts`` denied it
     BUSY = 8  # requests are queued; another backend server may have a free slot
+    COLD = 13  # the backend server is in its cold start, and at its rate limit
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/oleanderweir/desired_state/fakes.py
+++ b/tests/oleanderweir/desired_state/fakes.py
@@ -6,6 +6,7 @@
 from oleanderweir.desired_state import BackendRecord
 from oleanderweir.desired_state import BackendState
 from oleanderweir.desired_state import Change
+from oleanderweir.desired_state import ColdStartLimit
 from oleanderweir.desired_state import DesiredState
 from oleanderweir.desired_state import InvalidDocumentError
 from oleanderweir.desired_state import Listing
@@ -28,6 +29,10 @@
             version=fields["version"],
             routes={route.address: route for route in routes},
             idle_timeout_s=15.0,
+            cold_start_limits={
+                service: ColdStartLimit(rate_per_s=rate_per_s, duration_s=2.0)
+                for service, rate_per_s in fields["cold_rates"].items()
+            },
         )
 
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
@@ -39,6 +44,7 @@
             state=BackendState(fields["state"]),
             started_at_ms=fields["started_at_ms"],
             sequence=fields["sequence"],
+            cold_remaining_s=fields["cold_remaining_s"],
         )
 
 
@@ -70,6 +76,7 @@
     sequence: int = 1,
     slots: int = 4,
     availability_zone: str = "a",
+    cold_remaining_s: float = 0.0,
 ) -> BackendRecord:
     return BackendRecord(
         identifier=identifier,
@@ -79,14 +86,17 @@
         availability_zone=availability_zone,
         slots=slots,
         state=state,
-        cold_remaining_s=0.0,
+        cold_remaining_s=cold_remaining_s,
         started_at_ms=started_at_ms,
         sequence=sequence,
     )
 
 
-def desired_document(version: int, routes: dict[int, str]) -> bytes:
-    return json.dumps({"version": version, "routes": routes}).encode()
+def desired_document(
+    version: int, routes: dict[int, str], cold_rates: dict[str, float] | None = None
+) -> bytes:
+    fields = {"version": version, "routes": routes, "cold_rates": cold_rates or {}}
+    return json.dumps(fields).encode()
 
 
 def backend_document(
@@ -96,6 +106,7 @@
     state: str = "ready",
     started_at_ms: int = 1000,
     sequence: int = 1,
+    cold_remaining_s: float = 0.0,
 ) -> bytes:
     fields = {
         "service": service,
@@ -103,6 +114,7 @@
         "state": state,
         "started_at_ms": started_at_ms,
         "sequence": sequence,
+        "cold_remaining_s": cold_remaining_s,
     }
     return json.dumps(fields).encode()
 
@@ -116,11 +128,12 @@
     *,
     version: int = 1,
     routes: dict[int, str] | None = None,
+    cold_rates: dict[str, float] | None = None,
     backends: dict[str, bytes] | None = None,
     revision: int = 10,
 ) -> None:
     """Apply one listing of each topic to a register."""
-    desired = desired_document(version, routes or {1: "feed"})
+    desired = desired_document(version, routes or {1: "feed"}, cold_rates)
     register.apply_listing(
         Listing(
             topic=Topic.DESIRED_STATE,
--- a/tests/oleanderweir_agent/forwarding/bench.py
+++ b/tests/oleanderweir_agent/forwarding/bench.py
@@ -13,10 +13,12 @@
 from oleanderweir.peering.messages import Heartbeat
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir_agent.forwarding import AgentTransport
+from oleanderweir_agent.forwarding import ColdStartTolerance
 from oleanderweir_agent.forwarding import FlowAdmission
 from oleanderweir_agent.forwarding import PacketAgentSettings
 from oleanderweir_agent.forwarding import ProbeOutcome
 from oleanderweir_agent.forwarding import create_packet_agent
+from oleanderweir_agent.forwarding.cold_period import never_evacuated
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import publish
@@ -28,6 +30,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.messages import Message
 
@@ -46,7 +50,13 @@
     server, unless ``is_new`` is set.
     """
 
-    def __init__(self, *, is_new: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        is_new: bool = False,
+        cold_start_tolerance: ColdStartTolerance | None = None,
+        evacuation_ended_at: Callable[[str], float | None] = never_evacuated,
+    ) -> None:
         self.peer_socket = FakeSocket()
         self.backend_socket = FakeSocket()
         self.register = make_register()
@@ -72,6 +82,8 @@
                 peer_socket=cast("UdpSocket", self.peer_socket),
                 backend_socket=cast("UdpSocket", self.backend_socket),
             ),
+            cold_start_tolerance=cold_start_tolerance,
+            evacuation_ended_at=evacuation_ended_at,
         )
         if not is_new:
             publish(self.register, version=1, revision=1)
--- a/tests/oleanderweir_balancer/forwarding/test_opening_attempts.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_attempts.py
@@ -96,3 +96,41 @@
         bench.return_packet(host, ReturnReason.UNANSWERED, OPENING)
 
     assert bench.resets() == []
+
+
+async def test_after_three_cold_rejections_the_next_agent_is_the_last_resort() -> None:
+    bench = BalancerBench(hosts=tuple(f"10.0.0.{n}" for n in range(1, 9)))
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+
+    tried = []
+    purposes = []
+    for _ in range(6):
+        [(host, message)] = bench.deliveries()
+        tried.append(host)
+        purposes.append(message.purpose)
+        bench.return_packet(host, ReturnReason.COLD, OPENING)
+
+    assert len(set(tried)) == 6
+    assert purposes[:3] == [DeliveryPurpose.OPEN] * 3
+    assert purposes[3:] == [DeliveryPurpose.OPEN_EVEN_IF_BUSY] * 3
+    assert len(bench.resets()) == 1
+
+
+async def test_a_cold_one_is_tried_again_only_after_the_busy_one() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    bench.balancer.on_caller_packet(OPENING)
+    [(first, _)] = bench.deliveries()
+    bench.return_packet(first, ReturnReason.COLD, OPENING)
+    [(second, _)] = bench.deliveries()
+    bench.return_packet(second, ReturnReason.BUSY, OPENING)
+
+    [(third, _)] = bench.deliveries()
+    bench.return_packet(third, ReturnReason.FULL, OPENING)
+    [(fourth, message)] = bench.deliveries()
+    bench.return_packet(fourth, ReturnReason.COLD, OPENING)
+
+    assert (third, fourth) == (second, first)
+    assert message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+    assert len(bench.resets()) == 1
--- a/tests/oleanderweir_platform/test_settings.py
+++ b/tests/oleanderweir_platform/test_settings.py
@@ -131,3 +131,14 @@
 
     with pytest.raises(InvalidSettingsError, match="OLEANDERWEIR_LOG_LINES"):
         decode_settings(make_fields())
+
+
+def test_the_tolerance_of_cold_starts_may_be_absent() -> None:
+    fields = make_fields()
+    assert decode_settings(fields).optional_number("Bounds.ColdSlack") is None
+
+    fields["Bounds"]["ColdSlack"] = 5
+    assert decode_settings(fields).optional_number("Bounds.ColdSlack") == 5.0
+    fields["Bounds"]["ColdSlack"] = -1
+    with pytest.raises(InvalidSettingsError, match=r"Bounds\.ColdSlack"):
+        decode_settings(fields).optional_number("Bounds.ColdSlack")
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -6,6 +6,7 @@
 import pytest
 
 from oleanderweir.desired_state import BackendState
+from oleanderweir.desired_state import ColdStartLimit
 from oleanderweir.desired_state import InvalidDocumentError
 from oleanderweir_platform.store_documents import StoreDecoder
 
@@ -245,3 +246,28 @@
         StoreDecoder().decode_backend_server("servers/i-1", document)
 
     assert len(raised.value.message) < 500
+
+
+def test_services_with_a_rate_have_a_limit_in_cold_starts() -> None:
+    odd: list[Any] = [None, 7, {}, {"Name": "x", "ColdStartS": "2", "ColdPerS": 5}]
+    services = [
+        {"Name": "feed", "ColdStartS": 2.0, "ColdPerS": 5.5},
+        {"Name": "archive", "ColdStartS": 2.0, "ColdPerS": 0.0},
+        *odd,
+    ]
+    document = json.dumps({**make_desired(), "Services": services}).encode()
+
+    desired = StoreDecoder().decode_desired_state(document)
+
+    limit = ColdStartLimit(rate_per_s=5.5, duration_s=2.0)
+    assert desired.cold_start_limits == {"feed": limit}
+
+
+@pytest.mark.parametrize("services", [None, "feed", 7, {"feed": {}}])
+def test_odd_services_leave_the_routes_in_force(services: object) -> None:
+    document = json.dumps({**make_desired(), "Services": services}).encode()
+
+    desired = StoreDecoder().decode_desired_state(document)
+
+    assert desired.cold_start_limits == {}
+    assert desired.routes
