--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
@@ -52,8 +52,8 @@
             return None
         return desired.cold_start_limits.get(self.service)
 
-    def on_tick(self, *, now: float) -> None:
-        """Update the state of the backend server; log the change of a limited one."""
+    def update(self, *, now: float) -> None:
+        """Apply what is known now; log if a limited backend server turns cold."""
         self.window.on_run(now=now)
         self.period.update(now=now)
         is_cold = self._is_cold(now)
@@ -75,7 +75,7 @@
 
         ``is_last_resort`` tells that its balancer found no other backend server.
         """
-        self.on_tick(now=now)
+        self.update(now=now)
         limit = self.limit
         if limit is None or self.tolerance is None or not self._is_cold(now):
             return True
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -171,8 +171,9 @@
     def _forward(self, host: str, packet: Packet, *, now: float) -> None:
         """Forward an opening packet to the backend server, and await the answer."""
         self.ownership.on_opening(packet.key)
-        self.cold_start.on_opening(now=now)
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
+        if not _is_answered_copy(flow):
+            self.cold_start.on_opening(now=now)
         flow.balancer = host
         flow.opening = packet.data
         flow.opened_at = now
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -127,7 +127,7 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
-        self.cold_start.on_tick(now=now)
+        self.cold_start.update(now=now)
         self.opening_handler.return_overdue(now=now)
         # A first listing without backend servers isn't notified as a change.
         self.opening_handler.decide_held(now=now)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_agents.py
@@ -29,6 +29,7 @@
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
     from oleanderweir_agent.forwarding import BackendProbe
+    from oleanderweir_agent.forwarding import ColdStartTolerance
     from oleanderweir_bench.packet_path.emulated_codec import EmulatedPacketCodec
     from oleanderweir_bench.packet_path.emulated_peers import EmulatedPeers
     from oleanderweir_bench.packet_path.published_state import PublishedState
@@ -55,6 +56,8 @@
         self.running: dict[str, RunningAgent] = {}
         # Services of the backend servers by host, other than ``SERVICE``.
         self.services: dict[str, str] = {}
+        # Tolerance of the agents that are started from now on.
+        self.cold_start_tolerance: ColdStartTolerance | None = None
 
     def start(self, host: str) -> None:
         """Start an agent without flows; it processes the packets in its sockets."""
@@ -127,6 +130,7 @@
                 peer_socket=self._create_socket(host),
                 backend_socket=self._create_socket(host),
             ),
+            cold_start_tolerance=self.cold_start_tolerance,
         )
 
     def _create_socket(self, host: str) -> UdpSocket:
