--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from oleanderweir_agent.forwarding.agent_transport import AgentTransport
 from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
 from oleanderweir_agent.forwarding.backend_probe import BackendProbe
+from oleanderweir_agent.forwarding.cold_start_tolerance import ColdStartTolerance
 from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 from oleanderweir_agent.forwarding.flow_table import FlowTable
 from oleanderweir_agent.forwarding.load_meter import LoadMeter
@@ -18,6 +19,7 @@
     "AgentTransport",
     "BackendContinuity",
     "BackendProbe",
+    "ColdStartTolerance",
     "FlowTable",
     "LoadMeter",
     "FlowAdmission",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/acceptance.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 
 
@@ -27,10 +28,12 @@
         admission: FlowAdmission,
         liveness: BackendLiveness,
         continuity: BackendContinuity,
+        cold_start: ColdStartLimiter,
     ) -> None:
         self.admission = admission
         self.liveness = liveness
         self.continuity = continuity
+        self.cold_start = cold_start
         self.full_until = float("-inf")
 
     def on_full(self, *, now: float) -> None:
@@ -43,5 +46,7 @@
             return False
         if self.continuity.is_doubted(now=now) or self.admission.is_evacuated:
             return False
+        if not self.cold_start.admits(is_last_resort=False, now=now):
+            return False
         record = self.admission.record
         return record is None or record.state is BackendState.READY
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -19,6 +19,7 @@
     from oleanderweir_agent.forwarding.agent_transport import AgentTransport
     from oleanderweir_agent.forwarding.backend_continuity import BackendContinuity
     from oleanderweir_agent.forwarding.backend_liveness import BackendLiveness
+    from oleanderweir_agent.forwarding.cold_start_limiter import ColdStartLimiter
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
     from oleanderweir_agent.forwarding.flow_remover import FlowRemover
     from oleanderweir_agent.forwarding.flow_table import FlowTable
@@ -31,6 +32,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Reasons that a load report of the state now would have told the balancer.
+OUTDATED_REPORT_REASONS = frozenset({ReturnReason.BUSY, ReturnReason.COLD})
+
 
 class OpeningHandler:
     """
@@ -51,6 +55,7 @@
         acceptance: Acceptance,
         liveness: BackendLiveness,
         continuity: BackendContinuity,
+        cold_start: ColdStartLimiter,
         ownership: OwnershipChecker,
         remover: FlowRemover,
         report_builder: ReportBuilder,
@@ -63,6 +68,7 @@
         self.acceptance = acceptance
         self.liveness = liveness
         self.continuity = continuity
+        self.cold_start = cold_start
         self.ownership = ownership
         self.remover = remover
         self.report_builder = report_builder
@@ -85,7 +91,7 @@
             self._hold(host, packet, message, now=now)
             return
         reason = self._find_rejection(existing, packet, message, now=now)
-        if reason is ReturnReason.BUSY:
+        if reason in OUTDATED_REPORT_REASONS:
             # The balancer placed the flow by an older report: send it a new one.
             self.transport.send(host, self.report_builder.build(now=now))
         if reason is not None:
@@ -110,6 +116,11 @@
         is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
         if reason is None and is_first and self.dispatcher.is_saturated:
             reason = ReturnReason.BUSY
+        is_last_resort = message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        if reason is None and not self.cold_start.admits(
+            is_last_resort=is_last_resort, now=now
+        ):
+            reason = ReturnReason.COLD
         return reason
 
     def _is_backend_usable(self, *, now: float) -> bool:
@@ -170,6 +181,8 @@
         """Forward an opening packet to the backend server, and await the answer."""
         self.ownership.on_opening(packet.key)
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
+        if not _is_answered_copy(flow):
+            self.cold_start.on_opening(now=now)
         flow.balancer = host
         flow.opening = packet.data
         flow.opened_at = now
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -22,6 +22,7 @@
     PARTLY_DENIED = 11  # a lookup continues, in which the agents in ``hosts`` denied it
     EVACUATED = 12  # operators evacuated the availability zone of the backend server
     BUSY = 8  # requests are queued; another backend server may have a free slot
+    COLD = 13  # the backend server is in its cold start, and at its rate limit
 
 
 @attrs.frozen(kw_only=True)
