Hedge slow openings of flows whose requests may be repeated

Callers of an agent that stands still, or whose opening packet was lost, waited for their own copy after 200 ms; the copy went to the same agent, until it was silent for long enough. If operators allow it (OLEANDERWEIR_MAX_HEDGED_SHARE, off by default), the balancer now sends the opening packet of a flow of an idempotent route to a second backend server, once, when the flow hasn't opened within the usual time.

Copies of payload were ruled out: the bytes of a flow belong to its ends. A second packet at once was ruled out: it would double the openings of a sound fleet. A token bucket, which starts empty, keeps the hedges below the share; a loaded service gets none, nor does a backend server without a free slot, or a cold one.

The caller's packets go to both agents until one claims or denies the flow. An agent compares the acknowledgement with the answer that it forwarded: a loser gets no packet but the opening one, and its late answer is withheld.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -24,6 +24,7 @@
     from oleanderweir_agent.forwarding.ownership_check import OwnershipCheck
     from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 logger = logging.getLogger(__name__)
@@ -46,6 +47,7 @@
         liveness: BackendLiveness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
+        withdrawn: WithdrawnOpenings,
         opening_handler: OpeningHandler,
         transport: AgentTransport,
     ) -> None:
@@ -55,6 +57,7 @@
         self.liveness = liveness
         self.ownership = ownership
         self.remover = remover
+        self.withdrawn = withdrawn
         self.opening_handler = opening_handler
         self.transport = transport
 
@@ -68,6 +71,9 @@
         if packet.is_returned:
             self._on_returned(packet, now=now)
             return
+        if packet.is_opening and self.withdrawn.is_withdrawn(packet.key):
+            self._withhold_answer(packet.key, now=now)
+            return
         is_doubtful = packet.is_reset or self.ownership.is_answered_for_another(packet)
         if is_doubtful and self._is_reset_of_another(packet.key, now=now):
             return
@@ -75,6 +81,15 @@
         self._update_from_backend(packet, now=now)
         self.dispatcher.start_queued(self.table.flows, now=now)
 
+    def _withhold_answer(self, key: FlowKey, *, now: float) -> None:
+        """Withhold the answer to an opening that another backend server has won."""
+        logger.info(
+            "answer withheld from the caller: another backend server opened the flow",
+            extra={"code": "answer_withheld", "flow": describe_flow(key)},
+        )
+        self.ownership.record_not_held(key, now=now)
+        self.remover.remove(key, now=now)
+
     def _is_reset_of_another(self, key: FlowKey, *, now: float) -> bool:
         """
         Withhold a reset of a flow that another backend server may hold; deny the flow.
@@ -107,6 +122,8 @@
         host = "" if check is None else check.balancer
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
         flow.is_answered = True
+        if packet.is_opening:
+            flow.answered_sequence = packet.sequence
         if not packet.is_opening:
             self._establish(flow, check, now=now)
         if packet.is_acknowledging:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -20,9 +20,18 @@
     from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
     from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
-
-
-QUERIES = frozenset({DeliveryPurpose.QUERY, DeliveryPurpose.TABLE_QUERY})
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
+
+
+QUERIES = frozenset(
+    {
+        DeliveryPurpose.QUERY,
+        DeliveryPurpose.TABLE_QUERY,
+        DeliveryPurpose.HEDGED_QUERY,
+    }
+)
+# Queries that the backend server isn't asked about.
+TABLE_QUERIES = frozenset({DeliveryPurpose.TABLE_QUERY, DeliveryPurpose.HEDGED_QUERY})
 # An unpublished backend server that has sent nothing for this long may have stopped.
 WITHDRAWN_SILENCE_S = 5.0
 
@@ -45,6 +54,7 @@
         completeness: TableCompleteness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
+        withdrawn: WithdrawnOpenings,
         transport: AgentTransport,
     ) -> None:
         self.table = table
@@ -54,6 +64,7 @@
         self.completeness = completeness
         self.ownership = ownership
         self.remover = remover
+        self.withdrawn = withdrawn
         self.transport = transport
 
     def on_packet(
@@ -70,6 +81,8 @@
             self._check_ownership(host, packet, message, now=now)
         elif self.liveness.is_down():
             self._return_lost(host, flow, packet, now=now)
+        elif _is_won_by_another(flow, packet, message):
+            self._withdraw(host, packet, now=now)
         elif message.purpose not in QUERIES:
             self._forward(host, flow, packet, now=now)
         elif flow.is_closed:
@@ -85,6 +98,21 @@
             flow.claimants[host] = packet.data
             self._dispatch(flow, packet, now=now)
 
+    def _withdraw(self, host: str, packet: Packet, *, now: float) -> None:
+        """
+        Deny a flow whose caller has acknowledged another backend server's answer.
+
+        The backend server isn't asked, and its own answer is withheld. An unanswered
+        opening stays pending: it shows whether the backend server responds.
+        """
+        key = packet.key
+        self.withdrawn.add(key, now=now)
+        flow = self.table.get(key)
+        if flow is not None and flow.is_answered:
+            self.remover.remove(key, now=now)
+            self.ownership.record_not_held(key, now=now)
+        self.transport.return_packet(host, key, packet.data, ReturnReason.NOT_HELD)
+
     def _return_lost(
         self, host: str, flow: HeldFlow, packet: Packet, *, now: float
     ) -> None:
@@ -136,7 +164,7 @@
         self, host: str, packet: Packet, message: Delivery, *, now: float
     ) -> None:
         """Ask the backend server whether it holds a flow, unless the query forbids."""
-        if message.purpose is DeliveryPurpose.TABLE_QUERY:
+        if message.purpose in TABLE_QUERIES:
             self.transport.return_packet(
                 host, packet.key, packet.data, ReturnReason.UNKNOWN
             )
@@ -183,3 +211,18 @@
             self.admission.is_unpublished(now=now)
             and now - self.liveness.last_packet_at > WITHDRAWN_SILENCE_S
         )
+
+
+def _is_won_by_another(flow: HeldFlow, packet: Packet, message: Delivery) -> bool:
+    """
+    Whether another backend server has opened a hedged flow.
+
+    The caller has got no answer but those that passed this agent: it can't have
+    acknowledged one that this backend server has not given.
+    """
+    return (
+        message.purpose is DeliveryPurpose.HEDGED_QUERY
+        and not flow.is_confirmed
+        and not flow.is_established
+        and not flow.acknowledges_answer(packet)
+    )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -31,6 +31,9 @@
     packet other than the opening packet, and ``is_established`` once the backend server
     has sent a packet after that, or has answered an ownership check.
 
+    ``answered_sequence`` is the backend server's first sequence number, by its answer
+    to the opening packet.
+
     ``claimants`` are the hosts that queried the flow before it was established, each
     with its last query, and ``is_overdue`` is set while an unanswered opening packet is
     about to be returned.
@@ -53,6 +56,7 @@
     opening: bytes | None = None
     opened_at: float = 0.0
     is_answered: bool = False
+    answered_sequence: int | None = None
     is_confirmed: bool = False
     is_established: bool = False
     is_overdue: bool = False
@@ -95,10 +99,14 @@
         """Whether a packet doesn't follow what the caller sent, if that is known."""
         return self.caller_acknowledged != 0 and self._is_far_from(packet)
 
+    def acknowledges_answer(self, packet: Packet) -> bool:
+        """Whether a caller's packet acknowledges this backend server's answer."""
+        sequence = self.answered_sequence
+        return sequence is not None and not _are_far(packet.acknowledged, sequence)
+
     def _is_far_from(self, packet: Packet) -> bool:
         """Whether a caller's acknowledgement is too far from the last one."""
-        ahead = (packet.acknowledged - self.caller_acknowledged) % SEQUENCE_MODULUS
-        return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
+        return _are_far(packet.acknowledged, self.caller_acknowledged)
 
     def describe_progress(self) -> dict[str, bool]:
         """Return how far the flow is established, as inputs of log lines."""
@@ -114,6 +122,12 @@
         return self.caller_closed and self.backend_closed
 
 
+def _are_far(first: int, second: int) -> bool:
+    """Whether two sequence numbers can't be of the same flow."""
+    ahead = (first - second) % SEQUENCE_MODULUS
+    return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
+
+
 class FlowTable:
     """Flows by key, removed after ``idle_timeout_s`` without a packet."""
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -26,6 +26,7 @@
     from oleanderweir_agent.forwarding.pending_openings import PendingOpenings
     from oleanderweir_agent.forwarding.report_builder import ReportBuilder
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 logger = logging.getLogger(__name__)
@@ -51,6 +52,7 @@
         liveness: BackendLiveness,
         ownership: OwnershipChecker,
         remover: FlowRemover,
+        withdrawn: WithdrawnOpenings,
         report_builder: ReportBuilder,
         transport: AgentTransport,
     ) -> None:
@@ -62,6 +64,7 @@
         self.liveness = liveness
         self.ownership = ownership
         self.remover = remover
+        self.withdrawn = withdrawn
         self.report_builder = report_builder
         self.transport = transport
         self.held = HeldOpenings()
@@ -155,6 +158,7 @@
     def _forward(self, host: str, packet: Packet, *, now: float) -> None:
         """Forward an opening packet to the backend server, and await the answer."""
         self.ownership.on_opening(packet.key)
+        self.withdrawn.discard(packet.key)
         flow = self.table.get_or_create(packet.key, balancer=host, now=now)
         flow.balancer = host
         flow.opening = packet.data
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -40,6 +40,7 @@
     from oleanderweir_agent.forwarding.report_sender import ReportSender
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
     from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -65,6 +66,7 @@
     dispatcher: RequestDispatcher
     liveness: BackendLiveness
     ownership: OwnershipChecker
+    withdrawn: WithdrawnOpenings
     lookup_service: LookupService
     completeness: TableCompleteness
     report_builder: ReportBuilder
@@ -171,6 +173,7 @@
                 self.completeness.on_unproven_removal()
             self.dispatcher.drop(flow, now=now)
         self.ownership.expire(now=now)
+        self.withdrawn.expire(now=now)
 
     def on_state_change(self) -> None:
         """Apply the published record, and decide about held opening packets."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -21,6 +21,7 @@
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
+from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
     liveness = BackendLiveness()
     completeness = TableCompleteness(admission=admission, liveness=liveness)
     ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
+    withdrawn = WithdrawnOpenings()
     acceptance = Acceptance(admission=admission, liveness=liveness)
     report_builder = ReportBuilder(
         service=service, table=table, dispatcher=dispatcher, acceptance=acceptance
@@ -68,6 +70,7 @@
         liveness=liveness,
         ownership=ownership,
         remover=remover,
+        withdrawn=withdrawn,
         report_builder=report_builder,
         transport=transport,
     )
@@ -83,6 +86,7 @@
         dispatcher=dispatcher,
         liveness=liveness,
         ownership=ownership,
+        withdrawn=withdrawn,
         lookup_service=LookupService(
             codec=codec, register=register, members=members, transport=transport
         ),
@@ -98,6 +102,7 @@
             completeness=completeness,
             ownership=ownership,
             remover=remover,
+            withdrawn=withdrawn,
             transport=transport,
         ),
         backend_packet_handler=BackendPacketHandler(
@@ -107,6 +112,7 @@
             liveness=liveness,
             ownership=ownership,
             remover=remover,
+            withdrawn=withdrawn,
             opening_handler=opening_handler,
             transport=transport,
         ),
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -71,6 +71,7 @@
             nursery.start_soon(self._watch_pauses)
             nursery.start_soon(self._expire)
             nursery.start_soon(self._retry_lookups)
+            nursery.start_soon(self._send_hedges)
             task_status.started()
 
     def on_message(self, host: str, message: Message) -> None:
@@ -124,3 +125,11 @@
             await trio.sleep(LOOKUP_CHECK_INTERVAL_S)
             with self.timer_barrier:
                 self.balancer.retry_lookups()
+
+    async def _send_hedges(self) -> None:
+        hedger = self.balancer.hedger
+        while True:
+            await hedger.wait_for_any()
+            await trio.sleep_until(hedger.next_due_at)
+            with self.timer_barrier:
+                hedger.send_due(now=trio.current_time())
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/flow_cache.py
@@ -23,7 +23,8 @@
     ``is_open`` is set once the caller has acknowledged the opening, or an agent has
     claimed the flow, ``is_closed_by_caller`` once the caller has sent a final packet.
     ``is_unconfirmed`` tells that an earlier copy of the opening packet may have opened
-    the flow at another agent.
+    the flow at another agent. ``second_agent`` is set while the flow is hedged and
+    either agent may own it, ``rejected_agent`` once the other one is known to.
     """
 
     agent: str
@@ -32,6 +33,27 @@
     is_open: bool = False
     is_closed_by_caller: bool = False
     is_unconfirmed: bool = False
+    second_agent: str = ""
+    rejected_agent: str = ""
+
+    @property
+    def latest_agent(self) -> str:
+        """The agent that was sent the opening packet last."""
+        return self.second_agent or self.agent
+
+    def may_own(self, host: str) -> bool:
+        """Whether the flow is hedged and ``host`` is one of its two agents."""
+        return bool(self.second_agent) and host in (self.agent, self.second_agent)
+
+    def other_agent(self, host: str) -> str:
+        """Return the agent of a hedged flow that isn't ``host``."""
+        return self.second_agent if host == self.agent else self.agent
+
+    def reject(self, host: str) -> None:
+        """Leave a hedged flow to the agent other than ``host``."""
+        self.agent = self.other_agent(host)
+        self.second_agent = ""
+        self.rejected_agent = host
 
     def is_expired(self, *, idle_timeout_s: float, now: float) -> bool:
         """Whether the entry was not used for too long."""
@@ -55,6 +77,7 @@
         now: float,
         is_open: bool,
         is_unconfirmed: bool = False,
+        rejected_agent: str = "",
     ) -> None:
         """Store the agent of a flow."""
         self.flows[key] = CachedFlow(
@@ -63,6 +86,7 @@
             used_at=now,
             is_open=is_open,
             is_unconfirmed=is_unconfirmed,
+            rejected_agent=rejected_agent,
         )
 
     def is_open(self, key: FlowKey) -> bool:
--- /dev/null
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedging_policy.py
@@ -0,0 +1,105 @@
+"""
+Decides when and where a slow opening packet is sent a second time.
+
+Answers the load of a healthy fleet in which a few backend servers or agents stand
+still: their new flows would wait for the caller's own copy. It does nothing for a fleet
+that is slow because it is loaded, where a second copy would only add to the load.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from oleanderweir.desired_state import BackendState
+from oleanderweir_balancer.forwarding.hedge_budget import HedgeBudget
+from oleanderweir_balancer.forwarding.opening_times import OpeningTimes
+from oleanderweir_balancer.forwarding.withheld_reason import WithheldReason
+
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from oleanderweir.desired_state import BackendRecord
+    from oleanderweir.flows import FlowKey
+    from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
+
+
+# Most flows have opened by the hedge delay: this share of the recent ones.
+DELAY_PERCENTILE = 0.95
+# Bounds of the hedge delay. Shorter ones would hedge ordinary jitter; at the longer one
+# half of the time to the caller's own copy has passed.
+MIN_DELAY_S = 0.02
+MAX_DELAY_S = 0.1
+
+
+class HedgingPolicy:
+    """Limits hedges to ``max_share`` of the new flows that may be hedged; 0 is off."""
+
+    def __init__(self, *, max_share: float, placement: PlacementPolicy) -> None:
+        self.placement = placement
+        self.budget = HedgeBudget(max_share=max_share)
+        self.opening_times = OpeningTimes()
+
+    @property
+    def is_enabled(self) -> bool:
+        """Whether any flow may be hedged."""
+        return self.budget.max_share > 0
+
+    @property
+    def delay_s(self) -> float:
+        """The time after which a flow that hasn't opened is hedged, in seconds."""
+        usual_s = self.opening_times.percentile(DELAY_PERCENTILE)
+        if usual_s is None:
+            return MAX_DELAY_S
+        return min(max(usual_s, MIN_DELAY_S), MAX_DELAY_S)
+
+    def select(
+        self,
+        candidates: Collection[BackendRecord],
+        *,
+        key: FlowKey,
+        first_agent: str,
+        now: float,
+    ) -> BackendRecord | WithheldReason:
+        """
+        Return the backend server for a hedge, and use up a part of the budget for it.
+
+        Return the reason if there is none. The service must have free slots on average,
+        and the backend server one of its own; it isn't that of ``first_agent``.
+        """
+        reporting = [r for r in candidates if self._has_fresh_report(r, now=now)]
+        if not reporting:
+            return WithheldReason.NO_REPORT
+        if self._is_loaded(reporting):
+            return WithheldReason.LOADED
+        idle = [r for r in reporting if r.host != first_agent and self._is_idle(r)]
+        if not idle:
+            return WithheldReason.NO_FREE_SLOT
+        if not self.budget.take():
+            return WithheldReason.BUDGET
+        chosen = self.placement.place(idle, key=key, excluding={first_agent}, now=now)
+        return chosen or WithheldReason.NO_FREE_SLOT
+
+    def _has_fresh_report(self, record: BackendRecord, *, now: float) -> bool:
+        """Whether the agent of a backend server reports its load at present."""
+        host = record.host
+        return host in self.placement.loads and not self.placement.is_silent(
+            host, now=now
+        )
+
+    def _is_loaded(self, records: Collection[BackendRecord]) -> bool:
+        """Whether backend servers have as many requests as slots, on average."""
+        busy = sum(self.placement.loads[r.host].report.busy for r in records)
+        return busy >= sum(record.slots for record in records)
+
+    def _is_idle(self, record: BackendRecord) -> bool:
+        """Whether a backend server accepts flows and has a free slot."""
+        report = self.placement.loads[record.host].report
+        placed = self.placement.placed_since_report[record.host]
+        return (
+            record.state is BackendState.READY
+            and report.is_accepting
+            and report.service == record.service
+            and record.cold_remaining_s <= 0
+            and report.busy + placed < record.slots
+        )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -8,6 +8,7 @@
 from oleanderweir.flows import route_address
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_balancer.forwarding.flow_service import choose_flow_service
 from oleanderweir_balancer.forwarding.opening_attempts import OpeningAttempts
 from oleanderweir_balancer.forwarding.queued_opening import QueuedOpening
 
@@ -21,6 +22,7 @@
     from oleanderweir.lookups import OwnerLookup
     from oleanderweir_balancer.forwarding.balancer_transport import BalancerTransport
     from oleanderweir_balancer.forwarding.flow_cache import FlowCache
+    from oleanderweir_balancer.forwarding.opening_hedger import OpeningHedger
     from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
 
 
@@ -30,9 +32,6 @@
 OPENING_LIFETIME_S = 1.4
 # How long attempts are kept after the last one.
 ATTEMPTS_TTL_S = 2.0
-# Spreads callers over the shares of a route (Knuth's multiplicative hash).
-SHARE_HASH_FACTOR = 2654435761
-SHARE_HASH_SHIFT = 8
 
 
 class OpeningPlacer:
@@ -53,12 +52,14 @@
         transport: BalancerTransport,
         cache: FlowCache,
         owner_lookup: OwnerLookup,
+        hedger: OpeningHedger,
     ) -> None:
         self.register = register
         self.placement = placement
         self.transport = transport
         self.cache = cache
         self.owner_lookup = owner_lookup
+        self.hedger = hedger
         self.queued_openings: list[QueuedOpening] = []
         self.attempts: dict[FlowKey, OpeningAttempts] = {}
 
@@ -68,6 +69,7 @@
             self._queue_opening(packet, arrived_at=arrived_at)
             return
         self.owner_lookup.discard_failed(packet.key)
+        self.hedger.cancel(packet.key)
         if self._is_late(packet, arrived_at=arrived_at):
             return
         route = self.register.desired.routes.get(route_address(packet.key))
@@ -79,8 +81,9 @@
             # The caller uses the port of an earlier flow again.
             self.cache.discard(packet.key)
         flow = self.cache.get(packet.key, now=now)
-        if flow is not None and not self.placement.is_silent(flow.agent, now=now):
-            self.transport.deliver(flow.agent, packet, DeliveryPurpose.OPEN)
+        agent = "" if flow is None else flow.latest_agent
+        if flow is not None and not self.placement.is_silent(agent, now=now):
+            self.transport.deliver(agent, packet, DeliveryPurpose.OPEN)
             return
         self._place(packet, route, now=now)
 
@@ -111,6 +114,25 @@
         now: float,
     ) -> None:
         """Place an opening packet again, or reset its flow after the last attempt."""
+        attempts = self.record_return(
+            host, packet, reason, placed_at=placed_at, now=now
+        )
+        if attempts.is_exhausted:
+            self._give_up(packet, attempts, reason="refused_everywhere", now=now)
+            return
+        self.open(packet, arrived_at=attempts.started_at, now=now)
+
+    def record_return(
+        self,
+        host: str,
+        packet: Packet,
+        reason: ReturnReason,
+        *,
+        placed_at: float,
+        now: float,
+    ) -> OpeningAttempts:
+        """Record that an agent returned an opening packet; return all its attempts."""
+        self.hedger.cancel(packet.key)
         attempts = self.attempts.setdefault(
             packet.key, OpeningAttempts(started_at=placed_at, updated_at=now)
         )
@@ -121,10 +143,7 @@
             attempts.unanswered.add(host)
         else:
             attempts.refused.add(host)
-        if attempts.is_exhausted:
-            self._give_up(packet, attempts, reason="refused_everywhere", now=now)
-            return
-        self.open(packet, arrived_at=attempts.started_at, now=now)
+        return attempts
 
     def place_queued(self, *, now: float) -> None:
         """Place the opening packets that were queued."""
@@ -156,19 +175,17 @@
         """Select the backend server of a new flow and send it the opening packet."""
         key = packet.key
         attempts = self._find_attempts(key, now=now)
-        number = int.from_bytes(key[:6], "big") * SHARE_HASH_FACTOR >> SHARE_HASH_SHIFT
-        service = route.choose_service(number)
+        service = choose_flow_service(route, key)
         record = self._select_backend(service, key, attempts, now=now)
         if record is None:
             self._give_up(packet, attempts, reason="no_backend_server", now=now)
             return
+        may_be_open = _may_be_open(packet, attempts, now=now)
         self.cache.put(
-            key,
-            record.host,
-            now=now,
-            is_open=False,
-            is_unconfirmed=_may_be_open(packet, attempts, now=now),
+            key, record.host, now=now, is_open=False, is_unconfirmed=may_be_open
         )
+        if not may_be_open and not attempts.excluded:
+            self.hedger.on_placed(packet, route, now=now)
         purpose = DeliveryPurpose.OPEN
         if attempts.must_accept(record.host):
             purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -13,6 +13,8 @@
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.flow_cache import FlowCache
+from oleanderweir_balancer.forwarding.hedging_policy import HedgingPolicy
+from oleanderweir_balancer.forwarding.opening_hedger import OpeningHedger
 from oleanderweir_balancer.forwarding.opening_placer import OpeningPlacer
 
 
@@ -42,7 +44,7 @@
     Opening packets go to the ``OpeningPlacer``. Every other packet goes to the agent
     that owns its flow, which is looked up if it isn't cached. An open flow is reset
     only if no backend server holds it, by the denials of agents and the published
-    state.
+    state. ``max_hedged_share`` limits the share of new flows that are hedged.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         members: Members,
         placement: PlacementPolicy,
         transport: BalancerTransport,
+        max_hedged_share: float = 0.0,
     ) -> None:
         self.codec = codec
         self.register = register
@@ -64,12 +67,19 @@
         self.owner_lookup = OwnerLookup(
             register=register, members=members, transport=transport, use_delegate=True
         )
+        self.hedger = OpeningHedger(
+            policy=HedgingPolicy(max_share=max_hedged_share, placement=placement),
+            register=register,
+            cache=self.cache,
+            transport=transport,
+        )
         self.opening_placer = OpeningPlacer(
             register=register,
             placement=placement,
             transport=transport,
             cache=self.cache,
             owner_lookup=self.owner_lookup,
+            hedger=self.hedger,
         )
         self.last_caller_packet_at = float("-inf")
 
@@ -99,8 +109,17 @@
         if flow is None:
             self.owner_lookup.look_up(packet, now=now)
         else:
-            flow.is_open = True
-            flow.is_closed_by_caller |= packet.is_final
+            self._forward(flow, packet, now=now)
+
+    def _forward(self, flow: CachedFlow, packet: Packet, *, now: float) -> None:
+        """Send a caller's packet to the agent of its flow, or to both if hedged."""
+        if not flow.is_open:
+            self.hedger.on_opened(packet.key, flow, now=now)
+        flow.is_open = True
+        flow.is_closed_by_caller |= packet.is_final
+        if flow.second_agent:
+            self.hedger.forward(flow, packet)
+        else:
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
     def on_message(self, host: str, message: Message) -> None:
@@ -118,7 +137,14 @@
         cached = self.cache.flows.get(key)
         if cached is not None and cached.agent != owner:
             self.transport.log("owner_changed", key, agent=owner, before=cached.agent)
-        self.cache.put(key, owner, now=now, is_open=True)
+        self.hedger.cancel(key)
+        rejected = ""
+        if cached is not None and cached.may_own(owner):
+            self.hedger.on_owner(key, cached, owner)
+            cached.reject(cached.other_agent(owner))
+        if cached is not None and cached.agent == owner:
+            rejected = cached.rejected_agent
+        self.cache.put(key, owner, now=now, is_open=True, rejected_agent=rejected)
         self.owner_lookup.on_owner(owner, key, now=now)
 
     def on_state_change(self, topic: Topic) -> None:
@@ -157,12 +183,24 @@
         if packet.is_opening and self._is_open(packet.key):
             # The caller has acknowledged the answer to another copy.
             return
-        if reason in LOOKUP_REPLIES:
-            self._on_lookup_reply(host, packet, returned, now=now)
+        flow = self.cache.flows.get(packet.key)
+        if flow is not None and flow.may_own(host):
+            self._on_hedge_returned(host, flow, packet, reason, now=now)
+        elif flow is not None and flow.is_open and flow.rejected_agent == host:
+            # The other agent of the hedged flow has got this packet, too.
             return
+        elif reason in LOOKUP_REPLIES:
+            self._on_lookup_reply(host, packet, returned, now=now)
+        else:
+            self._on_denied_packet(host, packet, reason, now=now)
+
+    def _on_denied_packet(
+        self, host: str, packet: Packet, reason: ReturnReason, *, now: float
+    ) -> None:
+        """Retry, look up or reset the flow of a packet that its agent returned."""
+        flow = self.cache.flows.get(packet.key)
         # Unknown if an earlier agent of the flow returns the packet.
         placed_at = float("-inf")
-        flow = self.cache.flows.get(packet.key)
         if flow is not None and flow.agent == host:
             placed_at = flow.stored_at
             self.cache.discard(packet.key)
@@ -182,6 +220,24 @@
         else:
             self.owner_lookup.on_denial(host, packet, now=now)
 
+    def _on_hedge_returned(
+        self,
+        host: str,
+        flow: CachedFlow,
+        packet: Packet,
+        reason: ReturnReason,
+        *,
+        now: float,
+    ) -> None:
+        """Leave a hedged flow to the agent that has not returned its packet."""
+        if packet.is_opening:
+            self.opening_placer.record_return(
+                host, packet, reason, placed_at=flow.stored_at, now=now
+            )
+        else:
+            self.hedger.on_owner(packet.key, flow, flow.other_agent(host))
+        flow.reject(host)
+
     def _on_lookup_reply(
         self, host: str, packet: Packet, returned: ReturnedPacket, *, now: float
     ) -> None:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -48,6 +48,7 @@
         router: EmulatedRouter,
         published: PublishedState,
         peers: EmulatedPeers,
+        max_hedged_share: float = 0.0,
     ) -> None:
         self.nursery = nursery
         self.random_source = random_source
@@ -56,6 +57,7 @@
         self.router = router
         self.published = published
         self.peers = peers
+        self.max_hedged_share = max_hedged_share
         self.scopes: dict[str, trio.CancelScope] = {}
         self.running: dict[str, PacketBalancer] = {}
         self.paused: set[str] = set()
@@ -75,7 +77,7 @@
             sender = heartbeats.senders[host]
             self.nursery.start_soon(self._run_program, host, sender, scope)
             return
-        self.nursery.start_soon(_retry_lookups, balancer, scope)
+        self.nursery.start_soon(self._run_timers, host, balancer, scope)
         if host not in self.router.hosts:
             self.router.hosts.append(host)
 
@@ -140,6 +142,7 @@
         with scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sender.run)
+                nursery.start_soon(self._send_hedges, host, balancer)
                 for step in count(1):
                     await trio.sleep(TICK_S)
                     if host in self.paused:
@@ -148,6 +151,26 @@
                     if step % EXPIRY_TICKS == 0:
                         balancer.expire()
 
+    async def _run_timers(
+        self, host: str, balancer: PacketBalancer, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_hedges, host, balancer)
+                while True:
+                    await trio.sleep(TICK_S)
+                    balancer.retry_lookups()
+
+    async def _send_hedges(self, host: str, balancer: PacketBalancer) -> None:
+        hedger = balancer.hedger
+        while True:
+            await hedger.wait_for_any()
+            await trio.sleep_until(hedger.next_due_at)
+            if host in self.paused:
+                await trio.sleep(TICK_S)
+            else:
+                hedger.send_due(now=trio.current_time())
+
     def _create(self, host: str, register: StateRegister) -> PacketBalancer:
         return PacketBalancer(
             flow_ttl_s=FLOW_TTL_S,
@@ -168,11 +191,5 @@
                     "UdpSocket", VirtualSocket(network=self.network, host=host)
                 ),
             ),
+            max_hedged_share=self.max_hedged_share,
         )
-
-
-async def _retry_lookups(balancer: PacketBalancer, scope: trio.CancelScope) -> None:
-    with scope:
-        while True:
-            await trio.sleep(TICK_S)
-            balancer.retry_lookups()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -50,6 +50,7 @@
     process, at its start and after each change. Scenarios use the operations below.
     With ``runs_programs``, the processes do all that the programs do: they exchange
     heartbeats, probe backend servers, and get the published state after their start.
+    With ``max_hedged_share``, the route is idempotent and balancers hedge its flows.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         backends: int = 4,
         uses_rendezvous_hash: bool = True,
         runs_programs: bool = False,
+        max_hedged_share: float = 0.0,
     ) -> None:
         self.runs_programs = runs_programs
         self.faults = FaultRecord()
@@ -81,7 +83,11 @@
             random_source=random.Random(seed),
             desired=DesiredState(
                 version=1,
-                routes={ROUTE: make_route(ROUTE, SERVICE)},
+                routes={
+                    ROUTE: make_route(
+                        ROUTE, SERVICE, is_idempotent=max_hedged_share > 0
+                    )
+                },
                 idle_timeout_s=15.0,
             ),
         )
@@ -120,6 +126,7 @@
             router=self.router,
             published=self.published,
             peers=self.peers,
+            max_hedged_share=max_hedged_share,
         )
         self.readiness = EmulatedReadiness(
             router=self.router,
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/routes.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/routes.py
@@ -10,7 +10,7 @@
 TARGET_LATENCY_S = 0.25
 
 
-def make_route(address: bytes, service: str) -> Route:
+def make_route(address: bytes, service: str, *, is_idempotent: bool = False) -> Route:
     """Return a route that leads to one service."""
     return Route(
         name=f"to-{service}",
@@ -19,4 +19,5 @@
         timeout_s=TIMEOUT_S,
         target_latency_s=TARGET_LATENCY_S,
         priority=1,
+        is_idempotent=is_idempotent,
     )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/scenarios.py
@@ -114,6 +114,7 @@
     callers: int = CALLERS,
     backends: int = 4,
     requests_per_flow: float = float("inf"),
+    max_hedged_share: float = 0.0,
 ) -> SiteResult:
     """Run a scenario in virtual time; return the results that callers observed."""
 
@@ -124,6 +125,7 @@
                 seed=seed,
                 uses_rendezvous_hash=uses_rendezvous_hash,
                 backends=backends,
+                max_hedged_share=max_hedged_share,
             )
             site.start_callers(
                 callers,
--- a/packages/oleanderweir/src/oleanderweir/desired_state/route.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/route.py
@@ -19,7 +19,8 @@
     The services behind one address, and the limits of its requests.
 
     ``priority`` 0 is the highest. ``timeout_s`` is the time limit of a request and
-    ``target_latency_s`` its desired latency, both in seconds.
+    ``target_latency_s`` its desired latency, both in seconds. Requests of a route that
+    ``is_idempotent`` may run more than once.
     """
 
     name: str
@@ -28,6 +29,7 @@
     timeout_s: float
     target_latency_s: float
     priority: int
+    is_idempotent: bool = False
 
     def choose_service(self, number: int) -> str:
         """Return a service by weight, for a uniformly distributed number."""
--- a/packages/oleanderweir/src/oleanderweir/event_log/event_counters.py
+++ b/packages/oleanderweir/src/oleanderweir/event_log/event_counters.py
@@ -7,7 +7,9 @@
 
 
 # Codes with a small set of reasons, which are counted separately.
-CODES_WITH_REASON = frozenset({"flow_reset", "packet_given_back", "packet_returned"})
+CODES_WITH_REASON = frozenset(
+    {"flow_reset", "hedge_withheld", "packet_given_back", "packet_returned"}
+)
 # The code whose duration is the latency of a request.
 REQUEST_CODE = "request_answered"
 # Upper bounds of the latency histogram, in seconds.
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -16,6 +16,7 @@
     DELEGATED_LOOKUP = 4  # the same; the agent queries all possible owners
     OPEN_EVEN_IF_BUSY = 5  # an opening packet that must not be returned as BUSY
     TABLE_QUERY = 6  # a query that is answered without asking the backend server
+    HEDGED_QUERY = 7  # the same, of a flow whose opening packet went to two agents
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/oleanderweir/desired_state/fakes.py
+++ b/tests/oleanderweir/desired_state/fakes.py
@@ -22,7 +22,8 @@
     def decode_desired_state(self, document: bytes) -> DesiredState:
         fields = _load(document)
         routes = [
-            make_route(number, service) for number, service in fields["routes"].items()
+            make_route(number, service, is_idempotent=fields["are_idempotent"])
+            for number, service in fields["routes"].items()
         ]
         return DesiredState(
             version=fields["version"],
@@ -49,7 +50,9 @@
         raise InvalidDocumentError("document is not valid JSON") from error
 
 
-def make_route(number: int | str, service: str) -> Route:
+def make_route(
+    number: int | str, service: str, *, is_idempotent: bool = False
+) -> Route:
     return Route(
         name=f"route-{number}",
         address=make_route_address(int(number)),
@@ -57,6 +60,7 @@
         timeout_s=2.0,
         target_latency_s=0.25,
         priority=1,
+        is_idempotent=is_idempotent,
     )
 
 
@@ -85,8 +89,11 @@
     )
 
 
-def desired_document(version: int, routes: dict[int, str]) -> bytes:
-    return json.dumps({"version": version, "routes": routes}).encode()
+def desired_document(
+    version: int, routes: dict[int, str], *, are_idempotent: bool = False
+) -> bytes:
+    fields = {"version": version, "routes": routes, "are_idempotent": are_idempotent}
+    return json.dumps(fields).encode()
 
 
 def backend_document(
@@ -118,9 +125,12 @@
     routes: dict[int, str] | None = None,
     backends: dict[str, bytes] | None = None,
     revision: int = 10,
+    are_idempotent: bool = False,
 ) -> None:
     """Apply one listing of each topic to a register."""
-    desired = desired_document(version, routes or {1: "feed"})
+    desired = desired_document(
+        version, routes or {1: "feed"}, are_idempotent=are_idempotent
+    )
     register.apply_listing(
         Listing(
             topic=Topic.DESIRED_STATE,
--- a/tests/oleanderweir_balancer/forwarding/bench.py
+++ b/tests/oleanderweir_balancer/forwarding/bench.py
@@ -40,7 +40,12 @@
 class BalancerBench:
     """A balancer with a fake socket that records its datagrams."""
 
-    def __init__(self, *, hosts: tuple[str, ...] = ("10.0.0.1", "10.0.0.2")) -> None:
+    def __init__(
+        self,
+        *,
+        hosts: tuple[str, ...] = ("10.0.0.1", "10.0.0.2"),
+        max_hedged_share: float = 0.0,
+    ) -> None:
         self.socket = FakeSocket()
         self.register = make_register()
         self.members = Members(own_host="10.0.9.9")
@@ -61,6 +66,7 @@
                 register=self.register,
                 socket=cast("UdpSocket", self.socket),
             ),
+            max_hedged_share=max_hedged_share,
         )
         self.hosts = hosts
 
--- /dev/null
+++ b/tests/oleanderweir_balancer/forwarding/test_hedge_budget.py
@@ -0,0 +1,32 @@
+from __future__ import annotations
+
+from oleanderweir_balancer.forwarding.hedge_budget import MAX_CREDIT
+from oleanderweir_balancer.forwarding.hedge_budget import HedgeBudget
+
+
+def test_hedges_never_exceed_their_share_of_the_flows() -> None:
+    budget = HedgeBudget(max_share=0.03)
+    hedges = 0
+
+    for flows in range(1, 2000):
+        budget.on_new_flow()
+        hedges += budget.take()
+        assert hedges <= 0.03 * flows + 1e-6
+
+    assert hedges >= 58
+
+
+def test_a_quiet_time_saves_up_a_few_hedges_only() -> None:
+    budget = HedgeBudget(max_share=0.5)
+    for _ in range(1000):
+        budget.on_new_flow()
+
+    assert sum(budget.take() for _ in range(100)) == int(MAX_CREDIT)
+
+
+def test_nothing_is_hedged_without_a_share() -> None:
+    budget = HedgeBudget(max_share=0.0)
+    for _ in range(1000):
+        budget.on_new_flow()
+
+    assert not budget.take()
--- a/tests/oleanderweir_platform/test_settings.py
+++ b/tests/oleanderweir_platform/test_settings.py
@@ -131,3 +131,23 @@
 
     with pytest.raises(InvalidSettingsError, match="OLEANDERWEIR_LOG_LINES"):
         decode_settings(make_fields())
+
+
+@pytest.mark.parametrize(("text", "share"), [(None, 0.0), ("", 0.0), ("0.03", 0.03)])
+def test_the_limit_of_hedged_flows_is_off_unless_it_is_set(
+    text: str | None, share: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    if text is not None:
+        monkeypatch.setenv("OLEANDERWEIR_MAX_HEDGED_SHARE", text)
+
+    assert decode_settings(make_fields()).max_hedged_share == share
+
+
+@pytest.mark.parametrize("text", ["some", "-0.1", "1.1", "nan", "inf", "3%"])
+def test_a_limit_of_hedged_flows_that_is_no_share_is_rejected(
+    text: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("OLEANDERWEIR_MAX_HEDGED_SHARE", text)
+
+    with pytest.raises(InvalidSettingsError, match="OLEANDERWEIR_MAX_HEDGED_SHARE"):
+        decode_settings(make_fields())
--- a/tests/oleanderweir_platform/test_store_documents.py
+++ b/tests/oleanderweir_platform/test_store_documents.py
@@ -137,6 +137,29 @@
     assert desired.routes[single].choose_service(5) == "feed"
 
 
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("upload", False),
+        ("stream", False),
+        (None, False),
+        (["idempotent"], False),
+    ],
+)
+def test_only_some_kinds_of_routes_are_idempotent(
+    kind: object, is_idempotent: bool
+) -> None:
+    document = make_desired()
+    document["Routes"][0]["Type"] = kind
+
+    desired = StoreDecoder().decode_desired_state(json.dumps(document).encode())
+
+    assert desired.routes[ROUTE_ADDRESS].is_idempotent is is_idempotent
+
+
 def test_a_desired_state_without_a_version_is_rejected() -> None:
     fields = make_desired()
     del fields["Version"]
