--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -77,7 +77,10 @@
             sender = heartbeats.senders[host]
             self.nursery.start_soon(self._run_program, host, sender, scope)
             return
-        self.nursery.start_soon(self._run_timers, host, balancer, scope)
+        if self.max_hedged_share:
+            self.nursery.start_soon(self._run_timers, host, balancer, scope)
+        else:
+            self.nursery.start_soon(_retry_lookups, balancer, scope)
         if host not in self.router.hosts:
             self.router.hosts.append(host)
 
@@ -142,7 +145,8 @@
         with scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(sender.run)
-                nursery.start_soon(self._send_hedges, host, balancer)
+                if self.max_hedged_share:
+                    nursery.start_soon(self._send_hedges, host, balancer)
                 for step in count(1):
                     await trio.sleep(TICK_S)
                     if host in self.paused:
@@ -154,12 +158,11 @@
     async def _run_timers(
         self, host: str, balancer: PacketBalancer, scope: trio.CancelScope
     ) -> None:
+        """Retry lookups and send hedges until the scope is closed."""
         with scope:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_hedges, host, balancer)
-                while True:
-                    await trio.sleep(TICK_S)
-                    balancer.retry_lookups()
+                nursery.start_soon(_retry_lookups, balancer, trio.CancelScope())
 
     async def _send_hedges(self, host: str, balancer: PacketBalancer) -> None:
         hedger = balancer.hedger
@@ -193,3 +196,10 @@
             ),
             max_hedged_share=self.max_hedged_share,
         )
+
+
+async def _retry_lookups(balancer: PacketBalancer, scope: trio.CancelScope) -> None:
+    with scope:
+        while True:
+            await trio.sleep(TICK_S)
+            balancer.retry_lookups()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_site.py
@@ -65,6 +65,7 @@
         max_hedged_share: float = 0.0,
     ) -> None:
         self.runs_programs = runs_programs
+        self.max_hedged_share = max_hedged_share
         self.faults = FaultRecord()
         self.nursery = nursery
         self.random_source = random.Random(seed)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/random_series.py
@@ -43,12 +43,17 @@
 
 
 def run_random_series(
-    *, seed: int, faults_s: float = 12.0, names: Collection[str] = ()
+    *,
+    seed: int,
+    faults_s: float = 12.0,
+    names: Collection[str] = (),
+    max_hedged_share: float = 0.0,
 ) -> SeriesResult:
     """
     Disturb a site at random; its size, hash mode and faults depend on the seed.
 
-    ``names`` selects faults and changes by name; by default all are used.
+    ``names`` selects faults and changes by name; by default all are used. With
+    ``max_hedged_share``, balancers hedge slow openings.
     """
 
     async def simulate() -> SeriesResult:
@@ -62,6 +67,7 @@
                 backends=backends,
                 uses_rendezvous_hash=random_source.random() < 0.5,  # noqa: PLR2004
                 runs_programs=True,
+                max_hedged_share=max_hedged_share,
             )
             site.published.max_lag_s = random_source.uniform(0.0, MAX_LAG_S)
             faults = RandomFaults(
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/state_changes.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/state_changes.py
@@ -53,16 +53,18 @@
 
     def publish_routes(self, *, moving_service: str, has_removed: bool) -> None:
         """Publish the routes in a new version."""
+        services = {ROUTE: SERVICE, MOVING_ROUTE: moving_service}
+        if has_removed:
+            services[REMOVED_ROUTE] = SERVICE
         routes = {
-            ROUTE: make_route(ROUTE, SERVICE),
-            MOVING_ROUTE: make_route(MOVING_ROUTE, moving_service),
+            address: make_route(
+                address, service, is_idempotent=self.site.max_hedged_share > 0
+            )
+            for address, service in services.items()
         }
-        if has_removed:
-            routes[REMOVED_ROUTE] = make_route(REMOVED_ROUTE, SERVICE)
         allowed = self.site.backends.allowed_services
-        for address, route in routes.items():
-            services = {share.service for share in route.shares}
-            allowed.setdefault(address, set()).update(services)
+        for address, service in services.items():
+            allowed.setdefault(address, set()).add(service)
         desired = self.site.published.desired
         self.site.published.write_desired(
             DesiredState(
--- a/tests/oleanderweir_balancer/forwarding/test_balancer_program.py
+++ b/tests/oleanderweir_balancer/forwarding/test_balancer_program.py
@@ -9,6 +9,7 @@
 from oleanderweir.net import Datagram
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_balancer.forwarding.balancer_program import BalancerProgram
+from oleanderweir_balancer.forwarding.hedging_policy import MAX_DELAY_S
 from tests.oleanderweir_balancer.forwarding.bench import BalancerBench
 from tests.oleanderweir_balancer.forwarding.packets import OPENING
 from tests.oleanderweir_balancer.forwarding.packets import REQUEST
@@ -126,3 +127,28 @@
 
         assert {host for host, _ in bench.deliveries()} == {"10.0.0.1", "10.0.0.2"}
         nursery.cancel_scope.cancel()
+
+
+async def test_the_program_hedges_slow_openings(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = BalancerBench(max_hedged_share=1.0)
+    bench.publish(are_idempotent=True)
+    for host in bench.hosts:
+        bench.report(host)
+    program = BalancerProgram(
+        balancer=bench.balancer,
+        packet_socket=cast("UdpSocket", SilentSocket()),
+        grace_s=6.0,
+        clock=trio.current_time,
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(program.run)
+        bench.balancer.on_caller_packet(OPENING)
+        [(first, _)] = bench.deliveries()
+
+        await trio.sleep(MAX_DELAY_S + 0.01)
+
+        [(second, _)] = bench.deliveries()
+        assert second != first
+        nursery.cancel_scope.cancel()
--- a/tests/oleanderweir_bench/packet_path/test_random_series.py
+++ b/tests/oleanderweir_bench/packet_path/test_random_series.py
@@ -27,6 +27,17 @@
     assert result.calm.failed == 0
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_random_faults_violate_no_guarantee_while_slow_openings_are_hedged(
+    seed: int,
+) -> None:
+    result = run_random_series(seed=seed, max_hedged_share=1.0)
+
+    assert result.whole.total > 300
+    assert result.whole.violations == 0
+    assert result.calm.failed == 0
+
+
 def test_a_series_is_deterministic_for_a_seed() -> None:
     first = run_random_series(seed=4, faults_s=2.0)
 
