--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -25,6 +25,7 @@
     from oleanderweir_agent.forwarding.ownership_check import OwnershipCheck
     from oleanderweir_agent.forwarding.ownership_checker import OwnershipChecker
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 logger = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         continuity: BackendContinuity,
         ownership: OwnershipChecker,
         remover: FlowRemover,
+        withdrawn: WithdrawnOpenings,
         opening_handler: OpeningHandler,
         transport: AgentTransport,
     ) -> None:
@@ -58,6 +60,7 @@
         self.continuity = continuity
         self.ownership = ownership
         self.remover = remover
+        self.withdrawn = withdrawn
         self.opening_handler = opening_handler
         self.transport = transport
 
@@ -71,6 +74,9 @@
         if packet.is_returned:
             self._on_returned(packet, now=now)
             return
+        if packet.is_opening and self.withdrawn.is_withdrawn(packet.key):
+            self._withhold_answer(packet.key, now=now)
+            return
         is_doubtful = packet.is_reset or self.ownership.is_answered_for_another(packet)
         if is_doubtful and self._is_reset_of_another(packet.key, now=now):
             return
@@ -78,6 +84,15 @@
         self._update_from_backend(packet, now=now)
         self.dispatcher.start_queued(self.table.flows, now=now)
 
+    def _withhold_answer(self, key: FlowKey, *, now: float) -> None:
+        """Withhold the answer to an opening that another backend server has won."""
+        logger.info(
+            "answer withheld from the caller: another backend server opened the flow",
+            extra={"code": "answer_withheld", "flow": describe_flow(key)},
+        )
+        self.ownership.record_not_held(key, now=now)
+        self.remover.remove(key, now=now)
+
     def _is_reset_of_another(self, key: FlowKey, *, now: float) -> bool:
         """
         Withhold a reset of a flow that another backend server may hold; deny the flow.
@@ -112,6 +127,8 @@
         if flow.is_established and not packet.is_reset:
             self.continuity.on_held_flow()
         flow.is_answered = True
+        if packet.is_opening:
+            flow.answered_sequence = packet.sequence
         if not packet.is_opening:
             self._establish(flow, check, now=now)
         if packet.is_acknowledging:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -42,6 +42,7 @@
     from oleanderweir_agent.forwarding.report_sender import ReportSender
     from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
     from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
+    from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -69,6 +70,7 @@
     continuity: BackendContinuity
     cold_start: ColdStartLimiter
     ownership: OwnershipChecker
+    withdrawn: WithdrawnOpenings
     lookup_service: LookupService
     completeness: TableCompleteness
     report_builder: ReportBuilder
@@ -177,6 +179,7 @@
                 self.completeness.on_unproven_removal()
             self.dispatcher.drop(flow, now=now)
         self.ownership.expire(now=now)
+        self.withdrawn.expire(now=now)
 
     def on_standstill(self) -> None:
         """Doubt the backend server: it may have stopped while this process did."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent_factory.py
@@ -25,6 +25,7 @@
 from oleanderweir_agent.forwarding.report_sender import ReportSender
 from oleanderweir_agent.forwarding.request_dispatcher import RequestDispatcher
 from oleanderweir_agent.forwarding.table_completeness import TableCompleteness
+from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
 if TYPE_CHECKING:
@@ -63,6 +64,7 @@
     continuity = continuity or BackendContinuity(admission=admission)
     completeness = TableCompleteness(admission=admission, liveness=liveness)
     ownership = OwnershipChecker(transport=transport, flow_ttl_s=flow_ttl_s)
+    withdrawn = WithdrawnOpenings()
     cold_period = ColdPeriod(liveness=liveness, evacuation_ended_at=evacuation_ended_at)
     cold_start = ColdStartLimiter(
         register=register,
@@ -97,6 +99,7 @@
         cold_start=cold_start,
         ownership=ownership,
         remover=remover,
+        withdrawn=withdrawn,
         report_builder=report_builder,
         transport=transport,
     )
@@ -114,6 +117,7 @@
         continuity=continuity,
         cold_start=cold_start,
         ownership=ownership,
+        withdrawn=withdrawn,
         lookup_service=LookupService(
             codec=codec, register=register, members=members, transport=transport
         ),
@@ -129,6 +133,7 @@
             completeness=completeness,
             ownership=ownership,
             remover=remover,
+            withdrawn=withdrawn,
             transport=transport,
         ),
         backend_packet_handler=BackendPacketHandler(
@@ -139,6 +144,7 @@
             continuity=continuity,
             ownership=ownership,
             remover=remover,
+            withdrawn=withdrawn,
             opening_handler=opening_handler,
             transport=transport,
         ),
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/balancer_program.py
@@ -74,6 +74,7 @@
             nursery.start_soon(self._expire)
             nursery.start_soon(self._retry_lookups)
             nursery.start_soon(self._send_queued)
+            nursery.start_soon(self._send_hedges)
             task_status.started()
 
     def on_message(self, host: str, message: Message) -> None:
@@ -138,3 +139,11 @@
             await trio.sleep(SEND_INTERVAL_S)
             with self.timer_barrier:
                 transport.send_queued()
+
+    async def _send_hedges(self) -> None:
+        hedger = self.balancer.hedger
+        while True:
+            await hedger.wait_for_any()
+            await trio.sleep_until(hedger.next_due_at)
+            with self.timer_barrier:
+                hedger.send_due(now=trio.current_time())
--- a/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
@@ -34,6 +34,8 @@
 
     def __init__(self) -> None:
         self.orders: dict[str, EvacuationOrder] = {}
+        # Positions of all writes of the order in force, of each zone.
+        self.written_at: dict[str, set[int]] = {}
         self.zones: frozenset[str] = frozenset()
         self.changed_revision = 0
         # When this process learned of the last withdrawal of each zone, in seconds of
@@ -89,16 +91,20 @@
             self._withdraw(order.zone, revision)
             return
         self.orders[order.zone] = order
+        self.written_at.setdefault(order.zone, set()).add(revision)
         self.ended_at.pop(order.zone, None)
         self._on_changed("evacuation_ordered", order.zone, min(revision, known_up_to))
 
     def _withdraw(self, zone: str, revision: int) -> None:
-        """Remove the order of a zone, and remember its write as withdrawn."""
-        order = self.orders.pop(zone, None)
+        """Remove the order of a zone, and remember its writes as withdrawn."""
+        self.orders.pop(zone, None)
         # A copy of the source that lacks an order doesn't tell that it was withdrawn.
-        if order and history_of(order.change.revision) == history_of(revision):
-            written = self.withdrawn_revisions.setdefault(zone, set())
-            written.add(revision_of(order.change.revision))
+        written = {
+            revision_of(position)
+            for position in self.written_at.pop(zone, ())
+            if history_of(position) == history_of(revision)
+        }
+        self.withdrawn_revisions.setdefault(zone, set()).update(written)
         self.withdrawn_at[zone] = revision
         self.ended_at[zone] = trio.current_time()
         self._on_changed("evacuation_withdrawn", zone, revision)
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -126,6 +126,13 @@
                 self.by_service.setdefault(record.service, []).append(record)
         return self.by_service.get(service, [])
 
+    def open_backends_of(self, service: str) -> list[BackendRecord]:
+        """Return the backend servers of a service whose zone isn't evacuated."""
+        records = self.backends_of(service)
+        if not self.evacuated_zones:
+            return records
+        return [r for r in records if not self.is_evacuated(r.availability_zone)]
+
     def _find_by_address(self) -> dict[tuple[str, int], BackendRecord]:
         """
         Return the newest record of each address.
--- a/tests/oleanderweir/desired_state/test_evacuations.py
+++ b/tests/oleanderweir/desired_state/test_evacuations.py
@@ -12,6 +12,7 @@
 from oleanderweir.desired_state import Topic
 from oleanderweir.desired_state import make_position
 from tests.oleanderweir.desired_state.fakes import apply_orders
+from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import make_register
 from tests.oleanderweir.desired_state.fakes import order_change
 from tests.oleanderweir.desired_state.fakes import publish
@@ -121,3 +122,29 @@
     assert register.is_evacuated("a")
     codes = [vars(r).get("code") for r in caplog.records]
     assert codes.count("invalid_document") == 1
+
+
+async def test_an_order_that_was_written_twice_stays_withdrawn_in_an_older_copy() -> (
+    None
+):
+    register = make_register()
+    apply_orders(register, order_change("a", revision=10))
+    apply_orders(register, order_change("a", revision=15))
+    apply_orders(register, order_change("a", revision=20, document=None))
+
+    copied = order_change("a", revision=copy_position(10))
+    list_orders(register, copied, revision=copy_position(13))
+
+    assert not register.is_evacuated("a")
+
+
+async def test_backend_servers_of_an_evacuated_zone_are_left_out() -> None:
+    register = make_register()
+    documents = {
+        name: backend_document(host=f"10.0.0.{number}", availability_zone=name)
+        for number, name in enumerate("ab", 1)
+    }
+    publish(register, backends=documents)
+    apply_orders(register, order_change("a", revision=30))
+
+    assert [r.availability_zone for r in register.open_backends_of("feed")] == ["b"]
