Drop the openings that a hedge has won while they were held

What callers saw (found in review, off by default): an agent that stood still and woke up held the opening packet of a hedged flow, forwarded it once its state was proved, and the caller got a second answer. And an agent that was restarted withheld the repeated answer of the flow's own backend server, and then denied the open flow.

Cause: a query of a hedged flow that finds no entry left no trace; and a withdrawn opening kept no number of what the caller has acknowledged.

Fix: a query drops the held opening packet; an answer is withheld only if it isn't the one that the caller has acknowledged. Both tests fail without it.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -74,7 +74,9 @@
         if packet.is_returned:
             self._on_returned(packet, now=now)
             return
-        if packet.is_opening and self.withdrawn.is_withdrawn(packet.key):
+        if packet.is_opening and self.withdrawn.is_withdrawn(
+            packet.key, sequence=packet.sequence
+        ):
             self._withhold_answer(packet.key, now=now)
             return
         is_doubtful = packet.is_reset or self.ownership.is_answered_for_another(packet)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -106,7 +106,7 @@
         opening stays pending: it shows whether the backend server responds.
         """
         key = packet.key
-        self.withdrawn.add(key, now=now)
+        self.withdrawn.add(key, acknowledged=packet.acknowledged, now=now)
         flow = self.table.get(key)
         if flow is not None and flow.is_answered:
             self.remover.remove(key, now=now)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -105,11 +105,11 @@
     def acknowledges_answer(self, packet: Packet) -> bool:
         """Whether a caller's packet acknowledges this backend server's answer."""
         sequence = self.answered_sequence
-        return sequence is not None and not _are_far(packet.acknowledged, sequence)
+        return sequence is not None and not are_far(packet.acknowledged, sequence)
 
     def _is_far_from(self, packet: Packet) -> bool:
         """Whether a caller's acknowledgement is too far from the last one."""
-        return _are_far(packet.acknowledged, self.caller_acknowledged)
+        return are_far(packet.acknowledged, self.caller_acknowledged)
 
     def describe_progress(self) -> dict[str, bool]:
         """Return how far the flow is established, as inputs of log lines."""
@@ -125,7 +125,7 @@
         return self.caller_closed and self.backend_closed
 
 
-def _are_far(first: int, second: int) -> bool:
+def are_far(first: int, second: int) -> bool:
     """Whether two sequence numbers can't be of the same flow."""
     ahead = (first - second) % SEQUENCE_MODULUS
     return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/held_openings.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/held_openings.py
@@ -60,6 +60,10 @@
         """Keep an opening packet again that was removed to be decided."""
         self.openings[held.packet.key] = held
 
+    def remove(self, key: FlowKey) -> None:
+        """Remove the opening packet of a flow, if there is one."""
+        self.openings.pop(key, None)
+
     def pop_all(self) -> list[HeldOpening]:
         """Remove and return all opening packets, in the order of their arrival."""
         openings = list(self.openings.values())
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -160,6 +160,10 @@
                 host, packet.key, packet.data, ReturnReason.NO_ROUTE
             )
 
+    def drop_held(self, key: FlowKey) -> None:
+        """Drop a held opening packet: another backend server has opened its flow."""
+        self.held.remove(key)
+
     def decide_held(self, *, now: float) -> None:
         """Decide about the held opening packets, since the state has changed."""
         for held in self.held.pop_all():
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -105,6 +105,8 @@
                 host, packet, revision=message.version, hosts=message.hosts
             )
         else:
+            if message.purpose is DeliveryPurpose.HEDGED_QUERY:
+                self.opening_handler.drop_held(packet.key)
             self.flow_packet_handler.on_packet(host, packet, message, now=now)
 
     # Packets from the backend server
--- a/tests/oleanderweir_agent/forwarding/test_hedged_flows.py
+++ b/tests/oleanderweir_agent/forwarding/test_hedged_flows.py
@@ -4,6 +4,7 @@
 from oleanderweir.peering.messages import OwnerNotice
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
 from tests.oleanderweir_agent.forwarding.packets import ANSWER
@@ -105,3 +106,32 @@
 
     assert bench.to_callers() == [ANSWER]
     assert bench.to_peers() == [OwnerNotice(key=KEY)]
+
+
+# Failure: the first agent stood still, and reads the opening packet and the query.
+async def test_a_held_opening_packet_of_a_flow_that_another_one_won_is_dropped() -> (
+    None
+):
+    bench = AgentBench(is_new=True)
+    bench.deliver(DeliveryPurpose.OPEN, OPENING, version=1)
+
+    bench.deliver(DeliveryPurpose.HEDGED_QUERY, OTHER_REQUEST)
+    publish(bench.register, version=1)
+    bench.agent.on_tick()
+
+    assert OPENING not in bench.to_backend()
+
+
+# Failure: the winner's agent was restarted, and gets a copy of the opening packet.
+async def test_the_repeated_answer_that_the_caller_acknowledged_is_not_withheld() -> (
+    None
+):
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.deliver(DeliveryPurpose.HEDGED_QUERY, REQUEST)
+    bench.to_callers()
+
+    bench.agent.on_backend_packet(OPENED)
+
+    assert bench.to_callers() == [OPENED]
+    assert KEY in bench.agent.table.flows
