--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -73,7 +73,11 @@
         self.agent.on_state_change()
 
     def on_standstill(self) -> None:
-        """Process the packets that waited, and doubt the backend server after them."""
+        """
+        Process the packets that waited, and doubt the backend server after them.
+
+        They may be from before the standstill, so they must not end the doubt.
+        """
         while batch := self.backend_socket.read_ready():
             self._process(batch)
         self.agent.on_standstill()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_continuity.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_continuity.py
@@ -15,9 +15,8 @@
 
 logger = logging.getLogger(__name__)
 
-# A record is removed after its backend server has been silent for three heartbeats.
+# For agents without platform settings, which give the lease of their store.
 DEFAULT_RECORD_LEASE_S = 4.0
-NEVER = float("-inf")
 
 
 class BackendContinuity:
@@ -32,8 +31,9 @@
     sends a packet of a flow that was open before, which another one can't hold; a newer
     start is published; or its record is still published once the lease has passed.
 
-    ``record_lease_s`` is in seconds. ``proved_at`` returns when the published state was
-    last proved to be that of the source. Times are those of trio's clock.
+    ``record_lease_s`` is how long the record of a lost backend server may stay
+    published, in seconds. ``proved_at`` returns when the published state was last
+    proved to be that of the source. Times are in seconds of trio's clock.
     """
 
     def __init__(
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -131,7 +131,7 @@
         flow.is_answered = True
         if packet.is_opening:
             flow.answered_sequence = packet.sequence
-        if not packet.is_opening:
+        else:
             self._establish(flow, check, now=now)
         if packet.is_acknowledging:
             self.dispatcher.on_acknowledged(flow, packet.acknowledged)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_period.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_period.py
@@ -14,7 +14,7 @@
 
 
 def never_evacuated(zone: str) -> float | None:
-    """Return the end of the evacuation of a zone, where there is none."""
+    """Return ``None``: no evacuation of the zone has ended."""
     del zone
     return None
 
@@ -23,10 +23,11 @@
     """
     Tells until when the backend server counts as cold, by what this process knows.
 
-    It counts as cold until its first record is known. From then on, the newest of three
-    decides: its record, its return after a proven stop, and the end of an evacuation of
-    its zone. The remaining time of a record counts from when it became known, never
-    from its publication, since a source or a peer may deliver it late.
+    It counts as cold until its first record is known. From then on, its record decides.
+    A return after a proven stop, or the end of an evacuation of its zone, can prolong
+    the cold start but not shorten it, and only if it is newer than the record. The
+    remaining time of a record counts from when it became known, never from its
+    publication, since a source or a peer may deliver it late.
 
     ``evacuation_ended_at`` returns when this process learned that the last evacuation
     of a zone has ended. All times are in seconds of trio's clock, which changes of the
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
@@ -53,7 +53,7 @@
         return desired.cold_start_limits.get(self.service)
 
     def update(self, *, now: float) -> None:
-        """Apply what is known now; log if a limited backend server turns cold."""
+        """Apply what is known now; log when a limited cold start begins or ends."""
         self.window.on_run(now=now)
         self.period.update(now=now)
         is_cold = self._is_cold(now)
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_tolerance.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_tolerance.py
@@ -28,5 +28,9 @@
         return math.floor(limit.rate_per_s * self.overage + self.slack)
 
     def target_openings(self, limit: ColdStartLimit) -> int:
-        """Return the number that the backend server bears, within the maximum."""
+        """
+        Return the number that the backend server bears, within the maximum.
+
+        It is at least 1: a rate below 1 a second would admit no flow otherwise.
+        """
         return min(max(1, math.floor(limit.rate_per_s)), self.max_openings(limit))
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -48,7 +48,7 @@
         # Whether the process stood still, and its state was not proved since.
         self.is_stale: Callable[[], bool] = lambda: False
         self.record: BackendRecord | None = None
-        # The last one that was published, if it was removed since.
+        # The last one that was published, kept after its removal.
         self.last_record: BackendRecord | None = None
         # Since when the published backend servers have had no record of this one, in
         # seconds of trio's clock.
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -23,17 +23,11 @@
     from oleanderweir_agent.forwarding.withdrawn_openings import WithdrawnOpenings
 
 
-QUERIES = frozenset(
-    {
-        DeliveryPurpose.QUERY,
-        DeliveryPurpose.TABLE_QUERY,
-        DeliveryPurpose.HEDGED_QUERY,
-    }
-)
 # Queries that the backend server isn't asked about.
 TABLE_QUERIES = frozenset({DeliveryPurpose.TABLE_QUERY, DeliveryPurpose.HEDGED_QUERY})
+QUERIES = TABLE_QUERIES | {DeliveryPurpose.QUERY}
 # An unpublished backend server that has sent nothing for this long may have stopped.
-WITHDRAWN_SILENCE_S = 5.0
+UNPUBLISHED_SILENCE_S = 5.0
 
 
 class FlowPacketHandler:
@@ -139,11 +133,11 @@
         self, host: str, packet: Packet, message: Delivery, *, now: float
     ) -> None:
         """Start an ownership check of an unknown flow, or return its packet at once."""
-        is_withdrawn = self._is_withdrawn(now)
-        if is_withdrawn:
+        may_be_gone = self._may_be_gone(now)
+        if may_be_gone:
             self.liveness.on_doubt()
         is_not_held = self._lacks_unknown_flow(packet, now=now) or (
-            is_withdrawn and not self.liveness.was_accepted
+            may_be_gone and not self.liveness.was_accepted
         )
         if is_not_held:
             self.transport.return_packet(
@@ -205,11 +199,11 @@
         elif packet.is_final:
             flow.caller_closed = True
 
-    def _is_withdrawn(self, now: float) -> bool:
+    def _may_be_gone(self, now: float) -> bool:
         """Whether the backend server is no longer published and sends nothing."""
         return (
             self.admission.is_unpublished(now=now)
-            and now - self.liveness.last_packet_at > WITHDRAWN_SILENCE_S
+            and now - self.liveness.last_packet_at > UNPUBLISHED_SILENCE_S
         )
 
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/opening_handler.py
@@ -119,7 +119,7 @@
         is_first = existing is None and message.purpose is DeliveryPurpose.OPEN
         if reason is None and is_first and self.dispatcher.is_saturated:
             reason = ReturnReason.BUSY
-        is_last_resort = message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        is_last_resort = message.purpose is DeliveryPurpose.OPEN_AS_LAST_RESORT
         if reason is None and not self.cold_start.admits(
             is_last_resort=is_last_resort, now=now
         ):
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -133,7 +133,6 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
-        self.cold_start.period.update(now=now)
         self.cold_start.update(now=now)
         self.opening_handler.return_overdue(now=now)
         # A first listing without backend servers isn't notified as a change.
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -31,8 +31,8 @@
 DEFAULT_SLOTS = 4
 # How long an unanswered request may hold a slot if its route is not known.
 DEFAULT_REQUEST_TIMEOUT_S = 5.0
-# Sequence numbers that an opening packet may use up, without any payload.
-OPENING_NUMBERS = 1
+# An opening packet may use up a sequence number, although it has no payload.
+OPENING_SEQUENCE_NUMBERS = 1
 
 
 class RequestDispatcher:
@@ -187,7 +187,8 @@
     ) -> None:
         """Track a request whose first packet announces others."""
         origin = packet.sequence if received_before is None else received_before
-        if packet.sequence - origin == OPENING_NUMBERS:
+        # The number of the opening packet is no byte that is missing.
+        if packet.sequence - origin == OPENING_SEQUENCE_NUMBERS:
             origin = packet.sequence
         flow.transfer = RequestTransfer(began_at=now, origin=origin)
         self.meter.receiving += 1
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_transfer.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_transfer.py
@@ -21,13 +21,14 @@
     A full packet announces another one, so the first packet that isn't full is the last
     of its request. ``began_at`` is when the first one arrived, in seconds of trio's
     clock, and ``origin`` the sequence number of the first byte that is expected. Other
-    positions count from there: ``size`` is the number of bytes up to the last one that
-    arrived, and ``missing`` has the ranges before it that were left out.
+    positions count from there: ``size_bytes`` is the number of bytes up to the last one
+    that arrived, ``missing`` has the ranges before it that were left out, and
+    ``has_end`` tells that the last packet has arrived.
     """
 
     began_at: float
     origin: int
-    size: int = 0
+    size_bytes: int = 0
     missing: list[tuple[int, int]] = attrs.field(factory=list)
     has_end: bool = False
 
@@ -43,12 +44,12 @@
             # A copy of a packet from before this request.
             return
         end = start + packet.payload_bytes
-        if start < self.size:
+        if start < self.size_bytes:
             self._fill(start, end)
             return
-        if start > self.size:
-            self.missing.append((self.size, start))
-        self.size = end
+        if start > self.size_bytes:
+            self.missing.append((self.size_bytes, start))
+        self.size_bytes = end
         self.has_end = not packet.is_full
 
     def _fill(self, start: int, end: int) -> None:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedging_policy.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedging_policy.py
@@ -1,9 +1,9 @@
 """
 Decides when and where a slow opening packet is sent a second time.
 
-Answers the load of a healthy fleet in which a few backend servers or agents stand
-still: their new flows would wait for the caller's own copy. It does nothing for a fleet
-that is slow because it is loaded, where a second copy would only add to the load.
+It is for a healthy fleet in which a few backend servers or agents stand still: their
+new flows would wait for the caller's own copy. It does nothing for a fleet that is slow
+because it is loaded, where a second copy would only add to the load.
 """
 
 from __future__ import annotations
@@ -12,6 +12,7 @@
 
 from oleanderweir.desired_state import BackendState
 from oleanderweir_balancer.forwarding.hedge_budget import HedgeBudget
+from oleanderweir_balancer.forwarding.opening_attempts import FIRST_COPY_DELAY_S
 from oleanderweir_balancer.forwarding.opening_times import OpeningTimes
 from oleanderweir_balancer.forwarding.withheld_reason import WithheldReason
 
@@ -25,11 +26,11 @@
 
 
 # Most flows have opened by the hedge delay: this share of the recent ones.
-DELAY_PERCENTILE = 0.95
+DELAY_QUANTILE = 0.95
 # Bounds of the hedge delay. Shorter ones would hedge ordinary jitter; at the longer one
 # half of the time to the caller's own copy has passed.
 MIN_DELAY_S = 0.02
-MAX_DELAY_S = 0.1
+MAX_DELAY_S = FIRST_COPY_DELAY_S / 2
 
 
 class HedgingPolicy:
@@ -48,7 +49,7 @@
     @property
     def delay_s(self) -> float:
         """The time after which a flow that hasn't opened is hedged, in seconds."""
-        usual_s = self.opening_times.percentile(DELAY_PERCENTILE)
+        usual_s = self.opening_times.quantile(DELAY_QUANTILE)
         if usual_s is None:
             return MAX_DELAY_S
         return min(max(usual_s, MIN_DELAY_S), MAX_DELAY_S)
@@ -67,20 +68,22 @@
         Return the reason if there is none. The service must have free slots on average,
         and the backend server one of its own; it isn't that of ``first_agent``.
         """
-        reporting = [r for r in candidates if self._has_fresh_report(r, now=now)]
-        if not reporting:
+        accepting = [r for r in candidates if self._accepts_flows(r, now=now)]
+        if not accepting:
             return WithheldReason.NO_REPORT
-        if self._is_loaded(reporting):
+        if self._is_loaded(accepting):
             return WithheldReason.LOADED
-        idle = [r for r in reporting if r.host != first_agent and self._is_idle(r)]
-        if not idle:
+        free = [
+            r for r in accepting if r.host != first_agent and self._has_free_slot(r)
+        ]
+        if not free:
             return WithheldReason.NO_FREE_SLOT
         if not self.budget.take():
             return WithheldReason.BUDGET
-        chosen = self.placement.place(idle, key=key, excluding={first_agent}, now=now)
+        chosen = self.placement.place(free, key=key, excluding={first_agent}, now=now)
         return chosen or WithheldReason.NO_FREE_SLOT
 
-    def _has_fresh_report(self, record: BackendRecord, *, now: float) -> bool:
+    def _accepts_flows(self, record: BackendRecord, *, now: float) -> bool:
         """Whether the agent of a backend server reports now, and accepts new flows."""
         load = self.placement.loads.get(record.host)
         if load is None or self.placement.is_silent(record.host, now=now):
@@ -92,13 +95,12 @@
         busy = sum(self.placement.loads[r.host].report.busy for r in records)
         return busy >= sum(record.slots for record in records)
 
-    def _is_idle(self, record: BackendRecord) -> bool:
-        """Whether a backend server accepts flows and has a free slot."""
+    def _has_free_slot(self, record: BackendRecord) -> bool:
+        """Whether a backend server is ready, not cold, and has a free slot."""
         report = self.placement.loads[record.host].report
         placed = self.placement.placed_since_report[record.host]
         return (
             record.state is BackendState.READY
-            and report.is_accepting
             and report.service == record.service
             and record.cold_remaining_s <= 0
             and report.busy + placed < record.slots
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_attempts.py
@@ -38,11 +38,15 @@
     evacuated: set[str] = attrs.field(factory=set)
     cold: set[str] = attrs.field(factory=set)
 
+    @property
+    def failed(self) -> set[str]:
+        """The agents that aren't tried again, not even as the last resort."""
+        return self.refused | self.unanswered | self.evacuated
+
     @property
     def excluded(self) -> set[str]:
         """The agents that the next attempt excludes."""
-        failed = self.refused | self.unanswered | self.evacuated
-        return failed | self.busy | self.cold
+        return self.failed | self.busy | self.cold
 
     @property
     def is_exhausted(self) -> bool:
@@ -57,7 +61,7 @@
         """
         return bool(self.unanswered) or now - self.started_at >= FIRST_COPY_DELAY_S
 
-    def must_accept(self, host: str) -> bool:
+    def is_last_resort(self, host: str) -> bool:
         """Whether an agent is asked to accept the flow as the last resort."""
         if host in self.busy | self.cold:
             return True
@@ -70,7 +74,7 @@
 
         One that was asked as the last resort can't accept the flow at all.
         """
-        if self.must_accept(host):
+        if self.is_last_resort(host):
             self.refused.add(host)
         else:
             self.cold.add(host)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_hedger.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_hedger.py
@@ -104,7 +104,7 @@
         for host in (flow.agent, flow.second_agent):
             self.transport.deliver(host, packet, DeliveryPurpose.HEDGED_QUERY)
 
-    def on_owner(self, key: FlowKey, flow: CachedFlow, owner: str) -> None:
+    def log_outcome(self, key: FlowKey, flow: CachedFlow, owner: str) -> None:
         """Log whether the hedge of a flow has won."""
         code = "hedge_won" if owner == flow.second_agent else "hedge_lost"
         self.transport.log(code, key, agent=owner)
@@ -141,7 +141,9 @@
         route = None if desired is None else desired.routes.get(route_address(key))
         if route is None or not route.is_idempotent:
             return WithheldReason.NO_ROUTE
-        candidates = self.register.open_backends_of(choose_flow_service(route, key))
+        candidates = self.register.unevacuated_backends_of(
+            choose_flow_service(route, key)
+        )
         return self.policy.select(
             tuple(candidates), key=key, first_agent=flow.agent, now=now
         )
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_placer.py
@@ -192,8 +192,8 @@
         if not may_be_open and not attempts.excluded:
             self.hedger.on_placed(packet, route, now=now)
         purpose = DeliveryPurpose.OPEN
-        if attempts.must_accept(record.host):
-            purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        if attempts.is_last_resort(record.host):
+            purpose = DeliveryPurpose.OPEN_AS_LAST_RESORT
         self.transport.deliver(record.host, packet, purpose)
         self.transport.log(
             "flow_placed",
@@ -217,7 +217,7 @@
         and the busy ones first: they have no limit that they must hold.
         """
         candidates = self._outside_evacuated_zones(service, attempts)
-        failed = attempts.refused | attempts.unanswered | attempts.evacuated
+        failed = attempts.failed
         for excluded in (attempts.excluded, failed | attempts.cold, failed):
             record = self.placement.place(
                 candidates, key=key, excluding=excluded, now=now
@@ -242,7 +242,7 @@
         An agent that returned the flow for this reason has the newer state: the others
         of its zone would return it too.
         """
-        records = self.register.open_backends_of(service)
+        records = self.register.unevacuated_backends_of(service)
         if not attempts.evacuated:
             return records
         zones = {r.availability_zone for r in records if r.host in attempts.evacuated}
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_times.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_times.py
@@ -8,7 +8,7 @@
 
 # Recent flows that the distribution covers.
 MAX_TIMES = 256
-# Fewer flows than this tell no high percentile.
+# Fewer flows than this tell no high quantile.
 MIN_TIMES = 20
 
 
@@ -22,8 +22,8 @@
         """Record the opening time of a flow."""
         self.times.append(took_s)
 
-    def percentile(self, share: float) -> float | None:
-        """Return the time within which a share of the flows opened, if it is known."""
+    def quantile(self, share: float) -> float | None:
+        """Return the seconds in which a share of the flows opened, None if unknown."""
         if len(self.times) < MIN_TIMES:
             return None
         rank = math.ceil(share * len(self.times))
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -140,8 +140,9 @@
         self.hedger.cancel(key)
         rejected = ""
         if cached is not None and cached.may_own(owner):
-            self.hedger.on_owner(key, cached, owner)
+            self.hedger.log_outcome(key, cached, owner)
             cached.reject(cached.other_agent(owner))
+        # The rejected agent may still return packets that were sent to both.
         if cached is not None and cached.agent == owner:
             rejected = cached.rejected_agent
         self.cache.put(key, owner, now=now, is_open=True, rejected_agent=rejected)
@@ -235,7 +236,7 @@
                 host, packet, reason, placed_at=flow.stored_at, now=now
             )
         else:
-            self.hedger.on_owner(packet.key, flow, flow.other_agent(host))
+            self.hedger.log_outcome(packet.key, flow, flow.other_agent(host))
         flow.reject(host)
 
     def _on_lookup_reply(
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/send_queue.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/send_queue.py
@@ -1,7 +1,7 @@
 """
 The order in which packets are sent while the link of the balancer is saturated.
 
-The load it answers: a few callers upload so much through a balancer on a slow link that
+It is for this load: a few callers upload so much through a balancer on a slow link that
 the short requests of all others wait behind their packets. A caller sends a window of
 full packets at once, and sends them again if they are late. Here full packets wait, and
 all others overtake them: openings, acknowledgements, and requests of one packet.
@@ -59,9 +59,9 @@
     """
 
     def __init__(self, *, link_mbps: float) -> None:
-        self.rate = link_mbps * BITS_PER_MBIT / BITS_PER_BYTE * LINK_SHARE
-        self.burst_bytes = max(self.rate * BURST_S, MIN_BURST_BYTES)
-        self.tokens = self.burst_bytes
+        self.rate_bytes_per_s = link_mbps * BITS_PER_MBIT / BITS_PER_BYTE * LINK_SHARE
+        self.burst_bytes = max(self.rate_bytes_per_s * BURST_S, MIN_BURST_BYTES)
+        self.token_bytes = self.burst_bytes
         self.updated_at = float("-inf")
         self.waiting: deque[QueuedPacket] = deque()
         self.waiting_data: set[bytes] = set()
@@ -92,7 +92,7 @@
         """Remove and return the packets that the link can take now, in order."""
         self._refill(now)
         due = []
-        while self.waiting and self.tokens >= len(self.waiting[0].data):
+        while self.waiting and self.token_bytes >= len(self.waiting[0].data):
             due.append(self._pop_first())
             self._spend(due[-1].data)
         return due
@@ -108,7 +108,7 @@
         """Whether a packet is one of a large request, and the link is saturated."""
         if packet.key in self.counts:
             return True
-        return packet.is_full and (bool(self.waiting) or self.tokens < len(data))
+        return packet.is_full and (bool(self.waiting) or self.token_bytes < len(data))
 
     def _add(self, queued: QueuedPacket) -> None:
         self.waiting.append(queued)
@@ -126,10 +126,12 @@
 
     def _refill(self, now: float) -> None:
         passed_s = max(0.0, now - self.updated_at)
-        self.tokens = min(self.burst_bytes, self.tokens + passed_s * self.rate)
+        self.token_bytes = min(
+            self.burst_bytes, self.token_bytes + passed_s * self.rate_bytes_per_s
+        )
         self.updated_at = now
 
     def _spend(self, data: bytes) -> None:
         """Use up tokens, below zero for packets that don't wait: these count too."""
-        tokens = self.tokens - len(data) - OVERHEAD_BYTES
-        self.tokens = max(-self.burst_bytes, tokens)
+        tokens = self.token_bytes - len(data) - OVERHEAD_BYTES
+        self.token_bytes = max(-self.burst_bytes, tokens)
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/withheld_reason.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/withheld_reason.py
@@ -10,7 +10,7 @@
 
     LATE = "late"  # this process stood still; the flow may have opened meanwhile
     NO_ROUTE = "no_route"  # the route is gone, or its requests mustn't be repeated now
-    NO_REPORT = "no_report"  # no backend server of the service reports its load
+    NO_REPORT = "no_report"  # no backend server reports that it accepts flows
     LOADED = "loaded"  # the service has no free slots on average
     NO_FREE_SLOT = "no_free_slot"  # no other backend server reports a free slot
     BUDGET = "budget"  # the operators' limit is reached
--- a/packages/oleanderweir/src/oleanderweir/config_check/config_checker.py
+++ b/packages/oleanderweir/src/oleanderweir/config_check/config_checker.py
@@ -51,9 +51,9 @@
 
 def _find_shadowed_routes(routes: tuple[Route, ...]) -> Iterator[Finding]:
     """Find routes that a later one of the same address and port replaces."""
-    in_force = {route.address: route for route in routes}
+    winners = {route.address: route for route in routes}
     for route in routes:
-        winner = in_force[route.address]
+        winner = winners[route.address]
         if winner is not route:
             yield Finding(
                 code=FindingCode.DUPLICATE_ADDRESS,
--- a/packages/oleanderweir/src/oleanderweir/config_check/places.py
+++ b/packages/oleanderweir/src/oleanderweir/config_check/places.py
@@ -16,9 +16,14 @@
 MAX_NAME_CHARS = 64
 
 
+def host_of(route: Route) -> ipaddress.IPv4Address | ipaddress.IPv6Address:
+    """Return the IP address of a route."""
+    return ipaddress.ip_address(route.address[:-PORT_BYTES])
+
+
 def describe_route(route: Route) -> str:
     """Return the name of a route, with address and port."""
-    host = ipaddress.ip_address(route.address[:-PORT_BYTES])
+    host = host_of(route)
     port = int.from_bytes(route.address[-PORT_BYTES:], "big")
     return f"route {route.name[:MAX_NAME_CHARS]} ({host}:{port})"
 
--- a/packages/oleanderweir/src/oleanderweir/config_check/route_checks.py
+++ b/packages/oleanderweir/src/oleanderweir/config_check/route_checks.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import ipaddress
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from oleanderweir.config_check.finding import Finding
 from oleanderweir.config_check.finding_code import FindingCode
-from oleanderweir.config_check.places import PORT_BYTES
 from oleanderweir.config_check.places import describe_route
 from oleanderweir.config_check.places import describe_service
+from oleanderweir.config_check.places import host_of
 
 
 if TYPE_CHECKING:
@@ -28,7 +27,7 @@
 
 def _check_address(route: Route) -> Iterator[Finding]:
     """Find an address that no packet of a caller can have."""
-    host = ipaddress.ip_address(route.address[:-PORT_BYTES])
+    host = host_of(route)
     is_this_network = host.packed[0] == 0
     if host.is_multicast or host.is_reserved or is_this_network:
         yield Finding(
--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -74,7 +74,7 @@
         return self._apply_all(others, listing.revision) or are_orders_changed
 
     def apply_changes(self, changes: Changes) -> bool:
-        """Apply changes in turn; return whether the desired state or an order did."""
+        """Apply changes; return whether the desired state or an order is another."""
         orders, others = self._split(changes.changes)
         are_orders_changed = self.evacuations.apply_changes(orders)
         return self._apply_all(others, changes.revision) or are_orders_changed
--- a/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
@@ -35,14 +35,14 @@
     def __init__(self) -> None:
         self.orders: dict[str, EvacuationOrder] = {}
         # Positions of all writes of the order in force, of each zone.
-        self.written_at: dict[str, set[int]] = {}
+        self.written_positions: dict[str, set[int]] = {}
         self.zones: frozenset[str] = frozenset()
         self.changed_revision = 0
         # When this process learned of the last withdrawal of each zone, in seconds of
         # trio's clock.
         self.ended_at: dict[str, float] = {}
         # Position of the last withdrawal of each zone.
-        self.withdrawn_at: dict[str, int] = {}
+        self.withdrawn_positions: dict[str, int] = {}
         # Revisions, without their history, of the withdrawn orders of each zone.
         self.withdrawn_revisions: dict[str, set[int]] = {}
 
@@ -83,7 +83,12 @@
         return self.zones != zones_before
 
     def _apply(self, order: EvacuationOrder, *, known_up_to: int) -> None:
-        """Apply an order or a withdrawal, unless a later write of its zone is known."""
+        """
+        Apply an order or a withdrawal, unless a later write of its zone is known.
+
+        ``known_up_to`` is the revision up to which all writes are known; peers are told
+        of no later one.
+        """
         revision = order.change.revision
         if revision <= self._known_revision(order.zone):
             return
@@ -91,7 +96,7 @@
             self._withdraw(order.zone, revision)
             return
         self.orders[order.zone] = order
-        self.written_at.setdefault(order.zone, set()).add(revision)
+        self.written_positions.setdefault(order.zone, set()).add(revision)
         self.ended_at.pop(order.zone, None)
         self._on_changed("evacuation_ordered", order.zone, min(revision, known_up_to))
 
@@ -101,11 +106,11 @@
         # A copy of the source that lacks an order doesn't tell that it was withdrawn.
         written = {
             revision_of(position)
-            for position in self.written_at.pop(zone, ())
+            for position in self.written_positions.pop(zone, ())
             if history_of(position) == history_of(revision)
         }
         self.withdrawn_revisions.setdefault(zone, set()).update(written)
-        self.withdrawn_at[zone] = revision
+        self.withdrawn_positions[zone] = revision
         self.ended_at[zone] = trio.current_time()
         self._on_changed("evacuation_withdrawn", zone, revision)
 
@@ -113,7 +118,7 @@
         """Return the revision of the last known write of a zone's order."""
         order = self.orders.get(zone)
         written = 0 if order is None else order.change.revision
-        return max(written, self.withdrawn_at.get(zone, 0))
+        return max(written, self.withdrawn_positions.get(zone, 0))
 
     def _is_copy_of_withdrawn(self, order: EvacuationOrder) -> bool:
         """Whether a listed order is one that was withdrawn in an earlier history."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -126,7 +126,7 @@
                 self.by_service.setdefault(record.service, []).append(record)
         return self.by_service.get(service, [])
 
-    def open_backends_of(self, service: str) -> list[BackendRecord]:
+    def unevacuated_backends_of(self, service: str) -> list[BackendRecord]:
         """Return the backend servers of a service whose zone isn't evacuated."""
         records = self.backends_of(service)
         if not self.evacuated_zones:
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -40,8 +40,8 @@
 LAYOUTS = {
     code: MessageLayout.of(
         message_type,
-        # The last field is sent only if it isn't empty or 0, so that earlier states of
-        # the program can decode the other messages.
+        # The last field is sent only if it isn't empty or 0, so that earlier
+        # releases can decode the other messages.
         has_optional_last_field=message_type
         in {Confirmation, Delivery, Heartbeat, ReturnedPacket},
         positions={
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/delivery.py
@@ -14,7 +14,7 @@
     CONTINUE = 2  # a packet of a flow that is held by the backend server
     QUERY = 3  # a packet of a flow with an unknown owner; the agent claims or denies it
     DELEGATED_LOOKUP = 4  # the same; the agent queries all possible owners
-    OPEN_EVEN_IF_BUSY = 5  # an opening packet as the last resort, never returned BUSY
+    OPEN_AS_LAST_RESORT = 5  # an opening packet as the last resort, never returned BUSY
     TABLE_QUERY = 6  # a query that is answered without asking the backend server
     HEDGED_QUERY = 7  # the same, of a flow whose opening packet went to two agents
 
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/load_report.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/load_report.py
@@ -10,7 +10,7 @@
     """
     The load of a backend server as its agent derives it from the forwarded packets.
 
-    ``busy`` counts requests in flight, queued ones included, ``flows`` open flows.
+    ``busy`` counts requests in flight, queued or arriving, ``flows`` open flows.
     ``service_ms`` is the recent mean service time of a request, ``busy_mean`` the
     recent mean of the requests in flight without queued ones. ``is_accepting`` is false
     while the backend server drains, is full or doesn't respond.
--- a/tests/oleanderweir/desired_state/test_evacuations.py
+++ b/tests/oleanderweir/desired_state/test_evacuations.py
@@ -147,4 +147,6 @@
     publish(register, backends=documents)
     apply_orders(register, order_change("a", revision=30))
 
-    assert [r.availability_zone for r in register.open_backends_of("feed")] == ["b"]
+    assert [r.availability_zone for r in register.unevacuated_backends_of("feed")] == [
+        "b"
+    ]
--- a/tests/oleanderweir_agent/forwarding/test_cold_start_limiter.py
+++ b/tests/oleanderweir_agent/forwarding/test_cold_start_limiter.py
@@ -50,7 +50,7 @@
     """Deliver 40 opening packets at once; return how many are forwarded, answered."""
     purpose = DeliveryPurpose.OPEN
     if is_last_resort:
-        purpose = DeliveryPurpose.OPEN_EVEN_IF_BUSY
+        purpose = DeliveryPurpose.OPEN_AS_LAST_RESORT
     admitted = 0
     for number in range(first, first + 40):
         key = make_key(number)
--- a/tests/oleanderweir_agent/forwarding/test_evacuations.py
+++ b/tests/oleanderweir_agent/forwarding/test_evacuations.py
@@ -39,7 +39,7 @@
     apply_orders(bench.register, order_change("b", revision=12))
     for number in range(101, 201):
         opening = encode_packet(make_key(number), is_opening=True)
-        bench.deliver(DeliveryPurpose.OPEN_EVEN_IF_BUSY, opening, version=1)
+        bench.deliver(DeliveryPurpose.OPEN_AS_LAST_RESORT, opening, version=1)
     await bench.pass_time(0.2)
 
     assert bench.to_backend() == []
--- a/tests/oleanderweir_agent/forwarding/test_opening_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_opening_handler.py
@@ -163,7 +163,7 @@
     bench.to_backend()
     opening = encode_packet(make_key(99), is_opening=True)
 
-    bench.deliver(DeliveryPurpose.OPEN_EVEN_IF_BUSY, opening)
+    bench.deliver(DeliveryPurpose.OPEN_AS_LAST_RESORT, opening)
 
     assert bench.to_backend() == [opening]
 
--- a/tests/oleanderweir_balancer/forwarding/test_opening_attempts.py
+++ b/tests/oleanderweir_balancer/forwarding/test_opening_attempts.py
@@ -38,7 +38,7 @@
     assert purposes == [
         DeliveryPurpose.OPEN,
         DeliveryPurpose.OPEN,
-        DeliveryPurpose.OPEN_EVEN_IF_BUSY,
+        DeliveryPurpose.OPEN_AS_LAST_RESORT,
     ]
 
 
@@ -52,7 +52,7 @@
 
     [(host, message)] = bench.deliveries()
     assert host == "10.0.0.1"
-    assert message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+    assert message.purpose is DeliveryPurpose.OPEN_AS_LAST_RESORT
 
 
 async def test_a_flow_that_all_agents_rejected_is_reset() -> None:
@@ -113,7 +113,7 @@
 
     assert len(set(tried)) == 6
     assert purposes[:3] == [DeliveryPurpose.OPEN] * 3
-    assert purposes[3:] == [DeliveryPurpose.OPEN_EVEN_IF_BUSY] * 3
+    assert purposes[3:] == [DeliveryPurpose.OPEN_AS_LAST_RESORT] * 3
     assert len(bench.resets()) == 1
 
 
@@ -132,5 +132,5 @@
     bench.return_packet(fourth, ReturnReason.COLD, OPENING)
 
     assert (third, fourth) == (second, first)
-    assert message.purpose is DeliveryPurpose.OPEN_EVEN_IF_BUSY
+    assert message.purpose is DeliveryPurpose.OPEN_AS_LAST_RESORT
     assert len(bench.resets()) == 1
