Bound what is read of a backlog after a standstill

Reading until a socket is empty could last as long as datagrams arrive faster than they are processed, and no other task would run. At most 4,096 are read at once; the rest follows as usual, when the state counts as stale until it is proved.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_program.py
@@ -78,8 +78,7 @@
 
         They may be from before the standstill, so they must not end the doubt.
         """
-        while batch := self.backend_socket.read_ready():
-            self._process(batch)
+        self._process(self.backend_socket.read_backlog())
         self.agent.on_standstill()
 
     async def drain(self) -> None:
--- a/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
+++ b/packages/oleanderweir/src/oleanderweir/net/udp_socket.py
@@ -19,6 +19,8 @@
 
 MAX_DATAGRAM_BYTES = 65535
 BATCH_LIMIT = 64
+# More than a socket's buffer holds; others may arrive while these are read.
+BACKLOG_LIMIT = 4096
 PORT = struct.Struct("!H")
 
 
@@ -56,11 +58,11 @@
         """Wait for datagrams; return up to ``BATCH_LIMIT`` of them, in order."""
         while True:
             await trio.lowlevel.wait_readable(self.stdlib_socket)
-            batch = self.read_ready()
+            batch = self._read_ready()
             if batch:
                 return batch
 
-    def read_ready(self) -> list[Datagram]:
+    def _read_ready(self) -> list[Datagram]:
         """Return the datagrams that can be read without waiting."""
         batch: list[Datagram] = []
         receive = self.stdlib_socket.recvfrom
@@ -75,6 +77,13 @@
             batch.append(Datagram(data=data, source=source))
         return batch
 
+    def read_backlog(self) -> list[Datagram]:
+        """Return the datagrams that wait now, at most ``BACKLOG_LIMIT``, in order."""
+        backlog: list[Datagram] = []
+        while len(backlog) < BACKLOG_LIMIT and (batch := self._read_ready()):
+            backlog += batch
+        return backlog
+
     def send_to(self, data: bytes, address: tuple[str, int]) -> bool:
         """Send one datagram; return whether the system accepted it."""
         try:
--- a/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/message_receiver.py
@@ -61,8 +61,7 @@
 
     def process_backlog(self) -> None:
         """Process the datagrams that waited while this process stood still."""
-        while batch := self.peer_socket.read_ready():
-            self._process(batch, is_backlog=True)
+        self._process(self.peer_socket.read_backlog(), is_backlog=True)
 
     def _process(self, batch: list[Datagram], *, is_backlog: bool) -> None:
         for datagram in batch:
--- a/tests/oleanderweir_agent/forwarding/test_standstill.py
+++ b/tests/oleanderweir_agent/forwarding/test_standstill.py
@@ -48,14 +48,15 @@
         datagram = Datagram(data=encode_message(message), source=(host, 7720))
         self.waiting.append(datagram)
 
-    def read_ready(self) -> list[Datagram]:
-        batch, self.waiting = self.waiting[:1], self.waiting[1:]
-        return batch
+    def read_backlog(self) -> list[Datagram]:
+        backlog, self.waiting = self.waiting, []
+        return backlog
 
     async def receive_batch(self) -> list[Datagram]:
         while not self.waiting:
             await trio.sleep(0.01)
-        return self.read_ready()
+        batch, self.waiting = self.waiting[:1], self.waiting[1:]
+        return batch
 
 
 class FrozenAgent:
