Let a proof of the published state be an argument of the agent's admission

FlowAdmission.is_stale and BackendContinuity.proved_at were callables that were set after construction, and is_doubted ended the doubt as a side effect of being asked. StateProof names what both need, Freshness fits it; the doubt ends at a tick or a change of the state, and is_doubted only reads. RequestDispatcher._has_expired takes its time by keyword.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_continuity.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_continuity.py
@@ -7,8 +7,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from oleanderweir.desired_state import BackendRecord
     from oleanderweir_agent.forwarding.flow_admission import FlowAdmission
 
@@ -32,8 +30,7 @@
     start is published; or its record is still published once the lease has passed.
 
     ``record_lease_s`` is how long the record of a lost backend server may stay
-    published, in seconds. ``proved_at`` returns when the published state was last
-    proved to be that of the source. Times are in seconds of trio's clock.
+    published, in seconds. Times are in seconds of trio's clock.
     """
 
     def __init__(
@@ -44,7 +41,6 @@
     ) -> None:
         self.admission = admission
         self.record_lease_s = record_lease_s
-        self.proved_at: Callable[[], float] = lambda: float("inf")
         self.doubted_since: float | None = None
         # The start of the backend server that was published when the doubt began.
         self.doubted_start_ms = 0
@@ -64,31 +60,35 @@
 
     def on_held_flow(self) -> None:
         """End the doubt: the backend server sent a packet of an open flow."""
-        self._end(proof="held_flow")
+        if self.doubted_since is not None:
+            self._end(proof="held_flow")
+
+    def update(self, *, now: float) -> None:
+        """End the doubt if the published record has proved the backend server."""
+        proof = self._find_proof(now=now)
+        if proof is not None:
+            self._end(proof=proof)
 
     def is_doubted(self, *, now: float) -> bool:
         """Whether the backend server may be one of another service."""
-        if self.doubted_since is None:
-            return False
+        return self.doubted_since is not None and self._find_proof(now=now) is None
+
+    def _find_proof(self, *, now: float) -> str | None:
+        """Return what in the published record ends the doubt, or None."""
         record = self.admission.record
-        if record is None or record.service != self.admission.service:
-            return True
+        if self.doubted_since is None or record is None:
+            return None
+        if record.service != self.admission.service:
+            return None
         if record.started_at_ms != self.doubted_start_ms:
-            self._end(proof="new_start")
-        elif self._has_outlived_lease(now):
-            self._end(proof="lease")
-        return self.doubted_since is not None
-
-    def _has_outlived_lease(self, now: float) -> bool:
-        """Whether the record of a backend server lost by then would be gone."""
-        if self.doubted_since is None:
-            return False
+            return "new_start"
+        # The record of a backend server that was lost by then would be gone.
         lease_end = self.doubted_since + self.record_lease_s
-        return now >= lease_end and self.proved_at() >= lease_end
+        if now >= lease_end and self.admission.proof.proved_at >= lease_end:
+            return "lease"
+        return None
 
     def _end(self, *, proof: str) -> None:
-        if self.doubted_since is None:
-            return
         self.doubted_since = None
         logger.info(
             "the backend server is known to be of this service",
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_admission.py
@@ -10,14 +10,14 @@
 from oleanderweir.desired_state import BackendState
 from oleanderweir.flows import route_address
 from oleanderweir.peering.messages import ReturnReason
+from oleanderweir_agent.forwarding.state_proof import FixedProof
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from oleanderweir.desired_state import BackendRecord
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.flows import FlowKey
+    from oleanderweir_agent.forwarding.state_proof import StateProof
 
 
 class FlowAdmission:
@@ -38,6 +38,7 @@
         host: str,
         port: int,
         availability_zone: str,
+        proof: StateProof | None = None,
     ) -> None:
         self.register = register
         self.service = service
@@ -45,8 +46,7 @@
         self.port = port
         # That of the agent, where its backend server runs too.
         self.availability_zone = availability_zone
-        # Whether the process stood still, and its state was not proved since.
-        self.is_stale: Callable[[], bool] = lambda: False
+        self.proof = proof or FixedProof()
         self.record: BackendRecord | None = None
         # The last one that was published, kept after its removal.
         self.last_record: BackendRecord | None = None
@@ -88,7 +88,7 @@
         balancer has, unless the one in force allows the flow.
         """
         desired = self.register.desired
-        if desired is None or self.register.listed_at is None or self.is_stale():
+        if desired is None or self.register.listed_at is None or self.proof.is_stale:
             return False
         return desired.version >= version or self.allows_route(key)
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/packet_agent.py
@@ -133,6 +133,7 @@
         """Run periodic work: time-outs, lookups, queued requests and load reports."""
         now = trio.current_time()
         self.liveness.on_tick(now=now)
+        self.continuity.update(now=now)
         self.cold_start.update(now=now)
         self.opening_handler.return_overdue(now=now)
         # A first listing without backend servers isn't notified as a change.
@@ -189,4 +190,5 @@
     def on_state_change(self) -> None:
         """Apply the published record, and decide about held opening packets."""
         self.record_follower.on_state_change()
+        self.continuity.update(now=trio.current_time())
         self.opening_handler.decide_held(now=trio.current_time())
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_dispatcher.py
@@ -162,7 +162,7 @@
                 self._log_unanswered(flow, now=now)
                 self.meter.end_request(flow, now=now)
             if flow.transfer is not None and self._has_expired(
-                flow.transfer, flow, now
+                flow, flow.transfer, now=now
             ):
                 self._end_transfer(flow)
 
@@ -199,7 +199,7 @@
             self.meter.receiving -= 1
 
     def _has_expired(
-        self, transfer: RequestTransfer, flow: HeldFlow, now: float
+        self, flow: HeldFlow, transfer: RequestTransfer, *, now: float
     ) -> bool:
         """Whether the caller of an arriving request has given up."""
         return now > transfer.began_at + self._timeout_s(flow.key)
--- a/tests/oleanderweir_agent/forwarding/test_backend_continuity.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_continuity.py
@@ -9,6 +9,7 @@
 from oleanderweir.peering.messages import ReturnReason
 from oleanderweir_agent.forwarding import ProbeOutcome
 from oleanderweir_agent.forwarding.backend_continuity import DEFAULT_RECORD_LEASE_S
+from oleanderweir_agent.forwarding.state_proof import FixedProof
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
 from tests.oleanderweir.flows.fakes import encode_packet
@@ -111,7 +112,7 @@
 ) -> None:
     bench = await make_bench()
     proved_at = trio.current_time() + (2 * DEFAULT_RECORD_LEASE_S if is_proved else 0)
-    bench.agent.continuity.proved_at = lambda: proved_at
+    bench.agent.admission.proof = FixedProof(proved_at=proved_at)
     bench.agent.on_standstill()
 
     await trio.sleep(DEFAULT_RECORD_LEASE_S + 0.1)
--- a/tests/oleanderweir_agent/forwarding/test_standstill.py
+++ b/tests/oleanderweir_agent/forwarding/test_standstill.py
@@ -69,8 +69,7 @@
         heartbeat_bench = HeartbeatSenderBench(role=PeerRole.AGENT)
         heartbeat_bench.register = self.bench.register
         self.sender = heartbeat_bench.heartbeat_sender
-        freshness = self.sender.confirmations.freshness
-        self.bench.agent.admission.is_stale = lambda: freshness.is_stale
+        self.bench.agent.admission.proof = self.sender.confirmations.freshness
         self.receiver: MessageReceiver | None = None
 
     def clock(self) -> float:
