Poll for tickets at a rate for each zone, whatever its readers do

Cause: processes that are no readers got tickets only from readers, and read for themselves every 300 to 600 s. Readers that were cut off were noticed after 20 s, and those with old, late or no answers not at all.

The polls of a zone now add up to 4 a second, at random times, whatever its size, so that one of them finds a ticket which the readers miss, and pushes it. No message changes, so mixed releases work as before.

Ruled out: confirmations of readers as the only remedy, since a reader with old answers proves an old state; shorter heartbeats, which don't notice old answers and use the whole control budget.

The bound on the polls is new, the test of a replaced silent reader passed before.

--- a/packages/oleanderweir/src/oleanderweir/replication/configuration_follower.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/configuration_follower.py
@@ -35,6 +35,10 @@
     """
     Watches the configuration service as a reader, or else polls it.
 
+    The polls don't depend on the readers, which may be cut off, or get old answers
+    without knowing: the processes of a zone poll at different times, so that one of
+    them soon finds a ticket that the readers miss, and pushes it to the others.
+
     A process that loses a session watches it for some time too: the readers may be lost
     with the peer, and nobody else notices that they are gone.
 
@@ -48,6 +52,8 @@
     context: ReplicationContext
     source: TicketSource
     has_peer_state: Callable[[], bool]
+    # Mean time between two polls, in seconds.
+    poll_interval_s: Callable[[], float]
     is_reader: bool = False
     cursor: int | None = None
     # Until when this process watches although it is no reader, on trio's clock.
@@ -137,8 +143,9 @@
 
     async def _wait_for_poll(self) -> None:
         """Wait for the next poll or a change of the role."""
-        interval_s = self.context.settings.poll_interval_s
-        with trio.move_on_after(interval_s * self.context.random.uniform(0.5, 1.0)):
+        # From zero, so that processes that start together don't leave a gap together.
+        delay_s = self.poll_interval_s() * self.context.random.uniform(0.0, 2.0)
+        with trio.move_on_after(delay_s):
             await self.role_changed.wait()
 
     def _merge(self, after: int, tickets: Sequence[Ticket]) -> None:
--- a/packages/oleanderweir/src/oleanderweir/replication/peer_selection.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/peer_selection.py
@@ -17,6 +17,7 @@
 
     from oleanderweir.membership import InstanceRecord
     from oleanderweir.membership import Membership
+    from oleanderweir.replication.replication_settings import ReplicationSettings
 
 
 READER_RING_PURPOSE = "readers"
@@ -71,6 +72,18 @@
         """Whether this process is a reader; false until an instance list was read."""
         return self.membership.has_list and self.own_record.name in self.readers()
 
+    def poll_interval_s(self, settings: ReplicationSettings) -> float:
+        """Return the mean time between two polls of this process, in seconds."""
+        if not self.membership.has_list:
+            # The zone may be large.
+            return settings.poll_interval_max_s
+        zone_size = len(self._zone_names(self.own_record.availability_zone))
+        pollers = max(1, zone_size - self.readers_per_zone)
+        interval_s = max(
+            pollers / settings.zone_polls_per_s, settings.poll_interval_min_s
+        )
+        return min(interval_s, settings.poll_interval_max_s)
+
     def boot_peers(self) -> set[str]:
         """
         Return the names of the instances with which this one compares when it boots.
--- a/packages/oleanderweir/src/oleanderweir/replication/replication_settings.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/replication_settings.py
@@ -12,8 +12,10 @@
 
     ``ring_count`` is the number of hash rings, on each of which a process dials one
     successor. ``readers_per_zone`` is the number of processes of each availability
-    zone that watch the configuration service; the other processes poll it every
-    ``poll_interval_s``. A process checks its selection of peers every
+    zone that watch the configuration service. The others poll it at random times, all
+    those of a zone together ``zone_polls_per_s`` times a second on average, but none
+    more often than every ``poll_interval_min_s`` or less often than every
+    ``poll_interval_max_s``. A process checks its selection of peers every
     ``selection_interval_s``. Sessions compare registers every ``heartbeat_interval_s``
     while these are equal, and every ``repair_interval_s`` while they differ, but a
     difference within ``settle_time_s`` of a change is not repaired. A booting process
@@ -38,7 +40,9 @@
     selection_interval_s: float = 1.0
     zone_list_interval_s: float = 300.0
     fleet_list_interval_s: float = 3600.0
-    poll_interval_s: float = 600.0
+    zone_polls_per_s: float = 4.0
+    poll_interval_min_s: float = 1.5
+    poll_interval_max_s: float = 600.0
     read_backoff_min_s: float = 0.5
     read_backoff_max_s: float = 30.0
     observed_lease_s: float = 120.0
--- a/packages/oleanderweir/src/oleanderweir/replication/replicator.py
+++ b/packages/oleanderweir/src/oleanderweir/replication/replicator.py
@@ -101,6 +101,7 @@
             context=self.context,
             source=self.ticket_source,
             has_peer_state=lambda: self.peer_boot.has_peer_state,
+            poll_interval_s=lambda: self.selection.poll_interval_s(self.settings),
         )
         self.list_poller = InstanceListPoller(
             zone_list=self.zone_list,
--- a/tests/oleanderweir/replication/cluster.py
+++ b/tests/oleanderweir/replication/cluster.py
@@ -86,10 +86,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class PlatformReader:
-    """The platform as one process reads it, without tickets after ``stale_at``."""
+    """
+    The platform as one process reads it, without tickets after ``stale_at``.
+
+    The answers with tickets arrive ``delay_s`` seconds after they were made.
+    """
 
     platform: Platform
     stale_at: int | None = None
+    delay_s: float = 0.0
 
     async def read_instances(self) -> Sequence[InstanceRecord]:
         self._check()
@@ -103,7 +108,10 @@
 
     async def read_tickets(self, after: int) -> Sequence[Ticket]:
         self._check()
-        return self.platform.tickets[after : self.stale_at]
+        tickets = self.platform.tickets[after : self.stale_at]
+        if self.delay_s:
+            await trio.sleep(self.delay_s)
+        return tickets
 
     async def watch_tickets(self, after: int) -> Sequence[Ticket]:
         with trio.move_on_after(WATCH_TIMEOUT_S):
--- a/tests/oleanderweir/replication/test_lost_readers.py
+++ b/tests/oleanderweir/replication/test_lost_readers.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import math
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
@@ -85,6 +86,42 @@
         await check_replication(cluster)
 
 
+@pytest.mark.parametrize("delay_s", [5.0, math.inf], ids=["late", "none"])
+async def test_a_ticket_reaches_all_while_the_readers_get_late_or_no_answers(
+    autojump_clock: MockClock, delay_s: float
+) -> None:
+    async with open_cluster() as cluster:
+        for number in first_in_rank(cluster, 3):
+            cluster.nodes[number].reader.delay_s = delay_s
+
+        await check_replication(cluster)
+
+
+async def test_a_silent_reader_is_replaced(autojump_clock: MockClock) -> None:
+    async with open_cluster() as cluster:
+        lost = cluster.nodes.pop(first_in_rank(cluster, 1)[0])
+        cluster.network.isolate(str(lost.replicator.own_record.peer_address))
+        await trio.sleep(lost.replicator.settings.receive_timeout_s + 5.0)
+
+        followers = [node.replicator.follower for node in cluster.nodes.values()]
+        assert sum(follower.is_reader for follower in followers) == 3
+
+
+@pytest.mark.parametrize("is_down", [False, True])
+async def test_the_polls_of_a_zone_are_bounded(
+    autojump_clock: MockClock, *, is_down: bool
+) -> None:
+    async with open_cluster() as cluster:
+        cluster.platform.is_down = is_down
+        before = cluster.platform.reads
+        await trio.sleep(60.0)
+
+    # Beside the polls: the readers and the instance lists, with retries in an outage.
+    settings = cluster.settings
+    others = 3 * SIZE
+    assert cluster.platform.reads - before <= 60 * settings.zone_polls_per_s + others
+
+
 async def test_a_lost_session_costs_few_reads_of_the_service(
     autojump_clock: MockClock,
 ) -> None:
