Share the budget and the delay of hedges between both paths

Second copies of requests need the same token bucket and the same quantile of recent times as hedged openings. Both were in the balancer, which the agent can't import. They move to oleanderweir.hedging; the bounds of the delay stay with the balancer's policy. `change_share` is new: a share that operators lower at run time must not spend what the higher one had saved up.

Ruled out: a second implementation in the agent.

--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedging_policy.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedging_policy.py
@@ -11,9 +11,9 @@
 from typing import TYPE_CHECKING
 
 from oleanderweir.desired_state import BackendState
-from oleanderweir_balancer.forwarding.hedge_budget import HedgeBudget
+from oleanderweir.hedging import HedgeBudget
+from oleanderweir.hedging import HedgeDelay
 from oleanderweir_balancer.forwarding.opening_attempts import FIRST_COPY_DELAY_S
-from oleanderweir_balancer.forwarding.opening_times import OpeningTimes
 from oleanderweir_balancer.forwarding.withheld_reason import WithheldReason
 
 
@@ -25,8 +25,6 @@
     from oleanderweir_balancer.forwarding.placement_policy import PlacementPolicy
 
 
-# Most flows have opened by the hedge delay: this share of the recent ones.
-DELAY_QUANTILE = 0.95
 # Bounds of the hedge delay. Shorter ones would hedge ordinary jitter; at the longer one
 # half of the time to the caller's own copy has passed.
 MIN_DELAY_S = 0.02
@@ -39,7 +37,7 @@
     def __init__(self, *, max_share: float, placement: PlacementPolicy) -> None:
         self.placement = placement
         self.budget = HedgeBudget(max_share=max_share)
-        self.opening_times = OpeningTimes()
+        self.opening_times = HedgeDelay(min_s=MIN_DELAY_S, max_s=MAX_DELAY_S)
 
     @property
     def is_enabled(self) -> bool:
@@ -49,10 +47,8 @@
     @property
     def delay_s(self) -> float:
         """The time after which a flow that hasn't opened is hedged, in seconds."""
-        usual_s = self.opening_times.quantile(DELAY_QUANTILE)
-        if usual_s is None:
-            return MAX_DELAY_S
-        return min(max(usual_s, MIN_DELAY_S), MAX_DELAY_S)
+        usual_s = self.opening_times.read()
+        return MAX_DELAY_S if usual_s is None else usual_s
 
     def select(
         self,
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_hedger.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/opening_hedger.py
@@ -73,7 +73,7 @@
         """Schedule a hedge of a new flow that was placed for the first time."""
         if not (self.policy.is_enabled and route.is_idempotent):
             return
-        self.policy.budget.on_new_flow()
+        self.policy.budget.on_candidate()
         flow = self.cache.flows.get(packet.key)
         if flow is not None:
             flow.is_timed = True
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/hedge_budget.py
+++ b/packages/oleanderweir/src/oleanderweir/hedging/hedge_budget.py
@@ -1,4 +1,4 @@
-"""Limits the share of new flows that are hedged."""
+"""Limits the share of flows or requests that are hedged."""
 
 from __future__ import annotations
 
@@ -9,19 +9,25 @@
 
 class HedgeBudget:
     """
-    A token bucket: each new flow adds ``max_share`` of a hedge.
+    A token bucket: all work that may be hedged adds ``max_share`` of a hedge.
 
-    It starts empty, so that hedges never exceed this share of the flows so far.
+    It starts empty, so that hedges never exceed this share of that work so far.
     """
 
     def __init__(self, *, max_share: float) -> None:
         self.max_share = max_share
         self.credit = 0.0
 
-    def on_new_flow(self) -> None:
-        """Add the share of one new flow."""
+    def on_candidate(self) -> None:
+        """Add the share of one flow or request that may be hedged."""
         self.credit = min(self.credit + self.max_share, MAX_CREDIT)
 
+    def change_share(self, max_share: float) -> None:
+        """Change the share; a lower one starts without credit."""
+        if max_share < self.max_share:
+            self.credit = 0.0
+        self.max_share = max_share
+
     def take(self) -> bool:
         """Take one hedge; return whether there was one."""
         if self.credit < 1.0:
--- a/tests/oleanderweir_balancer/forwarding/test_hedge_budget.py
+++ b/tests/oleanderweir/hedging/test_hedge_budget.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-from oleanderweir_balancer.forwarding.hedge_budget import MAX_CREDIT
-from oleanderweir_balancer.forwarding.hedge_budget import HedgeBudget
+from oleanderweir.hedging import MAX_CREDIT
+from oleanderweir.hedging import HedgeBudget
 
 
 def test_hedges_never_exceed_their_share_of_the_flows() -> None:
@@ -9,7 +9,7 @@
     hedges = 0
 
     for flows in range(1, 2000):
-        budget.on_new_flow()
+        budget.on_candidate()
         hedges += budget.take()
         assert hedges <= 0.03 * flows + 1e-6
 
@@ -19,7 +19,7 @@
 def test_a_quiet_time_saves_up_a_few_hedges_only() -> None:
     budget = HedgeBudget(max_share=0.5)
     for _ in range(1000):
-        budget.on_new_flow()
+        budget.on_candidate()
 
     assert sum(budget.take() for _ in range(100)) == int(MAX_CREDIT)
 
@@ -27,6 +27,16 @@
 def test_nothing_is_hedged_without_a_share() -> None:
     budget = HedgeBudget(max_share=0.0)
     for _ in range(1000):
-        budget.on_new_flow()
+        budget.on_candidate()
+
+    assert not budget.take()
+
+
+def test_a_lower_share_takes_away_what_a_higher_one_saved_up() -> None:
+    budget = HedgeBudget(max_share=0.5)
+    for _ in range(10):
+        budget.on_candidate()
+
+    budget.change_share(0.0)
 
     assert not budget.take()
--- a/tests/oleanderweir_balancer/forwarding/test_hedging_policy.py
+++ b/tests/oleanderweir_balancer/forwarding/test_hedging_policy.py
@@ -28,7 +28,7 @@
     for host, count in busy.items():
         placement.record_report(host, make_report(busy=count), now=0.0)
     policy = HedgingPolicy(max_share=max_share, placement=placement)
-    policy.budget.on_new_flow()
+    policy.budget.on_candidate()
     return policy
 
 
@@ -108,7 +108,7 @@
     policy = make_policy(busy={FIRST.host: 0, SECOND.host: 0}, max_share=0.125)
     chosen = []
     for _ in range(99):
-        policy.budget.on_new_flow()
+        policy.budget.on_candidate()
         policy.placement.placed_since_report.clear()
         chosen.append(select(policy, FIRST, SECOND))
 
