Let tickets limit second copies of slow requests

`max_copy_share` of a service: 0 to 0.2, 0 by default, which turns them off. A ticket rather than a setting: it is in force everywhere as fast as any other change, and a setting would need a restart of every agent to turn copies off. Agents don't read it yet.

Two tests changed: the list of known fields in a message has the new name, and the ticket with the complete state has the field at its upper bound. New cases just outside the range (-0.01, 0.21).

--- a/packages/oleanderweir/src/oleanderweir/tickets/value_reader.py
+++ b/packages/oleanderweir/src/oleanderweir/tickets/value_reader.py
@@ -26,6 +26,7 @@
 MIN_DRAIN_PERIOD_S = 1.0
 MAX_DRAIN_PERIOD_S = 86_400.0
 MAX_FEED_PATHS = 16
+MAX_COPY_SHARE = 0.2
 
 SERVICE_RULES: dict[str, FieldRule] = {
     "address": AddressRule(),
@@ -34,6 +35,7 @@
     ),
     "retry_ratio": NumberRule(low=0.0, high=1.0),
     "feed_paths": PathListRule(max_count=MAX_FEED_PATHS),
+    "max_copy_share": NumberRule(low=0.0, high=MAX_COPY_SHARE),
 }
 BACKEND_SERVER_RULES: dict[str, FieldRule] = {
     "service": NameRule(),
--- a/tests/oleanderweir/tickets/test_ticket_parser.py
+++ b/tests/oleanderweir/tickets/test_ticket_parser.py
@@ -42,6 +42,7 @@
 
 def test_ticket_holds_the_complete_state_of_its_keys() -> None:
     service = SERVICE | {"feed_paths": ["/ticks"], "request_timeout_s": 5}
+    service["max_copy_share"] = 0.2
     backend_server = BACKEND_SERVER | {"is_draining": True, "drain_period_s": 30}
 
     ticket = parse_ticket(
@@ -60,6 +61,7 @@
             address=address,
             request_timeout_s=5.0,
             feed_paths=("/ticks",),
+            max_copy_share=0.2,
         ),
         None,
         BackendServer(
@@ -92,6 +94,8 @@
         ("request_timeout_s", "5"),
         ("retry_ratio", 1.01),
         ("retry_ratio", True),
+        ("max_copy_share", -0.01),
+        ("max_copy_share", 0.21),
         ("feed_paths", "/ticks"),
         ("feed_paths", ["ticks"]),
         ("feed_paths", ["/a b"]),
@@ -187,7 +191,7 @@
 
     assert [str(problem) for problem in caught.value.problems] == [
         "services.horaflujo.adress: is not a known field; "
-        "use address, request_timeout_s, retry_ratio, feed_paths",
+        "use address, request_timeout_s, retry_ratio, feed_paths, max_copy_share",
         "services.horaflujo.address: is missing; "
         "write a unicast IPv4 address and port, such as 192.0.2.1:443",
         "backend_servers.h-1.slots: is out of range; write an integer from 1 to 10000",
