Send second copies of slow requests on the HTTP/3 path

A request that waits for a slow backend server stayed there until it was answered or its deadline passed; a retry comes only after a failure. Now the agent offers a slow request to one more agent of the service, if the ticket's max_copy_share allows it (0, off, by default).

Retries and copies count as attempts of one AttemptCount, so three sends in all are the limit of both together.

Ruled out: copying PUT and DELETE. They may be retried, but a copy that runs late could undo what the caller wrote after the first answer. Ruled out: refusing copies while this agent alone is full; a slow backend server looks like that.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/load/relay_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/load/relay_policy.py
@@ -51,20 +51,35 @@
         )
         return attrs.evolve(request, queue_timeout_s=queue_timeout_s)
 
-    def offer_before_waiting(self, request: WorkRequest) -> PeerOffer | None:
-        """Return an offer if the request would wait locally, else None."""
+    def offer_before_waiting(
+        self, request: WorkRequest, *, avoided: Collection[str] = ()
+    ) -> PeerOffer | None:
+        """
+        Return an offer if the request would wait locally, else None.
+
+        It isn't for the peers in ``avoided``, which run a copy of the request.
+        """
         own_wait_s = self.admission.forecast_wait_s(request)
         if own_wait_s <= 0.0:
             return None
-        return self.make_offer(request, own_wait_s=own_wait_s)
+        return self.make_offer(request, own_wait_s=own_wait_s, tried=avoided)
 
     def offer_rejected(
-        self, request: WorkRequest, *, tried: Collection[str]
+        self,
+        request: WorkRequest,
+        *,
+        tried: Collection[str],
+        avoided: Collection[str] = (),
     ) -> PeerOffer | None:
-        """Return an offer to an untried peer after a local rejection, if any."""
+        """
+        Return an offer to an untried peer after a local rejection, if any.
+
+        It isn't for the peers in ``avoided``, which run a copy of the request.
+        """
         if len(tried) >= self.max_offers:
             return None
-        return self.make_offer(request, own_wait_s=math.inf, tried=tried)
+        excluded = {*tried, *avoided}
+        return self.make_offer(request, own_wait_s=math.inf, tried=excluded)
 
     def make_offer(
         self, request: WorkRequest, *, own_wait_s: float, tried: Collection[str] = ()
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_dispatcher.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_dispatcher.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from oleanderweir_agent.copies.attempt_place import AttemptPlace
 from oleanderweir_agent.metrics.relay_outcome import RelayOutcome
 from oleanderweir_agent.queueing import WorkRequest
 from oleanderweir_agent.verdicts import FailureReason
@@ -52,14 +53,17 @@
         try:
             await self.runner.run_feed(request, responder)
         except RequestRejectedError as rejection:
-            await self._offer_to_peers(request, responder, rejection)
+            place = AttemptPlace()
+            await self._offer_to_peers(request, responder, rejection, place)
 
-    async def run_work(self, request: Request, responder: Responder) -> None:
-        """Run a request locally or at a peer."""
+    async def run_work(
+        self, request: Request, responder: Responder, place: AttemptPlace
+    ) -> None:
+        """Run a request locally or at a peer, and keep ``place`` up to date."""
         work = self._build_work_request(request)
         while True:
-            offer = self.policy.offer_before_waiting(work)
-            if offer and await self._send_offer(offer, request, responder):
+            offer = self.policy.offer_before_waiting(work, avoided=place.avoided)
+            if offer and await self._send_offer(offer, request, responder, place):
                 return
             try:
                 await self.runner.run_work(
@@ -67,7 +71,7 @@
                 )
             except RequestRejectedError as rejection:
                 if rejection.reason is not RejectionReason.QUEUE_TIMEOUT:
-                    await self._offer_to_peers(request, responder, rejection)
+                    await self._offer_to_peers(request, responder, rejection, place)
                     return
             else:
                 return
@@ -87,20 +91,28 @@
         request: Request,
         responder: Responder,
         rejection: RequestRejectedError,
+        place: AttemptPlace,
     ) -> None:
         """Offer a locally rejected request to peers; re-raise if none accepts it."""
         tried: set[str] = set()
         work = self._build_work_request(request)
-        while offer := self.policy.offer_rejected(work, tried=tried):
+        while offer := self.policy.offer_rejected(
+            work, tried=tried, avoided=place.avoided
+        ):
             tried.add(offer.peer)
-            if await self._send_offer(offer, request, responder):
+            if await self._send_offer(offer, request, responder, place):
                 return
         raise rejection
 
     async def _send_offer(
-        self, offer: PeerOffer, request: Request, responder: Responder
+        self,
+        offer: PeerOffer,
+        request: Request,
+        responder: Responder,
+        place: AttemptPlace,
     ) -> bool:
         """Send an offer; return whether the peer completed the request."""
+        place.peer = offer.peer
         try:
             await self.relay.offer(
                 peer=offer.peer,
@@ -109,6 +121,7 @@
                 max_wait_s=offer.request.max_wait_s,
             )
         except RequestRejectedError:
+            place.peer = None
             self.metrics.relays[RelayOutcome.REJECTED].inc()
             return False
         except RequestFailedError as error:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/requests/request_service.py
@@ -9,6 +9,7 @@
 
 from oleanderweir_agent.requests.header import Header
 from oleanderweir_agent.requests.response_head import ResponseHead
+from oleanderweir_agent.retries import AttemptCount
 from oleanderweir_agent.verdicts import FailureReason
 from oleanderweir_agent.verdicts import RejectionReason
 from oleanderweir_agent.verdicts import RequestFailedError
@@ -17,6 +18,7 @@
 
 
 if TYPE_CHECKING:
+    from oleanderweir_agent.copies.copy_runner import CopyRunner
     from oleanderweir_agent.metrics import AgentMetrics
     from oleanderweir_agent.requests.request import Request
     from oleanderweir_agent.requests.request_dispatcher import RequestDispatcher
@@ -48,18 +50,20 @@
 
     An attempt that did not run, or an idempotent one that failed, is retried within
     the deadline and the retry budget, unless the head of the response has already
-    been sent.
+    been sent. Copies of slow attempts count as attempts.
     """
 
     def __init__(
         self,
         *,
         dispatcher: RequestDispatcher,
+        copies: CopyRunner,
         retry_policy: RetryPolicy,
         request_metrics: RequestMetrics,
         metrics: AgentMetrics,
     ) -> None:
         self.dispatcher = dispatcher
+        self.copies = copies
         self.retry_policy = retry_policy
         self.request_metrics = request_metrics
         self.metrics = metrics
@@ -81,16 +85,16 @@
     async def _run_with_retries(self, request: Request, responder: Responder) -> None:
         """Run attempts until one succeeds or no retry is allowed."""
         self.retry_policy.budget.record_first_attempt()
-        attempts = 0
+        attempts = AttemptCount(max_attempts=self.retry_policy.max_attempts)
         failure: RequestFailedError | None = None
         while True:
-            attempts += 1
+            attempts.count += 1
             try:
-                await self._run_attempt(request, responder)
+                await self._run_attempt(request, responder, attempts)
             except (RequestRejectedError, RequestFailedError) as error:
                 if isinstance(error, RequestFailedError):
                     failure = error
-                delay_s = self._plan_retry(request, responder, error, attempts)
+                delay_s = self._plan_retry(request, responder, error, attempts.count)
                 if delay_s is None and failure is not None:
                     # An earlier attempt may have run, even if a later one was rejected.
                     raise failure from None
@@ -100,12 +104,14 @@
             else:
                 return
 
-    async def _run_attempt(self, request: Request, responder: Responder) -> None:
+    async def _run_attempt(
+        self, request: Request, responder: Responder, attempts: AttemptCount
+    ) -> None:
         """Run one attempt of a feed or a request."""
         if request.is_feed:
             await self.dispatcher.run_feed(request, responder)
         else:
-            await self.dispatcher.run_work(request, responder)
+            await self.copies.run_work(request, responder, attempts)
 
     def _plan_retry(
         self,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/service_host.py
@@ -10,6 +10,9 @@
 from oleanderweir.envelope import EnvelopeCodec
 from oleanderweir.keys import KeyPurpose
 from oleanderweir_agent.backend import BackendClient
+from oleanderweir_agent.copies import CopyMetrics
+from oleanderweir_agent.copies import CopyPolicy
+from oleanderweir_agent.copies.copy_runner import CopyRunner
 from oleanderweir_agent.drain import DrainState
 from oleanderweir_agent.drain import DrainWatcher
 from oleanderweir_agent.health.health_probe import HealthProbe
@@ -134,19 +137,28 @@
         self.relay_server = RelayServer(
             service_name=service.name, runner=runner, codec=relay_codec
         )
+        relay = RelayClient(
+            service_name=service.name,
+            configuration=configuration,
+            connector=connector,
+            codec=relay_codec,
+        )
         dispatcher = RequestDispatcher(
             runner=runner,
             policy=RelayPolicy(admission=self.admission, group=group),
-            relay=RelayClient(
-                service_name=service.name,
-                configuration=configuration,
-                connector=connector,
-                codec=relay_codec,
-            ),
+            relay=relay,
             metrics=metrics,
         )
+        copy_policy = CopyPolicy(
+            service_name=service.name,
+            configuration=configuration,
+            admission=self.admission,
+            group=group,
+            metrics=CopyMetrics(registry=request_metrics.registry),
+        )
         handler = RequestService(
             dispatcher=dispatcher,
+            copies=CopyRunner(dispatcher=dispatcher, policy=copy_policy, relay=relay),
             retry_policy=RetryPolicy(
                 budget=RetryBudget(ratio=service.retry_ratio),
                 random=random_source,
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/failure_reason.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/verdicts/failure_reason.py
@@ -12,3 +12,4 @@
     BACKEND_LOST = "backend_lost"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     PEER_LOST = "peer_lost"
+    COPY_FAILED = "copy_failed"
--- /dev/null
+++ b/tests/oleanderweir_agent/copies/__init__.py
@@ -0,0 +1,1 @@
+from __future__ import annotations
--- a/tests/oleanderweir_agent/fault_matrix/cell.py
+++ b/tests/oleanderweir_agent/fault_matrix/cell.py
@@ -24,6 +24,7 @@
     method: str
     location: RunLocation
     scheduled_faults: tuple[ScheduledFault, ...]
+    has_copies: bool = False
 
     @property
     def name(self) -> str:
--- a/tests/oleanderweir_agent/fault_matrix/cell_run.py
+++ b/tests/oleanderweir_agent/fault_matrix/cell_run.py
@@ -9,6 +9,7 @@
 from oleanderweir_agent.requests import Request
 from tests.oleanderweir_agent.fault_matrix.cell import RunLocation
 from tests.oleanderweir_agent.fault_matrix.cluster import DRAIN_PERIOD_S
+from tests.oleanderweir_agent.fault_matrix.cluster import PATH
 from tests.oleanderweir_agent.fault_matrix.cluster import Cluster
 from tests.oleanderweir_agent.fault_matrix.recording_responder import RecordingResponder
 from tests.oleanderweir_agent.fault_matrix.script import Script
@@ -45,7 +46,7 @@
         request = Request(
             request_id=REQUEST_ID,
             method=self.cell.method,
-            path="/reports",
+            path=PATH,
             headers=(Header(name=b":authority", value=b"items.example"),),
             body=BODY if self.cell.method == "POST" else b"",
             arrived_at=now,
@@ -105,6 +106,8 @@
         )
         if cell.location is RunLocation.PEER:
             cluster.agents["a"].drain.begin(drain_period_s=DRAIN_PERIOD_S)
+        if cell.has_copies:
+            cluster.allow_copies(method=cell.method)
         run = CellRun(cell=cell, cluster=cluster)
         await run.send_request()
         await trio.sleep(SETTLE_S)
--- a/tests/oleanderweir_agent/fault_matrix/cells.py
+++ b/tests/oleanderweir_agent/fault_matrix/cells.py
@@ -71,3 +71,17 @@
         for method in METHODS
         if location is RunLocation.PEER or first.step not in RELAY_STEPS
     ]
+
+
+def list_copy_cells() -> list[Cell]:
+    """Return a cell for each method and fault, for a request that is copied if slow."""
+    return [
+        Cell(
+            method=method,
+            location=RunLocation.LOCAL,
+            scheduled_faults=(scheduled,),
+            has_copies=True,
+        )
+        for scheduled in list_scheduled_faults()
+        for method in METHODS
+    ]
--- a/tests/oleanderweir_agent/fault_matrix/cluster.py
+++ b/tests/oleanderweir_agent/fault_matrix/cluster.py
@@ -9,7 +9,10 @@
 from prometheus_client import CollectorRegistry
 
 from oleanderweir.configuration import BackendServer
+from oleanderweir.configuration import Service
 from oleanderweir.net import SocketAddress
+from oleanderweir_agent.copies import CopyPolicy
+from oleanderweir_agent.copies.copy_runner import CopyRunner
 from oleanderweir_agent.drain import DrainState
 from oleanderweir_agent.limits import FixedLimit
 from oleanderweir_agent.load import LeastWaitChooser
@@ -24,6 +27,7 @@
 from oleanderweir_agent.queueing import Admission
 from oleanderweir_agent.queueing import FeedAdmission
 from oleanderweir_agent.queueing import FifoPolicy
+from oleanderweir_agent.queueing import Route
 from oleanderweir_agent.requests.local_runner import LocalRunner
 from oleanderweir_agent.requests.request_dispatcher import RequestDispatcher
 from oleanderweir_agent.requests.request_service import RequestService
@@ -34,6 +38,7 @@
     MemoryRelayConnector,
 )
 from tests.oleanderweir_agent.fault_matrix.scripted_backend import ScriptedBackend
+from tests.oleanderweir_agent.fault_matrix.scripted_connection import RUN_TIME_S
 
 
 if TYPE_CHECKING:
@@ -42,6 +47,7 @@
 
 
 SERVICE = "items"
+PATH = "/reports"
 SLOTS = 2
 DRAIN_PERIOD_S = 600.0
 DELAYS_S = {Fault.DELAY: 0.3, Fault.LATE: 2.1, Fault.FREEZE: 5.0}
@@ -52,6 +58,11 @@
     """A configuration with two backend servers of one service."""
 
     names: tuple[str, ...] = ("a", "b")
+    max_copy_share: float = 0.0
+
+    def service(self, name: str) -> Service:
+        address = SocketAddress(host="127.0.0.1", port=1)
+        return Service(name=name, address=address, max_copy_share=self.max_copy_share)
 
     def backend_servers(self, service: str) -> list[BackendServer]:
         address = SocketAddress(host="127.0.0.1", port=1)
@@ -118,6 +129,8 @@
     runs: list[str] = attrs.field(factory=list)
     run_started: trio.Event = attrs.field(factory=trio.Event)
     caller: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    configuration: FixedConfiguration = attrs.field(factory=FixedConfiguration)
+    copy_policy: CopyPolicy = attrs.field(init=False)
     agents: dict[str, MatrixAgent] = attrs.field(init=False)
     service: RequestService = attrs.field(init=False)
 
@@ -146,16 +159,26 @@
         )
         relay = RelayClient(
             service_name=SERVICE,
-            configuration=cast("ConfigurationView", FixedConfiguration()),
+            configuration=cast("ConfigurationView", self.configuration),
             connector=MemoryRelayConnector(cluster=self, peer="b"),
             codec=RelayMessageCodec(),
         )
+        dispatcher = RequestDispatcher(
+            runner=own.runner,
+            policy=RelayPolicy(admission=own.admission, group=group),
+            relay=relay,
+            metrics=metrics,
+        )
+        self.copy_policy = CopyPolicy(
+            service_name=SERVICE,
+            configuration=cast("ConfigurationView", self.configuration),
+            admission=own.admission,
+            group=group,
+        )
         return RequestService(
-            dispatcher=RequestDispatcher(
-                runner=own.runner,
-                policy=RelayPolicy(admission=own.admission, group=group),
-                relay=relay,
-                metrics=metrics,
+            dispatcher=dispatcher,
+            copies=CopyRunner(
+                dispatcher=dispatcher, policy=self.copy_policy, relay=relay
             ),
             retry_policy=RetryPolicy(
                 budget=RetryBudget(ratio=0.1), random=random_source
@@ -164,6 +187,13 @@
             metrics=metrics,
         )
 
+    def allow_copies(self, *, method: str) -> None:
+        """Have the next request copied before the first run has answered."""
+        self.configuration.max_copy_share = 1.0
+        route = Route.of(method=method, path=PATH)
+        for _ in range(20):
+            self.copy_policy.delays.record(route, RUN_TIME_S / 2)
+
     async def apply_fault(self, fault: Fault | None, *, agent: str) -> None:
         """Apply a fault that does not close the connection."""
         await trio.lowlevel.checkpoint()
--- a/tests/oleanderweir_agent/fault_matrix/test_fault_matrix.py
+++ b/tests/oleanderweir_agent/fault_matrix/test_fault_matrix.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from oleanderweir_agent.retries.retry_policy import MAX_ATTEMPTS
 from tests.oleanderweir_agent.fault_matrix.cell_run import run_cell
+from tests.oleanderweir_agent.fault_matrix.cells import list_copy_cells
 from tests.oleanderweir_agent.fault_matrix.cells import list_pair_cells
 from tests.oleanderweir_agent.fault_matrix.cells import list_single_cells
 
@@ -32,3 +34,13 @@
     run = await run_cell(cell)
 
     assert run.find_violations() == []
+
+
+@pytest.mark.parametrize("cell", list_copy_cells(), ids=lambda cell: cell.name)
+async def test_a_fault_beside_a_copy_violates_no_guarantee(
+    cell: Cell, autojump_clock: MockClock
+) -> None:
+    run = await run_cell(cell)
+
+    assert run.find_violations() == []
+    assert run.run_count <= MAX_ATTEMPTS
