Check slow requests again, and judge capacity by the last seconds

The free slots of one moment are near zero often at 80%, and a request that found none at its delay was never looked at again.

Capacity is now the mean share of slots in use that agents report (over about 2 s), at most 0.9. A copy that its peer rejects didn't run: it gives its part of the budget and its attempt back, and another peer may be tried.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_metrics.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_metrics.py
@@ -13,14 +13,18 @@
 
 @attrs.define(kw_only=True, eq=False)
 class CopyMetrics:
-    """Counters of copies, registered in ``registry``, by default a new one."""
+    """
+    Counters of copies, registered in ``registry``, by default a new one.
+
+    ``accepted`` is the number of copies that their peers did not reject.
+    """
 
     registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
     outcomes: dict[CopyOutcome, Counter] = attrs.field(init=False)
     refusals: dict[CopyRefusal, Counter] = attrs.field(init=False)
     candidates: Counter = attrs.field(init=False)
     max_share: Gauge = attrs.field(init=False)
-    sent: int = 0
+    accepted: int = 0
     candidate_count: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -54,14 +58,14 @@
         )
         share = Gauge(
             "oleanderweir_agent_copy_share",
-            "Copies as a share of copyable requests, since the start.",
+            "Copies not rejected as a share of copyable requests, since the start.",
             registry=self.registry,
         )
         share.set_function(self.read_share)
 
     def read_share(self) -> float:
         """Return the share of copies since the start, 0 without any candidate."""
-        return self.sent / self.candidate_count if self.candidate_count else 0.0
+        return self.accepted / self.candidate_count if self.candidate_count else 0.0
 
     def count_candidate(self) -> None:
         """Count one request that may be copied."""
@@ -70,7 +74,8 @@
 
     def count(self, outcome: CopyOutcome) -> None:
         """Count one outcome."""
-        self.sent += outcome is CopyOutcome.SENT
+        self.accepted += outcome is CopyOutcome.SENT
+        self.accepted -= outcome is CopyOutcome.REJECTED
         self.outcomes[outcome].inc()
 
     def count_refusal(self, refusal: CopyRefusal) -> None:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_outcome.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_outcome.py
@@ -10,7 +10,8 @@
     What became of a copy, or of the run that lost against it; values are metric labels.
 
     Every copy is counted as sent, and then as won, rejected or failed unless the first
-    run won. The loser of two runs is counted as cancelled or wasted.
+    run won. The loser of two runs is counted as cancelled or wasted. A rejected copy
+    costs no part of the budget.
     """
 
     SENT = "sent"
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_policy.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_policy.py
@@ -33,8 +33,8 @@
 # Safe methods only (RFC 9110, 9.2.1): a copy of PUT or DELETE that runs late could undo
 # what the caller wrote after the first answer.
 COPYABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
-# A service with a smaller share of free slots is at capacity.
-MIN_FREE_SHARE = 0.1
+# A service with a larger share of its slots in use is at capacity.
+MAX_BUSY_SHARE = 0.9
 # A copy that is overdue by more shows that this process stood still.
 MAX_LATENESS_S = 0.05
 # Bounds the answers that are held back until one of two is whole.
@@ -129,15 +129,13 @@
 
     def _is_loaded(self) -> bool:
         """
-        Whether the service as a whole is at capacity.
+        Whether the service as a whole has been at capacity for the last seconds.
 
         A full agent alone is no peak: it is what a slow backend server looks like.
         """
-        peers = self._fresh_peers()
-        free = self.admission.free_slots - len(self.admission.queue.waiting)
-        free += sum(peer.free_slots() - peer.report.waiting for peer in peers)
-        limit = self.admission.limit + sum(peer.report.limit for peer in peers)
-        return free < MIN_FREE_SHARE * limit
+        reports = [entry.report for entry in self.group.table.fresh()]
+        busy = sum(report.busy_share * report.limit for report in reports)
+        return busy > MAX_BUSY_SHARE * sum(report.limit for report in reports)
 
     def _find_candidates(
         self, request: WorkRequest, place: AttemptPlace
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_refusal.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_refusal.py
@@ -19,3 +19,14 @@
     TOO_MANY = "too_many"  # this agent waits for as many copies as it has memory for
     TURNED_OFF = "turned_off"  # by a ticket since the request arrived
     UNKNOWN_TIMES = "unknown_times"  # too few recent answers on this route
+
+    @property
+    def is_temporary(self) -> bool:
+        """Whether a later check of the same request may find no reason."""
+        return self in {
+            CopyRefusal.BUDGET,
+            CopyRefusal.LOADED,
+            CopyRefusal.NO_PEER,
+            CopyRefusal.PANIC,
+            CopyRefusal.TOO_MANY,
+        }
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/race.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/race.py
@@ -9,6 +9,7 @@
 
 from oleanderweir_agent.copies.attempt_place import AttemptPlace
 from oleanderweir_agent.copies.contender import Contender
+from oleanderweir_agent.copies.copy_outcome import CopyOutcome
 from oleanderweir_agent.verdicts import RequestFailedError
 from oleanderweir_agent.verdicts import RequestRejectedError
 
@@ -42,6 +43,11 @@
         self.copy = Contender(race=self, is_copy=True, place=AttemptPlace(peer=peer))
         return self.copy
 
+    def remove_copy(self, peer: str) -> None:
+        """Forget a copy that its peer rejected."""
+        self.first.place.avoided.discard(peer)
+        self.copy = None
+
     def may_win(self, contender: Contender) -> bool:
         """
         Return whether a run answers the caller, and decide that if it is open.
@@ -77,6 +83,21 @@
             return copy_error
         return self.first.error
 
+    def find_outcomes(self) -> list[CopyOutcome]:
+        """Return the outcome of the copy, and that of the run that was stopped."""
+        assert self.copy is not None
+        if isinstance(self.copy.error, RequestRejectedError):
+            return [CopyOutcome.REJECTED]
+        if self.copy.error is not None:
+            return [CopyOutcome.FAILED]
+        outcomes = [CopyOutcome.WON] if self.winner is self.copy else []
+        # Without a winner, the caller has cancelled the request.
+        stopped = self.copy if self.winner is None else self.loser
+        if stopped is None:
+            return outcomes
+        lost = CopyOutcome.WASTED if stopped.is_head_sent else CopyOutcome.CANCELLED
+        return [*outcomes, lost]
+
     def _is_contested(self) -> bool:
         """Whether two runs may still win."""
         if self.copy is None:
--- a/packages/oleanderweir/src/oleanderweir/hedging/hedge_budget.py
+++ b/packages/oleanderweir/src/oleanderweir/hedging/hedge_budget.py
@@ -34,3 +34,8 @@
             return False
         self.credit -= 1.0
         return True
+
+    def give_back(self) -> None:
+        """Return a hedge that cost nothing, if the share still allows it."""
+        if self.max_share > 0.0:
+            self.credit = min(self.credit + 1.0, MAX_CREDIT)
