Measure second copies in virtual time

`experiment second-copies` and `second-copies-slow-server` run the agent's CopyRunner and CopyPolicy on simulated backend servers, at several loads and limits: p50, p99, p99.9, copies, extra work and requests without an answer. The existing stragglers are long by their own work, which a copy only doubles; so a simulated run may now stall whatever its work, and a backend server may slow down.

A share of each agent's own requests is too small for an agent whose requests are all slow.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/__init__.py
@@ -7,6 +7,9 @@
 from oleanderweir_bench.experiments.imbalance import ImbalanceExperiment
 from oleanderweir_bench.experiments.peak import PeakExperiment
 from oleanderweir_bench.experiments.result_table import ResultTable
+from oleanderweir_bench.experiments.second_copies import SLOW_SERVER
+from oleanderweir_bench.experiments.second_copies import STALLS
+from oleanderweir_bench.experiments.second_copies import SecondCopiesExperiment
 from oleanderweir_bench.experiments.stragglers import StragglersExperiment
 
 
@@ -39,6 +42,17 @@
     return [StragglersExperiment(seed=seed).run()]
 
 
+def run_second_copies(seed: int) -> list[ResultTable]:
+    """Run second copies beside runs that are slow for no reason of their work."""
+    return [SecondCopiesExperiment(seed=seed, cause=STALLS).run()]
+
+
+def run_second_copies_slow_server(seed: int) -> list[ResultTable]:
+    """Run second copies beside a slow backend server, below capacity."""
+    experiment = SecondCopiesExperiment(seed=seed, cause=SLOW_SERVER, loads=(0.5, 0.8))
+    return [experiment.run()]
+
+
 def run_imbalance(seed: int) -> list[ResultTable]:
     """Run the measurement of imbalance between backend servers."""
     return [ImbalanceExperiment(seed=seed).run()]
@@ -49,6 +63,8 @@
     "crest-fewer-slots": run_peak_fewer_slots,
     "crest-shedding": run_peak_shedding,
     "imbalance": run_imbalance,
+    "second-copies": run_second_copies,
+    "second-copies-slow-server": run_second_copies_slow_server,
     "stragglers": run_stragglers,
 }
 
@@ -58,5 +74,6 @@
     "PeakExperiment",
     "ImbalanceExperiment",
     "ResultTable",
+    "SecondCopiesExperiment",
     "StragglersExperiment",
 ]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/policy_set.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/policy_set.py
@@ -36,7 +36,8 @@
     The policies that one row of an experiment uses.
 
     If ``is_limited`` is false, admission does not use the slots as a ceiling. If
-    ``relays`` is false, every request stays with the agent of its session.
+    ``relays`` is false, every request stays with the agent of its session. Second
+    copies are limited to ``max_copy_share`` of the requests.
     """
 
     name: str
@@ -45,3 +46,4 @@
     queue_policy: QueuePolicy = attrs.field(factory=FifoPolicy)
     relays: bool = True
     is_limited: bool = True
+    max_copy_share: float = 0.0
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/experiments/simulated_service.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from oleanderweir_agent.copies import CopyPolicy
 from oleanderweir_agent.load import REPORT_INTERVAL_S
 from oleanderweir_agent.load import LoadReporter
 from oleanderweir_agent.load import LoadTable
@@ -22,6 +23,10 @@
 from oleanderweir_bench.experiments.simulated_backend_server import (
     SimulatedBackendServer,
 )
+from oleanderweir_bench.experiments.simulated_configuration import SERVICE
+from oleanderweir_bench.experiments.simulated_configuration import (
+    SimulatedConfiguration,
+)
 
 
 if TYPE_CHECKING:
@@ -81,6 +86,14 @@
             chooser=self.policies.make_chooser(random.Random(self.random.random())),
         )
         relay = RelayPolicy(admission=admission, group=group)
+        copies = CopyPolicy(
+            service_name=SERVICE,
+            configuration=SimulatedConfiguration(
+                names=sorted(members), max_copy_share=self.policies.max_copy_share
+            ),
+            admission=admission,
+            group=group,
+        )
         return SimulatedAgent(
             backend_server=SimulatedBackendServer(
                 name=name,
@@ -93,6 +106,7 @@
             group=group,
             relay=relay if self.policies.relays else None,
             peers=peers,
+            copies=copies if self.policies.max_copy_share > 0.0 else None,
         )
 
     @property
--- a/tests/oleanderweir_bench/experiments/test_experiments.py
+++ b/tests/oleanderweir_bench/experiments/test_experiments.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import math
+from typing import TYPE_CHECKING
 
 import pytest
 from click.testing import CliRunner
@@ -10,12 +11,21 @@
 from oleanderweir_bench.experiments import ImbalanceExperiment
 from oleanderweir_bench.experiments import PeakExperiment
 from oleanderweir_bench.experiments import ResultTable
+from oleanderweir_bench.experiments import SecondCopiesExperiment
 from oleanderweir_bench.experiments import imbalance
 from oleanderweir_bench.experiments import peak
+from oleanderweir_bench.experiments import second_copies
 from oleanderweir_bench.experiments.quantile import quantile
 from oleanderweir_bench.experiments.service_size import ServiceSize
 
 
+if TYPE_CHECKING:
+    from oleanderweir_bench.experiments.second_copies import Slowness
+
+
+CAUSES = (second_copies.STALLS, second_copies.SLOW_SERVER)
+
+
 def test_peak_experiment_is_reproducible_for_a_seed() -> None:
     tables = []
     for _ in range(2):
@@ -59,3 +69,29 @@
     assert result.exit_code == 2
     for name in EXPERIMENTS:
         assert f"'{name}'" in result.output
+
+
+@pytest.mark.parametrize("cause", CAUSES, ids=["stalls", "slow-server"])
+def test_copies_shorten_the_slowest_answers_within_their_limit(
+    cause: Slowness,
+) -> None:
+    experiment = SecondCopiesExperiment(
+        seed=1, cause=cause, warm_up_s=5.0, measured_s=10.0
+    )
+    services = [experiment.simulate(0.5, share) for share in (0.0, 0.2)]
+
+    # The columns are the quantiles 0.5, 0.99 and 0.999, then the share of copies.
+    before, after = [experiment.make_cells(s, extra_work=0.0) for s in services]
+    assert float(after[2]) < float(before[2])
+    assert 0.0 < float(after[3].rstrip("%")) <= 20.0
+
+
+def test_copies_die_out_when_all_backend_servers_are_loaded() -> None:
+    experiment = SecondCopiesExperiment(
+        seed=1, cause=second_copies.STALLS, warm_up_s=2.0, measured_s=2.0
+    )
+    service = experiment.simulate(1.1, 0.1)
+
+    cells = experiment.make_cells(service, extra_work=0.0)
+
+    assert float(cells[3].rstrip("%")) < 0.5
