--- a/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_runner.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/copies/copy_runner.py
@@ -38,7 +38,7 @@
     Runs one attempt of a request, with a copy at a peer if it is slow.
 
     Exactly one of the two answers the caller. ``policy`` decides on the copy, which the
-    dispatcher doesn't know: it is offered to one peer, once.
+    dispatcher doesn't know: it is offered to one peer at a time, and runs at most once.
     """
 
     def __init__(
