Have a delegate query itself while its own entry is missing

Cause: an agent knew the agents to query from the published backend servers and from its members, and it isn't a member of its own. While the entry of its own backend server was lapsed, a delegated lookup left out the delegate. If it was the owner, all other backend servers got the packet before the balancer asked the delegate itself; with a mere acknowledgement the balancer never did, so that others were the last and, at the next lookup of an idle flow, the first to get a packet of it.

The test failed before: the delegate queried 10.0.0.2 and 10.0.0.3 of three agents. Tried first: the own agent beside the twelve candidates; a test of the candidates rejected that, so it is ranked with the others.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -57,7 +57,10 @@
         self.register = register
         # An agent's denial on behalf of a balancer covers only the agents it knows.
         self.owners = PossibleOwners(
-            register=register, members=members, awaits_discovery=use_delegate
+            register=register,
+            members=members,
+            awaits_discovery=use_delegate,
+            own_agents=frozenset(() if use_delegate else (members.own_host,)),
         )
         self.members = members
         self.transport = transport
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -33,15 +33,22 @@
 
     Both depend on the published backend servers, on the members that this process
     knows, and on the replies recorded in the lookup. With ``awaits_discovery``, denials
-    aren't conclusive while hosts that peers listed have not replied yet.
+    aren't conclusive while hosts that peers listed have not replied yet. An agent is a
+    possible owner itself: ``own_agents`` has its host, and is empty in a balancer.
     """
 
     def __init__(
-        self, *, register: StateRegister, members: Members, awaits_discovery: bool
+        self,
+        *,
+        register: StateRegister,
+        members: Members,
+        awaits_discovery: bool,
+        own_agents: frozenset[str],
     ) -> None:
         self.register = register
         self.members = members
         self.awaits_discovery = awaits_discovery
+        self.own_agents = own_agents
 
     def find(self, lookup: Lookup) -> set[str]:
         """
@@ -58,12 +65,14 @@
             for service in self.register.services_of(route_address(lookup.key)):
                 agents = {r.host for r in self.register.backends_of(service)}
                 agents.update(self.members.agents_of(service))
+                # The service of the own agent may be another one.
+                agents.update(self.own_agents if agents else ())
                 hosts.update(
                     candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
                 )
         if hosts - lookup.extra_hosts:
             return hosts
-        hosts.update(self.members.hosts(PeerRole.AGENT))
+        hosts.update(self.members.hosts(PeerRole.AGENT), self.own_agents)
         return hosts | self.register.find_published_hosts()
 
     def find_pending(self, lookup: Lookup, *, now: float) -> set[str]:
@@ -106,10 +115,11 @@
 
         An entry may be missing because it lapsed or hasn't arrived yet: a live agent
         has to reply itself. The requester of a delegated lookup may know more of the
-        hosts that it named, and has its own time limit for them. What an agent reported
-        earlier doesn't count for a backend server that was published since.
+        hosts that it named, and has its own time limit for them. The agent of this
+        process replies to itself. What an agent reported earlier doesn't count for a
+        backend server that was published since.
         """
-        if host in lookup.extra_hosts:
+        if host in lookup.extra_hosts or host in self.own_agents:
             return False
         departed_at = self.members.departed_at(host)
         if departed_at is not None:
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -48,6 +48,21 @@
         assert message.purpose is DeliveryPurpose.TABLE_QUERY
 
 
+async def test_a_delegate_queries_itself_while_its_entry_is_missing() -> None:
+    bench = make_bench()
+    others = {f"b{host}": backend_document(host=host) for host in HOSTS[1:]}
+    publish(bench.register, backends=others, revision=20)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    queried = {address[0] for _, address in bench.peer_socket.pop_sent()}
+    assert queried == set(HOSTS)
+
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS[1:]:
+        bench.agent.on_message(host, unknown)
+
+    assert bench.to_peers() == []
+
+
 async def test_a_lookup_has_backend_servers_asked_once_no_agent_has_an_entry() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
