Repeat no query to a backend server that carries a mere acknowledgement

Cause: an agent repeats an unanswered query to its backend server up to three times in 2.8 s. A backend server answers no mere acknowledgement of a flow that it holds, nor one of a port whose earlier flow has ended there. In the latter case, repeats reached that backend server long after the owner was found, and the flow, idle, was stray.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
@@ -37,6 +37,11 @@
     forwarded_at: float
     repeats: int = 0
 
+    @property
+    def needs_answer(self) -> bool:
+        """Whether a backend server that holds the flow answers the packet."""
+        return self.end_sequence is not None or self.is_final
+
     def is_answered_for_another(self, answer: Packet) -> bool:
         """Whether an answer acknowledges bytes far from those of the packet."""
         if not answer.is_acknowledging or answer.is_opening:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -62,8 +62,15 @@
         self.transport.forward_to_backend(packet.data)
 
     def repeat_unanswered(self, *, now: float) -> None:
-        """Forward packets again that the backend server has not answered."""
+        """
+        Forward packets again that the backend server has not answered.
+
+        A mere acknowledgement needs no answer: repeating it would only show it to one
+        more backend server than the flow's own after the owner was found.
+        """
         for check in self.checks.values():
+            if not check.needs_answer:
+                continue
             wait_s = math.ldexp(FIRST_REPEAT_S, check.repeats)
             if check.repeats < MAX_REPEATS and now - check.forwarded_at >= wait_s:
                 check.repeats += 1
--- a/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
+++ b/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
@@ -10,6 +10,7 @@
 from tests.oleanderweir_agent.forwarding.packets import OPENED
 from tests.oleanderweir_agent.forwarding.packets import OPENING
 from tests.oleanderweir_agent.forwarding.packets import REQUEST
+from tests.oleanderweir_agent.forwarding.packets import acknowledge
 from tests.oleanderweir_agent.forwarding.packets import encode_returned
 
 
@@ -88,6 +89,19 @@
     assert bench.to_backend() == [REQUEST] * 4
 
 
+async def test_a_query_with_a_mere_acknowledgement_is_not_repeated(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    acknowledgement = acknowledge(1, up_to=6)
+    bench.deliver(DeliveryPurpose.QUERY, acknowledgement)
+
+    await bench.pass_time(4.9)
+
+    # A backend server on which an earlier flow of the port has ended stays silent.
+    assert bench.to_backend() == [acknowledgement]
+
+
 async def test_an_answered_query_is_not_repeated(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
