Send the owner of a flow the query at once after others were asked

Cause: the owner got the query again only after the last of the other agents that were asked had denied. One that never replies, as a backend server on which an earlier flow of the port has ended doesn't answer an acknowledgement, left the others as the last that got a packet of the flow. Now the owner gets it at once, and once more if denials come late.

The test failed before with one silent agent.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -136,17 +136,17 @@
 
     def _repeat_to_owner(self, lookup: Lookup, host: str, *, now: float) -> None:
         """
-        Send the owner the query again, after the last other backend server got it.
+        Send the owner the query again, and once more after the last late denial.
 
         Otherwise other backend servers would be the last to get a packet of an idle
-        flow, and the first at its next lookup.
+        flow, and the first at its next lookup. Some never reply to the query.
         """
         others = lookup.checked - {host}
         outstanding = others - lookup.denied_by
         if lookup.query is None or not others:
             return
+        self.transport.deliver(host, lookup.query, DeliveryPurpose.CONTINUE)
         if not outstanding:
-            self.transport.deliver(host, lookup.query, DeliveryPurpose.CONTINUE)
             return
         self.lookups.found[lookup.key] = FoundOwner(
             host=host, query=lookup.query, outstanding=outstanding, found_at=now
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -356,7 +356,10 @@
     ]
 
 
-async def test_the_owner_gets_the_query_again_after_all_others_got_it() -> None:
+@pytest.mark.parametrize("denials", [1, 2], ids=["one-is-silent", "all-denied"])
+async def test_the_owner_gets_the_query_again_after_all_others_got_it(
+    denials: int,
+) -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
     unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
@@ -365,7 +368,7 @@
     owner, *others = HOSTS
     bench.to_peers()
     denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
-    for host in others:
+    for host in others[:denials]:
         bench.agent.on_message(host, denial)
 
     bench.agent.on_message(owner, OwnerNotice(key=KEY))
