Keep the lookups of two flows of one port apart

Cause: lookups were kept by addresses and ports. A denial of a late packet of an earlier flow counted for the flow that used the port by then, whose owner wasn't asked; a failed lookup of the earlier flow reset packets of the later one for up to 3 s. Now the packets of a lookup have acknowledgements near each other, by the distance that agents use; a packet of another flow starts a lookup of its own, and replies with packets of another flow are ignored.

The test failed before: a reset before 10.0.0.1 was asked. The arithmetic of sequence numbers moves from the agent to the package of flows, unchanged.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from oleanderweir.flows import SEQUENCE_MODULUS
+from oleanderweir.flows import are_far
+
 
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
@@ -15,10 +18,6 @@
 
 # How long a closed flow is kept, for the last packets of its caller.
 CLOSED_FLOW_TTL_S = 5.0
-# Sequence numbers of packets have 32 bits and wrap around.
-SEQUENCE_MODULUS = 2**32
-# Acknowledgements of one flow that are in flight at the same time differ by less.
-MAX_ACKNOWLEDGED_DISTANCE = 76_800
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -125,12 +124,6 @@
         return self.caller_closed and self.backend_closed
 
 
-def are_far(first: int, second: int) -> bool:
-    """Whether two sequence numbers can't be of the same flow."""
-    ahead = (first - second) % SEQUENCE_MODULUS
-    return min(ahead, SEQUENCE_MODULUS - ahead) > MAX_ACKNOWLEDGED_DISTANCE
-
-
 class FlowTable:
     """Flows by key, removed after ``idle_timeout_s`` without a packet."""
 
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_check.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from oleanderweir_agent.forwarding.flow_table import MAX_ACKNOWLEDGED_DISTANCE
-from oleanderweir_agent.forwarding.flow_table import SEQUENCE_MODULUS
+from oleanderweir.flows import MAX_ACKNOWLEDGED_DISTANCE
+from oleanderweir.flows import SEQUENCE_MODULUS
 
 
 if TYPE_CHECKING:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_transfer.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/request_transfer.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from oleanderweir_agent.forwarding.flow_table import SEQUENCE_MODULUS
+from oleanderweir.flows import SEQUENCE_MODULUS
 
 
 if TYPE_CHECKING:
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/withdrawn_openings.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/withdrawn_openings.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from oleanderweir_agent.forwarding.flow_table import are_far
+from oleanderweir.flows import are_far
 
 
 if TYPE_CHECKING:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -246,7 +246,7 @@
         if returned.reason is ReturnReason.UNKNOWN:
             self.owner_lookup.on_unknown(host, packet, now=now)
         elif returned.reason is ReturnReason.PARTLY_DENIED:
-            self.owner_lookup.on_progress(host, packet.key, returned.hosts, now=now)
+            self.owner_lookup.on_progress(host, packet, returned.hosts, now=now)
         else:
             self._on_no_owner(host, packet, hosts=returned.hosts, now=now)
 
--- a/packages/oleanderweir/src/oleanderweir/flows/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/flows/__init__.py
@@ -13,15 +13,21 @@
 from oleanderweir.flows.flow_key import route_address
 from oleanderweir.flows.packet import Packet
 from oleanderweir.flows.packet_codec import PacketCodec
+from oleanderweir.flows.sequence_numbers import MAX_ACKNOWLEDGED_DISTANCE
+from oleanderweir.flows.sequence_numbers import SEQUENCE_MODULUS
+from oleanderweir.flows.sequence_numbers import are_far
 
 
 __all__ = [
     "FLOW_KEY_BYTES",
     "LOOKUP_CANDIDATES",
+    "MAX_ACKNOWLEDGED_DISTANCE",
     "PLACEMENT_CANDIDATES",
+    "SEQUENCE_MODULUS",
     "FlowKey",
     "Packet",
     "PacketCodec",
+    "are_far",
     "caller_host",
     "candidate_hosts",
     "describe_flow",
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from oleanderweir.flows import are_far
+
 
 if TYPE_CHECKING:
     from oleanderweir.flows import FlowKey
@@ -17,6 +19,9 @@
     """
     The state of the lookup of one flow's owner.
 
+    A caller may use a port again, so that packets of two flows have the same ``key``;
+    ``acknowledged``, the newest acknowledgement of its caller, tells them apart.
+
     ``query`` is the packet of the last query, ``attempts`` counts the rounds of
     queries, ``queried`` are the agents that were queried and ``denied_by`` those that
     replied that their backend server doesn't hold the flow. ``delegates`` are the
@@ -41,6 +46,7 @@
     """
 
     key: FlowKey
+    acknowledged: int
     started_at: float
     queried_at: float
     query: Packet | None = None
@@ -65,6 +71,10 @@
     is_fleet_wide: bool = False
     has_no_owner: bool = False
 
+    def is_of(self, packet: Packet) -> bool:
+        """Whether a caller's packet is of this flow, not another of the port."""
+        return not are_far(packet.acknowledged, self.acknowledged)
+
     def find_covered(self, *, since: float) -> set[str]:
         """Return the hosts that delegates are querying, by their reports since."""
         covered: set[str] = set()
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup_table.py
@@ -37,13 +37,32 @@
         self.found: dict[FlowKey, FoundOwner] = {}
         self.opened = trio.Event()
 
-    def open(self, key: FlowKey, *, now: float) -> Lookup | None:
-        """Return the lookup of a flow, a new one if needed; ``None`` if full."""
-        lookup = self.lookups.get(key)
-        if lookup is None and len(self.lookups) < MAX_LOOKUPS:
-            lookup = Lookup(key=key, started_at=now, queried_at=float("-inf"))
-            self.lookups[key] = lookup
-            self.opened.set()
+    def find(self, packet: Packet) -> Lookup | None:
+        """Return the lookup of a packet's flow, if it is in progress."""
+        lookup = self.lookups.get(packet.key)
+        return lookup if lookup is not None and lookup.is_of(packet) else None
+
+    def open(self, packet: Packet, *, now: float) -> Lookup | None:
+        """
+        Return the lookup of a packet's flow, a new one if needed; ``None`` if full.
+
+        It replaces that of another flow of the port, whose denials don't count for it.
+        """
+        lookup = self.find(packet)
+        if lookup is not None:
+            lookup.acknowledged = packet.acknowledged
+            return lookup
+        self.lookups.pop(packet.key, None)
+        if len(self.lookups) >= MAX_LOOKUPS:
+            return None
+        lookup = Lookup(
+            key=packet.key,
+            acknowledged=packet.acknowledged,
+            started_at=now,
+            queried_at=float("-inf"),
+        )
+        self.lookups[packet.key] = lookup
+        self.opened.set()
         return lookup
 
     async def wait_for_any(self) -> None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -95,8 +95,8 @@
         if packet.is_reset:
             return
         self.members.pauses.record_run(now)
-        is_new = not self.is_in_progress(packet.key)
-        lookup = self.lookups.open(packet.key, now=now)
+        is_new = self.lookups.find(packet) is None
+        lookup = self.lookups.open(packet, now=now)
         if lookup is None:
             return
         lookup.extra_hosts |= frozenset(hosts)
@@ -159,7 +159,9 @@
 
     def on_denial(self, host: str, packet: Packet, *, now: float) -> None:
         """Record an agent's denial; widen or fail the lookup after the last one."""
-        lookup = self.lookups.open(packet.key, now=now)
+        if self._is_of_another_flow(packet):
+            return
+        lookup = self.lookups.open(packet, now=now)
         if lookup is None or lookup.has_no_owner:
             return
         lookup.denied_by.add(host)
@@ -169,6 +171,10 @@
         else:
             self._continue(lookup, packet, now=now)
 
+    def _is_of_another_flow(self, packet: Packet) -> bool:
+        """Whether the lookup in progress is of another flow of the packet's port."""
+        return self.is_in_progress(packet.key) and self.lookups.find(packet) is None
+
     def on_late_denial(self, host: str, key: FlowKey) -> None:
         """Send the owner the query again, after the last other agent denied."""
         found = self.lookups.found.get(key)
@@ -181,7 +187,7 @@
 
     def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
         """Record that an agent has no entry; its backend server may hold the flow."""
-        lookup = self.lookups.lookups.get(packet.key)
+        lookup = self.lookups.find(packet)
         if lookup is None or lookup.has_no_owner:
             return
         lookup.unknown_to.add(host)
@@ -190,10 +196,10 @@
         self._continue(lookup, packet, now=now)
 
     def on_progress(
-        self, host: str, key: FlowKey, hosts: tuple[str, ...], *, now: float
+        self, host: str, packet: Packet, hosts: tuple[str, ...], *, now: float
     ) -> None:
         """Record that a delegate continues its lookup, and the denials it has got."""
-        lookup = self.lookups.lookups.get(key)
+        lookup = self.lookups.find(packet)
         if lookup is not None and host in lookup.delegates:
             lookup.denied_by.update(hosts)
             lookup.progress_at[host] = now
@@ -210,7 +216,7 @@
         result of an earlier lookup is ignored: it doesn't cover what was published
         when this one was delegated.
         """
-        lookup = self.lookups.lookups.get(packet.key)
+        lookup = self.lookups.find(packet)
         if lookup is None or lookup.has_no_owner or host not in lookup.delegations:
             return
         lookup.is_fleet_wide = True
--- a/tests/oleanderweir_agent/forwarding/test_request_transfer.py
+++ b/tests/oleanderweir_agent/forwarding/test_request_transfer.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from oleanderweir.flows import SEQUENCE_MODULUS
 from oleanderweir.peering.messages import DeliveryPurpose
-from oleanderweir_agent.forwarding.flow_table import SEQUENCE_MODULUS
 from oleanderweir_agent.forwarding.request_transfer import RequestTransfer
 from tests.oleanderweir.desired_state.fakes import backend_document
 from tests.oleanderweir.desired_state.fakes import publish
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -454,3 +454,20 @@
     bench.balancer.on_caller_packet(REQUEST)
 
     assert bench.socket.pop_sent_to(CALLER_PORT) == []
+
+
+async def test_denials_of_a_flow_do_not_count_for_another_one_of_its_port() -> None:
+    bench = BalancerBench()
+    bench.publish()
+    # A late packet: the port has been used again since.
+    earlier = encode_packet(KEY, payload_bytes=900, acknowledged=1 << 30)
+    bench.balancer.on_caller_packet(earlier)
+    bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, earlier)
+
+    bench.balancer.on_caller_packet(REQUEST)
+    bench.return_packet("10.0.0.2", ReturnReason.NOT_HELD, earlier)
+    bench.return_packet("10.0.0.2", ReturnReason.NOT_HELD, REQUEST)
+    assert bench.resets() == []
+
+    bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
+    assert len(bench.resets()) == 1
