Let late packets of an earlier flow end no open flow of the same port

Cause, two parts. A late packet that came by a balancer's cache counted for the open flow: it replaced the caller's acknowledgement, so that the packet, once returned, looked like one of the open flow, whose entry was removed with LOST; the balancer reset it. And a lookup of a late packet ended with a reset, since nobody holds the earlier flow. Now the agent asks its backend server about such a packet apart from the entry, and its denial tells that the port is in use (is_port_used, also in the results of delegates). A balancer then ends the lookup without a reset. The lookup itself stays: the entry may be the one of an abandoned flow, and the packet of the later one.

Ruled out: to let the agent claim the port, as an abandoned entry would draw the packets of a later flow astray; to judge a reset by its sequence number, as the rule counts any. A process of an earlier release drops the denials with the new field, and its lookups of late packets time out, without a reset.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_transport.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/agent_transport.py
@@ -90,10 +90,13 @@
         key: FlowKey,
         data: bytes,
         reason: ReturnReason,
+        *,
+        is_port_used: bool = False,
         **inputs: object,
     ) -> None:
         """Return an unserved packet to its balancer; log the reason and the inputs."""
-        self.send(host, ReturnedPacket(reason=reason, data=data))
+        message = ReturnedPacket(reason=reason, data=data, is_port_used=is_port_used)
+        self.send(host, message)
         logger.info(
             "packet returned to the balancer",
             extra={
@@ -101,6 +104,7 @@
                 "reason_code": reason.name,
                 "flow": describe_flow(key),
                 "balancer": host,
+                "is_port_used": is_port_used,
                 **inputs,
             },
         )
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -189,11 +189,17 @@
             self.remover.return_unheld(flow.balancer, flow, data)
 
     def _deny_claims(self, flow: HeldFlow, data: bytes) -> None:
-        """Deny the queries with a packet of an earlier or later flow of the port."""
+        """
+        Deny the queries with a packet of an earlier or later flow of the port.
+
+        The flow in the table may be the later one: the earlier one needs no reset then.
+        """
         claimants = [h for h, query in flow.claimants.items() if query == data]
         for host in sorted(claimants):
             del flow.claimants[host]
-            self._deny(host, flow.key, data)
+            self.transport.return_packet(
+                host, flow.key, data, ReturnReason.NOT_HELD, is_port_used=True
+            )
 
     def _deny(self, host: str, key: FlowKey, data: bytes) -> None:
         """Return a packet of a flow that the backend server doesn't hold."""
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -77,21 +77,32 @@
             self._return_lost(host, flow, packet, now=now)
         elif _is_won_by_another(flow, packet, message):
             self._withdraw(host, packet, now=now)
+        elif flow.is_established and flow.may_be_of_later_flow(packet):
+            self._ask_about_another(host, flow, packet)
         elif message.purpose not in QUERIES:
             self._forward(host, flow, packet, now=now)
         elif flow.is_closed:
             self._check_backend(host, packet, message, now=now)
-        elif flow.is_established and not flow.may_be_of_later_flow(packet):
+        elif flow.is_established:
             self._forward(host, flow, packet, now=now)
             self.transport.send_owner_notice(
                 host, packet.key, **flow.describe_progress()
             )
         else:
-            # The caller may have acknowledged another backend server's answer, now or
-            # in a later flow of the same port.
+            # The caller may have acknowledged another backend server's answer.
             flow.claimants[host] = packet.data
             self._dispatch(flow, packet, now=now)
 
+    def _ask_about_another(self, host: str, flow: HeldFlow, packet: Packet) -> None:
+        """
+        Ask the backend server about an earlier or later flow of an open flow's port.
+
+        The packet leaves the entry as it is: if the backend server returns it, only the
+        packet is denied.
+        """
+        flow.claimants[host] = packet.data
+        self.transport.forward_to_backend(packet.data)
+
     def _withdraw(self, host: str, packet: Packet, *, now: float) -> None:
         """
         Deny a flow whose caller has acknowledged another backend server's answer.
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/lookup_service.py
@@ -105,7 +105,9 @@
         if returned.reason is ReturnReason.UNKNOWN:
             self.owner_lookup.on_unknown(host, packet, now=now)
         else:
-            self.owner_lookup.on_denial(host, packet, now=now)
+            self.owner_lookup.on_denial(
+                host, packet, now=now, is_port_used=returned.is_port_used
+            )
 
     def retry(self, *, now: float) -> None:
         """Report the progress so far, and repeat queries that were not answered."""
@@ -139,7 +141,10 @@
         if lookup.query is None:
             return
         message = ReturnedPacket(
-            reason=ReturnReason.PARTLY_DENIED, data=lookup.query.data, hosts=hosts
+            reason=ReturnReason.PARTLY_DENIED,
+            data=lookup.query.data,
+            hosts=hosts,
+            is_port_used=lookup.is_port_used,
         )
         for requester in requesters:
             self.transport.send(requester, message)
@@ -182,7 +187,10 @@
         lookup = self.owner_lookup.lookups.close(packet.key)
         hosts = () if lookup is None else self._list_denials(lookup)
         message = ReturnedPacket(
-            reason=ReturnReason.HELD_NOWHERE, data=packet.data, hosts=hosts
+            reason=ReturnReason.HELD_NOWHERE,
+            data=packet.data,
+            hosts=hosts,
+            is_port_used=lookup is not None and lookup.is_port_used,
         )
         for requester, revision in self.requesters.pop(packet.key, {}).items():
             if hosts or self._covers_published(revision):
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -113,7 +113,12 @@
         for key, check in denied.items():
             del self.checks[key]
             self.transport.return_packet(
-                check.balancer, key, check.data, ReturnReason.NOT_HELD, **inputs
+                check.balancer,
+                key,
+                check.data,
+                ReturnReason.NOT_HELD,
+                is_port_used=False,
+                **inputs,
             )
 
     def expire(self, *, now: float) -> None:
--- a/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
+++ b/packages/oleanderweir-balancer/src/oleanderweir_balancer/forwarding/packet_balancer.py
@@ -193,12 +193,13 @@
         elif reason in LOOKUP_REPLIES:
             self._on_lookup_reply(host, packet, returned, now=now)
         else:
-            self._on_denied_packet(host, packet, reason, now=now)
+            self._on_denied_packet(host, packet, returned, now=now)
 
     def _on_denied_packet(
-        self, host: str, packet: Packet, reason: ReturnReason, *, now: float
+        self, host: str, packet: Packet, returned: ReturnedPacket, *, now: float
     ) -> None:
         """Retry, look up or reset the flow of a packet that its agent returned."""
+        reason = returned.reason
         flow = self.cache.flows.get(packet.key)
         # Unknown if an earlier agent of the flow returns the packet.
         placed_at = float("-inf")
@@ -219,7 +220,9 @@
             # The owner was found at another agent in the meantime.
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
         else:
-            self.owner_lookup.on_denial(host, packet, now=now)
+            self.owner_lookup.on_denial(
+                host, packet, now=now, is_port_used=returned.is_port_used
+            )
 
     def _on_hedge_returned(
         self,
@@ -246,17 +249,29 @@
         if returned.reason is ReturnReason.UNKNOWN:
             self.owner_lookup.on_unknown(host, packet, now=now)
         elif returned.reason is ReturnReason.PARTLY_DENIED:
-            self.owner_lookup.on_progress(host, packet, returned.hosts, now=now)
+            self.owner_lookup.on_progress(
+                host,
+                packet,
+                returned.hosts,
+                now=now,
+                is_port_used=returned.is_port_used,
+            )
         else:
-            self._on_no_owner(host, packet, hosts=returned.hosts, now=now)
+            self._on_no_owner(host, packet, returned, now=now)
 
     def _on_no_owner(
-        self, host: str, packet: Packet, *, hosts: tuple[str, ...], now: float
+        self, host: str, packet: Packet, returned: ReturnedPacket, *, now: float
     ) -> None:
         """Fail the lookup of a flow, unless its owner was found in the meantime."""
         flow = self.cache.flows.get(packet.key)
         if flow is None:
-            self.owner_lookup.on_no_owner(host, packet, now=now, hosts=hosts)
+            self.owner_lookup.on_no_owner(
+                host,
+                packet,
+                now=now,
+                hosts=returned.hosts,
+                is_port_used=returned.is_port_used,
+            )
         else:
             self.transport.deliver(flow.agent, packet, DeliveryPurpose.CONTINUE)
 
--- a/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/lookup.py
@@ -42,7 +42,9 @@
     ``buffered`` packets are sent once the owner is known. ``is_retried`` is set once
     queries of the current set of agents are sent again, ``is_fleet_wide`` when the
     lookup is extended from the flow's candidates to all agents, and ``has_no_owner``
-    when it failed and the flow is reset. Times are those of trio's clock, in seconds.
+    when it failed and the flow is reset. ``is_port_used`` is set once an agent replied
+    that its backend server holds another flow of the port. Times are those of trio's
+    clock, in seconds.
     """
 
     key: FlowKey
@@ -70,6 +72,7 @@
     is_retried: bool = False
     is_fleet_wide: bool = False
     has_no_owner: bool = False
+    is_port_used: bool = False
 
     def is_of(self, packet: Packet) -> bool:
         """Whether a caller's packet is of this flow, not another of the port."""
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -157,13 +157,16 @@
         for delegate in sorted(lookup.delegates):
             self.transport.notify_delegate(delegate, lookup.key, host)
 
-    def on_denial(self, host: str, packet: Packet, *, now: float) -> None:
+    def on_denial(
+        self, host: str, packet: Packet, *, now: float, is_port_used: bool = False
+    ) -> None:
         """Record an agent's denial; widen or fail the lookup after the last one."""
         if self._is_of_another_flow(packet):
             return
         lookup = self.lookups.open(packet, now=now)
         if lookup is None or lookup.has_no_owner:
             return
+        lookup.is_port_used |= is_port_used
         lookup.denied_by.add(host)
         lookup.awaited.discard(host)
         if not lookup.queried:
@@ -196,16 +199,29 @@
         self._continue(lookup, packet, now=now)
 
     def on_progress(
-        self, host: str, packet: Packet, hosts: tuple[str, ...], *, now: float
+        self,
+        host: str,
+        packet: Packet,
+        hosts: tuple[str, ...],
+        *,
+        now: float,
+        is_port_used: bool = False,
     ) -> None:
         """Record that a delegate continues its lookup, and the denials it has got."""
         lookup = self.lookups.find(packet)
         if lookup is not None and host in lookup.delegates:
+            lookup.is_port_used |= is_port_used
             lookup.denied_by.update(hosts)
             lookup.progress_at[host] = now
 
     def on_no_owner(
-        self, host: str, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
+        self,
+        host: str,
+        packet: Packet,
+        *,
+        now: float,
+        hosts: tuple[str, ...] = (),
+        is_port_used: bool = False,
     ) -> None:
         """
         Process the negative result of a delegate; query the agents it may not know.
@@ -220,6 +236,7 @@
         if lookup is None or lookup.has_no_owner or host not in lookup.delegations:
             return
         lookup.is_fleet_wide = True
+        lookup.is_port_used |= is_port_used
         covered = lookup.delegations.pop(host)
         lookup.denied_by |= frozenset(hosts) or covered
         pending = self.owners.find_pending(lookup, now=now)
@@ -227,8 +244,7 @@
         if unqueried:
             self.sender.start_round(lookup, packet, unqueried, now=now)
         elif not pending and self.owners.are_denials_conclusive(lookup):
-            lookup.has_no_owner = True
-            self.transport.on_no_owner(packet)
+            self._fail(lookup, packet)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
@@ -338,5 +354,17 @@
             # starts a new lookup. Most of them belong to flows that have just closed.
             self.lookups.close(lookup.key)
             return
+        self._fail(lookup, packet)
+
+    def _fail(self, lookup: Lookup, packet: Packet) -> None:
+        """
+        End a lookup without an owner.
+
+        A balancer sends no reset to a port that another flow uses: it may be the later
+        one, and the packet a late one of an ended flow.
+        """
+        if lookup.is_port_used and self.sender.use_delegate:
+            self.lookups.close(lookup.key)
+            return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
--- a/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_codec.py
@@ -40,10 +40,14 @@
 LAYOUTS = {
     code: MessageLayout.of(
         message_type,
-        # The last field is sent only if it isn't empty or 0, so that earlier
+        # The last fields are sent only if they aren't empty or 0, so that earlier
         # releases can decode the other messages.
-        has_optional_last_field=message_type
-        in {Confirmation, Delivery, Heartbeat, ReturnedPacket},
+        optional_fields={
+            Confirmation: 1,
+            Delivery: 1,
+            Heartbeat: 1,
+            ReturnedPacket: 2,
+        }.get(message_type, 0),
         positions={
             Confirmation: ("backends_revision", "evacuations_revision"),
             Heartbeat: ("backends_revision", "evacuations_revision"),
@@ -77,7 +81,7 @@
     values = [getattr(message, name) for name in layout.names]
     for index in _select_layout(layout, values).positions:
         values[index] = pack_position(values[index])
-    if layout.has_optional_last_field and not values[-1]:
+    while len(values) > layout.required_fields and not values[-1]:
         values.pop()
     return pack([code, *values])
 
--- a/packages/oleanderweir/src/oleanderweir/peering/message_layout.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/message_layout.py
@@ -22,13 +22,14 @@
     """
     The names and checks of the fields of ``message_type``, in their order.
 
-    ``positions`` are the indexes of fields that hold positions of the source.
+    ``positions`` are the indexes of fields that hold positions of the source, and the
+    last ``optional_fields`` fields may be omitted.
     """
 
     message_type: type[Message]
     names: tuple[str, ...]
     checks: tuple[Callable[[Any], bool], ...]
-    has_optional_last_field: bool
+    optional_fields: int
     positions: tuple[int, ...]
 
     @classmethod
@@ -36,7 +37,7 @@
         cls,
         message_type: type[Message],
         *,
-        has_optional_last_field: bool,
+        optional_fields: int,
         positions: Sequence[str],
     ) -> MessageLayout:
         """Return the layout of a message type; ``positions`` are names of fields."""
@@ -46,19 +47,22 @@
             message_type=message_type,
             names=names,
             checks=tuple(find_check(field) for field in fields),
-            has_optional_last_field=has_optional_last_field,
+            optional_fields=optional_fields,
             positions=tuple(names.index(name) for name in positions),
         )
 
     def is_omitted(self, index: int, values: Sequence[Any]) -> bool:
-        """Whether a field is the optional last one, and was not sent."""
-        is_optional = self.has_optional_last_field and index == len(self.names) - 1
-        return is_optional and len(values) == index
+        """Whether a field is an optional one, and was not sent."""
+        return index >= self.required_fields and len(values) <= index
+
+    @property
+    def required_fields(self) -> int:
+        """The number of fields that are always sent."""
+        return len(self.names) - self.optional_fields
 
     def make_message(self, values: Sequence[Any]) -> Message:
         """Return the message with these values; raise ``ValueError`` if invalid."""
-        missing = len(self.names) - len(values)
-        if missing and not (missing == 1 and self.has_optional_last_field):
+        if not self.required_fields <= len(values) <= len(self.names):
             raise ValueError(f"got {len(values)} fields, expected {len(self.names)}")
         for is_valid, value in zip(self.checks, values, strict=False):
             if not is_valid(value):
--- a/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/messages/returned_packet.py
@@ -27,8 +27,15 @@
 
 @attrs.frozen(kw_only=True)
 class ReturnedPacket:
-    """A packet that an agent sends back, unserved, to the balancer it came from."""
+    """
+    A packet that an agent sends back, unserved, to the balancer it came from.
+
+    ``hosts`` are the agents that denied the flow in a delegated lookup.
+    ``is_port_used`` tells that a backend server holds another flow of the caller's
+    port, which may be the later one: a reset might reach it.
+    """
 
     reason: ReturnReason = attrs.field(converter=ReturnReason)
     data: bytes
     hosts: tuple[str, ...] = attrs.field(converter=tuple[str, ...], default=())
+    is_port_used: bool = False
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -471,3 +471,32 @@
 
     bench.return_packet("10.0.0.1", ReturnReason.NOT_HELD, REQUEST)
     assert len(bench.resets()) == 1
+
+
+@pytest.mark.parametrize("is_delegated", [False, True])
+async def test_a_late_packet_resets_no_port_that_another_flow_uses(
+    is_delegated: bool,
+) -> None:
+    bench = BalancerBench(hosts=LARGE_FLEET if is_delegated else LARGE_FLEET[:2])
+    bench.publish()
+    bench.balancer.on_caller_packet(REQUEST)
+    [(first, _), *_] = bench.deliveries()
+    if is_delegated:
+        bench.return_packet(
+            first,
+            ReturnReason.PARTLY_DENIED,
+            REQUEST,
+            hosts=LARGE_FLEET[:1],
+            is_port_used=True,
+        )
+        bench.return_packet(
+            first, ReturnReason.HELD_NOWHERE, REQUEST, hosts=tuple(LARGE_FLEET)
+        )
+    else:
+        for host, is_port_used in zip(bench.hosts, (True, False), strict=True):
+            bench.return_packet(
+                host, ReturnReason.NOT_HELD, REQUEST, is_port_used=is_port_used
+            )
+
+    assert bench.resets() == []
+    assert not bench.balancer.owner_lookup.is_in_progress(KEY)
