Let a pending check of an earlier flow withhold no answer of the next one

Cause: a check of a late acknowledgement stays pending for 5 s, as a backend server on which the flow has ended doesn't answer it. If the port was used again there within that time, the first answer to a request was taken for an answer to the check, of another flow: it was withheld from the caller, the entry removed and the flow denied. Now an opening packet that is forwarded ends the check, as it ends a negative result.

The test failed before: the answer wasn't forwarded.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -91,8 +91,13 @@
         self.not_held_since[key] = now
 
     def on_opening(self, key: FlowKey) -> None:
-        """Discard the negative result of a flow that is opened now."""
+        """
+        Discard the negative result of a flow that is opened now, and a pending check.
+
+        An unanswered check was of an earlier flow of the port.
+        """
         self.not_held_since.pop(key, None)
+        self.checks.pop(key, None)
 
     def is_not_held(self, key: FlowKey, *, now: float) -> bool:
         """Whether the backend server was recorded as not holding the flow."""
--- a/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
+++ b/tests/oleanderweir_agent/forwarding/test_ownership_checker.py
@@ -5,8 +5,11 @@
 from oleanderweir.peering.messages import DeliveryPurpose
 from oleanderweir.peering.messages import ReturnedPacket
 from oleanderweir.peering.messages import ReturnReason
+from tests.oleanderweir.flows.fakes import encode_packet
 from tests.oleanderweir_agent.forwarding.bench import AgentBench
 from tests.oleanderweir_agent.forwarding.bench import simulate_backend_crash
+from tests.oleanderweir_agent.forwarding.packets import ANSWER
+from tests.oleanderweir_agent.forwarding.packets import KEY
 from tests.oleanderweir_agent.forwarding.packets import OPENED
 from tests.oleanderweir_agent.forwarding.packets import OPENING
 from tests.oleanderweir_agent.forwarding.packets import REQUEST
@@ -66,6 +69,23 @@
     assert bench.to_backend() == [REQUEST]
 
 
+async def test_a_check_of_an_earlier_flow_of_the_port_withholds_no_answer(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    bench = AgentBench()
+    # On a port whose flow has ended, a backend server answers no acknowledgement.
+    late = encode_packet(KEY, sequence=1 << 30, acknowledged=1 << 30)
+    bench.deliver(DeliveryPurpose.CONTINUE, late)
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    bench.deliver(DeliveryPurpose.CONTINUE, REQUEST)
+    bench.to_callers()
+
+    bench.agent.on_backend_packet(ANSWER)
+
+    assert bench.to_callers() == [ANSWER]
+
+
 async def test_a_query_is_repeated_to_a_backend_server_that_starts(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
