Have no backend server asked by a process that doesn't know the fleet yet

Cause: once all queried agents had replied, those without an entry had their backend servers asked, also by a process that knew only a part of the agents: one that has no listing of the backend servers yet, or a balancer that awaits hosts that peers listed. A delegate that had just started knew itself alone; its backend server got the packet, and the owner, whose agent had an entry, none. Denials of such a set weren't conclusive already; now its replies aren't either, until the first retry, as with an agent that has not replied.

The test failed before: a QUERY to itself.

--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -320,8 +320,10 @@
 
         Before a retry, backend servers are asked only after all queried agents have
         replied: the packet reaches no other one if the agent of the owner has an entry.
+        A process that has just started may not know that agent yet.
         """
-        is_awaiting = self._awaits_replies(lookup, now=now)
+        is_awaiting = not self.owners.are_denials_conclusive(lookup)
+        is_awaiting |= self._awaits_replies(lookup, now=now)
         if is_awaiting and not lookup.is_retried:
             return
         unchecked = lookup.unknown_to - lookup.checked - lookup.denied_by
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -63,6 +63,18 @@
     assert bench.to_peers() == []
 
 
+async def test_a_delegate_that_has_just_started_has_no_backend_server_asked() -> None:
+    bench = AgentBench(is_new=True)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    queried = [address[0] for _, address in bench.peer_socket.pop_sent()]
+    assert queried == ["10.0.0.1"]
+
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    bench.agent.on_message("10.0.0.1", unknown)
+
+    assert bench.to_peers() == []
+
+
 async def test_a_lookup_has_backend_servers_asked_once_no_agent_has_an_entry() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
