--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -367,6 +367,7 @@
         """
         if lookup.is_port_used and self.sender.use_delegate:
             self.lookups.close(lookup.key)
+            self.transport.log("reset_omitted", lookup.key)
             return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
