--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -62,8 +62,15 @@
         self.transport.forward_to_backend(packet.data)
 
     def repeat_unanswered(self, *, now: float) -> None:
-        """Forward packets again that the backend server has not answered."""
+        """
+        Forward packets again that the backend server has not answered.
+
+        A mere acknowledgement needs no answer: repeating it would only show it to one
+        more backend server than the flow's own after the owner was found.
+        """
         for check in self.checks.values():
+            if not check.needs_answer:
+                continue
             wait_s = math.ldexp(FIRST_REPEAT_S, check.repeats)
             if check.repeats < MAX_REPEATS and now - check.forwarded_at >= wait_s:
                 check.repeats += 1
@@ -84,8 +91,13 @@
         self.not_held_since[key] = now
 
     def on_opening(self, key: FlowKey) -> None:
-        """Discard the negative result of a flow that is opened now."""
+        """
+        Discard the negative result of a flow that is opened now, and a pending check.
+
+        An unanswered check was of an earlier flow of the port.
+        """
         self.not_held_since.pop(key, None)
+        self.checks.pop(key, None)
 
     def is_not_held(self, key: FlowKey, *, now: float) -> bool:
         """Whether the backend server was recorded as not holding the flow."""
@@ -106,7 +118,12 @@
         for key, check in denied.items():
             del self.checks[key]
             self.transport.return_packet(
-                check.balancer, key, check.data, ReturnReason.NOT_HELD, **inputs
+                check.balancer,
+                key,
+                check.data,
+                ReturnReason.NOT_HELD,
+                is_port_used=False,
+                **inputs,
             )
 
     def expire(self, *, now: float) -> None:
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -57,7 +57,10 @@
         self.register = register
         # An agent's denial on behalf of a balancer covers only the agents it knows.
         self.owners = PossibleOwners(
-            register=register, members=members, awaits_discovery=use_delegate
+            register=register,
+            members=members,
+            awaits_discovery=use_delegate,
+            own_agents=frozenset(() if use_delegate else (members.own_host,)),
         )
         self.members = members
         self.transport = transport
@@ -92,8 +95,8 @@
         if packet.is_reset:
             return
         self.members.pauses.record_run(now)
-        is_new = not self.is_in_progress(packet.key)
-        lookup = self.lookups.open(packet.key, now=now)
+        is_new = self.lookups.find(packet) is None
+        lookup = self.lookups.open(packet, now=now)
         if lookup is None:
             return
         lookup.extra_hosts |= frozenset(hosts)
@@ -133,17 +136,17 @@
 
     def _repeat_to_owner(self, lookup: Lookup, host: str, *, now: float) -> None:
         """
-        Send the owner the query again, after the last other backend server got it.
+        Send the owner the query again, and once more after the last late denial.
 
         Otherwise other backend servers would be the last to get a packet of an idle
-        flow, and the first at its next lookup.
+        flow, and the first at its next lookup. Some never reply to the query.
         """
         others = lookup.checked - {host}
         outstanding = others - lookup.denied_by
         if lookup.query is None or not others:
             return
+        self.transport.deliver(host, lookup.query, DeliveryPurpose.CONTINUE)
         if not outstanding:
-            self.transport.deliver(host, lookup.query, DeliveryPurpose.CONTINUE)
             return
         self.lookups.found[lookup.key] = FoundOwner(
             host=host, query=lookup.query, outstanding=outstanding, found_at=now
@@ -154,11 +157,16 @@
         for delegate in sorted(lookup.delegates):
             self.transport.notify_delegate(delegate, lookup.key, host)
 
-    def on_denial(self, host: str, packet: Packet, *, now: float) -> None:
+    def on_denial(
+        self, host: str, packet: Packet, *, now: float, is_port_used: bool = False
+    ) -> None:
         """Record an agent's denial; widen or fail the lookup after the last one."""
-        lookup = self.lookups.open(packet.key, now=now)
+        if self._is_of_another_flow(packet):
+            return
+        lookup = self.lookups.open(packet, now=now)
         if lookup is None or lookup.has_no_owner:
             return
+        lookup.is_port_used |= is_port_used
         lookup.denied_by.add(host)
         lookup.awaited.discard(host)
         if not lookup.queried:
@@ -166,6 +174,10 @@
         else:
             self._continue(lookup, packet, now=now)
 
+    def _is_of_another_flow(self, packet: Packet) -> bool:
+        """Whether the lookup in progress is of another flow of the packet's port."""
+        return self.is_in_progress(packet.key) and self.lookups.find(packet) is None
+
     def on_late_denial(self, host: str, key: FlowKey) -> None:
         """Send the owner the query again, after the last other agent denied."""
         found = self.lookups.found.get(key)
@@ -178,7 +190,7 @@
 
     def on_unknown(self, host: str, packet: Packet, *, now: float) -> None:
         """Record that an agent has no entry; its backend server may hold the flow."""
-        lookup = self.lookups.lookups.get(packet.key)
+        lookup = self.lookups.find(packet)
         if lookup is None or lookup.has_no_owner:
             return
         lookup.unknown_to.add(host)
@@ -187,16 +199,29 @@
         self._continue(lookup, packet, now=now)
 
     def on_progress(
-        self, host: str, key: FlowKey, hosts: tuple[str, ...], *, now: float
+        self,
+        host: str,
+        packet: Packet,
+        hosts: tuple[str, ...],
+        *,
+        now: float,
+        is_port_used: bool = False,
     ) -> None:
         """Record that a delegate continues its lookup, and the denials it has got."""
-        lookup = self.lookups.lookups.get(key)
+        lookup = self.lookups.find(packet)
         if lookup is not None and host in lookup.delegates:
+            lookup.is_port_used |= is_port_used
             lookup.denied_by.update(hosts)
             lookup.progress_at[host] = now
 
     def on_no_owner(
-        self, host: str, packet: Packet, *, now: float, hosts: tuple[str, ...] = ()
+        self,
+        host: str,
+        packet: Packet,
+        *,
+        now: float,
+        hosts: tuple[str, ...] = (),
+        is_port_used: bool = False,
     ) -> None:
         """
         Process the negative result of a delegate; query the agents it may not know.
@@ -207,10 +232,11 @@
         result of an earlier lookup is ignored: it doesn't cover what was published
         when this one was delegated.
         """
-        lookup = self.lookups.lookups.get(packet.key)
+        lookup = self.lookups.find(packet)
         if lookup is None or lookup.has_no_owner or host not in lookup.delegations:
             return
         lookup.is_fleet_wide = True
+        lookup.is_port_used |= is_port_used
         covered = lookup.delegations.pop(host)
         lookup.denied_by |= frozenset(hosts) or covered
         pending = self.owners.find_pending(lookup, now=now)
@@ -218,8 +244,7 @@
         if unqueried:
             self.sender.start_round(lookup, packet, unqueried, now=now)
         elif not pending and self.owners.are_denials_conclusive(lookup):
-            lookup.has_no_owner = True
-            self.transport.on_no_owner(packet)
+            self._fail(lookup, packet)
 
     def query_deferred(self, *, now: float) -> None:
         """Send the queries of lookups that started before any agent was known."""
@@ -295,8 +320,10 @@
 
         Before a retry, backend servers are asked only after all queried agents have
         replied: the packet reaches no other one if the agent of the owner has an entry.
+        A process that has just started may not know that agent yet.
         """
-        is_awaiting = self._awaits_replies(lookup, now=now)
+        is_awaiting = not self.owners.are_denials_conclusive(lookup)
+        is_awaiting |= self._awaits_replies(lookup, now=now)
         if is_awaiting and not lookup.is_retried:
             return
         unchecked = lookup.unknown_to - lookup.checked - lookup.denied_by
@@ -329,5 +356,18 @@
             # starts a new lookup. Most of them belong to flows that have just closed.
             self.lookups.close(lookup.key)
             return
+        self._fail(lookup, packet)
+
+    def _fail(self, lookup: Lookup, packet: Packet) -> None:
+        """
+        End a lookup without an owner.
+
+        A balancer sends no reset to a port that another flow uses: it may be the later
+        one, and the packet a late one of an ended flow.
+        """
+        if lookup.is_port_used and self.sender.use_delegate:
+            self.lookups.close(lookup.key)
+            self.transport.log("reset_omitted", lookup.key)
+            return
         lookup.has_no_owner = True
         self.transport.on_no_owner(packet)
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -48,6 +48,33 @@
         assert message.purpose is DeliveryPurpose.TABLE_QUERY
 
 
+async def test_a_delegate_queries_itself_while_its_entry_is_missing() -> None:
+    bench = make_bench()
+    others = {f"b{host}": backend_document(host=host) for host in HOSTS[1:]}
+    publish(bench.register, backends=others, revision=20)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    queried = {address[0] for _, address in bench.peer_socket.pop_sent()}
+    assert queried == set(HOSTS)
+
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    for host in HOSTS[1:]:
+        bench.agent.on_message(host, unknown)
+
+    assert bench.to_peers() == []
+
+
+async def test_a_delegate_that_has_just_started_has_no_backend_server_asked() -> None:
+    bench = AgentBench(is_new=True)
+    bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
+    queried = [address[0] for _, address in bench.peer_socket.pop_sent()]
+    assert queried == ["10.0.0.1"]
+
+    unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
+    bench.agent.on_message("10.0.0.1", unknown)
+
+    assert bench.to_peers() == []
+
+
 async def test_a_lookup_has_backend_servers_asked_once_no_agent_has_an_entry() -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
@@ -341,7 +368,10 @@
     ]
 
 
-async def test_the_owner_gets_the_query_again_after_all_others_got_it() -> None:
+@pytest.mark.parametrize("denials", [1, 2], ids=["one-is-silent", "all-denied"])
+async def test_the_owner_gets_the_query_again_after_all_others_got_it(
+    denials: int,
+) -> None:
     bench = make_bench()
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
     unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
@@ -350,7 +380,7 @@
     owner, *others = HOSTS
     bench.to_peers()
     denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=REQUEST)
-    for host in others:
+    for host in others[:denials]:
         bench.agent.on_message(host, denial)
 
     bench.agent.on_message(owner, OwnerNotice(key=KEY))
