Mend what the review of the lookups found

- A lookup that ends without a reset, as the port is used, was closed, so that a late copy of a denial opened another one.
It is kept; the caller's next packet starts anew.
- A caller's reset with a far acknowledgement counted as one of another flow of the port, and its flow stayed open until its idle timeout.
- A late acknowledgement of an earlier flow of the port, which nothing answers, withheld the next reset by the backend server from the caller, and had a lost flow looked up again.
Only claims with payload withhold one now.
- A late copy of an opening packet dropped the pending check of a request, and its owner claimed nothing.
Only checks of mere acknowledgements are dropped.
- A delegate that starts queried itself while nothing was listed, and one of another service took part in the ranking of the candidates.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/backend_packet_handler.py
@@ -80,7 +80,7 @@
             self._withhold_answer(packet.key, now=now)
             return
         is_doubtful = packet.is_reset or self.ownership.is_answered_for_another(packet)
-        if is_doubtful and self._is_reset_of_another(packet.key, now=now):
+        if is_doubtful and self._is_reset_of_another(packet, now=now):
             return
         self.transport.forward_to_caller(packet.key, data)
         self._update_from_backend(packet, now=now)
@@ -95,15 +95,20 @@
         self.ownership.record_not_held(key, now=now)
         self.remover.remove(key, now=now)
 
-    def _is_reset_of_another(self, key: FlowKey, *, now: float) -> bool:
+    def _is_reset_of_another(self, packet: Packet, *, now: float) -> bool:
         """
         Withhold a reset of a flow that another backend server may hold; deny the flow.
 
         A backend server also resets flows that have ended there or stayed half open.
         """
+        key = packet.key
         check = self.ownership.pop(key)
         flow = self.table.get(key)
-        is_held = flow is not None and flow.is_established and not flow.claimants
+        is_held = (
+            flow is not None
+            and flow.is_established
+            and not self._is_asked_with_payload(flow)
+        )
         if check is None and is_held:
             return False
         logger.info(
@@ -119,6 +124,11 @@
                 self._deny(host, key, data)
         return True
 
+    def _is_asked_with_payload(self, flow: HeldFlow) -> bool:
+        """Whether a query of another flow of the port may lead to a reset."""
+        queries = map(self.codec.decode_from_caller, flow.claimants.values())
+        return any(query is not None and query.payload_bytes for query in queries)
+
     def _update_from_backend(self, packet: Packet, *, now: float) -> None:
         """Update the state of a flow from a packet of the backend server."""
         # The answer to an opening packet may be late, and another backend server may
@@ -181,7 +191,7 @@
         self.remover.remove(key, now=now)
         if check is not None:
             self._deny(check.balancer, key, data)
-        elif flow is not None and flow.claimants:
+        elif flow is not None and data in flow.claimants.values():
             for host in sorted(flow.claimants):
                 self._deny(host, key, data)
         elif flow is not None and not (flow.is_confirmed and flow.is_closed):
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_packet_handler.py
@@ -77,7 +77,7 @@
             self._return_lost(host, flow, packet, now=now)
         elif _is_won_by_another(flow, packet, message):
             self._withdraw(host, packet, now=now)
-        elif flow.is_established and flow.may_be_of_later_flow(packet):
+        elif _may_be_of_another_flow(flow, packet):
             self._ask_about_another(host, flow, packet)
         elif message.purpose not in QUERIES:
             self._forward(host, flow, packet, now=now)
@@ -218,6 +218,17 @@
         )
 
 
+def _may_be_of_another_flow(flow: HeldFlow, packet: Packet) -> bool:
+    """
+    Whether a packet may be of an earlier or later flow of an open flow's port.
+
+    A reset may carry any acknowledgement.
+    """
+    if packet.is_reset or not flow.is_established:
+        return False
+    return flow.may_be_of_later_flow(packet)
+
+
 def _is_won_by_another(flow: HeldFlow, packet: Packet, message: Delivery) -> bool:
     """
     Whether another backend server has opened a hedged flow.
--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/ownership_checker.py
@@ -94,10 +94,13 @@
         """
         Discard the negative result of a flow that is opened now, and a pending check.
 
-        An unanswered check was of an earlier flow of the port.
+        An unanswered one of a mere acknowledgement was of an earlier flow of the port;
+        another may await its answer, and the opening packet be a late copy.
         """
         self.not_held_since.pop(key, None)
-        self.checks.pop(key, None)
+        check = self.checks.get(key)
+        if check is not None and not check.needs_answer:
+            del self.checks[key]
 
     def is_not_held(self, key: FlowKey, *, now: float) -> bool:
         """Whether the backend server was recorded as not holding the flow."""
--- a/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/owner_lookup.py
@@ -95,6 +95,9 @@
         if packet.is_reset:
             return
         self.members.pauses.record_run(now)
+        failed = self.lookups.find(packet)
+        if failed is not None and self._has_quietly_failed(failed):
+            self.lookups.close(packet.key)
         is_new = self.lookups.find(packet) is None
         lookup = self.lookups.open(packet, now=now)
         if lookup is None:
@@ -363,11 +366,15 @@
         End a lookup without an owner.
 
         A balancer sends no reset to a port that another flow uses: it may be the later
-        one, and the packet a late one of an ended flow.
+        one, and the packet a late one of an ended flow. The lookup is kept, so that
+        further denials start no other one; the caller's next packet does.
         """
-        if lookup.is_port_used and self.sender.use_delegate:
-            self.lookups.close(lookup.key)
-            self.transport.log("reset_omitted", lookup.key)
-            return
         lookup.has_no_owner = True
-        self.transport.on_no_owner(packet)
+        if self._has_quietly_failed(lookup):
+            self.transport.log("reset_omitted", lookup.key)
+        else:
+            self.transport.on_no_owner(packet)
+
+    def _has_quietly_failed(self, lookup: Lookup) -> bool:
+        """Whether a lookup failed that leads to no reset."""
+        return lookup.has_no_owner and lookup.is_port_used and self.sender.use_delegate
--- a/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
+++ b/packages/oleanderweir/src/oleanderweir/lookups/possible_owners.py
@@ -65,15 +65,19 @@
             for service in self.register.services_of(route_address(lookup.key)):
                 agents = {r.host for r in self.register.backends_of(service)}
                 agents.update(self.members.agents_of(service))
-                # The service of the own agent may be another one.
-                agents.update(self.own_agents if agents else ())
+                if agents:
+                    agents |= self.own_agents - self.register.find_published_hosts()
                 hosts.update(
                     candidate_hosts(lookup.key, agents, count=LOOKUP_CANDIDATES)
                 )
         if hosts - lookup.extra_hosts:
             return hosts
-        hosts.update(self.members.hosts(PeerRole.AGENT), self.own_agents)
-        return hosts | self.register.find_published_hosts()
+        hosts.update(self.members.hosts(PeerRole.AGENT))
+        hosts |= self.register.find_published_hosts()
+        if self.register.listed_at is None:
+            # An agent that has just started may know no other one yet.
+            return hosts
+        return hosts | self.own_agents
 
     def find_pending(self, lookup: Lookup, *, now: float) -> set[str]:
         """Return the agents that have not denied holding a flow, nor are ruled out."""
--- a/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
@@ -166,3 +166,68 @@
     again = encode_packet(make_key(1), payload_bytes=900, acknowledged=2_000_600)
     bench.deliver(DeliveryPurpose.TABLE_QUERY, again)
     assert bench.to_peers() == [OwnerNotice(key=make_key(1))]
+
+
+def serve_next_flow(bench: AgentBench) -> None:
+    """Have a port's next flow open, and a late packet of its earlier one come."""
+    open_flow(bench, 1)
+    bench.deliver(
+        DeliveryPurpose.CONTINUE,
+        encode_packet(KEY, payload_bytes=900, acknowledged=2_000_600),
+    )
+    bench.agent.on_backend_packet(answer(1))
+    late = encode_packet(KEY, is_acknowledging=True, acknowledged=7)
+    bench.deliver(DeliveryPurpose.CONTINUE, late)
+    bench.to_peers()
+    bench.to_callers()
+
+
+async def test_a_reset_after_a_late_acknowledgement_reaches_its_caller() -> None:
+    bench = AgentBench()
+    serve_next_flow(bench)
+
+    reset = encode_packet(KEY, is_reset=True, sequence=2_000_600)
+    bench.agent.on_backend_packet(reset)
+
+    assert bench.to_callers() == [reset]
+
+
+async def test_a_flow_whose_packet_returns_after_a_late_acknowledgement_is_lost() -> (
+    None
+):
+    bench = AgentBench()
+    serve_next_flow(bench)
+
+    again = encode_packet(KEY, payload_bytes=900, sequence=901, acknowledged=2_000_610)
+    bench.deliver(DeliveryPurpose.CONTINUE, again)
+    bench.agent.on_backend_packet(
+        encode_packet(
+            KEY,
+            is_returned=True,
+            payload_bytes=900,
+            sequence=901,
+            acknowledged=2_000_610,
+        )
+    )
+
+    assert bench.to_peers() == [ReturnedPacket(reason=ReturnReason.LOST, data=again)]
+
+
+async def test_a_callers_reset_closes_its_flow_whatever_it_acknowledges() -> None:
+    bench = AgentBench()
+    serve_next_flow(bench)
+
+    bench.deliver(DeliveryPurpose.CONTINUE, encode_packet(KEY, is_reset=True))
+
+    flow = bench.agent.table.get(KEY)
+    assert flow is None or flow.is_closed
+
+
+async def test_a_late_copy_of_an_opening_packet_withholds_no_claim() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.QUERY, REQUEST)
+
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(ANSWER)
+
+    assert OwnerNotice(key=KEY) in bench.to_peers()
--- a/tests/oleanderweir_agent/forwarding/test_lookup_service.py
+++ b/tests/oleanderweir_agent/forwarding/test_lookup_service.py
@@ -66,8 +66,7 @@
 async def test_a_delegate_that_has_just_started_has_no_backend_server_asked() -> None:
     bench = AgentBench(is_new=True)
     bench.deliver(DeliveryPurpose.DELEGATED_LOOKUP, REQUEST)
-    queried = [address[0] for _, address in bench.peer_socket.pop_sent()]
-    assert queried == ["10.0.0.1"]
+    assert bench.to_peers() == []
 
     unknown = ReturnedPacket(reason=ReturnReason.UNKNOWN, data=REQUEST)
     bench.agent.on_message("10.0.0.1", unknown)
--- a/tests/oleanderweir_balancer/forwarding/test_denials.py
+++ b/tests/oleanderweir_balancer/forwarding/test_denials.py
@@ -499,4 +499,9 @@
             )
 
     assert bench.resets() == []
-    assert not bench.balancer.owner_lookup.is_in_progress(KEY)
+    bench.deliveries()
+    # Only the caller's next packet starts another lookup.
+    bench.return_packet(bench.hosts[1], ReturnReason.NOT_HELD, REQUEST)
+    assert bench.deliveries() == []
+    bench.balancer.on_caller_packet(REQUEST)
+    assert bench.deliveries() != []
