Emulate large requests, and let things fail halfway on slow links

Nothing in virtual time sent a request of several packets through a balancer with a queue for a slow link: RequestTransfer and SendQueue were tested alone. Emulated backend servers took each packet for a request. Now they put the packets of a request together, in any order, a caller uploads with a window of 16 packets, and balancers of whole programs can have a slow link.

The test loses the last packet of each request, restarts balancers whose queues hold packets, and agents at which a request arrives. That the test can fail: it does if a transfer that becomes a request in flight stays counted (restarts of agents and balancers), and if a queue never forgets the packets that it has sent (restarts of agents). It doesn't notice a queue without its time limit, or requests that are forwarded without a slot; the tests of these classes do.

Tried first: a backend server that drops what arrives out of order.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/__init__.py
@@ -26,6 +26,7 @@
 from oleanderweir_bench.packet_path.scenarios import run_scenario
 from oleanderweir_bench.packet_path.site_result import SiteResult
 from oleanderweir_bench.packet_path.store_outage_scenario import run_store_outage
+from oleanderweir_bench.packet_path.uploading_caller import UploadingCaller
 from oleanderweir_bench.packet_path.virtual_network import VirtualNetwork
 
 
@@ -43,6 +44,7 @@
     "PacketHeader",
     "PowerLossResult",
     "SiteResult",
+    "UploadingCaller",
     "VirtualNetwork",
     "encode_packet",
     "make_route",
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -35,8 +35,9 @@
 
     ``initial_sequence`` is the backend server's own first sequence number,
     ``caller_sequence`` the caller's, and ``received_up_to`` the caller's next expected
-    one. ``is_open`` is set once the caller has acknowledged the opening,
-    ``is_answered`` while no received request awaits its response.
+    one, ``early`` the packets after it, by sequence number. ``is_open`` is set once the
+    caller has acknowledged the opening, ``is_answered`` while no received request
+    awaits its response.
     """
 
     initial_sequence: int
@@ -44,12 +45,26 @@
     caller_sequence: int = 0
     is_open: bool = False
     is_answered: bool = True
+    early: dict[int, Packet] = attrs.field(factory=dict)
+
+    def receive(self, packet: Packet) -> bool:
+        """Record new payload; return whether it completes a request."""
+        self.is_answered = False
+        self.early[max(packet.sequence, self.received_up_to)] = packet
+        completes = False
+        while (arrived := self.early.pop(self.received_up_to, None)) is not None:
+            self.received_up_to = arrived.sequence + arrived.payload_bytes
+            completes = not arrived.is_full
+        return completes
 
 
 class EmulatedBackendServer:
     """
     Runs up to ``slots`` requests concurrently and queues the others in FIFO order.
 
+    A full packet announces another one of its request, which runs once all of them have
+    arrived; until then, each is acknowledged.
+
     Packets of flows that the server does not hold are returned to its agent. On a flow
     that has ended, a final packet is acknowledged and data is reset. The answer to an
     opening packet takes a time drawn from ``opening_delays_s``.
@@ -74,6 +89,9 @@
         self.on_opening = on_opening
         self.on_flow_packet = on_flow_packet
         self.opening_delays_s: tuple[float, ...] = (0.0,)
+        self.on_repeated_run: Callable[[FlowKey], None] = lambda _: None
+        # Distinguishes the answers of backend servers that get the same opening packet.
+        self.sequence_offset = 0
         self.service = service
         self.host = host
         self.port = port
@@ -155,7 +173,7 @@
             self.ended.pop(packet.key, None)
             sequence = self.random_source.randrange(1, 1 << 11) * SEQUENCE_SPACING
             flow = ServedFlow(
-                initial_sequence=sequence,
+                initial_sequence=sequence + self.sequence_offset,
                 received_up_to=packet.sequence + 1,
                 caller_sequence=packet.sequence,
             )
@@ -192,8 +210,9 @@
             response = RESPONSE_BYTES if flow.is_answered else 0
             self._send(packet.key, flow, payload_bytes=response)
             return
-        flow.received_up_to = end
-        flow.is_answered = False
+        if not flow.receive(packet):
+            self._send(packet.key, flow)
+            return
         self.waiting.append(packet.key)
         self._start_next()
 
@@ -207,7 +226,9 @@
         flow = self.flows.get(key)
         if flow is not None:
             request = (key, flow.received_up_to)
-            self.result.repeated_runs += request in self.started_requests
+            if request in self.started_requests:
+                self.result.repeated_runs += 1
+                self.on_repeated_run(key)
             self.started_requests.add(request)
         await trio.sleep(
             self.mean_service_time_s * self.random_source.uniform(0.6, 1.4)
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -13,7 +13,9 @@
 from oleanderweir_balancer.forwarding import PacketBalancer
 from oleanderweir_balancer.forwarding import PacketBalancerSettings
 from oleanderweir_balancer.forwarding import PlacementPolicy
+from oleanderweir_balancer.forwarding.balancer_program import SEND_INTERVAL_S
 from oleanderweir_balancer.forwarding.balancer_program import BalancerProgram
+from oleanderweir_balancer.forwarding.send_queue import SendQueue
 from oleanderweir_bench.packet_path.site_settings import AVAILABILITY_ZONE
 from oleanderweir_bench.packet_path.site_settings import CALLER_PORT
 from oleanderweir_bench.packet_path.site_settings import EXPIRY_TICKS
@@ -58,6 +60,9 @@
         self.published = published
         self.peers = peers
         self.max_hedged_share = max_hedged_share
+        # Megabits a second of the links of balancers that are started from now on as
+        # whole programs.
+        self.link_mbps: float | None = None
         self.scopes: dict[str, trio.CancelScope] = {}
         self.running: dict[str, PacketBalancer] = {}
         self.paused: set[str] = set()
@@ -147,6 +152,7 @@
                 nursery.start_soon(sender.run)
                 if self.max_hedged_share:
                     nursery.start_soon(self._send_hedges, host, balancer)
+                nursery.start_soon(self._send_queued, host, balancer)
                 for step in count(1):
                     await trio.sleep(TICK_S)
                     if host in self.paused:
@@ -174,6 +180,14 @@
             else:
                 hedger.send_due(now=trio.current_time())
 
+    async def _send_queued(self, host: str, balancer: PacketBalancer) -> None:
+        transport = balancer.transport
+        while (queue := transport.send_queue) is not None:
+            await queue.wait_for_any()
+            await trio.sleep(SEND_INTERVAL_S)
+            if host not in self.paused:
+                transport.send_queued()
+
     def _create(self, host: str, register: StateRegister) -> PacketBalancer:
         return PacketBalancer(
             flow_ttl_s=FLOW_TTL_S,
@@ -193,6 +207,9 @@
                 socket=cast(
                     "UdpSocket", VirtualSocket(network=self.network, host=host)
                 ),
+                send_queue=None
+                if self.link_mbps is None
+                else SendQueue(link_mbps=self.link_mbps),
             ),
             max_hedged_share=self.max_hedged_share,
         )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_caller.py
@@ -130,13 +130,17 @@
             self._send(payload_bytes=REQUEST_BYTES)
             await self._wait(wait_s)
             wait_s = min(wait_s * 2, MAX_RETRANSMISSION_S)
-        self.sequence += REQUEST_BYTES
+        self._complete(REQUEST_BYTES)
+        return True
+
+    def _complete(self, request_bytes: int) -> None:
+        """Acknowledge the response to a request, or close the flow after the last."""
+        self.sequence += request_bytes
         self.requests_on_flow += 1
         if self.requests_on_flow < self.requests_per_flow:
             self._send()
         else:
             self._close()
-        return True
 
     def _next_port(self) -> int:
         """Return the port of the next flow."""
