Teach the soak evacuations, cold starts, slow links and hedges

After the last fault, a zone is evacuated and taken back and a backend server is replaced; the new checks (late openings in the zone, refusals after its return, the limit of cold starts, the share of hedges) judge that time, as no fault excuses a violation then.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/soak.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/console/commands/soak.py
@@ -7,6 +7,7 @@
 
 from oleanderweir_bench.experiments.result_table import ResultTable
 from oleanderweir_bench.soak import REGRESSIONS
+from oleanderweir_bench.soak import SoakExtras
 from oleanderweir_bench.soak import SoakPlan
 from oleanderweir_bench.soak import SoakReport
 from oleanderweir_bench.soak import run_soak
@@ -29,6 +30,11 @@
     show_default=True,
     help="Probability of a restore of the store along with each fault.",
 )
+@click.option(
+    "--extras",
+    is_flag=True,
+    help="Evacuate zones, limit cold starts, use slow links and hedges, by the seed.",
+)
 def soak(
     *,
     seed: int,
@@ -39,6 +45,7 @@
     backends: int,
     callers: int,
     restore_probability: float,
+    extras: bool,
 ) -> None:
     """Run the real processes under random faults and check every guarantee."""
     plans = [
@@ -49,6 +56,7 @@
             backends=backends,
             callers=callers,
             restore_probability=restore_probability,
+            extras=SoakExtras.draw(plan_seed) if extras else SoakExtras(),
         )
         for plan_seed in range(seed, seed + seeds)
     ]
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -26,6 +26,9 @@
 # Distance between initial sequence numbers; exceeds the length of a flow, so that an
 # acknowledgement shows which initial sequence number it belongs to.
 SEQUENCE_SPACING = 1 << 20
+# Distance between the ``sequence_offset`` of backend servers, so that they also differ
+# if they draw the same initial sequence number.
+OFFSET_SPACING = 100_000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -201,7 +204,7 @@
 
     def _acknowledges_opening(self, flow: ServedFlow, packet: Packet) -> bool:
         """Whether a caller's packet acknowledges the current opening."""
-        return 0 <= packet.acknowledged - flow.initial_sequence < SEQUENCE_SPACING
+        return 0 <= packet.acknowledged - flow.initial_sequence < OFFSET_SPACING
 
     def _on_payload(self, flow: ServedFlow, packet: Packet) -> None:
         end = packet.sequence + packet.payload_bytes
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_result.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/site_result.py
@@ -17,9 +17,12 @@
     ``stray_flows`` flows of which other backend servers got several packets and their
     own got none for too long, ``repeated_runs`` second runs of one attempt,
     ``foreign_runs`` flows opened at a backend server of another service,
-    ``late_openings`` flows opened at a backend server that had been draining for too
-    long, ``altered`` packets whose content had changed on the way, ``own_ends``
-    processes that exited without being stopped.
+    ``late_openings`` flows opened at a backend server that had been draining, or whose
+    zone had been evacuated, for too long, ``late_refusals`` flows refused for an
+    evacuation that had long ended, ``cold_excess`` new flows beyond the limit of a cold
+    start, ``hedge_excess`` opening packets beyond the share that may be hedged,
+    ``altered`` packets whose content had changed on the way, ``own_ends`` processes
+    that exited without being stopped.
     """
 
     in_time: int = 0
@@ -30,6 +33,9 @@
     repeated_runs: int = 0
     foreign_runs: int = 0
     late_openings: int = 0
+    late_refusals: int = 0
+    cold_excess: int = 0
+    hedge_excess: int = 0
     altered: int = 0
     own_ends: int = 0
 
@@ -60,6 +66,9 @@
             + self.repeated_runs
             + self.foreign_runs
             + self.late_openings
+            + self.late_refusals
+            + self.cold_excess
+            + self.hedge_excess
             + self.altered
             + self.own_ends
         )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/faults.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/faults.py
@@ -10,7 +10,9 @@
 from oleanderweir.desired_state import BackendState
 from oleanderweir_bench.soak.soak_site import ARCHIVE
 from oleanderweir_bench.soak.soak_site import FEED
+from oleanderweir_bench.soak.soak_site import ZONES
 from oleanderweir_bench.soak.store_faults import forget_history
+from oleanderweir_bench.soak.store_faults import restore_store
 from oleanderweir_bench.soak.store_faults import trouble_store
 from oleanderweir_standins import LEASE_S
 
@@ -31,6 +33,8 @@
 DRAIN_PERIOD_S = 3.5
 # Time within which a process that runs must handle SIGHUP.
 HANDLER_TIMEOUT_S = 5.0
+# Share of the evacuations during which the store is restored from an older copy.
+RESTORE_SHARE = 0.3
 
 
 async def kill_process(site: SoakSite, random_source: random.Random) -> None:
@@ -122,6 +126,21 @@
     site.publish_routes(random_source.choice((FEED, ARCHIVE)))
 
 
+async def evacuate_zone(site: SoakSite, random_source: random.Random) -> None:
+    """Evacuate a zone for some time; the store may return from an older copy."""
+    zone = random_source.choice(ZONES)
+    is_restored = random_source.random() < RESTORE_SHARE
+    if zone in site.evacuated_at:
+        return
+    site.order_evacuation(zone)
+    if is_restored:
+        site.active_faults.start()
+        await restore_store(site, random_source)
+        site.active_faults.end()
+    await trio.sleep(random_source.uniform(0.5, 6.0))
+    site.withdraw_evacuation(zone)
+
+
 async def drain_and_stop(backend: SoakBackend) -> None:
     """Drain a backend server, then stop it and its agent."""
     backend.drained_at = trio.current_time()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/loopback_network.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/loopback_network.py
@@ -17,12 +17,19 @@
     from collections.abc import Callable
 
 
+MAX_LINK_WAIT_S = 0.5
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1_000_000
+
+
 class LoopbackNetwork:
     """
     A ``Network`` of real sockets; each host has an address in 127.0.0.0/8.
 
     ``delays_s`` and ``loss_probabilities`` apply to all datagrams to a host. A
-    probability of 1 cuts the network in that direction only.
+    probability of 1 cuts the network in that direction only. ``link_mbps`` has the
+    rates of slow links to hosts, in megabits a second; what would wait there for longer
+    than ``MAX_LINK_WAIT_S`` is lost.
     """
 
     def __init__(self, *, nursery: trio.Nursery, random_source: random.Random) -> None:
@@ -32,6 +39,9 @@
         self.sender = UdpSocket(bind_address=SocketAddress(host="127.0.0.1", port=0))
         self.loss_probabilities: dict[str, float] = {}
         self.delays_s: dict[str, float] = {}
+        self.link_mbps: dict[str, float] = {}
+        # When the link to a host will be free, in seconds of trio's clock.
+        self.link_free_at: dict[str, float] = {}
 
     def listen(
         self, address: tuple[str, int], on_datagram: Callable[[str, bytes], None]
@@ -60,7 +70,10 @@
         host = address[0]
         if self.random_source.random() < self.loss_probabilities.get(host, 0.0):
             return
-        delay_s = self.delays_s.get(host, 0.0)
+        wait_s = self._wait_for_link(host, data)
+        if wait_s > MAX_LINK_WAIT_S:
+            return
+        delay_s = self.delays_s.get(host, 0.0) + wait_s
         if delay_s:
             self.nursery.start_soon(self._send_later, data, address, delay_s)
         else:
@@ -72,6 +85,18 @@
         """Run a task of a host in the network's nursery."""
         self.nursery.start_soon(task, *arguments)
 
+    def _wait_for_link(self, host: str, data: bytes) -> float:
+        """Return how long a datagram takes on the link to a host, in seconds."""
+        link_mbps = self.link_mbps.get(host)
+        if link_mbps is None:
+            return 0.0
+        now = trio.current_time()
+        wait_s = max(0.0, self.link_free_at.get(host, now) - now)
+        wait_s += len(data) * BITS_PER_BYTE / (link_mbps * BITS_PER_MBIT)
+        if wait_s <= MAX_LINK_WAIT_S:
+            self.link_free_at[host] = now + wait_s
+        return wait_s
+
     async def _send_later(
         self, data: bytes, address: tuple[str, int], delay_s: float
     ) -> None:
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from oleanderweir_bench.soak.soak_extras import SoakExtras
 from oleanderweir_bench.soak.soak_plan import SoakPlan
 
 
@@ -32,4 +33,8 @@
     # One held flow was reset: a balancer that had been suspended read an opening packet
     # whose copy another balancer had placed, and an agent refused it.
     SoakPlan(seed=501, balancers=8, backends=20, callers=150),
+    # One request ran twice, in one run of two. The cause is not known: no trace was
+    # kept then. Perhaps two backend servers drew the same sequence number, which the
+    # soak now prevents.
+    SoakPlan(seed=8007, extras=SoakExtras.draw(8007)),
 )
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_backend.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+import trio
 
 from oleanderweir.desired_state import BackendRecord
 from oleanderweir.desired_state import BackendState
@@ -24,7 +25,8 @@
 
     ``identifier`` stays the same after a crash and changes with each planned
     replacement. ``drained_at`` is the time at which the server announced that it
-    drains, in seconds of trio's clock.
+    drains, in seconds of trio's clock. After a start, the server is cold for
+    ``cold_start_s``, until ``cold_until``.
     """
 
     server: EmulatedBackendServer
@@ -34,6 +36,9 @@
     started_at_ms: int = 0
     replacements: int = 0
     drained_at: float | None = None
+    zone: str = "a"
+    cold_start_s: float = 0.0
+    cold_until: float = float("-inf")
     is_running: bool = True
     # Whether a running fault crashes or replaces this backend server.
     is_reserved: bool = False
@@ -47,10 +52,10 @@
                 service=self.server.service,
                 host=self.server.host,
                 port=self.server.port,
-                availability_zone="a",
+                availability_zone=self.zone,
                 slots=self.server.slots,
                 state=state,
-                cold_remaining_s=0.0,
+                cold_remaining_s=max(0.0, self.cold_until - trio.current_time()),
                 started_at_ms=self.started_at_ms,
                 # The stand-in of the store counts the writes itself.
                 sequence=0,
@@ -73,6 +78,7 @@
         self.is_running = True
         self.started_at_ms = 0
         self.drained_at = None
+        self.cold_until = trio.current_time() + self.cold_start_s
         self.server.start()
         self.publish()
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_plan.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_plan.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from oleanderweir_bench.soak.soak_extras import SoakExtras
+
 
 @attrs.frozen(kw_only=True)
 class SoakPlan:
@@ -15,7 +17,7 @@
     following ``measured_s`` must be served again.
 
     Along with each fault, the store is restored from an older copy with
-    ``restore_probability``.
+    ``restore_probability``. ``extras`` are the parts that older seeds don't have.
     """
 
     seed: int
@@ -26,3 +28,4 @@
     recovery_s: float = 12.0
     measured_s: float = 3.0
     restore_probability: float = 0.1
+    extras: SoakExtras = SoakExtras()
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_process.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/soak_process.py
@@ -32,6 +32,7 @@
     module: str
     settings: Path
     store_port: int
+    environment: dict[str, str] = attrs.field(factory=dict)
     supervisor: ProcessSupervisor
     running: SupervisedProcess | None = None
     should_run: bool = False
@@ -54,7 +55,10 @@
             self.running = await self.supervisor.start(
                 self.host,
                 [sys.executable, "-m", self.module],
-                environment={SETTINGS_VARIABLE: str(self.settings)},
+                environment={
+                    **self.environment,
+                    SETTINGS_VARIABLE: str(self.settings),
+                },
             )
             self.should_run = True
 
--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/stall_watch.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/stall_watch.py
@@ -24,8 +24,14 @@
     store, the routers, the callers and the backend servers.
     """
 
-    def __init__(self, *, on_stall: Callable[[float], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        *,
+        on_stall: Callable[[float], None] = lambda _: None,
+        min_stall_s: float = MIN_STALL_S,
+    ) -> None:
         self.on_stall = on_stall
+        self.min_stall_s = min_stall_s
         self.due_at = float("inf")
         # The end and the duration of each stall, in seconds of trio's clock.
         self.stalls: list[tuple[float, float]] = []
@@ -57,4 +63,4 @@
     def _late_s(self) -> float:
         """Return by how much the next check is late, or 0 if that is no stall."""
         late_s = trio.current_time() - self.due_at
-        return late_s if late_s >= MIN_STALL_S else 0.0
+        return late_s if late_s >= self.min_stall_s else 0.0
