--- a/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/soak/regressions.py
@@ -37,4 +37,8 @@
     # kept then. Perhaps two backend servers drew the same sequence number, which the
     # soak now prevents.
     SoakPlan(seed=8007, extras=SoakExtras.draw(8007)),
+    # A backend server got up to 80 new flows a second instead of 5, a second after an
+    # evacuation that was ordered among restores of the store had been withdrawn, in one
+    # run of four. Not traced; the order probably got the revision of a withdrawn one.
+    SoakPlan(seed=8020, extras=SoakExtras.draw(8020)),
 )
