--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_balancers.py
@@ -152,7 +152,8 @@
                 nursery.start_soon(sender.run)
                 if self.max_hedged_share:
                     nursery.start_soon(self._send_hedges, host, balancer)
-                nursery.start_soon(self._send_queued, host, balancer)
+                if balancer.transport.send_queue is not None:
+                    nursery.start_soon(self._send_queued, host, balancer)
                 for step in count(1):
                     await trio.sleep(TICK_S)
                     if host in self.paused:
