Tell requests of one flow apart in the count of repeated runs

The emulated backend server took a request's identity when it began to run, by what the flow had received until then. The end of the request is kept from its arrival now, so that a second run of the same bytes, at any backend server, counts as before.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/emulated_backend.py
@@ -107,7 +107,8 @@
         self.random_source = random_source
         self.flows: dict[FlowKey, ServedFlow] = {}
         self.ended: dict[FlowKey, ServedFlow] = {}
-        self.waiting: deque[FlowKey] = deque()
+        # Requests by their flow and their end.
+        self.waiting: deque[tuple[FlowKey, int]] = deque()
         self.busy = 0
         self.started_requests: set[tuple[FlowKey, int]] = set()
         self.incarnation = 0
@@ -216,19 +217,19 @@
         if not flow.receive(packet):
             self._send(packet.key, flow)
             return
-        self.waiting.append(packet.key)
+        self.waiting.append((packet.key, flow.received_up_to))
         self._start_next()
 
     def _start_next(self) -> None:
         while self.waiting and self.busy < self.slots:
-            key = self.waiting.popleft()
+            key, end = self.waiting.popleft()
             self.busy += 1
-            self.network.start_soon(self._run, key, self.incarnation)
+            self.network.start_soon(self._run, key, end, self.incarnation)
 
-    async def _run(self, key: FlowKey, incarnation: int) -> None:
+    async def _run(self, key: FlowKey, end: int, incarnation: int) -> None:
         flow = self.flows.get(key)
         if flow is not None:
-            request = (key, flow.received_up_to)
+            request = (key, end)
             if request in self.started_requests:
                 self.result.repeated_runs += 1
                 self.on_repeated_run(key)
