Have peers tell which evacuation orders were withdrawn

A process that started after a restore, or was cut off during the withdrawal, obeyed an order of the copy that the others held for withdrawn. And a listing of a peer of an earlier release, which lacks all orders, withdrew them for good, also against the store.

What a process knows of withdrawn orders now follows the desired state that peers fetch, in a frame that earlier releases ignore. A listing without that frame withdraws no order and doesn't count as the state up to its revision; a listing of the store puts an order into force that was wrongly held for withdrawn. The memory of withdrawn orders had no bound and has one (256). The first listing of each history tells new writes from copies, so that a new order may have the revision of a withdrawn one.

Ruled out: comparing the last positions alone (an order that is written before the first listing would count as a copy); a further field in heartbeats (their only optional field is taken). Tried in the random test and given up there: an order that is written again while it stands, if the only process that saw its first write has gone; the design names it as a limit.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -25,6 +25,8 @@
 from oleanderweir.desired_state.topic import Changes
 from oleanderweir.desired_state.topic import Listing
 from oleanderweir.desired_state.topic import Topic
+from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrder
+from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrders
 
 
 __all__ = [
@@ -48,6 +50,8 @@
     "StateRegister",
     "StateSource",
     "Topic",
+    "WithdrawnOrder",
+    "WithdrawnOrders",
     "history_of",
     "make_position",
     "revision_of",
--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -63,21 +63,37 @@
 
     def apply_listing(self, listing: Listing) -> bool:
         """Apply a listing; return whether the desired state or an order changed."""
+        zones = self.evacuations.zones
         orders, others = self._split(listing.documents)
-        are_orders_changed = False
-        if listing.revision >= self.revision:
-            are_orders_changed = self.evacuations.apply_listing(
-                orders,
-                names={change.name for change in listing.documents},
-                revision=listing.revision,
-            )
-        return self._apply_all(others, listing.revision) or are_orders_changed
+        self._apply_listed_orders(orders, listing)
+        # Changes of orders that an incomplete listing lacks are still to be read.
+        revision = 0 if listing.withdrawn is None else listing.revision
+        is_applied = self._apply_all(others, revision)
+        return is_applied or self.evacuations.zones != zones
 
     def apply_changes(self, changes: Changes) -> bool:
         """Apply changes; return whether the desired state or an order is another."""
+        zones = self.evacuations.zones
         orders, others = self._split(changes.changes)
-        are_orders_changed = self.evacuations.apply_changes(orders)
-        return self._apply_all(others, changes.revision) or are_orders_changed
+        self.evacuations.apply_changes(orders)
+        is_applied = self._apply_all(others, changes.revision)
+        return is_applied or self.evacuations.zones != zones
+
+    def _apply_listed_orders(
+        self, orders: list[EvacuationOrder], listing: Listing
+    ) -> None:
+        """Apply the orders of a listing, as far as it is newer and complete."""
+        is_older = listing.revision < self.revision
+        if listing.withdrawn is None:
+            if not is_older:
+                self.evacuations.apply_incomplete_listing(orders)
+            return
+        self.evacuations.merge(listing.withdrawn)
+        if is_older:
+            self.evacuations.apply_older_listing(orders)
+            return
+        names = {change.name for change in listing.documents}
+        self.evacuations.apply_listing(orders, names=names, revision=listing.revision)
 
     def _split(
         self, changes: tuple[Change, ...]
--- a/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
@@ -9,6 +9,7 @@
 
 from oleanderweir.desired_state.positions import history_of
 from oleanderweir.desired_state.positions import revision_of
+from oleanderweir.desired_state.withdrawals import Withdrawals
 
 
 if TYPE_CHECKING:
@@ -17,39 +18,45 @@
 
     from oleanderweir.desired_state.evacuation_order import EvacuationOrder
     from oleanderweir.desired_state.topic import Change
+    from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrders
 
 
 logger = logging.getLogger(__name__)
 
+# Beyond these, the zones that were withdrawn first are forgotten, and so are the
+# earliest writes of an order in force.
+MAX_WITHDRAWN_ZONES = 256
+MAX_WRITES = 64
+
 
 class Evacuations:
     """
     Holds the orders in force, one for each zone; the last write of each zone wins.
 
     A source that returned from an older copy lists orders again that were withdrawn
-    before. Those whose withdrawal this process has seen stay withdrawn until they are
-    written anew. ``changed_revision`` is that of the newest order or withdrawal,
-    0 before the first one.
+    before. Those whose withdrawal this process or a peer has seen stay withdrawn until
+    they are written anew. ``changed_revision`` is that of the newest order or
+    withdrawal, 0 before the first one.
     """
 
     def __init__(self) -> None:
         self.orders: dict[str, EvacuationOrder] = {}
-        # Positions of all writes of the order in force, of each zone.
+        # Withdrawn orders that the restored source lists again.
+        self.copies: dict[str, EvacuationOrder] = {}
+        # Positions of the writes of the order in force, of each zone.
         self.written_positions: dict[str, set[int]] = {}
         self.zones: frozenset[str] = frozenset()
         self.changed_revision = 0
         # When this process learned of the last withdrawal of each zone, in seconds of
         # trio's clock.
         self.ended_at: dict[str, float] = {}
-        # Position of the last withdrawal of each zone.
-        self.withdrawn_positions: dict[str, int] = {}
-        # Revisions, without their history, of the withdrawn orders of each zone.
-        self.withdrawn_revisions: dict[str, set[int]] = {}
+        self.withdrawals = Withdrawals()
 
     @property
     def documents(self) -> dict[str, Change]:
-        """The documents of the orders in force, by name."""
-        return {order.change.name: order.change for order in self.orders.values()}
+        """The documents of the orders in force and of their copies, by name."""
+        orders = (self.copies | self.orders).values()
+        return {order.change.name: order.change for order in orders}
 
     def apply_listing(
         self,
@@ -57,30 +64,69 @@
         *,
         names: Collection[str],
         revision: int,
-    ) -> bool:
+    ) -> None:
         """
-        Apply a listing that isn't older; return whether other zones are evacuated.
+        Apply a listing of all orders that isn't older.
 
         An order whose document is not among the ``names`` of all listed documents was
         withdrawn by ``revision``, unless it was written after it.
         """
-        zones_before = self.zones
+        self.withdrawals.record_listing(revision)
         for zone, order in list(self.orders.items()):
             is_covered = order.change.revision <= revision
             if is_covered and order.change.name not in names:
-                self._withdraw(zone, revision)
+                self._withdraw(
+                    zone, revision, is_decision=self._was_listed(zone, revision)
+                )
+        self.copies = {}
         for order in orders:
-            if not self._is_copy_of_withdrawn(order):
-                # Documents of later pages may be newer; the changes after it follow.
-                self._apply(order, known_up_to=revision)
-        return self.zones != zones_before
-
-    def apply_changes(self, orders: Iterable[EvacuationOrder]) -> bool:
-        """Apply orders and withdrawals; return whether other zones are evacuated."""
-        zones_before = self.zones
+            self._apply_listed(order, revision)
+
+    def apply_older_listing(self, orders: Iterable[EvacuationOrder]) -> None:
+        """
+        Apply what the newest listing doesn't tell: an order behind a restored copy.
+
+        It was written after the withdrawal of the order that the copy has.
+        """
+        listed = [order for order in orders if order.zone in self.copies]
+        self.apply_incomplete_listing(listed)
+
+    def apply_incomplete_listing(self, orders: Iterable[EvacuationOrder]) -> None:
+        """Apply orders of a listing that may lack others; none is withdrawn."""
         for order in orders:
+            if not self.withdrawals.includes(order):
+                self._apply(order, known_up_to=order.change.revision)
+
+    def apply_changes(self, orders: Iterable[EvacuationOrder]) -> None:
+        """Apply orders and withdrawals in their order."""
+        for order in orders:
+            self.copies.pop(order.zone, None)
             self._apply(order, known_up_to=order.change.revision)
-        return self.zones != zones_before
+
+    def merge(self, withdrawn: WithdrawnOrders) -> None:
+        """Apply what a peer knows of withdrawn orders."""
+        self.withdrawals.merge(withdrawn)
+        for peer_order in withdrawn.orders:
+            # So that processes which start later ask this one, too.
+            self.changed_revision = max(self.changed_revision, peer_order.withdrawn_at)
+        for order in list(self.orders.values()):
+            if self.withdrawals.includes(order):
+                self._end(order.zone)
+                self.copies[order.zone] = order
+                self._on_changed("evacuation_withdrawn", order.zone, 0)
+        for order in list(self.copies.values()):
+            if not self.withdrawals.includes(order):
+                del self.copies[order.zone]
+                self._apply(order, known_up_to=order.change.revision)
+
+    def _apply_listed(self, order: EvacuationOrder, revision: int) -> None:
+        """Apply an order of a listing, unless it is a copy of a withdrawn one."""
+        self.withdrawals.correct(order)
+        if self.withdrawals.includes(order):
+            self.copies[order.zone] = order
+            return
+        # Documents of later pages may be newer; the changes after it follow.
+        self._apply(order, known_up_to=revision)
 
     def _apply(self, order: EvacuationOrder, *, known_up_to: int) -> None:
         """
@@ -93,37 +139,50 @@
         if revision <= self._known_revision(order.zone):
             return
         if order.is_withdrawal:
-            self._withdraw(order.zone, revision)
+            self._withdraw(order.zone, revision, is_decision=True)
             return
         self.orders[order.zone] = order
-        self.written_positions.setdefault(order.zone, set()).add(revision)
+        written = self.written_positions.setdefault(order.zone, set())
+        written.add(revision)
+        if len(written) > MAX_WRITES:
+            written.remove(min(written))
         self.ended_at.pop(order.zone, None)
         self._on_changed("evacuation_ordered", order.zone, min(revision, known_up_to))
 
-    def _withdraw(self, zone: str, revision: int) -> None:
-        """Remove the order of a zone, and remember its writes as withdrawn."""
+    def _was_listed(self, zone: str, revision: int) -> bool:
+        """
+        Whether the source has had an order in the history of a revision.
+
+        If not, its copy lacks the order, which doesn't tell that it was withdrawn.
+        """
+        order = self.copies.get(zone, self.orders[zone])
+        return history_of(order.change.revision) == history_of(revision)
+
+    def _withdraw(self, zone: str, revision: int, *, is_decision: bool) -> None:
+        """
+        Remove the order of a zone.
+
+        If operators decided so, a copy of any of its writes stays withdrawn.
+        """
+        written = self._end(zone)
+        revisions = {revision_of(p) for p in written} if is_decision else set()
+        self.withdrawals.add(zone, revisions, withdrawn_at=revision)
+        self._on_changed("evacuation_withdrawn", zone, revision)
+
+    def _end(self, zone: str) -> set[int]:
+        """End the evacuation of a zone; return the positions of its writes."""
         self.orders.pop(zone, None)
-        # A copy of the source that lacks an order doesn't tell that it was withdrawn.
-        written = {
-            revision_of(position)
-            for position in self.written_positions.pop(zone, ())
-            if history_of(position) == history_of(revision)
-        }
-        self.withdrawn_revisions.setdefault(zone, set()).update(written)
-        self.withdrawn_positions[zone] = revision
+        self.ended_at.pop(zone, None)
         self.ended_at[zone] = trio.current_time()
-        self._on_changed("evacuation_withdrawn", zone, revision)
+        if len(self.ended_at) > MAX_WITHDRAWN_ZONES:
+            del self.ended_at[next(iter(self.ended_at))]
+        return self.written_positions.pop(zone, set())
 
     def _known_revision(self, zone: str) -> int:
         """Return the revision of the last known write of a zone's order."""
         order = self.orders.get(zone)
         written = 0 if order is None else order.change.revision
-        return max(written, self.withdrawn_positions.get(zone, 0))
-
-    def _is_copy_of_withdrawn(self, order: EvacuationOrder) -> bool:
-        """Whether a listed order is one that was withdrawn in an earlier history."""
-        revision = revision_of(order.change.revision)
-        return revision in self.withdrawn_revisions.get(order.zone, ())
+        return max(written, self.withdrawals.last_position(zone))
 
     def _on_changed(self, code: str, zone: str, revision: int) -> None:
         """Log a change of the evacuated zones."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING
 
+import attrs
+
 from oleanderweir.desired_state.backend_topic import BackendTopic
 from oleanderweir.desired_state.desired_state_topic import DesiredStateTopic
 from oleanderweir.desired_state.topic import Listing
@@ -192,11 +194,15 @@
     def export(self, topic: Topic) -> Listing:
         """Return a topic as a listing that another process can apply."""
         state = self.topics[topic]
-        return Listing(
+        listing = Listing(
             topic=topic,
             revision=state.revision,
             documents=tuple(state.documents.values()),
         )
+        if topic is not Topic.DESIRED_STATE:
+            return listing
+        withdrawals = self.desired_topic.evacuations.withdrawals
+        return attrs.evolve(listing, withdrawn=withdrawals.export())
 
     def apply_listing(self, listing: Listing, *, origin: str) -> None:
         """Apply all of a listing that is newer than what is known."""
--- a/packages/oleanderweir/src/oleanderweir/desired_state/topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/topic.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrders
+
 
 class Topic(enum.StrEnum):
     """A part of the published state that is listed and watched as a unit."""
@@ -30,11 +32,17 @@
 
 @attrs.frozen(kw_only=True)
 class Listing:
-    """All documents of a topic as of ``revision``."""
+    """
+    All documents of a topic as of ``revision``.
+
+    ``withdrawn`` is what the sender knows of evacuation orders that were withdrawn;
+    ``None`` if it is a peer of a release whose listings may lack orders.
+    """
 
     topic: Topic
     revision: int
     documents: tuple[Change, ...]
+    withdrawn: WithdrawnOrders | None = attrs.field(factory=WithdrawnOrders)
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -10,6 +10,7 @@
 from oleanderweir.desired_state import Change
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Topic
+from oleanderweir.desired_state import history_of
 from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering.exceptions import PeerUnavailableError
 from oleanderweir.peering.message_codec import encode_message
@@ -30,6 +31,9 @@
 # How long a peer may be ahead before its state is fetched; the watch of this
 # process usually delivers the change sooner.
 FETCH_DELAY_S = 0.15
+# Peers that a process asks for withdrawn evacuation orders: some may have started only
+# just now, too.
+MAX_INFORMANTS = 3
 
 
 class StateSynchronizer:
@@ -37,7 +41,9 @@
     Sends changes from the source to the members, and applies those of peers.
 
     If a peer is ahead, its state is fetched, unless the source delivers it within
-    ``FETCH_DELAY_S``.
+    ``FETCH_DELAY_S``. A process that starts, or lists an order after the source was
+    restored, also asks ``MAX_INFORMANTS`` peers which orders were withdrawn before:
+    the source doesn't tell.
     """
 
     def __init__(
@@ -55,13 +61,26 @@
         self.register = register
         self.client = client
         self.fetching: set[Topic] = set()
+        # Hosts whose withdrawn orders this process knows, and the history of the
+        # source in which it asked for them.
+        self.informants: set[str] = set()
+        self.informed_history: int | None = None
         self.barrier = ErrorBarrier(place="peer_state")
 
     def on_heartbeat(
         self, host: str, heartbeat: Heartbeat, nursery: trio.Nursery
     ) -> None:
-        """Fetch the sender's state if it is newer."""
+        """Fetch the sender's state if it is newer, or its withdrawn orders."""
         self._fetch_newer(host, heartbeat, nursery)
+        self._update_history()
+        is_informed = len(self.informants) >= MAX_INFORMANTS
+        if is_informed or host in self.informants:
+            return
+        if not heartbeat.evacuations_revision:
+            self.informants.add(host)
+        elif Topic.DESIRED_STATE not in self.fetching:
+            self.fetching.add(Topic.DESIRED_STATE)
+            nursery.start_soon(self._fetch_guarded, host, Topic.DESIRED_STATE, None)
 
     def on_confirmation(
         self, host: str, confirmation: Confirmation, nursery: trio.Nursery
@@ -102,6 +121,16 @@
             for host in self.members.members:
                 self.socket.send_to(message, (host, self.port))
 
+    def _update_history(self) -> None:
+        """Ask peers again after a restore, if an order is in force."""
+        revision = self.register.revision(Topic.DESIRED_STATE)
+        if not revision:
+            return
+        history, known = history_of(revision), self.informed_history
+        self.informed_history = history
+        if known is not None and known != history and self.register.evacuated_zones:
+            self.informants.clear()
+
     def _progress(self, topic: Topic) -> tuple[int, ...]:
         """Return what tells how far this process is, in the terms of a heartbeat."""
         revision = self.register.revision(topic)
@@ -140,20 +169,22 @@
             nursery.start_soon(self._fetch_guarded, host, topic, progress)
 
     async def _fetch_guarded(
-        self, host: str, topic: Topic, progress: tuple[int, ...]
+        self, host: str, topic: Topic, progress: tuple[int, ...] | None
     ) -> None:
         with self.barrier:
             await self._fetch(host, topic, progress)
 
-    async def _fetch(self, host: str, topic: Topic, progress: tuple[int, ...]) -> None:
-        """Fetch a topic from a peer, unless the source delivers it first."""
+    async def _fetch(
+        self, host: str, topic: Topic, progress: tuple[int, ...] | None
+    ) -> None:
+        """Fetch a topic from a peer, unless the source delivers ``progress`` first."""
         try:
-            if self._progress(topic)[0] > 0:
-                await trio.sleep(FETCH_DELAY_S)
-            if not self._is_behind(topic, progress):
+            if progress is not None and not await self._stays_behind(topic, progress):
                 return
             listing = await self.client.fetch(host, topic)
             self.register.apply_listing(listing, origin=host)
+            if topic is Topic.DESIRED_STATE and len(self.informants) < MAX_INFORMANTS:
+                self.informants.add(host)
         except PeerUnavailableError as error:
             logger.warning(
                 "could not fetch the published state from a peer",
@@ -161,3 +192,9 @@
             )
         finally:
             self.fetching.discard(topic)
+
+    async def _stays_behind(self, topic: Topic, progress: tuple[int, ...]) -> bool:
+        """Wait for the source; return whether it didn't deliver a peer's progress."""
+        if self._progress(topic)[0] > 0:
+            await trio.sleep(FETCH_DELAY_S)
+        return self._is_behind(topic, progress)
--- a/tests/oleanderweir_standins/fleet_process.py
+++ b/tests/oleanderweir_standins/fleet_process.py
@@ -5,6 +5,7 @@
 from typing import cast
 
 import trio
+import trio.testing
 
 from oleanderweir.desired_state import ReaderStatus
 from oleanderweir.desired_state import StateFollower
@@ -22,10 +23,9 @@
 from oleanderweir.peering.messages import PeerRole
 from oleanderweir.peering.messages import StateUpdate
 from oleanderweir.peering.report_interval import KEEPALIVE_S
-from oleanderweir.peering.state_exchange import LENGTH
 from oleanderweir.peering.state_exchange import REQUEST_TIMEOUT_S
-from oleanderweir.peering.state_exchange import decode_listing
 from oleanderweir.peering.state_exchange import encode_listing
+from oleanderweir.peering.state_exchange import receive_listing
 from oleanderweir_platform.store_client import StoreClient
 from oleanderweir_platform.store_documents import StoreDecoder
 from tests.oleanderweir_standins.suspendable_source import SuspendableSource
@@ -170,4 +170,7 @@
             raise PeerUnavailableError("no route to the peer")
         frame = encode_listing(self.fleet.processes[host].register.export(topic))
         await trio.sleep(0.001 + self.fleet.max_delay_s)
-        return decode_listing(frame[LENGTH.size :])
+        receiver, sender = trio.testing.memory_stream_pair()
+        await sender.send_all(frame)
+        await sender.aclose()
+        return await receive_listing(receiver)
--- a/tests/oleanderweir_standins/test_evacuations.py
+++ b/tests/oleanderweir_standins/test_evacuations.py
@@ -14,6 +14,7 @@
 from tests.oleanderweir_standins.test_lost_readers import AGENTS
 from tests.oleanderweir_standins.test_lost_readers import APPLY_S
 from tests.oleanderweir_standins.test_lost_readers import BALANCERS
+from tests.oleanderweir_standins.test_lost_readers import SETTLING_S
 from tests.oleanderweir_standins.test_lost_readers import open_fleet
 
 
@@ -33,13 +34,25 @@
     return [n for n, process in processes.items() if process.register.is_evacuated("a")]
 
 
+def write_order(fleet: Fleet, *, is_ordered: bool, zone: str = "a") -> None:
+    """Write the order of a zone, or remove it."""
+    if is_ordered:
+        fleet.store.contents.write(f"op/evacuate/{zone}", {})
+    else:
+        fleet.store.contents.remove(f"op/evacuate/{zone}")
+
+
+def restart(fleet: Fleet, number: int) -> None:
+    """Kill a process and start it again."""
+    role = fleet.processes[host_of(number)].role
+    fleet.kill(number)
+    fleet.start(number, role=role)
+
+
 async def check_orders(fleet: Fleet) -> None:
     """Order, withdraw and order again; fail if a process doesn't know it in time."""
     for is_ordered in (True, False, True):
-        if is_ordered:
-            fleet.store.contents.write(ORDER, {})
-        else:
-            fleet.store.contents.remove(ORDER)
+        write_order(fleet, is_ordered=is_ordered)
         await trio.sleep(APPLY_S)
         assert find_evacuated(fleet) == (ALL if is_ordered else [])
 
@@ -103,3 +116,90 @@
 
         await trio.sleep(APPLY_S)
         await check_orders(fleet)
+
+
+# Nothing in the store tells that the order which its copy has was withdrawn.
+@pytest.mark.parametrize("is_restarted", [False, True])
+@pytest.mark.parametrize("numbers", [[1], [9], [3, 4, 7]])
+async def test_processes_that_missed_a_withdrawal_learn_of_it_after_a_restore(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    numbers: Sequence[int],
+    is_restarted: bool,
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        write_order(fleet, is_ordered=True)
+        await trio.sleep(APPLY_S)
+        for number in numbers:
+            fleet.cut_hosts.add(host_of(number))
+            fleet.store.conditions[number] = StoreCondition.UNREACHABLE
+            fleet.silence_connections(number)
+        write_order(fleet, is_ordered=False)
+        await trio.sleep(APPLY_S)
+
+        revision = fleet.store.revision_before(APPLY_S + 1.0)
+        # Without the writers, which would remove the order again.
+        fleet.store.contents.restore(revision)
+        fleet.store.close_connections()
+        fleet.set_conditions(StoreCondition.SERVING)
+        for number in numbers:
+            if is_restarted:
+                restart(fleet, number)
+        await trio.sleep(SETTLING_S)
+        assert find_evacuated(fleet) == numbers
+
+        fleet.cut_hosts.clear()
+        await trio.sleep(APPLY_S)
+        assert find_evacuated(fleet) == []
+        await check_orders(fleet)
+
+
+async def test_a_rolling_restart_amid_an_evacuation_neither_loses_nor_prolongs_it(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        for is_ordered in (True, False):
+            for number in AGENTS:
+                if number == AGENTS[1]:
+                    write_order(fleet, is_ordered=is_ordered)
+                restart(fleet, number)
+                await trio.sleep(APPLY_S)
+
+            assert find_evacuated(fleet) == (ALL if is_ordered else [])
+
+
+@pytest.mark.parametrize("outage_s", [1.0, 5.0, 20.0])
+async def test_an_order_of_before_an_outage_stays_and_one_of_its_end_is_known_in_time(
+    autojump_clock: trio.testing.MockClock,
+    monkeypatch: pytest.MonkeyPatch,
+    outage_s: float,
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        write_order(fleet, is_ordered=True)
+        await trio.sleep(APPLY_S)
+        fleet.set_conditions(StoreCondition.SILENT)
+        fleet.store.close_connections()
+        restart(fleet, AGENTS[0])
+        await trio.sleep(outage_s)
+        assert find_evacuated(fleet) == ALL
+
+        fleet.set_conditions(StoreCondition.SERVING)
+        write_order(fleet, is_ordered=False)
+        await trio.sleep(APPLY_S + 1.0)
+        assert find_evacuated(fleet) == []
+
+
+async def test_zones_are_evacuated_and_taken_back_independently(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with open_fleet(monkeypatch) as fleet:
+        steps = ("a", "b"), ("b",), ("b", "c"), ()
+        known: tuple[str, ...] = ()
+        for zones in steps:
+            for zone in {*known, *zones}:
+                write_order(fleet, is_ordered=zone in zones, zone=zone)
+            known = zones
+            restart(fleet, BALANCERS[2])
+            await trio.sleep(APPLY_S)
+            for process in fleet.processes.values():
+                assert process.register.evacuated_zones == set(zones)
