Obey evacuation orders by their key alone

An order that was overwritten with an invalid value stayed in force at processes that knew the earlier value; those that started later didn't know it and placed flows in the zone. All obey it now until its key is removed, and report the value as before.

Ruled out: ending the order, as flows in a zone that is about to fail are lost, while an evacuation in vain costs room and shows in the logs; and telling new processes of the earlier value, which all lose when the site restarts.

--- a/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
+++ b/packages/oleanderweir-bench/src/oleanderweir_bench/packet_path/published_state.py
@@ -63,11 +63,14 @@
         """Return the desired state that a document stands for."""
         return self.desired_documents[document]
 
-    def decode_evacuated_zone(self, name: str, document: bytes | None) -> str | None:
+    def decode_evacuated_zone(self, name: str) -> str | None:
         """Return ``None``: no zone of the site is evacuated."""
-        del name, document
+        del name
         return None
 
+    def check_evacuation_order(self, document: bytes) -> None:
+        """Do nothing: there are no orders."""
+
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
         """Return the record that a document of ``make_listing`` stands for."""
         del name
--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -20,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+NOT_APPLIED = "published document is invalid and was not applied"
+
 
 class DesiredStateTopic:
     """
@@ -43,7 +45,7 @@
         self.services_by_address: dict[bytes, set[str]] = {}
         # The last document that was not applied; it is logged once.
         self.ignored_document: bytes | None = None
-        # Invalid orders, by name; each is logged once.
+        # Invalid orders of the last listing and later, by name; each is logged once.
         self.invalid_orders: dict[str, bytes | None] = {}
 
     @property
@@ -93,6 +95,8 @@
             self.evacuations.apply_older_listing(orders)
             return
         names = {change.name for change in listing.documents}
+        for name in self.invalid_orders.keys() - names:
+            del self.invalid_orders[name]
         self.evacuations.apply_listing(orders, names=names, revision=listing.revision)
 
     def _split(
@@ -104,23 +108,41 @@
         for change in changes:
             self.changed_revision = max(self.changed_revision, change.revision)
             try:
-                zone = self.decoder.decode_evacuated_zone(change.name, change.document)
+                zone = self.decoder.decode_evacuated_zone(change.name)
             except InvalidDocumentError as error:
-                self._reject_order(change, error)
+                self._report_order(change, error, NOT_APPLIED)
                 continue
             if zone is None:
                 others.append(change)
-            else:
-                orders.append(EvacuationOrder(zone=zone, change=change))
+                continue
+            self._check_order(change)
+            orders.append(EvacuationOrder(zone=zone, change=change))
         return orders, others
 
-    def _reject_order(self, change: Change, error: InvalidDocumentError) -> None:
-        """Log an invalid order once; what was ordered before stays in force."""
+    def _check_order(self, change: Change) -> None:
+        """
+        Report an order with an invalid value.
+
+        Its key alone decides: processes that know what was ordered before agree with
+        those that have just started.
+        """
+        try:
+            if change.document is not None:
+                self.decoder.check_evacuation_order(change.document)
+        except InvalidDocumentError as error:
+            self._report_order(change, error, "evacuation order is invalid, but obeyed")
+        else:
+            self.invalid_orders.pop(change.name, None)
+
+    def _report_order(
+        self, change: Change, error: InvalidDocumentError, text: str
+    ) -> None:
+        """Log an invalid order once."""
         known = change.name in self.invalid_orders
         if known and self.invalid_orders[change.name] == change.document:
             return
         self.invalid_orders[change.name] = change.document
-        self._log_invalid(change, error)
+        self._log_invalid(change, error, text)
 
     def _apply_all(self, changes: list[Change], revision: int) -> bool:
         version = self.version
@@ -142,7 +164,7 @@
             desired = self.decoder.decode_desired_state(document)
         except InvalidDocumentError as error:
             self.ignored_document = document
-            self._log_invalid(change, error)
+            self._log_invalid(change, error, NOT_APPLIED)
             return
         if desired.version <= self.version:
             self.ignored_document = document
@@ -155,10 +177,12 @@
             services = self.services_by_address.setdefault(route.address, set())
             services.update(share.service for share in route.shares)
 
-    def _log_invalid(self, change: Change, error: InvalidDocumentError) -> None:
+    def _log_invalid(
+        self, change: Change, error: InvalidDocumentError, text: str
+    ) -> None:
         """Log that a document is invalid."""
         logger.warning(
-            "published document is invalid and was not applied",
+            text,
             extra={
                 "code": error.code,
                 "document": change.name,
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_decoder.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_decoder.py
@@ -17,12 +17,15 @@
     def decode_desired_state(self, document: bytes) -> DesiredState:
         """Decode the configuration of routes."""
 
-    def decode_evacuated_zone(self, name: str, document: bytes | None) -> str | None:
+    def decode_evacuated_zone(self, name: str) -> str | None:
         """
-        Return the availability zone of an evacuation order, or of its withdrawal.
+        Return the availability zone of the evacuation order published under ``name``.
 
-        Return ``None`` for a document that is no such order by its ``name``.
+        Return ``None`` for a document that is no such order.
         """
 
+    def check_evacuation_order(self, document: bytes) -> None:
+        """Check the value of an evacuation order, which is in force nevertheless."""
+
     def decode_backend_server(self, name: str, document: bytes) -> BackendRecord:
         """Decode the record of a backend server published under ``name``."""
