Compute the end of a cold start once for each opening

The limiter computed it when it updated its state, and again to admit the opening. It keeps the result of the update. No change of behaviour; the tests are unchanged.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/cold_start_limiter.py
@@ -42,7 +42,8 @@
         self.tolerance = tolerance
         self.period = period
         self.window = OpeningWindow()
-        self.was_cold = False
+        # Whether the backend server was in a limited cold start at the last update.
+        self.is_cold = False
 
     @property
     def limit(self) -> ColdStartLimit | None:
@@ -57,8 +58,8 @@
         self.window.on_run(now=now)
         self.period.update(now=now)
         is_cold = self._is_cold(now)
-        if is_cold != self.was_cold:
-            self.was_cold = is_cold
+        if is_cold != self.is_cold:
+            self.is_cold = is_cold
             logger.info(
                 "cold start of the backend server began or ended",
                 extra={"code": "cold_start", "is_cold": is_cold},
@@ -77,7 +78,7 @@
         """
         self.update(now=now)
         limit = self.limit
-        if limit is None or self.tolerance is None or not self._is_cold(now):
+        if limit is None or self.tolerance is None or not self.is_cold:
             return True
         if not self.window.is_complete(now=now):
             return False
