Show in the metrics which evacuation orders a process obeys

Operators could only count log lines and event counters, which don't tell what is in force now, nor since when. The metrics have a gauge for each evacuated zone with the time since the process learned of its order; without an order, the page is as before.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/evacuations.py
@@ -47,8 +47,9 @@
         self.written_positions: dict[str, set[int]] = {}
         self.zones: frozenset[str] = frozenset()
         self.changed_revision = 0
-        # When this process learned of the last withdrawal of each zone, in seconds of
-        # trio's clock.
+        # When this process learned of the order in force and of the last withdrawal of
+        # each zone, in seconds of trio's clock.
+        self.started_at: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}
         self.withdrawals = Withdrawals()
 
@@ -146,6 +147,7 @@
         written.add(revision)
         if len(written) > MAX_WRITES:
             written.remove(min(written))
+        self.started_at.setdefault(order.zone, trio.current_time())
         self.ended_at.pop(order.zone, None)
         self._on_changed("evacuation_ordered", order.zone, min(revision, known_up_to))
 
@@ -172,6 +174,7 @@
     def _end(self, zone: str) -> set[int]:
         """End the evacuation of a zone; return the positions of its writes."""
         self.orders.pop(zone, None)
+        self.started_at.pop(zone, None)
         self.ended_at.pop(zone, None)
         self.ended_at[zone] = trio.current_time()
         if len(self.ended_at) > MAX_WITHDRAWN_ZONES:
--- a/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/state_register.py
@@ -89,6 +89,15 @@
         """Whether the backend servers of an availability zone get no new flows."""
         return zone in self.evacuated_zones
 
+    @property
+    def evacuations_started_at(self) -> dict[str, float]:
+        """
+        When this process learned of the order in force, of each evacuated zone.
+
+        In seconds of trio's clock.
+        """
+        return self.desired_topic.evacuations.started_at
+
     def evacuation_ended_at(self, zone: str) -> float | None:
         """
         Return when this process learned that a zone's evacuation was withdrawn.
--- a/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/metrics_page.py
@@ -1,12 +1,14 @@
-"""The counters of a process in the Prometheus text format."""
+"""The counters and evacuated zones of a process in the Prometheus text format."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+import trio
 from prometheus_client import CollectorRegistry
 from prometheus_client import generate_latest
 from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.core import HistogramMetricFamily
 
 from oleanderweir.error_barrier import unexpected_errors
@@ -16,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
+    from collections.abc import Mapping
 
     from prometheus_client.core import Metric
 
@@ -70,10 +73,34 @@
     return family
 
 
-def make_metrics_page(counters: EventCounters) -> HttpResponse:
-    """Return the response with all counters."""
+class EvacuationCollector:
+    """Exposes the evacuated availability zones to the Prometheus client, if any."""
+
+    def __init__(self, *, started_at: Mapping[str, float]) -> None:
+        self.started_at = started_at
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield for how long each order has been in force at this process."""
+        if not self.started_at:
+            return
+        family = GaugeMetricFamily(
+            "oleanderweir_zone_evacuated_seconds",
+            "Time since this process learned that a zone is evacuated.",
+            labels=["zone"],
+        )
+        now = trio.current_time()
+        for zone, started_at in sorted(self.started_at.items()):
+            family.add_metric([zone], now - started_at)
+        yield family
+
+
+def make_metrics_page(
+    counters: EventCounters, *, evacuations_started_at: Mapping[str, float]
+) -> HttpResponse:
+    """Return the response with all counters, and the evacuated zones."""
     registry = CollectorRegistry(auto_describe=False)
     registry.register(EventCollector(counters=counters))
+    registry.register(EvacuationCollector(started_at=evacuations_started_at))
     return HttpResponse(
         status=200,
         body=generate_latest(registry),
--- a/packages/oleanderweir/src/oleanderweir/packet_process/process_listeners.py
+++ b/packages/oleanderweir/src/oleanderweir/packet_process/process_listeners.py
@@ -64,7 +64,9 @@
         # Imported on the first request: the library would double the start-up time.
         from oleanderweir.packet_process.metrics_page import make_metrics_page  # noqa: PLC0415
 
-        return make_metrics_page(self.counters)
+        return make_metrics_page(
+            self.counters, evacuations_started_at=self.register.evacuations_started_at
+        )
 
 
 async def _listen_at(
