--- a/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/desired_state_topic.py
@@ -20,6 +20,8 @@
 
 logger = logging.getLogger(__name__)
 
+NOT_APPLIED = "published document is invalid and was not applied"
+
 
 class DesiredStateTopic:
     """
@@ -43,7 +45,7 @@
         self.services_by_address: dict[bytes, set[str]] = {}
         # The last document that was not applied; it is logged once.
         self.ignored_document: bytes | None = None
-        # Invalid orders, by name; each is logged once.
+        # Invalid orders of the last listing and later, by name; each is logged once.
         self.invalid_orders: dict[str, bytes | None] = {}
 
     @property
@@ -63,21 +65,39 @@
 
     def apply_listing(self, listing: Listing) -> bool:
         """Apply a listing; return whether the desired state or an order changed."""
+        zones = self.evacuations.zones
         orders, others = self._split(listing.documents)
-        are_orders_changed = False
-        if listing.revision >= self.revision:
-            are_orders_changed = self.evacuations.apply_listing(
-                orders,
-                names={change.name for change in listing.documents},
-                revision=listing.revision,
-            )
-        return self._apply_all(others, listing.revision) or are_orders_changed
+        self._apply_listed_orders(orders, listing)
+        # Changes of orders that an incomplete listing lacks are still to be read.
+        revision = 0 if listing.withdrawn is None else listing.revision
+        is_applied = self._apply_all(others, revision)
+        return is_applied or self.evacuations.zones != zones
 
     def apply_changes(self, changes: Changes) -> bool:
         """Apply changes; return whether the desired state or an order is another."""
+        zones = self.evacuations.zones
         orders, others = self._split(changes.changes)
-        are_orders_changed = self.evacuations.apply_changes(orders)
-        return self._apply_all(others, changes.revision) or are_orders_changed
+        self.evacuations.apply_changes(orders)
+        is_applied = self._apply_all(others, changes.revision)
+        return is_applied or self.evacuations.zones != zones
+
+    def _apply_listed_orders(
+        self, orders: list[EvacuationOrder], listing: Listing
+    ) -> None:
+        """Apply the orders of a listing, as far as it is newer and complete."""
+        is_older = listing.revision < self.revision
+        if listing.withdrawn is None:
+            if not is_older:
+                self.evacuations.apply_incomplete_listing(orders)
+            return
+        self.evacuations.merge(listing.withdrawn)
+        if is_older:
+            self.evacuations.apply_older_listing(orders)
+            return
+        names = {change.name for change in listing.documents}
+        for name in self.invalid_orders.keys() - names:
+            del self.invalid_orders[name]
+        self.evacuations.apply_listing(orders, names=names, revision=listing.revision)
 
     def _split(
         self, changes: tuple[Change, ...]
@@ -88,23 +108,41 @@
         for change in changes:
             self.changed_revision = max(self.changed_revision, change.revision)
             try:
-                zone = self.decoder.decode_evacuated_zone(change.name, change.document)
+                zone = self.decoder.decode_evacuated_zone(change.name)
             except InvalidDocumentError as error:
-                self._reject_order(change, error)
+                self._report_order(change, error, NOT_APPLIED)
                 continue
             if zone is None:
                 others.append(change)
-            else:
-                orders.append(EvacuationOrder(zone=zone, change=change))
+                continue
+            self._check_order(change)
+            orders.append(EvacuationOrder(zone=zone, change=change))
         return orders, others
 
-    def _reject_order(self, change: Change, error: InvalidDocumentError) -> None:
-        """Log an invalid order once; what was ordered before stays in force."""
+    def _check_order(self, change: Change) -> None:
+        """
+        Report an order with an invalid value.
+
+        Its key alone decides: processes that know what was ordered before agree with
+        those that have just started.
+        """
+        try:
+            if change.document is not None:
+                self.decoder.check_evacuation_order(change.document)
+        except InvalidDocumentError as error:
+            self._report_order(change, error, "evacuation order is invalid, but obeyed")
+        else:
+            self.invalid_orders.pop(change.name, None)
+
+    def _report_order(
+        self, change: Change, error: InvalidDocumentError, text: str
+    ) -> None:
+        """Log an invalid order once."""
         known = change.name in self.invalid_orders
         if known and self.invalid_orders[change.name] == change.document:
             return
         self.invalid_orders[change.name] = change.document
-        self._log_invalid(change, error)
+        self._log_invalid(change, error, text)
 
     def _apply_all(self, changes: list[Change], revision: int) -> bool:
         version = self.version
@@ -126,7 +164,7 @@
             desired = self.decoder.decode_desired_state(document)
         except InvalidDocumentError as error:
             self.ignored_document = document
-            self._log_invalid(change, error)
+            self._log_invalid(change, error, NOT_APPLIED)
             return
         if desired.version <= self.version:
             self.ignored_document = document
@@ -139,10 +177,12 @@
             services = self.services_by_address.setdefault(route.address, set())
             services.update(share.service for share in route.shares)
 
-    def _log_invalid(self, change: Change, error: InvalidDocumentError) -> None:
+    def _log_invalid(
+        self, change: Change, error: InvalidDocumentError, text: str
+    ) -> None:
         """Log that a document is invalid."""
         logger.warning(
-            "published document is invalid and was not applied",
+            text,
             extra={
                 "code": error.code,
                 "document": change.name,
