Bound what a peer can tell of withdrawn orders, and ask peers that know of any

A failed question counts as asked, so that peers that can't be reached aren't asked at each heartbeat.

--- a/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/__init__.py
@@ -10,6 +10,7 @@
 from oleanderweir.desired_state.exceptions import InvalidDocumentError
 from oleanderweir.desired_state.exceptions import SourceBusyError
 from oleanderweir.desired_state.exceptions import SourceUnavailableError
+from oleanderweir.desired_state.positions import REVISION_MASK
 from oleanderweir.desired_state.positions import history_of
 from oleanderweir.desired_state.positions import make_position
 from oleanderweir.desired_state.positions import revision_of
@@ -25,11 +26,16 @@
 from oleanderweir.desired_state.topic import Changes
 from oleanderweir.desired_state.topic import Listing
 from oleanderweir.desired_state.topic import Topic
+from oleanderweir.desired_state.withdrawals import MAX_HISTORIES
+from oleanderweir.desired_state.withdrawals import MAX_WITHDRAWN_ORDERS
 from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrder
 from oleanderweir.desired_state.withdrawn_orders import WithdrawnOrders
 
 
 __all__ = [
+    "MAX_HISTORIES",
+    "MAX_WITHDRAWN_ORDERS",
+    "REVISION_MASK",
     "REMOVAL_GRACE_S",
     "BackendRecord",
     "BackendState",
--- a/packages/oleanderweir/src/oleanderweir/desired_state/withdrawals.py
+++ b/packages/oleanderweir/src/oleanderweir/desired_state/withdrawals.py
@@ -72,7 +72,9 @@
         """Forget the withdrawal of an order that is listed later in its history."""
         position = order.change.revision
         for revision in (NO_WRITE, revision_of(position)):
-            withdrawn_at = self.positions.get((order.zone, revision), 0)
+            withdrawn_at = self.positions.get((order.zone, revision))
+            if withdrawn_at is None:
+                continue
             is_same_history = history_of(withdrawn_at) == history_of(position)
             if is_same_history and withdrawn_at >= position:
                 del self.positions[order.zone, revision]
--- a/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_exchange.py
@@ -134,7 +134,11 @@
     if body is None:
         return listing
     with _reject_invalid_body():
-        return attrs.evolve(listing, withdrawn=decode_withdrawn(body))
+        withdrawn = decode_withdrawn(body)
+        positions = [order.withdrawn_at for order in withdrawn.orders]
+        if max([*positions, *withdrawn.first_listings], default=0) > listing.revision:
+            raise ValueError("a peer told of a later withdrawal than its state has")
+        return attrs.evolve(listing, withdrawn=withdrawn)
 
 
 @contextmanager
--- a/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
+++ b/packages/oleanderweir/src/oleanderweir/peering/state_synchronizer.py
@@ -5,11 +5,13 @@
 import logging
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from oleanderweir.desired_state import Change
 from oleanderweir.desired_state import Changes
 from oleanderweir.desired_state import Topic
+from oleanderweir.desired_state import WithdrawnOrders
 from oleanderweir.desired_state import history_of
 from oleanderweir.error_barrier import ErrorBarrier
 from oleanderweir.peering.exceptions import PeerUnavailableError
@@ -18,6 +20,7 @@
 
 
 if TYPE_CHECKING:
+    from oleanderweir.desired_state import Listing
     from oleanderweir.desired_state import StateRegister
     from oleanderweir.net import UdpSocket
     from oleanderweir.peering.members import Members
@@ -31,9 +34,10 @@
 # How long a peer may be ahead before its state is fetched; the watch of this
 # process usually delivers the change sooner.
 FETCH_DELAY_S = 0.15
-# Peers that a process asks for withdrawn evacuation orders: some may have started only
-# just now, too.
+# Peers whose withdrawn evacuation orders a process gets, and how many it asks for them
+# at most: some may have started only just now, too, and tell of none.
 MAX_INFORMANTS = 3
+MAX_ASKED = 16
 
 
 class StateSynchronizer:
@@ -42,8 +46,8 @@
 
     If a peer is ahead, its state is fetched, unless the source delivers it within
     ``FETCH_DELAY_S``. A process that starts, or lists an order after the source was
-    restored, also asks ``MAX_INFORMANTS`` peers which orders were withdrawn before:
-    the source doesn't tell.
+    restored, also asks peers which orders were withdrawn before, until
+    ``MAX_INFORMANTS`` have told of any: the source doesn't tell.
     """
 
     def __init__(
@@ -61,9 +65,10 @@
         self.register = register
         self.client = client
         self.fetching: set[Topic] = set()
-        # Hosts whose withdrawn orders this process knows, and the history of the
-        # source in which it asked for them.
+        # Hosts that told of withdrawn orders, those that were asked, and the history of
+        # the source in which they were.
         self.informants: set[str] = set()
+        self.asked: set[str] = set()
         self.informed_history: int | None = None
         self.barrier = ErrorBarrier(place="peer_state")
 
@@ -74,11 +79,10 @@
         self._fetch_newer(host, heartbeat, nursery)
         self._update_history()
         is_informed = len(self.informants) >= MAX_INFORMANTS
-        if is_informed or host in self.informants:
+        if is_informed or host in self.asked or len(self.asked) >= MAX_ASKED:
             return
-        if not heartbeat.evacuations_revision:
-            self.informants.add(host)
-        elif Topic.DESIRED_STATE not in self.fetching:
+        if heartbeat.evacuations_revision and Topic.DESIRED_STATE not in self.fetching:
+            self.asked.add(host)
             self.fetching.add(Topic.DESIRED_STATE)
             nursery.start_soon(self._fetch_guarded, host, Topic.DESIRED_STATE, None)
 
@@ -121,6 +125,12 @@
             for host in self.members.members:
                 self.socket.send_to(message, (host, self.port))
 
+    def _record_informant(self, host: str, listing: Listing) -> None:
+        """Record a peer whose listing tells of withdrawn orders."""
+        is_informed = len(self.informants) >= MAX_INFORMANTS
+        if listing.withdrawn and listing.withdrawn.orders and not is_informed:
+            self.informants.add(host)
+
     def _update_history(self) -> None:
         """Ask peers again after a restore, if an order is in force."""
         revision = self.register.revision(Topic.DESIRED_STATE)
@@ -130,6 +140,7 @@
         self.informed_history = history
         if known is not None and known != history and self.register.evacuated_zones:
             self.informants.clear()
+            self.asked.clear()
 
     def _progress(self, topic: Topic) -> tuple[int, ...]:
         """Return what tells how far this process is, in the terms of a heartbeat."""
@@ -182,9 +193,13 @@
             if progress is not None and not await self._stays_behind(topic, progress):
                 return
             listing = await self.client.fetch(host, topic)
+            # A peer that names a revision of orders knows them; only those of releases
+            # before orders, which name none, send listings that lack orders.
+            knows_orders = progress is None or progress[-1] > 0
+            if listing.withdrawn is None and knows_orders:
+                listing = attrs.evolve(listing, withdrawn=WithdrawnOrders())
             self.register.apply_listing(listing, origin=host)
-            if topic is Topic.DESIRED_STATE and len(self.informants) < MAX_INFORMANTS:
-                self.informants.add(host)
+            self._record_informant(host, listing)
         except PeerUnavailableError as error:
             logger.warning(
                 "could not fetch the published state from a peer",
--- a/tests/oleanderweir/peering/test_state_exchange.py
+++ b/tests/oleanderweir/peering/test_state_exchange.py
@@ -10,6 +10,7 @@
 from oleanderweir.desired_state import WithdrawnOrder
 from oleanderweir.desired_state import WithdrawnOrders
 from oleanderweir.desired_state import make_position
+from oleanderweir.peering.exceptions import InvalidMessageError
 from oleanderweir.peering.state_exchange import LENGTH
 from oleanderweir.peering.state_exchange import decode_listing
 from oleanderweir.peering.state_exchange import encode_listing
@@ -35,7 +36,10 @@
     order = WithdrawnOrder(zone="a", revision=2**63, withdrawn_at=position)
     withdrawn = WithdrawnOrders(first_listings=(position,), orders=(order,))
     listing = Listing(
-        topic=Topic.DESIRED_STATE, revision=7, documents=(), withdrawn=withdrawn
+        topic=Topic.DESIRED_STATE,
+        revision=position,
+        documents=(),
+        withdrawn=withdrawn,
     )
     if is_earlier_release:
         listing = attrs.evolve(listing, withdrawn=None)
@@ -44,3 +48,27 @@
     await sender.aclose()
 
     assert await receive_listing(receiver) == listing
+
+
+@pytest.mark.parametrize(
+    ("count", "withdrawn_at"), [(257, 5), (1, 8)], ids=["too-many", "too-late"]
+)
+async def test_a_listing_with_impossible_withdrawn_orders_is_rejected(
+    count: int, withdrawn_at: int
+) -> None:
+    orders = tuple(
+        WithdrawnOrder(zone=f"z{number}", revision=5, withdrawn_at=withdrawn_at)
+        for number in range(count)
+    )
+    listing = Listing(
+        topic=Topic.DESIRED_STATE,
+        revision=7,
+        documents=(),
+        withdrawn=WithdrawnOrders(orders=orders),
+    )
+    receiver, sender = trio.testing.memory_stream_pair()
+    await sender.send_all(encode_listing(listing))
+    await sender.aclose()
+
+    with pytest.raises(InvalidMessageError):
+        await receive_listing(receiver)
