Lose no flow that a query has claimed to a late packet of its port

Callers saw an open flow reset. Cause: an agent tells the flows that use a port one after the other apart by the last acknowledgement of its caller. A flow that was claimed for a query has none yet, so that a late packet of the earlier flow, which waited in the lookup of another balancer, counted as the flow's own; its backend server returned it, and the agent reported the flow lost. Without an acknowledgement, the first sequence number of the backend server's answer tells the same.

The test fails before: LOST in place of a denial.

--- a/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
+++ b/packages/oleanderweir-agent/src/oleanderweir_agent/forwarding/flow_table.py
@@ -98,8 +98,13 @@
         return self.is_closed and self._is_far_from(packet)
 
     def may_be_of_later_flow(self, packet: Packet) -> bool:
-        """Whether a packet doesn't follow what the caller sent, if that is known."""
-        return self.caller_acknowledged != 0 and self._is_far_from(packet)
+        """
+        Whether a packet doesn't follow what the caller sent, or else was answered.
+
+        A flow that was claimed by a query may be open without a packet of its caller.
+        """
+        known = self.caller_acknowledged or self.answered_sequence or 0
+        return known != 0 and are_far(packet.acknowledged, known)
 
     def acknowledges_answer(self, packet: Packet) -> bool:
         """Whether a caller's packet acknowledges this backend server's answer."""
--- a/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
+++ b/tests/oleanderweir_agent/forwarding/test_backend_packet_handler.py
@@ -231,3 +231,21 @@
     bench.agent.on_backend_packet(ANSWER)
 
     assert OwnerNotice(key=KEY) in bench.to_peers()
+
+
+async def test_a_late_packet_loses_no_flow_that_was_claimed_by_a_query() -> None:
+    bench = AgentBench()
+    bench.deliver(DeliveryPurpose.OPEN, OPENING)
+    bench.agent.on_backend_packet(OPENED)
+    bench.deliver(DeliveryPurpose.TABLE_QUERY, REQUEST)
+    bench.agent.on_backend_packet(ANSWER)
+    late = encode_packet(KEY, payload_bytes=900, acknowledged=2_000_600)
+    bench.deliver(DeliveryPurpose.CONTINUE, late)
+    bench.to_peers()
+
+    bench.agent.on_backend_packet(
+        encode_packet(KEY, is_returned=True, payload_bytes=900, acknowledged=2_000_600)
+    )
+
+    denial = ReturnedPacket(reason=ReturnReason.NOT_HELD, data=late, is_port_used=True)
+    assert bench.to_peers() == [denial]
