--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -191,6 +191,7 @@
         # While it is down, it answers nothing, or 503 to each call.
         self.is_silent = False
         self.is_busy = False
+        self.down_at = 0.0
         self.leases: dict[str, float] = {}
         self.port = 0
         self.calls = 0
@@ -254,14 +255,15 @@
         """Give no answers from now on, or reject each call with 503."""
         self.is_silent = True
         self.is_busy = is_busy
+        self.down_at = time.monotonic()
         self.record.write(f"store: down ({'busy' if is_busy else 'silent'})")
         self._wake_watches()
 
     def come_back(self) -> None:
-        """Answer new calls again; leases run on from now."""
+        """Answer new calls again; leases stood still meanwhile."""
         self.is_silent = False
         for key in self.leases:
-            self.renew(key)
+            self.leases[key] += time.monotonic() - self.down_at
         self.record.write("store: answers again")
 
     async def serve(self, reader: Any, writer: Any) -> None:
