--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -619,7 +619,12 @@
     ) -> Flow | None:
         """Open a flow; return ``None`` if it did not open."""
         flow = Flow(self, route, next(self.ports))
-        return flow if await flow.open(limit_s) else None
+        if await flow.open(limit_s):
+            return flow
+        ended = "reset" if flow.is_reset else "unanswered"
+        self.site.result[f"openings {ended}"] += 1
+        self.waiting.pop(flow.port, None)
+        return None
 
     async def ask(
         self, route: tuple[str, int], request: str, *, budget_s: float = 2.0
@@ -856,6 +861,13 @@
             listen["Control"] = f"{host}:{ports[CONTROL]}"
         self.path.write_text(json.dumps(fields), encoding="utf-8")
 
+    def hand_over(self, service: str) -> None:
+        """Change the settings of the machine to another service, and tell so."""
+        self.service = service
+        self.write_settings()
+        self.site.record.write(f"the settings of {self.host} name {service}")
+        self.signal(signal.SIGHUP)
+
     def start(self) -> None:
         """Start the process with the command of the deploy file."""
         self.write_settings()
